--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod control;
 mod gossip;
 mod interface;
+mod quota;
 mod state;
 
 pub use interface::*;
