--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,4 +1,4 @@
-//! The quotas of customers over all gateways together: their stores, the homes that count for each customer, what
+//! The quotas of customers over all gateways together: their stores, the homes that count for each, what
 //! gateways tell them of use, and their word. Decisions as in `control.rs`, which asks here for room.
 use crate::{gossip::*, interface::*, state::*};
 
