Let a client that was accepted in this turn say something before it makes room

Cause: Clients::accept makes room before it knows whether anybody waits, and close_oldest took the connection that had not spoken yet, the one of this very turn. Now such a one counts as silent from the next turn on, and the system's own limit of descriptors bounds the budget.

--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -236,9 +236,8 @@
                 // One that was gone before it was accepted.
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
-                // Out of descriptors or memory in spite of the budget: an idle one may make room. Not one of this
-                // turn: without a descriptor to spare accepting fails also where nobody waits any more.
-                Err(_) if self.close_oldest_since(now) => {}
+                // Out of descriptors or memory in spite of the budget: an idle one may make room.
+                Err(_) if self.close_oldest(now) => {}
                 Err(_) => return Accepted::NoRoom,
             }
         }
@@ -544,17 +543,13 @@
     }
 
     /// Closes the connection that has been idle for longest, to make room; false if none is idle.
-    pub fn close_oldest(&mut self) -> bool {
-        self.close_oldest_since(Micros::MAX)
-    }
-
-    /// The same, but only one that has been idle since before a time.
-    fn close_oldest_since(&mut self, before: Micros) -> bool {
+    pub fn close_oldest(&mut self, now: Micros) -> bool {
         loop {
-            let idle = self.conns.iter().filter(|(_, c)| c.idle() && c.since < before);
-            // Those that never said anything go first. Many fall idle at one clock: of these the oldest goes, not
-            // the one that was accepted just now into the first free place.
-            let oldest = idle.min_by_key(|(_, c)| (c.spoke(), c.since, c.serial));
+            let idle = self.conns.iter().filter(|(_, c)| c.idle());
+            // Those that never said anything go first, but for those of this very turn: room is made before it is
+            // known whether anybody waits for it, and what the latest one has to say may still be on its way.
+            // Many fall idle at one clock: of these the oldest goes.
+            let oldest = idle.min_by_key(|(_, c)| (c.spoke() || c.since >= now, c.since, c.serial));
             let Some((key, since)) = oldest.map(|(key, c)| (key, c.since)) else {
                 return false;
             };
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -192,6 +192,12 @@
     }
 }
 
+/// How many descriptors the system allows this process; none where it does not say.
+fn descriptors_allowed() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    limits.lines().find_map(|l| l.strip_prefix("Max open files"))?.split_whitespace().next()?.parse().ok()
+}
+
 /// Takes the signals that the loop heeds.
 pub fn signals() -> Result<Signals, String> {
     Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot take signals: {e}"))
@@ -218,7 +224,9 @@
         let now = clock.now();
         let settings = config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let sockets = config.sockets.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
+        // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
+        let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
+        let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = Ingress {
             poll,
             clock,
@@ -227,7 +235,7 @@
             limits: settings.limits.clone(),
             asks_discovery: settings.discovery == Discovery::Ask,
             connect_timeout: config.connect_timeout,
-            sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {}", config.sockets))?,
+            sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {allowed}"))?,
             memory: config.memory / MEMORY_SHARE,
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
@@ -398,11 +406,11 @@
     }
 
     fn accept(&mut self) {
-        let (budget, backends) = (self.sockets, &mut self.backends);
+        let (now, budget, backends) = (self.now, self.sockets, &mut self.backends);
         let room = |clients: &mut Clients| {
             let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
             let full = clients.len() >= share || all >= budget;
-            if !full || clients.close_oldest() || (clients.len() < share && backends.close_oldest()) {
+            if !full || clients.close_oldest(now) || (clients.len() < share && backends.close_oldest()) {
                 Room::Free
             } else if clients.surplus() < MOST_SURPLUS {
                 Room::Surplus
@@ -681,7 +689,7 @@
         if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
             return self.backends.close_oldest();
         }
-        !self.full() || self.backends.close_oldest() || self.clients.close_oldest()
+        !self.full() || self.backends.close_oldest() || self.clients.close_oldest(self.now)
     }
 
     fn probe(&mut self, backend: BackendId) {
