--- a/src/quota.rs
+++ b/src/quota.rs
@@ -33,7 +33,7 @@
         let one = (mix(id.0) * set as f64) as u64;
         let other = 1 + (mix(!id.0) * (set as f64 - 1.0)) as u64;
         (c.first, c.width, c.pools) = (first, set as f64, [at(one), at(one + other)]);
-        // In a large fleet one counts, and is asked ahead of each request: messages are what there is least of.
+        // In a large fleet one counts, and is asked before each request: messages are scarce.
         // A ceiling lies with both.
         let asked = if plan.ceiling_rate > 0.0 { 2 } else { 1 };
         c.homes = if few { (0..set).map(at).collect() } else { c.pools[..asked].to_vec() };
@@ -193,7 +193,7 @@
             if m.born < peer.born {
                 return; // from before its restart
             }
-            let again = self.period > 0 || peer.born > 0; // in a large fleet all peers are strangers to begin with
+            let again = self.period > 0 || peer.born > 0; // at size all are strangers to begin with
             (peer.born, peer.seq) = (m.born, m.seq.wrapping_sub(1));
             for (id, c) in &mut self.customers {
                 if let Some(h) = c.heard.remove(&from.0) {
