Share the store of further attempts out over the fleet

Checked, by attempts and answers counted per backend: load was even, no backend was sick yet, and none turned work away; only second copies were more than the tenth of first attempts that RETRY_SHARE allows. At fault: RETRY_STORE, 10 further attempts saved up at each start; at 100 ingresses that is 1,000, spent at once when answers first come late, and a second copy's work is not stopped by calling the other off. Design: a store of 40 over all gateways, 2 to 10 at each; up to four gateways keep what they had. Test: a_hundred_gateways_do_not_double_the_load_of_backends_that_slow_down.

--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,8 @@
 const SILENCE: f64 = 0.35; // share of an aim after which an attempt at a silent backend is repeated elsewhere
 const HEDGE: f64 = 0.6; // the same at a backend that talks
 const RETRY_SHARE: f64 = 0.1; // further attempts per first attempt: retries cannot feed an overload
-const RETRY_STORE: f64 = 10.0; // and the store of them
+const RETRY_STORE: f64 = 40.0; // and the store of them, over all gateways
+const RETRY_STORES: (f64, f64) = (2.0, 10.0); // the least and the most of it at one gateway
 const COLD_MARGIN: f64 = 0.6; // part of the rule's budget spent on a cold backend: the rest is for chance
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
 const SICK_ERRORS: f64 = 0.25; // share of errors in recent answers from which a backend gets a trickle only
@@ -35,6 +36,11 @@
 const FRESH: Micros = 100_000; // age up to which a home's news need not be asked again; longest wait for it
 const TELLINGS: u8 = 3; // messages that carry an answer's lesson
 
+/// Further attempts that one gateway may save up: what all save up comes at once when backends slow down.
+fn retry_store(shares: u64) -> f64 {
+    (RETRY_STORE / shares as f64).clamp(RETRY_STORES.0, RETRY_STORES.1)
+}
+
 impl Health {
     fn rest(&mut self, now: Micros) {
         self.rest_until = now + (REST << self.strikes.min(3));
@@ -68,7 +74,7 @@
             born: now,
             known_since: Some(now),
             usual,
-            retries: RETRY_STORE,
+            retries: retry_store(shares),
             places: PLACES,
             period: if few { ((period * SECOND) as Micros).max(50_000) } else { 0 },
             shares,
@@ -371,7 +377,7 @@
         let (now, Some(bid)) = (self.now, self.choose(id)) else { return false };
         let Some(o) = self.requests.get_mut(&id) else { return false };
         if o.attempts.is_empty() {
-            self.retries = (self.retries + RETRY_SHARE).min(RETRY_STORE);
+            self.retries = (self.retries + RETRY_SHARE).min(retry_store(self.shares));
         }
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
         let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -472,6 +472,25 @@
     }
 }
 
+/// Guards against stores of further attempts that are harmless one by one: a hundred full ones came at once when all
+/// backends slowed down at a start, and kept them slow.
+#[test]
+fn a_hundred_gateways_do_not_double_the_load_of_backends_that_slow_down() {
+    let (mut first, mut further) = (0, 0);
+    for me in 0..100 {
+        let mut rig = Rig::with(Settings { gateways: 100, me: GatewayNo(me), ..settings() }, 200);
+        let (_, early) = rig.ask_of(0, 0, 5, 1.0, 1.0);
+        first += sends(&early).len();
+        for n in 0..20 {
+            first += sends(&rig.ask_of(0, 0, 6 + n, 1.0, 1.0).1).len();
+        }
+        first += sends(&rig.pass(200_000)).len(); // held for a word that does not come
+        further += sends(&rig.pass(S / 2)).len();
+    }
+    assert!(first >= 1500, "{first} sent");
+    assert!((100..=450).contains(&further), "{further} second copies of {first} that stay silent");
+}
+
 /// How many of ten requests for a unit each, of a customer seen for the first time, gateway 2 of three lets in.
 fn first_come(fleet: &mut Fleet, customer: u64) -> usize {
     let mut sent = 0;
