Tell each lesson of an answer to more peers, bad ones first, so that sick backends show

Checked, by attempts per backend and second over the whole fleet: nobody stopped, so it was not trials of a backend at rest. One ingress meets a given backend once in ten seconds. Peers' lessons came in at 0.5 a second for each backend, and half of that for each class; at a weight of 0.1 against a memory of 4 s the doubt of a backend that never answers ends at 0.17 and cannot reach DOUBTED, 0.4. At fault: TELLINGS and MOST_SAMPLES (3 messages of 3 samples), the weight in Gateway::learn, and its doubt for one class. Design: six samples a message, good ones told 12 times, bad ones 36 times and first; hearsay weighs 0.2 and counts for all classes, one's own for its class alone.

--- a/src/control.rs
+++ b/src/control.rs
@@ -34,7 +34,8 @@
 const FEW_PERIOD: f64 = 0.35; // report period in seconds up to which all of a customer's gateways are homes
 const NO_AGAIN: Micros = 500_000; // the same where it says that there is no room
 const FRESH: Micros = 100_000; // age up to which a home's news need not be asked again; longest wait for it
-const TELLINGS: u8 = 3; // messages that carry an answer's lesson
+const TELLINGS: (u8, u8) = (12, 36); // messages that carry an answer's lesson: a good one's, a bad one's
+const HEARSAY: f64 = 0.2; // weight of a lesson that a peer had: there are as many as one's own in ten seconds
 
 /// Further attempts that one gateway may save up: what all save up comes at once when backends slow down.
 fn retry_store(shares: u64) -> f64 {
@@ -401,15 +402,25 @@
     pub(crate) fn learn(&mut self, bid: BackendId, class: usize, took: Option<f64>, own: bool) {
         let (now, aim) = (self.now, self.s.classes[class].aim.max(1) as f64);
         let Some(b) = self.backends.get_mut(&bid) else { return };
-        b.health[class].note(now, took.is_none(), if own { 0.15 } else { 0.1 });
+        if own {
+            b.health[class].note(now, took.is_none(), 0.15);
+        } else {
+            // What is heard of a class seldom asked for would come too late for it: it counts for all.
+            b.health.iter_mut().for_each(|h| h.note(now, took.is_none(), HEARSAY));
+        }
         if own && self.period == 0 && class <= MOST_CLASS {
             let sample = Sample { tag: tag(bid.0), class: class as u8, took: took.map(|t| t / aim) };
-            self.samples.push_front((TELLINGS, sample));
+            // Bad ones go first: they are few, and all should know what a sick backend did to one.
+            let bad = self.samples.iter().filter(|s| s.1.took.is_none()).count();
+            let place = if took.is_none() { 0 } else { bad };
+            let times = if took.is_none() { TELLINGS.1 } else { TELLINGS.0 };
+            self.samples.insert(place, (times, sample));
             self.samples.truncate(MOST_SAMPLES);
         }
         let Some(took) = took.filter(|_| now != self.woke) else { return };
         let u = &mut self.usual[class];
-        b.slow = (b.slow + 0.1 * ((took / u.recent.max(1.0)).min(4.0) - b.slow)).max(0.3);
+        let weight = if own { 0.1 } else { HEARSAY };
+        b.slow = (b.slow + weight * ((took / u.recent.max(1.0)).min(4.0) - b.slow)).max(0.3);
         u.count += 1.0;
         u.recent += (took - u.recent) / u.count.min(20.0);
         // Down at once, up by a percent a second: half a minute of overload must not pass for calm.
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -14,7 +14,7 @@
 const MOST: usize = 256;
 
 /// The most [`Sample`]s that a message carries.
-pub const MOST_SAMPLES: usize = 3;
+pub const MOST_SAMPLES: usize = 6;
 /// The most [`Use`]s that fit in a message.
 pub const MOST_USES: usize = (MOST - HEAD - MOST_SAMPLES * SAMPLE_BYTES) / USE_BYTES;
 /// The most [`News`] that fit in a message.
@@ -281,7 +281,7 @@
             for count in 0..=MOST_SAMPLES {
                 let one = Sample { tag: tag(77), class: 6, took: Some(0.5) };
                 let bad = Sample { took: None, ..one };
-                let samples = [one, bad, one][..count].to_vec();
+                let samples = [one, bad, one].into_iter().cycle().take(count).collect();
                 let message = Message { born: 77, seq: 3, samples, body: body.clone() };
                 let bytes = message.pack();
                 assert!(bytes.len() <= MOST);
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -491,6 +491,47 @@
     assert!((100..=450).contains(&further), "{further} second copies of {first} that stay silent");
 }
 
+/// Guards against each of a hundred gateways finding out for itself that a backend is silent: at a few requests a
+/// second each it went on getting a good part of its share.
+#[test]
+fn a_hundred_gateways_learn_of_a_silent_backend_together() {
+    let mut fleet = Fleet::new(100);
+    for rig in &mut fleet.rigs {
+        rig.feed(Event::Roster(RosterKind::Full, (0..30).map(listed).collect()));
+    }
+    let (mut all, mut silent) = (0, 0);
+    for n in 0..2000usize {
+        for at in [n * 37 % 100, n * 41 % 100, n * 53 % 100, n * 61 % 100] {
+            let (_, actions) = fleet.rigs[at].ask_of(0, 0, 7000 + n as u64 * 31 % 400, 1.0, 100.0);
+            let held = fleet.rigs[at].pass(20_000); // its timers, too
+            let mut queue: Vec<(usize, Action)> = actions.into_iter().chain(held).map(|a| (at, a)).collect();
+            while let Some((at, action)) = queue.pop() {
+                match action {
+                    // The first five seconds are for learning.
+                    Action::Send { backend: BackendId(0), .. } => silent += usize::from(n >= 500),
+                    Action::Send { id, backend, .. } => {
+                        all += usize::from(n >= 500);
+                        let more = fleet.rigs[at].settle(id, 0, backend, Outcome::Ok);
+                        queue.extend(more.into_iter().map(|a| (at, a)));
+                    }
+                    Action::Tell { to: Some(to), bytes } => {
+                        let event = Event::Peer { from: GatewayNo(at as u16), bytes };
+                        let more = fleet.rigs[usize::from(to.0)].feed(event);
+                        queue.extend(more.into_iter().map(|a| (usize::from(to.0), a)));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let now = T0 + (n as u64 + 1) * 10_000;
+        fleet.rigs.iter_mut().for_each(|rig| rig.now = rig.now.max(now));
+    }
+    assert!(
+        all > 5000 && silent * 300 < all,
+        "{silent} of {all} sent to one of 30 backends, which is silent"
+    );
+}
+
 /// How many of ten requests for a unit each, of a customer seen for the first time, gateway 2 of three lets in.
 fn first_come(fleet: &mut Fleet, customer: u64) -> usize {
     let mut sent = 0;
