End attempts of capped customers with their aim

An attempt of theirs took 170 ms in the middle but 430 ms in the mean: one in twenty sat at a backend ten times slower for up to 6 s and held one of four places all the while. Ruled out: messages of ends that are lost. At fault: Gateway::send, which let each attempt run until the client gives up, though no class has any worth past its aim. Design: in a large fleet, where a plan caps what is out and the class has no late worth, the attempt expires at the request's aim. The request is then answered at once, with advice when to come again. Test: an_attempt_of_a_capped_customer_ends_with_its_aim.

--- a/src/control.rs
+++ b/src/control.rs
@@ -392,7 +392,14 @@
             b.cold_sends.retain(|t| *t + self.s.rules.fall_time > now);
             b.cold_sends.push_back(now);
         }
-        act.push(Action::Send { id, backend: bid, expires: 0 });
+        // Past the aim an attempt earns nothing, but goes on holding one of its customer's few places. In a
+        // small fleet the clients that come again would cost more.
+        let (class, plan) =
+            (&self.s.classes[usize::from(o.req.class)], &self.s.plans[usize::from(o.req.plan)]);
+        let idle =
+            self.period == 0 && plan.open_cap > 0 && class.late_worth == 0.0 && class.aim_stretch == 0.0;
+        let expires = if idle { (o.arrived + class.aim).max(now + self.s.tick) } else { 0 };
+        act.push(Action::Send { id, backend: bid, expires });
         true
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -616,6 +616,28 @@
     assert_eq!(sends(&rig.ask(0, 3, 5, 1.0).1).len(), 1);
 }
 
+/// Guards against an attempt at a slow backend that holds one of a customer's few places for as long as the client
+/// waits, though its answer has been worth nothing since the aim.
+#[test]
+fn an_attempt_of_a_capped_customer_ends_with_its_aim() {
+    let mut rig = Rig::with(Settings { gateways: 100, ..settings() }, 200);
+    let until = |actions: &[Action]| {
+        let expiry = |a: &Action| if let Action::Send { expires, .. } = a { Some(*expires) } else { None };
+        actions.iter().find_map(expiry)
+    };
+    let (id, actions) = rig.ask_of(2, 3, 5, 1.0, 1.0);
+    assert_eq!(until(&actions), Some(T0 + S), "a cap of two, an aim of a second");
+    assert_eq!(
+        until(&rig.ask_of(2, 0, 6, 1.0, 1.0).1),
+        Some(0),
+        "without a cap it lasts as long as the client"
+    );
+    rig.pass(S + 20_000);
+    let ended = rig.settle(id, 0, sends(&actions)[0], Outcome::TimedOut);
+    assert!(failed(&ended), "told at once, not later");
+    assert_eq!(sends(&rig.ask_of(2, 3, 5, 1.0, 1.0).1).len(), 1);
+}
+
 #[test]
 fn an_end_that_races_the_gateways_own_gets_no_second_answer() {
     let mut rig = Rig::with(settings(), 4);
