Refuse a capped customer whose home talks but is silent on it

Checked, by the home's log of each question against what its gateways sent: half of the questions never came, so most were decided after 100 ms without a word, and without a word a customer passes. If it has no word on a capped customer after two questions, the customer is what overruns it, and is refused; each one beyond the cap costs what one inside earns. Customers with a rate alone pass as before: no one of them asks often enough to overrun a home. Test: a_capped_customer_is_refused_where_its_home_talks_but_not_of_it.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -75,7 +75,11 @@
         // A home in a large fleet is asked first: it knows of all. Elsewhere there is only its latest word.
         let few = self.period > 0;
         let unheard = if few { c.others * (self.period + UNHEARD) as f64 / SECOND } else { 0.0 };
-        let told = few || c.home || self.now - c.news_at.min(self.now) < WORD_LIFE;
+        let recent = |at: Micros| self.now - at.min(self.now) < WORD_LIFE;
+        let told = few || c.home || recent(c.news_at);
+        // A home that talks, but not on this, is overrun by a customer with more than it may have out.
+        let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.heard_at));
+        let overrun = !told && c.asked_at > 0 && c.homes.iter().all(talks);
         let mut quota = None;
         if plan.rate > 0.0 {
             // The room left, split by use heard; the peers' part is no more than what they pass unheard.
@@ -86,7 +90,7 @@
         }
         // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts.
         let open = c.open + c.others_open + (unheard / req.units.max(0.1)) as u32;
-        if told && plan.open_cap > 0 && open >= plan.open_cap {
+        if plan.open_cap > 0 && (overrun || told && open >= plan.open_cap) {
             quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)].calm / SECOND));
         }
         let has = c.ceiling + c.granted;
@@ -208,7 +212,7 @@
         if m.seq.wrapping_sub(peer.seq) as i16 <= 0 {
             return; // a repeat, or overtaken
         }
-        peer.seq = m.seq;
+        (peer.seq, peer.heard_at) = (m.seq, now);
         self.come_of_age(mine);
         for s in m.samples {
             let class = usize::from(s.class);
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,6 +111,8 @@
     pub born: u32,
     pub seq: u16,
     pub sent: u16,
+    /// When it was last heard.
+    pub heard_at: Micros,
     /// When the next message may go.
     pub next: Micros,
     /// Where the last message ended.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -638,6 +638,43 @@
     assert_eq!(sends(&rig.ask_of(2, 3, 5, 1.0, 1.0).1).len(), 1);
 }
 
+/// Guards against letting in whom an overrun home has no word on: those are the customers that overrun it, and each
+/// one beyond a cap costs as much as one inside earns. A home that says nothing at all may have died.
+#[test]
+fn a_capped_customer_is_refused_where_its_home_talks_but_not_of_it() {
+    let rig_of = |me| Rig::with(Settings { gateways: 100, me: GatewayNo(me), ..settings() }, 200);
+    let mut rig = rig_of(0);
+    let told = |actions: &[Action]| {
+        let one = |a: &Action| {
+            if let Action::Tell { to, bytes } = a {
+                Some((to.unwrap(), bytes.clone()))
+            } else {
+                None
+            }
+        };
+        actions.iter().find_map(one)
+    };
+    let home = told(&rig.ask_of(0, 3, 5, 1.0, 100.0).1).expect("its home is asked").0;
+    assert_eq!(sends(&rig.pass(200_000)).len(), 1, "its home was never heard");
+    rig.now += 3 * S;
+    // Another customer with the same home, and its word on that one.
+    let mut others = 100..;
+    let question = loop {
+        let asked = told(&rig.ask_of(0, 3, others.next().unwrap(), 1.0, 100.0).1);
+        if let Some((_, bytes)) = asked.filter(|a| a.0 == home) {
+            break bytes;
+        }
+    };
+    let mut its = rig_of(home.0);
+    its.now = rig.now;
+    let (_, bytes) = told(&its.feed(Event::Peer { from: GatewayNo(0), bytes: question })).expect("its word");
+    rig.feed(Event::Peer { from: home, bytes });
+    rig.pass(300_000);
+    let (id, _) = rig.ask_of(0, 3, 5, 1.0, 100.0);
+    let later = rig.pass(300_000);
+    assert!(later.iter().any(|a| matches!(a, Action::Refuse { id: refused, .. } if *refused == id)));
+}
+
 #[test]
 fn an_end_that_races_the_gateways_own_gets_no_second_answer() {
     let mut rig = Rig::with(settings(), 4);
