Spread the calls to a shared discovery, and let failed ones stay away for longer

From 14 s on a third of all attempts found no backend (120 to 250 connections a second failed), in-time answers fell from 50% to 25%. Checked, by a trace line of each call, answer and failure: 100 calls at the start, 39 taken, 61 failed after 2 s in the line with status 503; the 61 came again within half a second, and nearly all failed again, up to the restart and after it. At fault: discovery.rs, WAIT (2 s: each of 100 calls anew at least every 3 s) and PAUSES (50 ms to 1 s, no jitter). Design: where the settings say `ask`, first calls are spread over 20 ms for each ingress, a watch waits for about 20 s (twice the time in which it must ask), failed calls come again after 1 to 8 s; waits and pauses are drawn from half to half as much again (fastrand). An agent of the ingress's own (`push`) is asked as before, at jittered pauses. Test: a_hundred_watches_neither_start_nor_come_again_in_unison.

--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -8,12 +8,45 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-/// How long one call waits for news. Short, since the silence of a call can only be told once this is over.
-const WAIT: Micros = 2_000_000;
-/// How much longer than that an answer may take until the connection counts as dead.
-const PATIENCE: Micros = 1_000_000;
-/// The first pause before a new connection, and the longest.
-const PAUSES: (Micros, Micros) = (50_000, 1_000_000);
+/// How calls are made. The pauses are the middle ones: each is drawn between half of it and half as much again.
+#[derive(Clone, Copy)]
+pub struct Pace {
+    /// How long one call waits for news.
+    wait: Micros,
+    /// How much longer than that an answer may take until the connection counts as dead.
+    patience: Micros,
+    /// The first pause before a new connection, and the longest.
+    pauses: (Micros, Micros),
+    /// Over how long the first calls of ingresses that start at one moment are spread.
+    spread: Micros,
+}
+
+impl Pace {
+    /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
+    /// be told once this is over.
+    pub const AGENT: Pace =
+        Pace { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 1_000_000), spread: 0 };
+
+    /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
+    /// given up, so a line that is full after a mass restart empties only if those turned away stay away.
+    pub fn shared(must_ask: Micros, ingresses: u64) -> Pace {
+        let wait = (2 * must_ask).clamp(Self::AGENT.wait, MOST_WAIT);
+        let pauses = (1_000_000, 8_000_000);
+        Pace { wait, patience: 3_000_000, pauses, spread: ingresses * SPREAD_EACH }
+    }
+}
+
+/// How a watch begins: its pace, the seed of its jitter, and the time.
+pub struct Way {
+    pub pace: Pace,
+    pub seed: u64,
+    pub now: Micros,
+}
+
+/// The longest that discovery lets a call wait.
+const MOST_WAIT: Micros = 60_000_000;
+/// The part of one ingress in the time over which first calls are spread.
+const SPREAD_EACH: Micros = 20_000;
 /// The pause after an answer with no news that came at once: a watch goes on if called within 200 ms.
 const NO_NEWS: Micros = 50_000;
 /// An answer that came faster than this did not wait.
@@ -119,7 +152,9 @@
     out: Vec<u8>,
     called: Option<Micros>,
     buf: Vec<u8>,
+    pace: Pace,
     pause: Micros,
+    random: fastrand::Rng,
     /// When [`Watch::wake`] has something to do.
     pub wake_at: Micros,
     /// Discovery failed, and nothing good has come since.
@@ -128,7 +163,10 @@
 
 impl Watch {
     /// A watch for what is newer than the list held.
-    pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token) -> Self {
+    pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token, way: Way) -> Self {
+        let Way { pace, seed, now } = way;
+        let mut random = fastrand::Rng::with_seed(seed);
+        let first = now + random.u64(0..=pace.spread);
         Watch {
             address,
             sites,
@@ -138,8 +176,10 @@
             out: Vec::new(),
             called: None,
             buf: Vec::new(),
-            pause: PAUSES.0,
-            wake_at: 0,
+            pace,
+            pause: pace.pauses.0,
+            random,
+            wake_at: first,
             broken: false,
         }
     }
@@ -149,7 +189,7 @@
     pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
         (self.stream, self.called, self.index) = (None, None, None);
         self.buf.clear();
-        (self.address, self.wake_at, self.pause) = (address, now, PAUSES.0);
+        (self.address, self.wake_at, self.pause) = (address, now, self.pace.pauses.0);
     }
 
     /// Asks for the whole list with the next call.
@@ -157,12 +197,18 @@
         self.index = None;
     }
 
+    /// A time drawn between half of one and half as much again: many ingresses start, fail and come to the end of
+    /// their wait at one moment, and would come again, and fail again, at one moment.
+    fn jittered(&mut self, middle: Micros) -> Micros {
+        self.random.u64(middle / 2..=middle * 3 / 2)
+    }
+
     /// Gives the connection up; the next one comes after a pause. True if all had been well before.
     fn fail(&mut self, now: Micros, why: &str) -> bool {
         (self.stream, self.called) = (None, None);
         self.buf.clear();
-        self.wake_at = now + self.pause;
-        self.pause = (self.pause * 2).min(PAUSES.1);
+        self.wake_at = now + self.jittered(self.pause);
+        self.pause = (self.pause * 2).min(self.pace.pauses.1);
         let first = !std::mem::replace(&mut self.broken, true);
         if first {
             crate::log(&format!("discovery: {why}; serving on with the list as it is"));
@@ -188,12 +234,13 @@
                 Err(e) => return self.fail(now, &format!("cannot connect: {e}")),
             }
         }
-        let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", WAIT / 1000));
+        let wait = self.index.map_or(0, |_| self.jittered(self.pace.wait).min(MOST_WAIT));
+        let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
         // A call for the whole list does not wait for news.
-        self.wake_at = now + PATIENCE + if self.index.is_some() { WAIT } else { 0 };
+        self.wake_at = now + self.pace.patience + wait;
         self.write(now)
     }
 
@@ -248,7 +295,7 @@
                 if std::mem::take(&mut self.broken) {
                     crate::log("discovery: back");
                 }
-                (self.index, self.called, self.pause) = (Some(roster.index), None, PAUSES.0);
+                (self.index, self.called, self.pause) = (Some(roster.index), None, self.pace.pauses.0);
                 self.buf.clear();
                 if ended || !reusable {
                     self.stream = None;
@@ -365,6 +412,44 @@
         }
     }
 
+    /// Guards against a hundred ingresses that call a shared discovery in unison: it served forty of their calls in
+    /// two seconds, and at pauses of a second at most the rest kept its line full for the whole of the day.
+    #[test]
+    fn a_hundred_watches_neither_start_nor_come_again_in_unison() {
+        let now: Micros = 1_000_000_000;
+        let watch = |seed| {
+            let way = Way { pace: Pace::shared(10_000_000, 100), seed, now };
+            Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), way)
+        };
+        let mut watches: Vec<Watch> = (0..100).map(watch).collect();
+        let most_at_once = |watches: &[Watch]| {
+            let mut times: Vec<Micros> = watches.iter().map(|w| w.wake_at).collect();
+            times.sort_unstable();
+            (0..100).map(|i| times[i..].iter().take_while(|t| **t < times[i] + 100_000).count()).max()
+        };
+        assert!(most_at_once(&watches) <= Some(20), "first calls in a tenth of a second");
+        for w in &mut watches {
+            w.fail(now, "turned away");
+        }
+        assert!(most_at_once(&watches) <= Some(25), "second calls in a tenth of a second");
+        // All fail after two seconds in the line, for half a minute.
+        let mut late = 0;
+        for w in &mut watches {
+            while w.wake_at < now + 30_000_000 {
+                let called = w.wake_at;
+                late += usize::from(called >= now + 10_000_000);
+                w.fail(called + 2_000_000, "waited too long");
+            }
+        }
+        assert!(
+            (100..=260).contains(&late),
+            "{late} calls in 20 s: some 20 a second would keep the line full"
+        );
+        let agent = Way { pace: Pace::AGENT, seed: 7, now };
+        let agent = Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), agent);
+        assert_eq!(agent.wake_at, now, "an agent of one's own is asked at once");
+    }
+
     #[test]
     fn what_is_no_list_is_told_apart_from_what_is_not_whole() {
         for bad in [
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -6,7 +6,7 @@
 use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
-use crate::discovery::{Roster, Watch};
+use crate::discovery::{Pace, Roster, Watch, Way};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
@@ -226,6 +226,11 @@
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
         let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
+        let pace = match settings.discovery {
+            Discovery::Ask => Pace::shared(settings.rules.must_ask, u64::from(settings.gateways)),
+            Discovery::Push => Pace::AGENT,
+        };
+        let way = Way { pace, seed: config.seed, now };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = Ingress {
             poll,
@@ -244,7 +249,7 @@
                 Token(FIRST + 2 * key)
             }),
             backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
-            watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY),
+            watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY, way),
             reload,
             peers,
             signals,
