Open a watch that fell silent anew before what it missed counts as told

At fault: discovery.rs, `Pace::shared` (patience of 3 s behind the wait, where 2 s are allowed) and `fail`, which paused for 0.5 to 1.5 s more. Also, read on the way and forced by tests: a new watch that is silent again was waited for as long as the first; pauses to an agent grew to 1.5 s though what it has counts as told meanwhile; and bytes that came between two calls stayed in `buf` and began the next connection's answer. Now a call may be silent for 0.75 s past its wait; the first one behind a silence goes out at once and does not wait for news; an agent is paused for 0.15 s at most; `hang_up` drops all that was under way on a connection. Each of the four tests fails without its part of the mend (tried one by one).

--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -13,7 +13,7 @@
 pub struct Pace {
     /// How long one call waits for news.
     wait: Micros,
-    /// How much longer than that an answer may take until the connection counts as dead.
+    /// How long the answer to a call that does not wait may take until the connection counts as dead.
     patience: Micros,
     /// The first pause before a new connection, and the longest.
     pauses: (Micros, Micros),
@@ -24,8 +24,9 @@
 impl Pace {
     /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
     /// be told once this is over.
+    /// What it has counts as told whether or not a call is open, so that no pause may last as long as a grace.
     pub const AGENT: Pace =
-        Pace { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 1_000_000), spread: 0 };
+        Pace { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
 
     /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
     /// given up, so a line that is full after a mass restart empties only if those turned away stay away.
@@ -43,6 +44,9 @@
     pub now: Micros,
 }
 
+/// How much longer than its wait a call may stay unanswered. What it missed counts as told 2 s after the wait is over:
+/// by then the watch has to be open again, and to have answered.
+const PAST_WAIT: Micros = 750_000;
 /// The longest that discovery lets a call wait.
 const MOST_WAIT: Micros = 60_000_000;
 /// The part of one ingress in the time over which first calls are spread.
@@ -159,6 +163,9 @@
     pub wake_at: Micros,
     /// Discovery failed, and nothing good has come since.
     broken: bool,
+    /// The last call stayed unanswered: the next one does not wait for news, so that what was missed comes at once,
+    /// and a second silence shows soon.
+    unanswered: bool,
 }
 
 impl Watch {
@@ -181,14 +188,15 @@
             random,
             wake_at: first,
             broken: false,
+            unanswered: false,
         }
     }
 
     /// Goes on at another address: it is asked for its whole list at once, whatever the old one still owed and
     /// however long a failure was to be waited out.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
-        (self.stream, self.called, self.index) = (None, None, None);
-        self.buf.clear();
+        self.index = None;
+        self.hang_up();
         (self.address, self.wake_at, self.pause) = (address, now, self.pace.pauses.0);
     }
 
@@ -203,10 +211,16 @@
         self.random.u64(middle / 2..=middle * 3 / 2)
     }
 
-    /// Gives the connection up; the next one comes after a pause. True if all had been well before.
-    fn fail(&mut self, now: Micros, why: &str) -> bool {
+    /// Closes the connection, with all that is under way on it: nothing of it belongs to the next one.
+    fn hang_up(&mut self) {
         (self.stream, self.called) = (None, None);
         self.buf.clear();
+        self.out.clear();
+    }
+
+    /// Gives the connection up; the next one comes after a pause. True if all had been well before.
+    fn fail(&mut self, now: Micros, why: &str) -> bool {
+        self.hang_up();
         self.wake_at = now + self.jittered(self.pause);
         self.pause = (self.pause * 2).min(self.pace.pauses.1);
         let first = !std::mem::replace(&mut self.broken, true);
@@ -222,7 +236,16 @@
             return false;
         }
         if self.called.is_some() {
-            return self.fail(now, "no answer in time");
+            // A watch that fell silent is opened anew at once: the clock of what it missed runs. Silences hardly
+            // come in unison, since waits are drawn; a call of the new watch that stays unanswered is paused for.
+            let again = !std::mem::replace(&mut self.unanswered, true);
+            let failed = self.fail(now, "no answer in time");
+            if !again {
+                return failed;
+            }
+            self.wake_at = now;
+            self.wake(now, registry);
+            return failed;
         }
         if self.stream.is_none() {
             let connected = TcpStream::connect(self.address).and_then(|mut stream| {
@@ -234,13 +257,13 @@
                 Err(e) => return self.fail(now, &format!("cannot connect: {e}")),
             }
         }
-        let wait = self.index.map_or(0, |_| self.jittered(self.pace.wait).min(MOST_WAIT));
+        let waits = self.index.is_some() && !self.unanswered;
+        let wait = if waits { self.jittered(self.pace.wait).min(MOST_WAIT) } else { 0 };
         let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
-        // A call for the whole list does not wait for news.
-        self.wake_at = now + self.pace.patience + wait;
+        self.wake_at = now + if waits { wait + PAST_WAIT } else { self.pace.patience };
         self.write(now)
     }
 
@@ -283,8 +306,12 @@
             }
         };
         let Some(called) = self.called else {
-            // Between two calls nothing is due but the end of the connection.
-            (self.stream, self.wake_at) = (None, now);
+            // Between two calls nothing is due but the end of the connection. What came all the same is nobody's
+            // answer, and must not pass for that of the next call.
+            if ended || !self.buf.is_empty() {
+                self.hang_up();
+                self.wake_at = now;
+            }
             return false;
         };
         match read_answer(&self.buf, ended, &self.sites) {
@@ -296,6 +323,7 @@
                     crate::log("discovery: back");
                 }
                 (self.index, self.called, self.pause) = (Some(roster.index), None, self.pace.pauses.0);
+                self.unanswered = false;
                 self.buf.clear();
                 if ended || !reusable {
                     self.stream = None;
@@ -450,6 +478,145 @@
         assert_eq!(agent.wake_at, now, "an agent of one's own is asked at once");
     }
 
+    /// A watch and its discovery: a clock and a socket that the test drives.
+    struct Talk {
+        watch: Watch,
+        poll: mio::Poll,
+        listener: std::net::TcpListener,
+        now: Micros,
+        lists: Vec<u64>,
+    }
+
+    impl Talk {
+        fn new(pace: Pace) -> Talk {
+            let (listener, now) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), 1_000_000_000);
+            let way = Way { pace, seed: 7, now };
+            let watch = Watch::new(listener.local_addr().unwrap(), sites(), 41, Token(0), way);
+            let mut talk = Talk { watch, poll: mio::Poll::new().unwrap(), listener, now, lists: Vec::new() };
+            talk.wake();
+            talk
+        }
+
+        /// Lets time pass until the watch has something to do, and has it do that.
+        fn wake(&mut self) {
+            self.now = self.now.max(self.watch.wake_at);
+            self.watch.wake(self.now, self.poll.registry());
+        }
+
+        fn ready(&mut self) {
+            let lists = &mut self.lists;
+            self.watch.ready(self.now, self.poll.registry(), &mut |list| lists.push(list.index));
+        }
+
+        fn accept(&mut self) -> std::net::TcpStream {
+            let stream = self.listener.accept().unwrap().0;
+            stream.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
+            stream
+        }
+
+        /// The next call on a connection, and how long it may wait.
+        fn call(&mut self, stream: &mut std::net::TcpStream) -> Micros {
+            let (mut head, mut byte) = (String::new(), [0]);
+            for _ in 0..100_000 {
+                if head.ends_with("\r\n\r\n") {
+                    let wait = head.split("timeout_ms=").nth(1).and_then(|t| t.split(' ').next());
+                    return wait.map_or(0, |t| t.parse::<Micros>().unwrap() * 1000);
+                }
+                match stream.read(&mut byte) {
+                    Ok(1) => head.push(char::from(byte[0])),
+                    _ => self.ready(),
+                }
+            }
+            panic!("no call: {head:?}");
+        }
+
+        /// Answers a call with an empty list of a version, and sees to it that the watch has read that.
+        fn answer(&mut self, stream: &mut std::net::TcpStream, index: u64, behind: &str) {
+            let list = format!("{{\"index\":{index},\"snapshot\":false,\"endpoints\":[]}}");
+            let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}{behind}", list.len());
+            stream.write_all(text.as_bytes()).unwrap();
+            let before = self.lists.len();
+            for _ in 0..1_000_000 {
+                if self.lists.len() > before {
+                    return;
+                }
+                self.ready();
+            }
+            panic!("the answer was not taken");
+        }
+    }
+
+    /// Guards against a silence that is noticed, or ended, later than what was missed counts as told: 2 s after the
+    /// wait of the call, for 6 s at least. It was noticed 3 s after the wait, and paused for after that.
+    #[test]
+    fn a_watch_that_falls_silent_is_open_again_before_what_it_missed_counts_as_told() {
+        for pace in [Pace::AGENT, Pace::shared(10_000_000, 6), Pace::shared(500_000, 300)] {
+            let mut talk = Talk::new(pace);
+            let mut silent = talk.accept();
+            let wait = talk.call(&mut silent);
+            let told = talk.now + (wait + 2_000_000).max(6_000_000);
+            talk.wake(); // the silence is noticed
+            let mut again = talk.accept();
+            assert_eq!(talk.call(&mut again), 0, "what was missed is asked for, not waited for");
+            assert!(talk.now + 1_000_000 <= told, "{} us are left", told.saturating_sub(talk.now));
+            talk.answer(&mut again, 42, "");
+            talk.wake();
+            assert!(talk.call(&mut again) > 0, "from then on news are waited for");
+        }
+    }
+
+    /// Guards against a new watch that is silent like the one before: it would be waited for as long as the first.
+    #[test]
+    fn a_second_silence_in_a_row_is_noticed_within_the_time_of_the_first() {
+        let mut talk = Talk::new(Pace::AGENT);
+        let began = talk.now;
+        for _ in 0..2 {
+            let mut silent = talk.accept();
+            talk.call(&mut silent);
+            talk.wake();
+            if talk.watch.called.is_none() {
+                talk.wake(); // a pause
+            }
+        }
+        let mut third = talk.accept();
+        talk.call(&mut third);
+        assert!(talk.now < began + 6_000_000 - 500_000, "after {} us", talk.now - began);
+    }
+
+    /// Guards against pauses as long as a grace between calls to an agent, whose news count as told meanwhile.
+    #[test]
+    fn an_agent_that_stays_away_is_tried_again_within_a_grace() {
+        let mut talk = Talk::new(Pace::AGENT);
+        for _ in 0..20 {
+            drop(talk.accept());
+            let failed = talk.now;
+            while talk.watch.stream.is_some() {
+                talk.ready();
+            }
+            talk.wake();
+            assert!(talk.now <= failed + 150_000, "a pause of {} us", talk.now - failed);
+        }
+    }
+
+    /// Guards against bytes that came between two calls: they stayed, and began the answer on the next connection.
+    #[test]
+    fn what_comes_between_two_calls_is_no_part_of_the_next_answer() {
+        let mut talk = Talk::new(Pace::AGENT);
+        let mut first = talk.accept();
+        talk.call(&mut first);
+        talk.answer(&mut first, 41, "");
+        assert!(talk.watch.called.is_none(), "no news came at once: the next call comes a moment later");
+        first.write_all(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap();
+        while talk.watch.stream.is_some() {
+            talk.ready();
+        }
+        talk.wake();
+        let mut second = talk.accept();
+        talk.call(&mut second);
+        talk.answer(&mut second, 43, "");
+        assert_eq!(talk.lists, [41, 43]);
+    }
+
     #[test]
     fn what_is_no_list_is_told_apart_from_what_is_not_whole() {
         for bad in [
