End attempts whose connection is still to come up when their backend drains or goes

Seen by reading, proved by the tests: `Backends::update` closed idle connections only. An attempt that waited for its connection was written once that came up, up to the connect time-out later: past a grace shorter than that time-out, and for a backend that is gone perhaps to whoever has its address by then. Now `update` ends such attempts as never sent (`Moot`: no blame on backend or zone), and the module tries elsewhere. A command of which a byte is written is left alone: its send is counted from its first byte. Forced crossing: connections that the kernel holds back until the list has changed; both tests fail without the mend.

--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -196,7 +196,7 @@
 
     /// Takes over the addresses of a list.
     pub fn update(&mut self, roster: &Roster) {
-        let mut absent: Vec<BackendId> = Vec::new();
+        let (mut absent, mut left): (Vec<BackendId>, Vec<BackendId>) = (Vec::new(), Vec::new());
         if roster.whole {
             let listed = |id: &BackendId| roster.entries.iter().any(|e| e.listed.backend == *id);
             absent.extend(self.pools.keys().filter(|id| !listed(id)));
@@ -211,12 +211,26 @@
             // What is idle at a place that it left, or that drains, is of no more use.
             if moved || e.listed.availability == Availability::Draining {
                 self.close_idle(id);
+                left.push(id);
             }
             self.pools.entry(id).or_default().address = e.address;
         }
         for id in absent {
             self.close_idle(id);
             self.pools.remove(&id);
+            left.push(id);
+        }
+        self.call_back(&left);
+    }
+
+    /// Ends work of which nothing is written yet, since its connection is still to come up, at backends that want
+    /// nothing new: it would begin once they may get nothing any more, and perhaps at whoever has the address then.
+    fn call_back(&mut self, left: &[BackendId]) {
+        let unbegun = |c: &Conn| c.work.is_some() && c.written == 0 && left.contains(&c.backend);
+        let late: Vec<usize> = self.conns.iter().filter(|(_, c)| unbegun(c)).map(|(key, _)| key).collect();
+        for key in late {
+            self.end(key, Outcome::Moot, Vec::new(), None, Micros::MAX);
+            self.remove(key);
         }
     }
 
@@ -304,6 +318,11 @@
         Some(key)
     }
 
+    /// Whether the command on a connection is not written to its last byte, so that it has not begun for sure.
+    pub fn unsent(&self, link: Link) -> bool {
+        self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.sent())
+    }
+
     /// Closes a connection, if it is still the one meant; the work on it is the caller's to account for. Tells
     /// whether the command's last byte had been written.
     pub fn abandon(&mut self, link: Link) -> Option<bool> {
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,54 @@
+//! Instants in which something is still owed: a backend, a client or the ingress ends just then. Each crossing is
+//! forced by a peer that holds, closes or answers at a chosen step.
+
+mod support;
+
+use support::*;
+
+/// Settings under which a connection may take its time, so that it is surely still to come up at the crossing.
+fn patient(mut setup: Setup) -> Setup {
+    setup.settings =
+        setup.settings.replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":8000000");
+    setup
+}
+
+fn ids(backend: &Backend) -> Vec<String> {
+    backend.seen.commands.lock().unwrap().iter().map(|c| c[2].clone()).collect()
+}
+
+// ---- A connection that is still to come up ----
+
+/// A request waits for its connection to a backend when that changes as told; nothing of it may go there any more.
+fn called_back_when_it(status: &str) {
+    let (slow, good, discovery) = (Unreached::new(), Backend::start(serve), Discovery::start());
+    let mut setup = patient(Setup::of(&[]));
+    setup.known.push(entry("s-0", slow.at, "up"));
+    setup.discovery = Some(discovery.at);
+    let ingress = setup.start();
+    let mut client = ingress.client();
+    client.send(&call("refer", "r1", 7000));
+    ingress.caught_up();
+    discovery.change(good.entry("s-1", "up"));
+    discovery.tell(entry("s-0", slow.at, status));
+    assert_eq!(client.answer(), "value of r1", "it never ran, and goes to another one");
+    // Connections come up in the order of their beginning: one that were left for r1 would come before that for r2.
+    discovery.change(entry("s-0", slow.at, "up"));
+    discovery.tell(good.entry("s-1", "draining"));
+    client.send(&call("refer", "r2", 7000));
+    ingress.caught_up();
+    let slow = slow.open();
+    assert_eq!(client.answer(), "value of r2");
+    assert_eq!((ids(&slow), ids(&good)), (vec!["r2".into()], vec!["r1".into()]));
+}
+
+/// Guards against a first byte that goes to a draining backend once its connection is up.
+#[test]
+fn an_attempt_without_a_connection_ends_when_its_backend_drains() {
+    called_back_when_it("draining");
+}
+
+/// Guards against a request that goes to whoever has the address of a backend that is gone.
+#[test]
+fn an_attempt_without_a_connection_ends_when_its_backend_is_gone() {
+    called_back_when_it("removed");
+}
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -224,23 +224,9 @@
 /// Guards against waiting for a connection for as long as for an answer: a machine that is cut off says nothing.
 #[test]
 fn a_connection_that_never_comes_up_is_given_up_in_time() {
-    let silent = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    silent.bind(&place().into()).unwrap();
-    silent.listen(0).unwrap();
-    let at = silent.local_addr().unwrap().as_socket().unwrap();
-    // What the line holds is taken; the kernel drops whatever comes then.
-    let line: Vec<_> = (0..4)
-        .map(|_| {
-            let one = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-            one.set_nonblocking(true).unwrap();
-            let _ = one.connect(&at.into());
-            one
-        })
-        .collect();
-    thread::sleep(Duration::from_millis(50));
-    let longest = never_ran(at);
+    let silent = Unreached::new();
+    let longest = never_ran(silent.at);
     assert!(longest >= Duration::from_millis(250), "it was never tried, or not waited for: {longest:?}");
-    drop(line);
 }
 
 /// Guards against calling an attempt off on a connection that goes on: the second copy's answer is the answer.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -150,7 +150,10 @@
 
 impl Backend {
     pub fn start(act: impl Fn(&[String]) -> Act + Send + Sync + 'static) -> Backend {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Backend::on(TcpListener::bind("127.0.0.1:0").unwrap(), act)
+    }
+
+    pub fn on(listener: TcpListener, act: impl Fn(&[String]) -> Act + Send + Sync + 'static) -> Backend {
         let (at, seen, act) = (listener.local_addr().unwrap(), Arc::new(Seen::default()), Arc::new(act));
         let shared = seen.clone();
         thread::spawn(move || {
@@ -217,6 +220,37 @@
     }
 }
 
+/// A backend to which no connection comes up until it is opened: its line is full, and the kernel drops what comes.
+pub struct Unreached {
+    pub at: SocketAddr,
+    socket: socket2::Socket,
+    line: Vec<socket2::Socket>,
+}
+
+impl Unreached {
+    pub fn new() -> Unreached {
+        let stream = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let socket = stream();
+        socket.bind(&place().into()).unwrap();
+        socket.listen(0).unwrap();
+        let at = socket.local_addr().unwrap().as_socket().unwrap();
+        let connect = |_| {
+            let one = stream();
+            one.set_nonblocking(true).unwrap();
+            let _ = one.connect(&at.into());
+            one
+        };
+        let line = (0..4).map(connect).collect();
+        Unreached { at, socket, line }
+    }
+
+    /// From now on connections come up, in the order in which they were begun.
+    pub fn open(self) -> Backend {
+        drop(self.line);
+        Backend::on(self.socket.into(), serve)
+    }
+}
+
 pub fn entry(name: &str, at: SocketAddr, status: &str) -> String {
     format!(
         r#"{{"name":"{name}","address":"{at}","zone":"hall-a","type":"std-3c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
@@ -449,6 +483,11 @@
         Client::connect(self.at)
     }
 
+    /// Sees to it that the ingress has taken in all that was sent to it before: it answers what comes behind that.
+    pub fn caught_up(&self) {
+        assert_eq!(self.client().ask(&command(&["PING"])), "+PONG");
+    }
+
     /// Replaces the file of the configuration.
     pub fn configure(&self, config: &str) {
         let new = self.file.with_extension("new");
