Never write a request whose client has left or has its answer, also where nothing may be cancelled

Ruled out: requests that wait for a home's word or a place, which the module forgets at once (`on_gone`); attempts where `cancelling` is true (`abandon` closes them). At fault: ingress.rs, `take_incoming` and `answer`, which left all unsent work to the module's cancels. Now the host ends what has not been written whole of a request that is over (`call_back`), as never sent. Forced crossing: the connection is held back until the client has left. Fails without the mend, for `cancelling` false.

--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -441,6 +441,7 @@
                         open.over = true;
                         self.events.push_back(Event::Withdrawn(id));
                     }
+                    self.call_back(id);
                     self.forget(id);
                 }
             }
@@ -602,9 +603,24 @@
             open.over = true;
             self.clients.answer(open.origin, text);
         }
+        self.call_back(id);
         self.forget(id);
     }
 
+    /// Ends what is still to be written of a request that is over, whether or not work may be cancelled: nobody waits
+    /// for it, and a backend that never got it has nothing to cancel.
+    fn call_back(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id).filter(|o| o.over) else { return };
+        for (n, a) in (0u16..).zip(&mut open.attempts) {
+            if let Some(link) = a.link.filter(|link| self.backends.unsent(*link)) {
+                self.backends.abandon(link);
+                a.link = None;
+                let who = (a.backend, a.began);
+                self.events.push_back(settled(id, n, who, Outcome::Moot, true, self.clock.now()));
+            }
+        }
+    }
+
     /// Forgets a request that is over and has nothing out any more.
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -52,3 +52,26 @@
 fn an_attempt_without_a_connection_ends_when_its_backend_is_gone() {
     called_back_when_it("removed");
 }
+
+/// Guards against sending what nobody waits for any more: an attempt was called off where the settings allow that,
+/// and else went out once its connection was up.
+#[test]
+fn an_attempt_without_a_connection_ends_when_its_client_leaves() {
+    for cancel in ["true", "false"] {
+        let slow = Unreached::new();
+        let mut setup = patient(Setup::of(&[]));
+        setup.known.push(entry("s-0", slow.at, "up"));
+        setup.settings = setup.settings.replace("\"cancelling\":true", &format!("\"cancelling\":{cancel}"));
+        let ingress = setup.start();
+        let (mut leaves, mut stays) = (ingress.client(), ingress.client());
+        leaves.send(&call("refer", "r1", 7000));
+        ingress.caught_up();
+        leave(leaves);
+        ingress.caught_up();
+        stays.send(&call("refer", "r2", 7000));
+        ingress.caught_up();
+        let slow = slow.open();
+        assert_eq!(stays.answer(), "value of r2", "cancel {cancel}");
+        assert_eq!(ids(&slow), ["r2"], "cancel {cancel}");
+    }
+}
