Send a keyed repeat only while its connection can come up within the window

Seen by reading, proved by the test: `choose` asked whether the window was open at the send, but a new connection may take `connect_timeout` to come up and the command, if the backend does not read, longer still; its last byte, from which it counts, came past the window. Ruled out for the given site, whose aim of 1 s is over long before its window of 4 s; not for windows near the aim, as in deploy/sites/polled-cells (1.5 s and 1.2 s). At fault: control.rs, `choose`; backends.rs, `connect_overdue`, which let a connection that was up wait to be written for as long as the attempt. Now the module counts the connect time-out in (it was in the settings already) and the host ends what is not written whole by then as never begun. The test fails without the mend.

--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -263,7 +263,7 @@
     }
 
     /// Begins an attempt or a probe with what `fill` writes. What fails at once is in `done`; else the
-    /// connection is told, and whether it is still to come up.
+    /// connection is told, and whether the command is still to be written.
     pub fn begin(
         &mut self,
         registry: &Registry,
@@ -283,7 +283,7 @@
         fill(&mut conn.out);
         let link = Link { key, serial: conn.serial };
         self.write(key);
-        self.conns.get(key).map(|conn| (link, !conn.connected))
+        self.conns.get(key).map(|conn| (link, !conn.sent()))
     }
 
     /// An idle connection to a backend, or a new one.
@@ -331,9 +331,10 @@
         Some(sent)
     }
 
-    /// Ends a connection that has not come up in time.
+    /// Ends a connection that has not come up, or not taken the whole command, in time: what begins later than the
+    /// module counts on might begin behind the window of its key.
     pub fn connect_overdue(&mut self, link: Link) {
-        if self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.connected) {
+        if self.unsent(link) {
             self.end(link.key, Outcome::ConnectFailed, Vec::new(), None, Micros::MAX);
             self.remove(link.key);
         }
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -92,7 +92,7 @@
     Expire(RequestId, u16),
     /// A client's time is over.
     Overdue(RequestId),
-    /// A connection should be up.
+    /// A connection should be up, and the command written.
     Connect(Link),
     /// A probe is given up.
     Probe(Link, BackendId, Micros),
@@ -693,10 +693,10 @@
         let began = self.clock.now();
         open.attempts[number].began = began;
         let begun = self.backends.begin(registry, backend, work, began, |out| open.call.write(wait, out));
-        if let Some((link, connecting)) = begun {
+        if let Some((link, unsent)) = begun {
             open.attempts[number].link = Some(link);
             self.timers.push(Reverse((until, Due::Expire(id, attempt))));
-            if connecting {
+            if unsent {
                 self.timers.push(Reverse((self.now + self.connect_timeout, Due::Connect(link))));
             }
         }
--- a/src/conf.rs
+++ b/src/conf.rs
@@ -146,6 +146,7 @@
                 max_retry_after: self.micros("limits.max_retry_after_us")?,
                 counter: self.flag("family_info.has_counter")?,
                 max_open: self.whole("limits.max_open", u64::from(u32::MAX))? as u32,
+                connect_timeout: self.micros("limits.connect_timeout_us")?,
             },
             rules: Rules {
                 answer_slack: self.micros("rules.answer_slack_us")?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -330,8 +330,10 @@
         let (noise, now) = (mix(self.rng), self.now);
         let o = &self.requests[&id];
         let k = usize::from(o.req.class);
+        // An attempt begins once its connection is up: by then, too, the window has to be open.
+        let latest = now + self.s.tick + self.s.limits.connect_timeout;
         let bound = match (self.s.classes[k].repeat, o.may_have_run()) {
-            (Repeat::Keyed { window, .. }, Some(a)) if now + self.s.tick >= a.sent + window => return None,
+            (Repeat::Keyed { window, .. }, Some(a)) if latest >= a.sent + window => return None,
             (Repeat::Keyed { group, .. }, Some(a)) => Some((group, a.to)),
             _ => None,
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -112,6 +112,8 @@
     pub counter: bool,
     /// Requests open at once.
     pub max_open: u32,
+    /// A connection still not up by then has failed; an attempt may begin that much after its send.
+    pub connect_timeout: Micros,
 }
 
 /// The figures of the rules.
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -45,6 +45,7 @@
             max_retry_after: 2 * S,
             counter: false,
             max_open: 20_000,
+            connect_timeout: 250_000,
         },
         rules: Rules {
             answer_slack: 16_000,
@@ -202,6 +203,23 @@
     assert!(sends(&end).is_empty() && failed(&end) && !refused(&end), "outside the window");
 }
 
+/// Guards against a repeat whose connection comes up once its key's window is over: it begins only then.
+#[test]
+fn a_keyed_retry_is_sent_only_while_its_connection_can_come_up_within_the_window() {
+    for (after, want) in [(1_600_000, 1), (1_800_000, 0)] {
+        let mut s = settings();
+        s.classes[1].aim = 4 * S;
+        s.limits.second_copies = false;
+        s.limits.cancel = false;
+        let mut rig = Rig::with(s, 6);
+        let (id, actions) = rig.ask(1, 0, 1, 1.0);
+        rig.pass(after);
+        let end = rig.settle(id, 0, sends(&actions)[0], Outcome::Reset);
+        assert_eq!(sends(&end).len(), want, "{after} us behind the first send, in a window of 2 s");
+        assert_eq!(failed(&end), want == 0);
+    }
+}
+
 #[test]
 fn a_keyed_retry_keeps_to_its_cell_when_the_first_backend_has_left_the_list() {
     let mut rig = Rig::with(settings(), 6);
