See that a client has left behind a full line of answers, and withdraw the latest first

Seen by reading, proved by the test: no more is read from a connection whose line of answers is full, so the end of its sending stayed unseen behind what was unread, and what waited for a place was sent on as places fell free, long after the client ("such that send much at once and go") had left. With that mended the test still counted 13 sends in place of 10: `remove` withdrew the requests in their order, and those that were out gave their places to those that waited, in the same turn and only to be called off. Ruled out: clients that close between reads (the read finds the end), resets (`read` fails), and the module: withdrawn requests that wait for a place, a home's word or a further attempt go nowhere (tested with a driven clock, with and without `cancelling`; these passed from the beginning). At fault: clients.rs, `read_some` (returns where `take_commands` finds the line full) and `remove`. Now the poll's word that the client has ended its sending is kept (`left`), and such a connection ends where reading would stall. As before, a client that has ended its sending has gone. Forced crossing: a backend that answers nothing until the client has left. Fails without either part.

--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -83,6 +83,8 @@
     shut: bool,
     /// Reading stopped since its line of answers is full.
     stalled: bool,
+    /// It has ended its sending, though that end may still lie behind what is not read.
+    left: bool,
     /// In the list of those to be written to, and of those to be read again.
     dirty: bool,
     listed: bool,
@@ -273,6 +275,7 @@
             surplus,
             shut: false,
             stalled: false,
+            left: false,
             dirty: false,
             listed: false,
         });
@@ -285,6 +288,7 @@
             c.dirty = true;
             self.dirty.push(key);
         }
+        c.left |= closed;
         self.read(key, now, closed);
     }
 
@@ -313,8 +317,7 @@
     fn read_some(&mut self, key: usize, now: Micros, closed: bool) {
         for _ in 0..READS_A_TURN {
             if !self.take_commands(key, now) {
-                self.conns[key].stalled = true;
-                return;
+                return self.stall(key);
             }
             let c = &mut self.conns[key];
             match c.stream.read(&mut self.chunk) {
@@ -335,7 +338,10 @@
                     c.buf.extend_from_slice(&self.chunk[..n]);
                     // Less than there was room for: that was all, and more will be told.
                     if n < CHUNK && !closed {
-                        self.conns[key].stalled = !self.take_commands(key, now);
+                        if !self.take_commands(key, now) {
+                            return self.stall(key);
+                        }
+                        self.conns[key].stalled = false;
                         return;
                     }
                 }
@@ -344,9 +350,20 @@
                 Err(_) => return self.remove(key),
             }
         }
-        self.conns[key].stalled = !self.take_commands(key, now);
-        if !self.conns[key].stalled {
-            self.read_later(key);
+        if !self.take_commands(key, now) {
+            return self.stall(key);
+        }
+        self.conns[key].stalled = false;
+        self.read_later(key);
+    }
+
+    /// Reads no more from a connection until its line of answers is shorter. One whose client has left will not be read
+    /// at all: what it asked for is not to be sent on meanwhile, and the end of its sending is known already.
+    fn stall(&mut self, key: usize) {
+        let c = &mut self.conns[key];
+        c.stalled = true;
+        if c.left {
+            self.remove(key);
         }
     }
 
@@ -566,7 +583,9 @@
         self.lingering -= usize::from(c.linger_until.is_some());
         self.surplus -= usize::from(c.surplus);
         self.held -= c.counted;
-        let waiting = c.slots.iter().filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
+        // The latest first: one that waits for a place must not get that of one before it, only to be called off.
+        let slots = c.slots.iter().rev();
+        let waiting = slots.filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
         self.incoming.extend(waiting.map(Incoming::Gone));
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -231,6 +231,46 @@
     assert!(sends(&end).is_empty() && failed(&end), "nobody left who knows the key");
 }
 
+/// A request whose client has left goes nowhere, whatever it waited for: a place, a home's word, a further attempt.
+/// With and without leave to cancel, since what is not out yet needs none.
+#[test]
+fn a_request_whose_client_has_left_is_not_sent_on() {
+    for cancel in [true, false] {
+        let s = || Settings { limits: Limits { cancel, ..settings().limits }, ..settings() };
+        // For a place: the bound of one backend is reached.
+        let mut rig = Rig::with(Settings { gateways: 1, ..s() }, 1);
+        let asked: Vec<_> = (0..12).map(|n| rig.ask(0, 0, n, 1.0)).collect();
+        let (out, wait): (Vec<_>, Vec<_>) = asked.iter().partition(|(_, a)| !sends(a).is_empty());
+        let wait: Vec<_> = wait.into_iter().filter(|(_, a)| !refused(a)).collect();
+        assert!(!out.is_empty() && !wait.is_empty(), "{} out, {} wait", out.len(), wait.len());
+        for (id, _) in &wait {
+            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+        }
+        for (id, actions) in &out {
+            let freed = rig.settle(*id, 0, sends(actions)[0], Outcome::Ok);
+            assert!(sends(&freed).is_empty(), "a place fell free for one that had left");
+        }
+        assert!(sends(&rig.pass(S)).is_empty());
+
+        // For a home's word, in a fleet where one home counts; the time of waiting for it ends.
+        let mut rig = Rig::with(Settings { gateways: 100, ..s() }, 6);
+        let asked: Vec<_> = (0..20).map(|n| rig.ask(2, 1, n, 1.0)).collect();
+        let held: Vec<_> = asked.iter().filter(|(_, a)| sends(a).is_empty() && !refused(a)).collect();
+        assert!(held.len() > 5, "{} of 20 are held", held.len());
+        for (id, _) in &held {
+            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+        }
+        assert!(sends(&rig.pass(S)).is_empty());
+
+        // For a further attempt: the one that is out fails behind it.
+        let mut rig = Rig::with(s(), 6);
+        let (id, actions) = rig.ask(0, 0, 1, 1.0);
+        rig.feed(Event::Withdrawn(id));
+        let end = rig.settle(id, 0, sends(&actions)[0], Outcome::ConnectFailed);
+        assert!(sends(&end).is_empty() && sends(&rig.pass(S)).is_empty());
+    }
+}
+
 #[test]
 fn a_drained_backend_gets_nothing_new() {
     let mut rig = Rig::with(settings(), 2);
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -3,6 +3,10 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 use support::*;
 
 /// Settings under which a connection may take its time, so that it is surely still to come up at the crossing.
@@ -75,3 +79,37 @@
         assert_eq!(ids(&slow), ["r2"], "cancel {cancel}");
     }
 }
+
+// ---- Clients that leave ----
+
+/// A backend that answers nothing until the gate is opened.
+fn gated() -> (Backend, Arc<AtomicBool>) {
+    let gate = Arc::new(AtomicBool::new(false));
+    let shared = gate.clone();
+    let backend = Backend::start(move |args| {
+        while !shared.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        serve(args)
+    });
+    (backend, gate)
+}
+
+/// Guards against an end that is not seen behind a full line: what waits there for a place was sent on as places fell
+/// free, though its client had left.
+#[test]
+fn what_waits_on_a_full_connection_is_not_sent_once_its_client_has_left() {
+    let (backend, gate) = gated();
+    let ingress = Setup::of(&[&backend]).start();
+    let mut client = ingress.client();
+    let many: Vec<u8> = (0..400).flat_map(|n| call("refer", &format!("r{n}"), 7000)).collect();
+    client.send(&many);
+    until("all places are taken", || backend.count() == 10);
+    ingress.caught_up();
+    leave(client);
+    ingress.caught_up();
+    gate.store(true, Ordering::SeqCst);
+    assert_eq!(ingress.client().ask(&call("refer", "last", 7000)), "value of last");
+    let sent = ids(&backend);
+    assert!(sent.len() == 11 && sent[10] == "last", "{sent:?}");
+}
