Answer what was taken just before the end, and all in the port's line

Seen by reading, proved by tests that drive the loop in one process, since no peer can hit the instants from outside: 1. `may_exit` looked at what had been read. What a client had said since the last look, in the kernel or read by `finish` behind the flush, was taken and went with the process: lost. Now all connections are read and written once more before the end, and the end is put off where that brings something. 2. It needs the time until SIGKILL to be short, or no descriptor free: else a client that was just accepted keeps the port. 3. A request that came past the last moment (`last_at`) was taken up, and the ingress could end under it. Now it is refused at once: it never ran. The end itself comes 0.15 s behind the last answers at the latest, 0.15 s before SIGKILL may. Each test fails without its part of the mend.

--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -209,6 +209,12 @@
         self.conns.len()
     }
 
+    /// How many of them are between two requests.
+    #[cfg(test)]
+    pub fn idle(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| c.idle()).count()
+    }
+
     /// How many of them were taken in beyond the budget.
     pub fn surplus(&self) -> usize {
         self.surplus
@@ -307,6 +313,12 @@
         }
     }
 
+    /// Reads from all connections, whether or not they showed as ready.
+    pub fn read_all(&mut self, now: Micros) {
+        let all: Vec<usize> = self.conns.iter().map(|(key, _)| key).collect();
+        all.into_iter().for_each(|key| self.read(key, now, true));
+    }
+
     fn read(&mut self, key: usize, now: Micros, closed: bool) {
         if self.conns.contains(key) {
             self.read_some(key, now, closed);
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -46,12 +46,16 @@
 const STILL_ACCEPTING: Micros = 500_000;
 const STILL_COMING: Micros = 300_000;
 const LOOK_AGAIN: Micros = 100_000;
+/// Turns' worths of connections that are still accepted when the port is closed: more than a line holds.
+const MOST_LAST_ACCEPTS: usize = 64;
 /// How long after that a client that says nothing whole is still waited for.
 const LAST_WAIT: Micros = 1_000_000;
 /// How long after it is told to stop the last of its requests have failed, besides their longest deadline or this
 /// much of it: SIGKILL may come 0.7 s after that.
 const LAST_ANSWER: Micros = 400_000;
 const LONGEST_DEADLINE: Micros = 3_000_000;
+/// How long behind the last answers it ends whoever still speaks: SIGKILL may come 0.3 s behind them.
+const LAST_WORD: Micros = 150_000;
 /// How long an ingress told to stop waits, all in all, for clients to read their answers.
 const LAST_READ: Micros = 2_000_000;
 /// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
@@ -293,7 +297,7 @@
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
             self.turn(&mut ready);
-            if self.stopping && self.may_exit() {
+            if self.stopping && (self.may_exit() || self.now >= self.last_at.saturating_add(LAST_WORD)) {
                 crate::log("stopped");
                 return Ok(());
             }
@@ -304,6 +308,10 @@
         if self.accept_more || self.peers_more || self.clients.has_more() {
             return Duration::ZERO;
         }
+        if self.now >= self.last_at {
+            // A clock each tick: the very last moments are counted.
+            return Duration::from_micros(self.tick);
+        }
         // Nothing falls due before there is a new clock.
         let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0).min(self.watch.wake_at);
         Duration::from_micros(timer.max(self.now + self.tick).saturating_sub(self.clock.now()))
@@ -410,7 +418,8 @@
         self.clients.len() + self.backends.len() >= self.sockets
     }
 
-    fn accept(&mut self) {
+    /// Accepts what waits, a turn's worth of it; false if more may wait.
+    fn accept(&mut self) -> bool {
         let (now, budget, backends) = (self.now, self.sockets, &mut self.backends);
         let room = |clients: &mut Clients| {
             let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
@@ -423,13 +432,15 @@
                 Room::None
             }
         };
-        match self.clients.accept(self.poll.registry(), self.now, room) {
+        let accepted = self.clients.accept(self.poll.registry(), self.now, room);
+        match accepted {
             Accepted::All => {}
             Accepted::More => self.accept_more = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
             Accepted::NoRoom => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
         }
         self.take_incoming();
+        accepted == Accepted::All
     }
 
     fn take_incoming(&mut self) {
@@ -456,6 +467,10 @@
             return self.clients.reject(origin, "the id is not new");
         }
         let size = call.size();
+        if self.now >= self.last_at {
+            // There is no time left to serve it in, but it is answered: it never ran.
+            return self.clients.answer(origin, b"-BUSY\r\n");
+        }
         if self.requests.len() >= self.limits.max_open as usize || self.held + size > self.memory {
             // Never let in, so trying again is harmless.
             return self.clients.answer(origin, b"-BUSY\r\n");
@@ -502,12 +517,20 @@
                     }
                     self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
                 }
-                Due::Accept => self.accept(),
+                Due::Accept => drop(self.accept()),
                 Due::Reload => self.reload(),
                 Due::Close => {
-                    self.accept(); // those that the kernel took in meanwhile are ours as well
-                    let coming = self.now < self.clients.accepted_at + STILL_COMING;
+                    // Those that the kernel took in meanwhile are ours as well: with the port, all that still wait
+                    // would be reset, and what they had asked for lost.
+                    let mut more = !self.accept();
+                    let coming = more || self.now < self.clients.accepted_at + STILL_COMING;
                     let coming = coming && self.now + STILL_ACCEPTING < self.last_at;
+                    for _ in 0..MOST_LAST_ACCEPTS {
+                        if coming || !more {
+                            break;
+                        }
+                        more = !self.accept();
+                    }
                     self.clients.drain(self.now, coming);
                     if coming {
                         self.timers.push(Reverse((self.now + LOOK_AGAIN, Due::Close)));
@@ -733,9 +756,21 @@
     // ---- The end ----
 
     /// Whether all that was taken is answered, and nobody is left who might say more.
-    fn may_exit(&self) -> bool {
+    fn may_exit(&mut self) -> bool {
+        if !self.is_done() {
+            return false;
+        }
+        // What clients have said by now was taken, though nobody has read it yet: it is answered before the end.
+        self.clients.read_all(self.now);
+        self.take_incoming();
+        self.clients.flush(self.now);
+        self.take_incoming();
+        self.is_done()
+    }
+
+    fn is_done(&self) -> bool {
         let Some(since) = self.closing_since else { return false };
-        if self.requests.values().any(|o| !o.over) {
+        if self.requests.values().any(|o| !o.over) || self.clients.has_more() {
             return false;
         }
         let waited = self.now - since;
@@ -744,3 +779,108 @@
         self.clients.len() == 0 || quiet || waited > LAST_READ || self.now >= self.last_at
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+
+    const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7",
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":{"index":1,"snapshot":true,"endpoints":[]},
+ "settings":{"n_instances":1,"slot_no":0,"zone":0,"tick_us":4000,"zones":["a"],"skus":["m"],
+ "grades":[{"name":"quote","effect":"repeatable","group":"all","window_us":0,"objective_us":400000,
+  "give_up_us":1000000,"worth":1.0,"late_worth":0.0,"stream":false}],
+ "contracts":[{"name":"starter","quota_rate":1.5,"burst":7.0,"max_out":0,"never_over_rate":0.0,"ceiling_burst":0.0,
+  "ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}],
+ "limits":{"most_tries":3,"second_copies":true,"cancelling":true,"may_probe":false,"peers":false,"retry_after":true,
+  "max_retry_after_us":2000000,"max_open":20000,"connect_timeout_us":250000,"keepalive_us":15000000},
+ "family_info":{"peer_in_per_s":40.0,"has_counter":false,"meter_period_us":0,"post_paid":false},
+ "rules":{"answer_slack_us":16000,"drain_grace_us":250000,"cold_from":0.28,"cold_us":16000000,
+  "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
+ "membership_mode":"push","weights":"none","reporting":{"how":"none","fields":[]}}}"#;
+
+    /// An ingress in this process, whose turns the test takes.
+    fn ingress(name: &str) -> (Ingress, std::net::TcpStream) {
+        let file = std::env::temp_dir().join(format!("wrenfork-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, CONFIG).unwrap();
+        let path = file.to_str().unwrap().to_string();
+        let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = probe.local_addr().unwrap();
+        drop(probe);
+        let var = |name: &str| (name == "LB_LISTEN").then(|| at.to_string());
+        let config = Config::read(&path, var).unwrap();
+        let ingress = Ingress::start(config, Reload::new(path), signals().unwrap()).unwrap();
+        std::fs::remove_file(&file).unwrap();
+        let client = std::net::TcpStream::connect(at).unwrap();
+        client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        (ingress, client)
+    }
+
+    /// Guards against an end with something unread: what came behind the last look at a connection was taken, and with
+    /// the connection it would be reset.
+    #[test]
+    fn what_was_said_just_before_the_end_is_answered_first() {
+        let (mut ingress, mut client) = ingress("end");
+        while ingress.clients.len() == 0 {
+            ingress.accept();
+        }
+        // Told to stop long ago, and all is answered; half a command of this one has come.
+        client.write_all(b"*1\r\n$4\r\nPI").unwrap();
+        while ingress.clients.idle() > 0 {
+            ingress.clients.read_all(ingress.now);
+        }
+        (ingress.stopping, ingress.closing_since) = (true, Some(ingress.now - LAST_READ - 1));
+        client.write_all(b"NG\r\n").unwrap();
+        ingress.may_exit();
+        let mut answer = [0; 7];
+        client.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        client.read_exact(&mut answer).expect("an answer before the end");
+        assert_eq!(&answer, b"+PONG\r\n");
+    }
+
+    /// Guards against a port that is closed with clients in its line, who have asked and were taken by the kernel: with
+    /// the port they are reset. More wait than are accepted in a turn.
+    #[test]
+    fn those_in_the_line_when_the_port_closes_are_answered() {
+        let (mut ingress, first) = ingress("line");
+        let at = first.peer_addr().unwrap();
+        let mut clients: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
+        clients.iter_mut().for_each(|c| c.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
+        // Told to stop; the time of accepting has run out by the next turn.
+        (ingress.stopping, ingress.last_at) = (true, ingress.now + STILL_ACCEPTING);
+        ingress.timers.push(Reverse((ingress.now, Due::Close)));
+        while ingress.closing_since.is_none() {
+            ingress.now += LOOK_AGAIN;
+            ingress.turn(&mut []);
+        }
+        ingress.clients.read_all(ingress.now);
+        ingress.clients.flush(ingress.now);
+        for (n, client) in clients.iter_mut().enumerate() {
+            let mut answer = [0; 7];
+            client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+            client.read_exact(&mut answer).unwrap_or_else(|e| panic!("client {n}: {e}"));
+            assert_eq!(&answer, b"+PONG\r\n");
+        }
+    }
+
+    /// Guards against a request that is taken up when its time until the end is over already.
+    #[test]
+    fn what_comes_when_no_time_is_left_is_refused_at_once() {
+        let (mut ingress, mut client) = ingress("late");
+        while ingress.clients.len() == 0 {
+            ingress.accept();
+        }
+        (ingress.stopping, ingress.closing_since, ingress.last_at) = (true, Some(ingress.now), ingress.now);
+        let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
+        let mut call = Vec::new();
+        resp::put_array(&mut call, 4);
+        for word in ["CALL.GET", "0000000000000001", "q1", options] {
+            resp::put_bulk(&mut call, &[word.as_bytes()]);
+        }
+        client.write_all(&call).unwrap();
+        ingress.may_exit();
+        let mut answer = [0; 7];
+        client.read_exact(&mut answer).unwrap();
+        assert_eq!((&answer, ingress.requests.len()), (b"-BUSY\r\n", 0));
+    }
+}
