End no client connection that is owed an answer for what it cannot help

Seen by reading, proved by tests on sockets with a driven clock; four instants, each in clients.rs: 1. `end_silent` took a client for gone 15 s (`UNREAD`) after it had asked, if its answer was to be written just then: with deadlines over 15 s it was ended before the first byte. Now the time counts from when it took nothing (`unread`). 2. `account` removed the connection that held most where nobody had half a command: one with a large answer that was to be written in this very turn. Now only those count that have half said something or leave something unread. 3. `end_silent` called the rest of a command missing without a look at whether it had come. 4. Ruled out: `close_oldest` and `drain` (they read first, and spare what is not between requests), linger (nothing is owed behind its last answer). Each test fails without its part of the mend (tried one by one).

--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -67,6 +67,8 @@
     ready: usize,
     out: Vec<u8>,
     written: usize,
+    /// Since when the client takes nothing of what is to be written.
+    unread: Option<Micros>,
     /// What it was last found to hold in memory.
     counted: usize,
     since: Micros,
@@ -272,6 +274,7 @@
             ready: 0,
             out: Vec::new(),
             written: 0,
+            unread: None,
             counted: 0,
             since: now,
             begun: now,
@@ -380,12 +383,14 @@
     }
 
     /// Notes what a connection holds. Bounds for each are none for all together: beyond that, the one that has
-    /// half said most is told so and closed, or else the one that has most to read.
+    /// half said most is told so and closed, or the one that has left most unread. Answers that were not written yet are
+    /// nobody's fault, and are on their way within the turn.
     fn account(&mut self, key: usize) {
         let Some(c) = self.conns.get_mut(key) else { return };
         c.recount(&mut self.held);
         while self.held > self.memory {
-            let most = self.conns.iter_mut().max_by_key(|(_, c)| (c.buf.capacity(), c.counted));
+            let idles = |c: &Client| !c.buf.is_empty() || c.unread.is_some();
+            let most = self.conns.iter_mut().filter(|(_, c)| idles(c)).max_by_key(|(_, c)| c.counted);
             let Some((key, c)) = most else { return };
             if c.buf.is_empty() {
                 self.remove(key);
@@ -524,9 +529,12 @@
                     break false;
                 }
                 match c.stream.write(&c.out[c.written..]) {
-                    Ok(n) => c.written += n,
+                    Ok(n) => (c.written, c.unread) = (c.written + n, None),
                     Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => break false,
+                    Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                        c.unread = c.unread.or(Some(now));
+                        break false;
+                    }
                     Err(_) => break true,
                 }
             };
@@ -607,11 +615,13 @@
         let silent = |c: &Client| if c.buf.is_empty() { !c.spoke() } else { !c.full() };
         let over = self.conns.iter().filter(|(_, c)| late(c) && silent(c));
         let over: Vec<usize> = over.map(|(key, _)| key).collect();
-        let unread = self.conns.iter().filter(|(_, c)| !c.out.is_empty() && now > c.since + UNREAD);
+        let unread = self.conns.iter().filter(|(_, c)| c.unread.is_some_and(|t| now > t + UNREAD));
         let unread: Vec<usize> = unread.map(|(key, _)| key).collect();
         unread.into_iter().for_each(|key| self.remove(key));
         for key in over {
-            let Some(c) = self.conns.get_mut(key) else { continue };
+            // The rest may have come by now.
+            self.read(key, now, true);
+            let Some(c) = self.conns.get_mut(key).filter(|c| late(c) && silent(c)) else { continue };
             if c.buf.is_empty() {
                 self.close_if_silent(key, now);
                 continue;
@@ -629,7 +639,13 @@
         if self.lingering > 0 {
             let over = |c: &Client| c.linger_until.is_some_and(|t| t <= now);
             let over: Vec<usize> = self.conns.iter().filter(|(_, c)| over(c)).map(|(key, _)| key).collect();
-            over.into_iter().for_each(|key| self.remove(key));
+            for key in over {
+                // One that is still to be told that there is no room may have asked by now: the next sweep ends it.
+                self.read(key, now, true);
+                if self.conns.get(key).is_some_and(|c| c.shut || c.out.is_empty()) {
+                    self.remove(key);
+                }
+            }
         }
     }
 
@@ -645,3 +661,120 @@
         idle.into_iter().for_each(|key| self.close_if_silent(key, now));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chalkgap::Repeat;
+    use mio::Poll;
+
+    const T: Micros = 1_000_000_000;
+
+    struct Rig {
+        clients: Clients,
+        poll: Poll,
+        at: std::net::SocketAddr,
+    }
+
+    impl Rig {
+        fn new(memory: usize) -> Rig {
+            let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            let (at, classes) = (listener.local_addr().unwrap(), vec![("quote".into(), Repeat::Safe)]);
+            let words = Vocabulary { classes, plans: vec!["starter".into()], most_units: 1.0, gateways: 1 };
+            Rig { clients: Clients::new(listener, words, memory, Token), poll: Poll::new().unwrap(), at }
+        }
+
+        /// A client that has been accepted.
+        fn client(&mut self, room: Room) -> std::net::TcpStream {
+            let client = std::net::TcpStream::connect(self.at).unwrap();
+            client.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+            let before = self.clients.len();
+            while self.clients.len() == before {
+                self.clients.accept(self.poll.registry(), T, |_| room);
+            }
+            client
+        }
+
+        /// Has a client send a request, and gives where its answer belongs.
+        fn request(&mut self, client: &mut std::net::TcpStream) -> Origin {
+            client.write_all(&call()).unwrap();
+            for _ in 0..1_000_000 {
+                self.clients.read_all(T);
+                if let Some(Incoming::Call(_, origin, _)) = self.clients.incoming.pop_front() {
+                    return origin;
+                }
+            }
+            panic!("the request did not come");
+        }
+    }
+
+    fn call() -> Vec<u8> {
+        let mut out = Vec::new();
+        resp::put_array(&mut out, 4);
+        for word in ["CALL.GET", "0000000000000001", "q1", "c=quote,t=starter,d=900,units=1,spread=1,first=0"]
+        {
+            resp::put_bulk(&mut out, &[word.as_bytes()]);
+        }
+        out
+    }
+
+    fn hears(client: &mut std::net::TcpStream, want: &[u8]) {
+        let mut got = vec![0; want.len()];
+        client.read_exact(&mut got).expect("the whole answer");
+        assert!(got == want, "{:?}", String::from_utf8_lossy(&got[..got.len().min(40)]));
+    }
+
+    /// Guards against taking a client for gone by the time since it asked: the answer is not even written yet.
+    #[test]
+    fn an_answer_that_took_long_is_not_taken_for_unread() {
+        let mut rig = Rig::new(1 << 20);
+        let mut client = rig.client(Room::Free);
+        let origin = rig.request(&mut client);
+        rig.clients.answer(origin, b"+late\r\n");
+        rig.clients.sweep(T + UNREAD + 1_000_000);
+        rig.clients.flush(T + UNREAD + 1_000_000);
+        hears(&mut client, b"+late\r\n");
+    }
+
+    /// Guards against ending a connection for what it holds while that is its own answer, on its way this very turn.
+    #[test]
+    fn an_answer_on_its_way_is_not_dropped_for_the_memory_that_it_takes() {
+        let mut rig = Rig::new(10_000);
+        let mut client = rig.client(Room::Free);
+        let origin = rig.request(&mut client);
+        let answer = [b"$60000\r\n", &[b'x'; 60_000][..], b"\r\n"].concat();
+        rig.clients.answer(origin, &answer);
+        rig.clients.read_all(T);
+        rig.clients.flush(T);
+        hears(&mut client, &answer);
+    }
+
+    /// Guards against an error for half a command whose rest has come, though nobody has read it yet.
+    #[test]
+    fn the_rest_of_a_command_that_has_come_is_read_before_it_is_called_missing() {
+        let mut rig = Rig::new(1 << 20);
+        let mut client = rig.client(Room::Free);
+        client.write_all(b"*1\r\n$4\r\nPI").unwrap();
+        while rig.clients.idle() > 0 {
+            rig.clients.read_all(T);
+        }
+        client.write_all(b"NG\r\n").unwrap();
+        rig.clients.sweep(T + PATIENCE + 1);
+        rig.clients.flush(T + PATIENCE + 1);
+        hears(&mut client, b"+PONG\r\n");
+    }
+
+    /// Guards against closing a connection without a word that was taken in only to be told that there is no room, and
+    /// has asked by now.
+    #[test]
+    fn one_that_is_to_be_told_of_no_room_is_told_so_before_its_time_is_over() {
+        let mut rig = Rig::new(1 << 20);
+        let mut client = rig.client(Room::Surplus);
+        client.write_all(&call()).unwrap();
+        rig.clients.sweep(T + LINGER);
+        rig.clients.flush(T + LINGER);
+        hears(&mut client, b"-BUSY\r\n");
+        rig.clients.sweep(T + 3 * LINGER);
+        assert_eq!(rig.clients.len(), 0, "told and gone");
+    }
+}
