Keep a customer's plan and set from requests that claim another

Seen by reading, proved by the test: `meet` wrote each request's plan into the customer's record, and `settle_in` fixed the first set that came for good. A request under a usual customer's name, with another plan that exists, had the store filled by that plan's rate: of a customer with a burst of 6, all 16 requests passed. A wrong first set sent its use to the wrong homes from then on, here and at peers (`on_use`). Ruled out: ranges (call.rs refuses what is out of range before the module), units (not kept in the record). At fault: control.rs, `meet` (`c.plan = ...`), and quota.rs, `settle_in` and `on_use` (first come, kept for good). The test fails without the mend.

--- a/src/control.rs
+++ b/src/control.rs
@@ -117,7 +117,7 @@
 
     // ---- 1. A request arrives: its colour, its store, the ladder ----
 
-    fn on_request(&mut self, req: Request, act: &mut Vec<Action>) {
+    fn on_request(&mut self, mut req: Request, act: &mut Vec<Action>) {
         let (class, plan) = (usize::from(req.class), usize::from(req.plan));
         let known = class < self.s.classes.len() && plan < self.s.plans.len();
         let sane = req.units.is_finite() && req.units >= 0.0;
@@ -128,7 +128,8 @@
         if !known || !sane || req.deadline < self.now + 2 * WAKE_TICKS * self.s.tick {
             return self.refuse(req.id, 0, act);
         }
-        let unseen = self.meet(&req);
+        let unseen = self.meet(&mut req);
+        let plan = usize::from(req.plan);
         if !self.ladder_passes(req.customer, plan, unseen) {
             return self.refuse(req.id, Micros::MAX, act);
         }
@@ -220,7 +221,7 @@
     }
 
     /// Notes the customer; true if it was unseen within the ageing time.
-    fn meet(&mut self, req: &Request) -> bool {
+    fn meet(&mut self, req: &mut Request) -> bool {
         let (now, life) = (self.now, self.life());
         let plan = &self.s.plans[usize::from(req.plan)];
         let most = self.s.gateways.max(1) as f64;
@@ -231,11 +232,12 @@
         // In a large fleet a start says little: most customers have all but full stores, and one home counts.
         let level = if self.period > 0 { known } else { plan.burst };
         let (others, owed) = (plan.rate * (1.0 - 1.0 / width), plan.burst - level);
-        let new = || Customer { level, owed, others, filled: now, ..Customer::default() };
-        let c = self.customers.entry(req.customer).or_insert_with(new);
+        let plan = usize::from(req.plan);
+        let new = Customer { plan, level, owed, others, filled: now, ..Customer::default() };
+        self.claim(req.customer, first as u16, width as u16, new);
+        let Some(c) = self.customers.get_mut(&req.customer) else { return true };
         let unseen = c.seen == 0 || now - c.seen > AGING;
-        (c.plan, c.seen) = (usize::from(req.plan), now);
-        self.settle_in(req.customer, first as u16, width as u16);
+        (c.seen, req.plan) = (now, c.plan as u16); // judged by the customer's plan, whatever it says itself
         unseen
     }
 
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -12,6 +12,7 @@
 const TOGETHER: u32 = 1500; // gateways that start within so many milliseconds of each other start a fleet
 pub(crate) const RATE_TAU: f64 = 2.0; // memory of use in seconds: longer than pauses, shorter than shifts
 pub(crate) const AGING: Micros = 10_000_000; // unseen so long, a customer is green; forgotten once full
+const MOST_CLAIMS: u8 = 8; // requests under another plan or set that a customer's record bears
 const GIFT_LIFE: Micros = 250_000; // ceiling units that come later than this after the asking lapse
 
 impl Customer {
@@ -26,6 +27,24 @@
 impl Gateway {
     // ---- Stores ----
 
+    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most say: one that
+    /// comes under a customer's name with the settings of another changes nothing, nor does the first one for good.
+    pub(crate) fn claim(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
+        let set = f64::from(width.clamp(1, self.s.gateways));
+        match self.customers.get_mut(&id) {
+            None => drop(self.customers.insert(id, new)),
+            Some(c) if (c.plan, c.first, c.width) == (new.plan, first, set) => {
+                c.claims = (c.claims + 1).min(MOST_CLAIMS);
+            }
+            Some(c) if c.claims > 0 => c.claims -= 1,
+            Some(c) => {
+                let old = std::mem::replace(c, new);
+                (c.held, c.open, c.used) = (old.held, old.open, old.used);
+            }
+        }
+        self.settle_in(id, first, width);
+    }
+
     /// Fixes, for good, a customer's homes and the part of its ceiling here: not to be given out twice.
     pub(crate) fn settle_in(&mut self, id: CustomerId, first: u16, width: u16) {
         let (few, me, all, life) = (self.period > 0, self.s.me.0, self.s.gateways, self.now - self.born);
@@ -268,9 +287,8 @@
         let level = if u.level < 255 && !young { told } else { unknown };
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
         let owed = burst - level;
-        let new = || Customer { plan: usize::from(u.plan), level, owed, filled: now, ..Customer::default() };
-        self.customers.entry(u.customer).or_insert_with(new);
-        self.settle_in(u.customer, u.first, u.width);
+        let new = Customer { plan: usize::from(u.plan), level, owed, filled: now, ..Customer::default() };
+        self.claim(u.customer, u.first, u.width, new);
         let c = self.fill(u.customer)?;
         if c.plan != usize::from(u.plan) || !c.home {
             return None; // not a home of this one
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,8 @@
     pub pools: [u16; 2],
     pub part: f64,
     pub first: u16,
+    /// How many requests and peers more have agreed with its plan and set than not, of late.
+    pub claims: u8,
     /// What is asked for: a request's units, and whether the ceiling lacks them, too.
     pub asks: f64,
     pub short: bool,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -271,6 +271,35 @@
     }
 }
 
+/// Guards against one customer's settings showing up for another: a request under a customer's name, but of another plan
+/// and set, changed the plan in its record for all that followed, or fixed the wrong set for good.
+#[test]
+fn a_request_under_anothers_plan_or_set_does_not_change_the_customers_record() {
+    for forged_first in [false, true] {
+        let mut rig = Rig::with(Settings { gateways: 1, ..settings() }, 6);
+        let usual = |rig: &mut Rig| {
+            let (id, actions) = rig.ask_of(0, 1, 9, 1.0, 1.0);
+            let to = sends(&actions);
+            to.iter().for_each(|b| drop(rig.settle(id, 0, *b, Outcome::Ok)));
+            to.len()
+        };
+        let forge = |rig: &mut Rig| {
+            let (id, actions) = rig.ask_of(0, 0, 9, 1.0, 1.0);
+            sends(&actions).iter().for_each(|b| drop(rig.settle(id, 0, *b, Outcome::Ok)));
+        };
+        if forged_first {
+            forge(&mut rig);
+        }
+        let mut sent: usize = (0..4).map(|_| usual(&mut rig)).sum();
+        for _ in 0..3 {
+            rig.pass(20_000);
+            forge(&mut rig);
+            sent += (0..4).map(|_| usual(&mut rig)).sum::<usize>();
+        }
+        assert!((2..=7).contains(&sent), "{sent} of 16, with a burst of 6 and some forged ones");
+    }
+}
+
 #[test]
 fn a_drained_backend_gets_nothing_new() {
     let mut rig = Rig::with(settings(), 2);
