--- a/tests/control.rs
+++ b/tests/control.rs
@@ -45,6 +45,7 @@
             max_retry_after: 2 * S,
             counter: false,
             max_open: 20_000,
+            connect_timeout: 250_000,
         },
         rules: Rules {
             answer_slack: 16_000,
@@ -202,6 +203,23 @@
     assert!(sends(&end).is_empty() && failed(&end) && !refused(&end), "outside the window");
 }
 
+/// Guards against a repeat whose connection comes up once its key's window is over: it begins only then.
+#[test]
+fn a_keyed_retry_is_sent_only_while_its_connection_can_come_up_within_the_window() {
+    for (after, want) in [(1_600_000, 1), (1_800_000, 0)] {
+        let mut s = settings();
+        s.classes[1].aim = 4 * S;
+        s.limits.second_copies = false;
+        s.limits.cancel = false;
+        let mut rig = Rig::with(s, 6);
+        let (id, actions) = rig.ask(1, 0, 1, 1.0);
+        rig.pass(after);
+        let end = rig.settle(id, 0, sends(&actions)[0], Outcome::Reset);
+        assert_eq!(sends(&end).len(), want, "{after} us behind the first send, in a window of 2 s");
+        assert_eq!(failed(&end), want == 0);
+    }
+}
+
 #[test]
 fn a_keyed_retry_keeps_to_its_cell_when_the_first_backend_has_left_the_list() {
     let mut rig = Rig::with(settings(), 6);
@@ -213,6 +231,46 @@
     assert!(sends(&end).is_empty() && failed(&end), "nobody left who knows the key");
 }
 
+/// A request whose client has left goes nowhere, whatever it waited for: a place, a home's word, a further attempt.
+/// With and without leave to cancel, since what is not out yet needs none.
+#[test]
+fn a_request_whose_client_has_left_is_not_sent_on() {
+    for cancel in [true, false] {
+        let s = || Settings { limits: Limits { cancel, ..settings().limits }, ..settings() };
+        // For a place: the bound of one backend is reached.
+        let mut rig = Rig::with(Settings { gateways: 1, ..s() }, 1);
+        let asked: Vec<_> = (0..12).map(|n| rig.ask(0, 0, n, 1.0)).collect();
+        let (out, wait): (Vec<_>, Vec<_>) = asked.iter().partition(|(_, a)| !sends(a).is_empty());
+        let wait: Vec<_> = wait.into_iter().filter(|(_, a)| !refused(a)).collect();
+        assert!(!out.is_empty() && !wait.is_empty(), "{} out, {} wait", out.len(), wait.len());
+        for (id, _) in &wait {
+            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+        }
+        for (id, actions) in &out {
+            let freed = rig.settle(*id, 0, sends(actions)[0], Outcome::Ok);
+            assert!(sends(&freed).is_empty(), "a place fell free for one that had left");
+        }
+        assert!(sends(&rig.pass(S)).is_empty());
+
+        // For a home's word, in a fleet where one home counts; the time of waiting for it ends.
+        let mut rig = Rig::with(Settings { gateways: 100, ..s() }, 6);
+        let asked: Vec<_> = (0..20).map(|n| rig.ask(2, 1, n, 1.0)).collect();
+        let held: Vec<_> = asked.iter().filter(|(_, a)| sends(a).is_empty() && !refused(a)).collect();
+        assert!(held.len() > 5, "{} of 20 are held", held.len());
+        for (id, _) in &held {
+            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+        }
+        assert!(sends(&rig.pass(S)).is_empty());
+
+        // For a further attempt: the one that is out fails behind it.
+        let mut rig = Rig::with(s(), 6);
+        let (id, actions) = rig.ask(0, 0, 1, 1.0);
+        rig.feed(Event::Withdrawn(id));
+        let end = rig.settle(id, 0, sends(&actions)[0], Outcome::ConnectFailed);
+        assert!(sends(&end).is_empty() && sends(&rig.pass(S)).is_empty());
+    }
+}
+
 #[test]
 fn a_drained_backend_gets_nothing_new() {
     let mut rig = Rig::with(settings(), 2);
