--- a/src/quota.rs
+++ b/src/quota.rs
@@ -27,8 +27,8 @@
 impl Gateway {
     // ---- Stores ----
 
-    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most say: one
-    /// that comes under a customer's name with the settings of another changes nothing, nor does the first for good.
+    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most say:
+    /// one that comes under its name with the settings of another changes nothing, nor does the first for good.
     pub(crate) fn claim(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
         let set = f64::from(width.clamp(1, self.s.gateways));
         match self.customers.get_mut(&id) {
@@ -100,8 +100,8 @@
         let told = few || c.home || recent(c.news_at);
         // A home that talks, but not on this, is overrun by a customer with more than it may have out.
         let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.heard_at));
-        // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the fewer
-        // the more it costs to be wrong.
+        // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the
+        // fewer the more it costs to be wrong.
         let lot = mix(req.id.0 ^ self.born << 24) * (1.0 + plan.over_cost) > 1.0;
         let overrun = !told && c.asked_at > 0 && (lot || c.homes.iter().all(talks));
         let mut quota = None;
