--- a/src/quota.rs
+++ b/src/quota.rs
@@ -27,8 +27,8 @@
 impl Gateway {
     // ---- Stores ----
 
-    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most say:
-    /// one that comes under its name with the settings of another changes nothing, nor does the first for good.
+    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most
+    /// say: one that comes with the settings of another changes nothing, nor does the first for good.
     pub(crate) fn claim(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
         let set = f64::from(width.clamp(1, self.s.gateways));
         match self.customers.get_mut(&id) {
