--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -113,3 +113,39 @@
     let sent = ids(&backend);
     assert!(sent.len() == 11 && sent[10] == "last", "{sent:?}");
 }
+
+// ---- A new configuration ----
+
+/// What is out when the configuration changes is still owed its answer, though the new list names neither backend: one
+/// works on it, and one's connection was still to come up, so that its request never began.
+#[test]
+fn a_new_configuration_takes_nothing_from_requests_that_are_out() {
+    let ((working, gate), slow, other) = (gated(), Unreached::new(), Backend::start(serve));
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let mut setup = patient(Setup::of(&[&working]));
+    setup.discovery = Some(old.at);
+    let ingress = setup.start();
+    let (mut first, mut second) = (ingress.client(), ingress.client());
+    first.send(&call("refer", "r1", 7000));
+    until("it is sent", || working.count() == 1);
+    old.change(entry("s-1", slow.at, "up"));
+    old.tell(working.entry("s-0", "draining"));
+    second.send(&call("refer", "r2", 7000));
+    ingress.caught_up();
+    new.change(other.entry("s-9", "up"));
+    setup.discovery = Some(new.at);
+    ingress.configure(&setup.config(ingress.at));
+    ingress.signal("HUP");
+    assert_eq!(second.answer(), "value of r2");
+    assert_eq!(ids(&other), ["r2"]);
+    gate.store(true, Ordering::SeqCst);
+    assert_eq!(first.answer(), "value of r1");
+    // The next connection to the old place comes up before nobody else's.
+    new.change(entry("s-1", slow.at, "up"));
+    new.tell(other.entry("s-9", "draining"));
+    second.send(&call("refer", "r3", 7000));
+    ingress.caught_up();
+    let slow = slow.open();
+    assert_eq!(second.answer(), "value of r3");
+    assert_eq!(ids(&slow), ["r3"]);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -231,7 +231,7 @@
     pub fn new() -> Unreached {
         let stream = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         let socket = stream();
-        socket.bind(&place().into()).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
         let at = socket.local_addr().unwrap().as_socket().unwrap();
         let connect = |_| {
