Force a command that is not taken in time: up, but not read from, it has not begun

The host's part of "Send a keyed repeat only while its connection can come up within the window" had no test of its own; with the former condition (`!connected`) this one fails.

--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -583,6 +583,23 @@
         assert_eq!(rig.begin(2, T + REST), first);
     }
 
+    /// Guards against a command that a backend takes in later than the module counts on: the connection is up, but nobody
+    /// reads from it.
+    #[test]
+    fn a_command_that_is_not_taken_in_time_has_not_begun() {
+        let mut rig = Rig::new(30_000_000);
+        let (registry, work) = (rig.poll.registry(), Work::Attempt(RequestId(1), 0));
+        let fill = |out: &mut Vec<u8>| out.resize(64 << 20, b'x');
+        let (link, unsent) = rig.backends.begin(registry, ID, work, T, fill).unwrap();
+        let peer = rig.listener.accept().unwrap().0;
+        rig.backends.ready(link.key, T, true, false);
+        assert!(unsent && rig.backends.conns[link.key].connected && rig.backends.unsent(link));
+        rig.backends.connect_overdue(link);
+        let done = rig.backends.done.pop().expect("it has ended");
+        assert_eq!((done.work, done.outcome, rig.backends.len()), (work, Outcome::ConnectFailed, 0));
+        drop(peer);
+    }
+
     /// Guards against a request on a connection that the backend is about to close: where connections are kept for a
     /// short time only, the sweep comes too seldom to close them first.
     #[test]
