Call a shared discovery again within 5 s of any failed call, and first within 4 s

Seen (as measured before by eight real ingresses): with lists asked for, a discovery that was back was called again up to 10.2 s later, where a change counts as told after 6 s. At fault: discovery.rs, Pace::shared (pauses of 8 s, times 1.5), SPREAD_EACH without a bound (58 s at 2,900), fail() (the pause begins behind a patience of 3 s), and wake(): a connection that did not come up was waited for as long as news. Change: the next call comes 4.5 to 5 s after the one that failed at the latest, 1 s being left for the answer; first calls are spread over 4 s at most, and so are those behind a watch that ended; a connection has 3 s to come up. The name Pace is Backoff now. A service that does not serve all in 5 s (290 a second for 2,900) does not get its line empty: the rule leaves no room for that.

--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -8,38 +8,41 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-/// How calls are made. The pauses are the middle ones: each is drawn between half of it and half as much again.
+/// How calls are made, and when those that failed are made again.
 #[derive(Clone, Copy)]
-pub struct Pace {
+pub struct Backoff {
     /// How long one call waits for news.
     wait: Micros,
-    /// How long the answer to a call that does not wait may take until the connection counts as dead.
+    /// How long a connection may take to come up, and the answer to a call that does not wait, until the connection
+    /// counts as dead.
     patience: Micros,
-    /// The first pause before a new connection, and the longest.
+    /// The first pause behind a failure, and the longest; each is drawn between half of it and half as much again.
     pauses: (Micros, Micros),
-    /// Over how long the first calls of ingresses that start at one moment are spread.
+    /// Over how long the first calls of ingresses that start, or lose their watches, at one moment are spread.
     spread: Micros,
 }
 
-impl Pace {
+impl Backoff {
     /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
     /// be told once this is over.
     /// What it has counts as told whether or not a call is open, so that no pause may last as long as a grace.
-    pub const AGENT: Pace =
-        Pace { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
+    pub const AGENT: Backoff =
+        Backoff { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
 
     /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
-    /// given up, so a line that is full after a mass restart empties only if those turned away stay away.
-    pub fn shared(must_ask: Micros, ingresses: u64) -> Pace {
+    /// given up, so a line that is full after a mass restart empties only if those turned away stay away: as long as
+    /// [`MOST_BETWEEN`] lets them.
+    pub fn shared(must_ask: Micros, ingresses: u64) -> Backoff {
         let wait = (2 * must_ask).clamp(Self::AGENT.wait, MOST_WAIT);
         let pauses = (1_000_000, 8_000_000);
-        Pace { wait, patience: 3_000_000, pauses, spread: ingresses * SPREAD_EACH }
+        let spread = (ingresses * SPREAD_EACH).min(MOST_SPREAD);
+        Backoff { wait, patience: 3_000_000, pauses, spread }
     }
 }
 
-/// How a watch begins: its pace, the seed of its jitter, and the time.
+/// How a watch begins: its backoff, the seed of its jitter, and the time.
 pub struct Way {
-    pub pace: Pace,
+    pub backoff: Backoff,
     pub seed: u64,
     pub now: Micros,
 }
@@ -49,8 +52,13 @@
 const PAST_WAIT: Micros = 750_000;
 /// The longest that discovery lets a call wait.
 const MOST_WAIT: Micros = 60_000_000;
-/// The part of one ingress in the time over which first calls are spread.
+/// The part of one ingress in the time over which first calls are spread, and the most of that time: a process that
+/// starts counts as told after 6 s like any other, and the answer takes its time.
 const SPREAD_EACH: Micros = 20_000;
+const MOST_SPREAD: Micros = 4_000_000;
+/// The longest time from a call that failed to the next one, drawn between these: a change counts as told 6 s after
+/// discovery had it and could be reached, which may be the moment behind the call, and the rest is for the answer.
+const MOST_BETWEEN: (Micros, Micros) = (4_500_000, 5_000_000);
 /// The pause after an answer with no news that came at once: a watch goes on if called within 200 ms.
 const NO_NEWS: Micros = 50_000;
 /// An answer that came faster than this did not wait.
@@ -155,8 +163,10 @@
     /// What is still to be written of a call, and when it was made; none while no call is out.
     out: Vec<u8>,
     called: Option<Micros>,
+    /// When the call that is out counts as unanswered.
+    due: Micros,
     buf: Vec<u8>,
-    pace: Pace,
+    backoff: Backoff,
     pause: Micros,
     random: fastrand::Rng,
     /// When [`Watch::wake`] has something to do.
@@ -171,9 +181,9 @@
 impl Watch {
     /// A watch for what is newer than the list held.
     pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token, way: Way) -> Self {
-        let Way { pace, seed, now } = way;
+        let Way { backoff, seed, now } = way;
         let mut random = fastrand::Rng::with_seed(seed);
-        let first = now + random.u64(0..=pace.spread);
+        let first = now + random.u64(0..=backoff.spread);
         Watch {
             address,
             sites,
@@ -182,9 +192,10 @@
             index: Some(index),
             out: Vec::new(),
             called: None,
+            due: 0,
             buf: Vec::new(),
-            pace,
-            pause: pace.pauses.0,
+            backoff,
+            pause: backoff.pauses.0,
             random,
             wake_at: first,
             broken: false,
@@ -197,7 +208,7 @@
     pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
         self.index = None;
         self.hang_up();
-        (self.address, self.wake_at, self.pause) = (address, now, self.pace.pauses.0);
+        (self.address, self.wake_at, self.pause) = (address, now, self.backoff.pauses.0);
     }
 
     /// Asks for the whole list with the next call.
@@ -220,10 +231,17 @@
 
     /// Gives the connection up; the next one comes after a pause. True if all had been well before.
     fn fail(&mut self, now: Micros, why: &str) -> bool {
-        self.hang_up();
-        self.wake_at = now + self.jittered(self.pause);
-        self.pause = (self.pause * 2).min(self.pace.pauses.1);
+        // A watch that was open heard of all until now; a call that failed before it was one was deaf from its beginning.
+        let short = self.broken
+            || !self.out.is_empty()
+            || self.called.is_some_and(|t| now <= t + self.backoff.patience);
+        let deaf_since = self.called.filter(|_| short).unwrap_or(now);
+        let latest = deaf_since + self.random.u64(MOST_BETWEEN.0..=MOST_BETWEEN.1);
         let first = !std::mem::replace(&mut self.broken, true);
+        let spread = if first { self.random.u64(0..=self.backoff.spread) } else { 0 };
+        self.hang_up();
+        self.wake_at = (now + self.jittered(self.pause) + spread).min(latest).max(now);
+        self.pause = (self.pause * 2).min(self.backoff.pauses.1);
         if first {
             crate::log(&format!("discovery: {why}; serving on with the list as it is"));
         }
@@ -258,12 +276,14 @@
             }
         }
         let waits = self.index.is_some() && !self.unanswered;
-        let wait = if waits { self.jittered(self.pace.wait).min(MOST_WAIT) } else { 0 };
+        let wait = if waits { self.jittered(self.backoff.wait).min(MOST_WAIT) } else { 0 };
         let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
-        self.wake_at = now + if waits { wait + PAST_WAIT } else { self.pace.patience };
+        self.due = now + if waits { wait + PAST_WAIT } else { self.backoff.patience };
+        // Without a connection it is no watch yet, however long it may wait: the system tries ever more seldom.
+        self.wake_at = self.due.min(now + self.backoff.patience);
         self.write(now)
     }
 
@@ -271,7 +291,12 @@
         let Some(stream) = &mut self.stream else { return false };
         while !self.out.is_empty() {
             match stream.write(&self.out) {
-                Ok(n) => drop(self.out.drain(..n)),
+                Ok(n) => {
+                    self.out.drain(..n);
+                    if self.out.is_empty() {
+                        self.wake_at = self.due; // now it waits for the answer
+                    }
+                }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 // Not connected yet, or no room: the socket will show as writable.
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
@@ -322,7 +347,7 @@
                 if std::mem::take(&mut self.broken) {
                     crate::log("discovery: back");
                 }
-                (self.index, self.called, self.pause) = (Some(roster.index), None, self.pace.pauses.0);
+                (self.index, self.called, self.pause) = (Some(roster.index), None, self.backoff.pauses.0);
                 self.unanswered = false;
                 self.buf.clear();
                 if ended || !reusable {
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -6,7 +6,7 @@
 use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
-use crate::discovery::{Pace, Roster, Watch, Way};
+use crate::discovery::{Backoff, Roster, Watch, Way};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
@@ -230,11 +230,11 @@
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
         let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
-        let pace = match settings.discovery {
-            Discovery::Ask => Pace::shared(settings.rules.must_ask, u64::from(settings.gateways)),
-            Discovery::Push => Pace::AGENT,
+        let backoff = match settings.discovery {
+            Discovery::Ask => Backoff::shared(settings.rules.must_ask, u64::from(settings.gateways)),
+            Discovery::Push => Backoff::AGENT,
         };
-        let way = Way { pace, seed: config.seed, now };
+        let way = Way { backoff, seed: config.seed, now };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = Ingress {
             poll,
