Begin nothing for a client whose end has come in the same turn

Seen, forced in one process with the sockets' order given: (1) a backend turns an attempt away in the turn in which its client closes: one further attempt began; (2) a client's command and its end are read in one turn: it was sent on; (3) forty clients with requests out and in line close at once: six of those in line were sent on in the places of the others. Where an ingress is late by 0.1 s, all three begin behind the close by more than that. Ruled out: silence and second copies falling due in that turn (clients were read before the timers), connections still to come up, stalled connections (tested before). At fault: ingress.rs turn(), which looked at backends before clients; take_incoming(), which told the module of one that had gone and carried out what that brought about before the next one; clients.rs remove(), which left what had not been taken up in the queue; run(), whose poll took 512 events, fewer than there may be sockets. Change: ends come first in a turn, and all of them are told before anything is carried out; what was read and not taken up goes with its connection; a poll takes as many events as there may be sockets. An end told by the poll ends a connection without reading it, so that the note that a client has left while its line was full is not needed any more.

--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/wrenfork/clients.rs
@@ -85,8 +85,6 @@
     shut: bool,
     /// Reading stopped since its line of answers is full.
     stalled: bool,
-    /// It has ended its sending, though that end may still lie behind what is not read.
-    left: bool,
     /// In the list of those to be written to, and of those to be read again.
     dirty: bool,
     listed: bool,
@@ -284,21 +282,27 @@
             surplus,
             shut: false,
             stalled: false,
-            left: false,
             dirty: false,
             listed: false,
         });
     }
 
-    /// Does what a connection is ready for; `closed` says that its end is near.
-    pub fn ready(&mut self, key: usize, now: Micros, writable: bool, closed: bool) {
+    /// Does what a connection is ready for.
+    pub fn ready(&mut self, key: usize, now: Micros, writable: bool) {
         let Some(c) = self.conns.get_mut(key) else { return };
         if writable && !c.out.is_empty() && !c.dirty {
             c.dirty = true;
             self.dirty.push(key);
         }
-        c.left |= closed;
-        self.read(key, now, closed);
+        self.read(key, now, false);
+    }
+
+    /// The client of a connection has closed it, or ended its sending: it has gone, and whatever it said that was not
+    /// looked at yet is nobody's.
+    pub fn left(&mut self, key: usize) {
+        if self.conns.contains(key) {
+            self.remove(key);
+        }
     }
 
     /// Whether there is something to do before any socket shows as ready.
@@ -332,7 +336,8 @@
     fn read_some(&mut self, key: usize, now: Micros, closed: bool) {
         for _ in 0..READS_A_TURN {
             if !self.take_commands(key, now) {
-                return self.stall(key);
+                self.conns[key].stalled = true;
+                return;
             }
             let c = &mut self.conns[key];
             match c.stream.read(&mut self.chunk) {
@@ -353,10 +358,7 @@
                     c.buf.extend_from_slice(&self.chunk[..n]);
                     // Less than there was room for: that was all, and more will be told.
                     if n < CHUNK && !closed {
-                        if !self.take_commands(key, now) {
-                            return self.stall(key);
-                        }
-                        self.conns[key].stalled = false;
+                        self.conns[key].stalled = !self.take_commands(key, now);
                         return;
                     }
                 }
@@ -365,20 +367,10 @@
                 Err(_) => return self.remove(key),
             }
         }
-        if !self.take_commands(key, now) {
-            return self.stall(key);
-        }
-        self.conns[key].stalled = false;
-        self.read_later(key);
-    }
-
-    /// Reads no more from a connection until its line of answers is shorter. One whose client has left will not be read
-    /// at all: what it asked for is not to be sent on meanwhile, and the end of its sending is known already.
-    fn stall(&mut self, key: usize) {
-        let c = &mut self.conns[key];
-        c.stalled = true;
-        if c.left {
-            self.remove(key);
+        // Of a line of answers that is full no more is read until it is shorter.
+        self.conns[key].stalled = !self.take_commands(key, now);
+        if !self.conns[key].stalled {
+            self.read_later(key);
         }
     }
 
@@ -606,7 +598,12 @@
         // The latest first: one that waits for a place must not get that of one before it, only to be called off.
         let slots = c.slots.iter().rev();
         let waiting = slots.filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
-        self.incoming.extend(waiting.map(Incoming::Gone));
+        let gone: Vec<Incoming> = waiting.map(Incoming::Gone).collect();
+        if !gone.is_empty() {
+            // What came in the same turn as the end was never taken up.
+            self.incoming.retain(|i| !matches!(i, Incoming::Call(_, origin, _) if origin.serial == c.serial));
+            self.incoming.extend(gone);
+        }
     }
 
     /// Ends what says nothing, or half a command, for too long: it holds a descriptor and memory.
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -278,7 +278,8 @@
 
     /// Runs until told to stop and idle.
     pub fn run(mut self) -> Result<(), String> {
-        let mut events = Events::with_capacity(512);
+        // All that is ready comes in one turn: one that left must not be behind another's answer.
+        let mut events = Events::with_capacity(self.sockets + OTHER_SOCKETS + MOST_SURPLUS);
         let mut ready: Vec<(Token, bool, bool)> = Vec::new();
         loop {
             let timeout = self.timeout();
@@ -320,6 +321,13 @@
     /// One turn: all that came is read with one clock. Discovery comes first, so that a drain that has been told
     /// reaches the module before any send; answers come before the timers that would call them missing.
     fn turn(&mut self, ready: &mut [(Token, bool, bool)]) {
+        // Before all else: whatever comes in this turn, and whatever is due, begins nothing for a client that has gone.
+        for &(token, _, closed) in ready.iter() {
+            if closed && token.0 >= FIRST && (token.0 - FIRST) % 2 == 0 {
+                self.clients.left((token.0 - FIRST) / 2);
+            }
+        }
+        self.withdraw_gone();
         ready.sort_unstable_by_key(|r| match r.0 {
             DISCOVERY => 0,
             Token(t) if t >= FIRST && t % 2 == 1 => 1,
@@ -344,7 +352,7 @@
                     self.pump();
                 }
                 Token(t) => {
-                    self.clients.ready((t - FIRST) / 2, self.now, writable, closed);
+                    self.clients.ready((t - FIRST) / 2, self.now, writable);
                     self.take_incoming();
                 }
             }
@@ -443,15 +451,24 @@
         accepted == Accepted::All
     }
 
+    /// Tells the module of all whose clients have gone, before it hears of anything that this brings about: a place that
+    /// one of them leaves must not go to the next.
+    fn withdraw_gone(&mut self) {
+        for incoming in &self.clients.incoming {
+            let Incoming::Gone(id) = incoming else { continue };
+            if let Some(open) = self.requests.get_mut(id).filter(|o| !o.over) {
+                open.over = true;
+                self.events.push_back(Event::Withdrawn(*id));
+            }
+        }
+    }
+
     fn take_incoming(&mut self) {
+        self.withdraw_gone();
         while let Some(incoming) = self.clients.incoming.pop_front() {
             match incoming {
                 Incoming::Call(id, origin, call) => self.take_call(id, origin, call),
                 Incoming::Gone(id) => {
-                    if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
-                        open.over = true;
-                        self.events.push_back(Event::Withdrawn(id));
-                    }
                     self.call_back(id);
                     self.forget(id);
                 }
