Test that idle clients do not keep an ingress from discovery, a backend or SIGHUP

Held before in one probe with lists pushed; not known with lists asked for, at a start, for backends and for SIGHUP. No change to the program.

--- /dev/null
+++ b/tests/crowded.rs
@@ -0,0 +1,111 @@
+//! Idle clients fill the descriptors while discovery is down: it must be called again all the same, and a connection to a
+//! backend and a new configuration must get through, whether the lists are pushed or asked for.
+
+mod support;
+
+use std::io::{ErrorKind, Read};
+use std::net::{Shutdown, TcpStream};
+use support::*;
+
+/// More than there are descriptors.
+const CROWD: usize = 300;
+const SOCKETS: usize = 256;
+
+/// Clients that have said PING, all at once, and say nothing more.
+struct Crowd(Vec<(TcpStream, bool)>);
+
+impl Crowd {
+    fn come(ingress: &Ingress) -> Crowd {
+        let client = |_| {
+            let mut client = ingress.client();
+            client.send(&command(&["PING"]));
+            client.0.set_nonblocking(true).unwrap();
+            (client.0, false)
+        };
+        Crowd((0..CROWD).map(client).collect())
+    }
+
+    /// Waits until each was answered, or closed to make room for others.
+    fn settle(&mut self) {
+        until("all are answered or closed", || {
+            for (stream, done) in &mut self.0 {
+                *done |= !matches!(stream.read(&mut [0; 16]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            }
+            self.0.iter().all(|c| c.1)
+        });
+    }
+
+    /// How many of them are still connected, by what the ingress holds open.
+    fn held(ingress: &Ingress) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count()
+    }
+}
+
+/// An ingress between such a crowd and a discovery that is down, at its start already or from then on.
+fn crowded(mode: &str, by_system: bool, down_at_start: bool) {
+    let what = format!("{mode}, limit of the system: {by_system}, down at the start: {down_at_start}");
+    let (good, other) = (Backend::start(serve), Backend::start(serve));
+    let (discovery, moved) = (Discovery::start(), Discovery::start());
+    let mut setup = Setup::of(&[]);
+    setup.discovery = Some(discovery.at);
+    setup.settings = setup.settings.replace("\"push\"", &format!("\"{mode}\""));
+    if by_system {
+        setup.ulimit = Some(SOCKETS);
+    } else {
+        setup.sockets = SOCKETS;
+    }
+    discovery.down(down_at_start);
+    let ingress = setup.start();
+    let mut crowd = Crowd::come(&ingress);
+    discovery.down(true);
+    crowd.settle();
+    let held = Crowd::held(&ingress);
+    assert!((SOCKETS / 2..=SOCKETS).contains(&held), "{held} descriptors; {what}");
+    // Down for as long as it takes until it is back, it is told of a change meanwhile.
+    let before = discovery.calls.load(std::sync::atomic::Ordering::SeqCst);
+    discovery.change(good.entry("s-0", "up"));
+    discovery.down(false);
+    until(&format!("discovery is called again; {what}"), || {
+        discovery.calls.load(std::sync::atomic::Ordering::SeqCst) > before
+    });
+    // One more client comes; its request needs a connection to a backend that nobody was connected to.
+    let mut client = ingress.client();
+    let mut answer = String::new();
+    for n in 0..100 {
+        answer = client.ask(&call("quote", &format!("r{n}"), 900));
+        if answer.starts_with("value") {
+            break; // until then the list may still be on its way
+        }
+    }
+    assert!(answer.starts_with("value"), "{answer}; {what}");
+    // A new configuration moves discovery, which knows of another backend only.
+    moved.change(other.entry("s-1", "up"));
+    setup.discovery = Some(moved.at);
+    ingress.configure(&setup.config(ingress.at));
+    ingress.signal("HUP");
+    let mut n = 0;
+    until(&format!("a backend from there is used; {what}"), || {
+        n += 1;
+        client.ask(&call("quote", &format!("m{n}"), 900));
+        other.count() > 0
+    });
+    crowd.0.iter().for_each(|c| drop(c.0.shutdown(Shutdown::Both)));
+}
+
+#[test]
+fn idle_clients_do_not_keep_an_ingress_from_discovery_where_lists_are_pushed() {
+    crowded("push", false, false);
+    crowded("push", true, true);
+}
+
+#[test]
+fn idle_clients_do_not_keep_an_ingress_from_discovery_where_lists_are_asked_for() {
+    crowded("ask", true, false);
+    crowded("ask", false, true);
+}
+
+#[test]
+fn idle_clients_do_not_keep_an_ingress_from_discovery_whatever_limits_it() {
+    crowded("push", true, false);
+    crowded("ask", true, true);
+}
