Give the backoff of calls to discovery a file of its own in the library

A move: the decision when to call again stood in the watch, where only the ingress could use it; a model of the fleet needs it without sockets.

--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list of backends, and the watch that keeps it fresh over HTTP/1.1. While discovery is silent or
 //! broken the list stays as it was, and the watch is begun anew with growing pauses.
 
+use chalkgap::backoff::{Backoff, Retry};
 use chalkgap::{Availability, BackendId, Listed, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -8,38 +9,6 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-/// How calls are made, and when those that failed are made again.
-#[derive(Clone, Copy)]
-pub struct Backoff {
-    /// How long one call waits for news.
-    wait: Micros,
-    /// How long a connection may take to come up, and the answer to a call that does not wait, until the connection
-    /// counts as dead.
-    patience: Micros,
-    /// The first pause behind a failure, and the longest; each is drawn between half of it and half as much again.
-    pauses: (Micros, Micros),
-    /// Over how long the first calls of ingresses that start, or lose their watches, at one moment are spread.
-    spread: Micros,
-}
-
-impl Backoff {
-    /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
-    /// be told once this is over.
-    /// What it has counts as told whether or not a call is open, so that no pause may last as long as a grace.
-    pub const AGENT: Backoff =
-        Backoff { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
-
-    /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
-    /// given up, so a line that is full after a mass restart empties only if those turned away stay away: as long as
-    /// [`MOST_BETWEEN`] lets them.
-    pub fn shared(must_ask: Micros, ingresses: u64) -> Backoff {
-        let wait = (2 * must_ask).clamp(Self::AGENT.wait, MOST_WAIT);
-        let pauses = (1_000_000, 8_000_000);
-        let spread = (ingresses * SPREAD_EACH).min(MOST_SPREAD);
-        Backoff { wait, patience: 3_000_000, pauses, spread }
-    }
-}
-
 /// How a watch begins: its backoff, the seed of its jitter, and the time.
 pub struct Way {
     pub backoff: Backoff,
@@ -50,15 +19,6 @@
 /// How much longer than its wait a call may stay unanswered. What it missed counts as told 2 s after the wait is over:
 /// by then the watch has to be open again, and to have answered.
 const PAST_WAIT: Micros = 750_000;
-/// The longest that discovery lets a call wait.
-const MOST_WAIT: Micros = 60_000_000;
-/// The part of one ingress in the time over which first calls are spread, and the most of that time: a process that
-/// starts counts as told after 6 s like any other, and the answer takes its time.
-const SPREAD_EACH: Micros = 20_000;
-const MOST_SPREAD: Micros = 4_000_000;
-/// The longest time from a call that failed to the next one, drawn between these: a change counts as told 6 s after
-/// discovery had it and could be reached, which may be the moment behind the call, and the rest is for the answer.
-const MOST_BETWEEN: (Micros, Micros) = (4_500_000, 5_000_000);
 /// The pause after an answer with no news that came at once: a watch goes on if called within 200 ms.
 const NO_NEWS: Micros = 50_000;
 /// An answer that came faster than this did not wait.
@@ -166,13 +126,9 @@
     /// When the call that is out counts as unanswered.
     due: Micros,
     buf: Vec<u8>,
-    backoff: Backoff,
-    pause: Micros,
-    random: fastrand::Rng,
+    retry: Retry,
     /// When [`Watch::wake`] has something to do.
     pub wake_at: Micros,
-    /// Discovery failed, and nothing good has come since.
-    broken: bool,
     /// The last call stayed unanswered: the next one does not wait for news, so that what was missed comes at once,
     /// and a second silence shows soon.
     unanswered: bool,
@@ -182,8 +138,8 @@
     /// A watch for what is newer than the list held.
     pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token, way: Way) -> Self {
         let Way { backoff, seed, now } = way;
-        let mut random = fastrand::Rng::with_seed(seed);
-        let first = now + random.u64(0..=backoff.spread);
+        let mut retry = Retry::new(backoff, seed);
+        let first = retry.first(now);
         Watch {
             address,
             sites,
@@ -194,11 +150,8 @@
             called: None,
             due: 0,
             buf: Vec::new(),
-            backoff,
-            pause: backoff.pauses.0,
-            random,
+            retry,
             wake_at: first,
-            broken: false,
             unanswered: false,
         }
     }
@@ -208,7 +161,8 @@
     pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
         self.index = None;
         self.hang_up();
-        (self.address, self.wake_at, self.pause) = (address, now, self.backoff.pauses.0);
+        self.retry.reset();
+        (self.address, self.wake_at) = (address, now);
     }
 
     /// Asks for the whole list with the next call.
@@ -216,12 +170,6 @@
         self.index = None;
     }
 
-    /// A time drawn between half of one and half as much again: many ingresses start, fail and come to the end of
-    /// their wait at one moment, and would come again, and fail again, at one moment.
-    fn jittered(&mut self, middle: Micros) -> Micros {
-        self.random.u64(middle / 2..=middle * 3 / 2)
-    }
-
     /// Closes the connection, with all that is under way on it: nothing of it belongs to the next one.
     fn hang_up(&mut self) {
         (self.stream, self.called) = (None, None);
@@ -231,17 +179,9 @@
 
     /// Gives the connection up; the next one comes after a pause. True if all had been well before.
     fn fail(&mut self, now: Micros, why: &str) -> bool {
-        // A watch that was open heard of all until now; a call that failed before it was one was deaf from its beginning.
-        let short = self.broken
-            || !self.out.is_empty()
-            || self.called.is_some_and(|t| now <= t + self.backoff.patience);
-        let deaf_since = self.called.filter(|_| short).unwrap_or(now);
-        let latest = deaf_since + self.random.u64(MOST_BETWEEN.0..=MOST_BETWEEN.1);
-        let first = !std::mem::replace(&mut self.broken, true);
-        let spread = if first { self.random.u64(0..=self.backoff.spread) } else { 0 };
+        let (first, next) = self.retry.failed(now, self.called, self.out.is_empty());
         self.hang_up();
-        self.wake_at = (now + self.jittered(self.pause) + spread).min(latest).max(now);
-        self.pause = (self.pause * 2).min(self.backoff.pauses.1);
+        self.wake_at = next;
         if first {
             crate::log(&format!("discovery: {why}; serving on with the list as it is"));
         }
@@ -276,14 +216,14 @@
             }
         }
         let waits = self.index.is_some() && !self.unanswered;
-        let wait = if waits { self.jittered(self.backoff.wait).min(MOST_WAIT) } else { 0 };
+        let wait = if waits { self.retry.wait() } else { 0 };
         let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
-        self.due = now + if waits { wait + PAST_WAIT } else { self.backoff.patience };
+        self.due = now + if waits { wait + PAST_WAIT } else { self.retry.backoff.patience };
         // Without a connection it is no watch yet, however long it may wait: the system tries ever more seldom.
-        self.wake_at = self.due.min(now + self.backoff.patience);
+        self.wake_at = self.due.min(now + self.retry.backoff.patience);
         self.write(now)
     }
 
@@ -344,10 +284,10 @@
             Answer::Partial => false,
             Answer::Bad(why) => self.fail(now, &why),
             Answer::Whole(roster, reusable) => {
-                if std::mem::take(&mut self.broken) {
+                if self.retry.answered() {
                     crate::log("discovery: back");
                 }
-                (self.index, self.called, self.pause) = (Some(roster.index), None, self.backoff.pauses.0);
+                (self.index, self.called) = (Some(roster.index), None);
                 self.unanswered = false;
                 self.buf.clear();
                 if ended || !reusable {
--- a/src/bin/wrenfork/discovery/tests.rs
+++ b/src/bin/wrenfork/discovery/tests.rs
@@ -332,7 +332,7 @@
         for _ in 0..5 {
             // The call is out, and nothing of it could be written.
             (watch.called, watch.out, watch.due) = (Some(called), b"GET".to_vec(), called + 30_000_000);
-            watch.wake_at = watch.due.min(called + watch.backoff.patience);
+            watch.wake_at = watch.due.min(called + watch.retry.backoff.patience);
             assert!(watch.wake_at <= called + 3_000_000);
             watch.fail(watch.wake_at, "no answer in time");
             assert!(watch.wake_at <= called + WITHIN, "{} us", watch.wake_at - called);
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -6,10 +6,11 @@
 use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
-use crate::discovery::{Backoff, Roster, Watch, Way};
+use crate::discovery::{Roster, Watch, Way};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
+use chalkgap::backoff::Backoff;
 use chalkgap::{
     Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 //! assert!(actions.is_empty(), "the answer went to the client; nothing is left to do");
 //! ```
 
+pub mod backoff;
 pub mod conf;
 mod control;
 mod gossip;
