Add scale/, a load and experiment tool with its own model of the fleet

One binary reads an experiment file (TOML) and writes a line of JSON for each point, with seed, commit and machine. Hollow ingresses under a driven clock: the endpoint list (whole, a change, a zone lost and back), requests by backends, customers and fleet, quota messages, calls to a shared discovery through an outage, cold ramps. Real processes on loopback: the list at an ingress, nine in ten restarted under load and a new configuration for all, time added. Bad files get one line with key and reason and status 2. Tests judge by counts.

--- /dev/null
+++ b/scale/tests/experiments.rs
@@ -0,0 +1,144 @@
+//! Every experiment in small, judged by counts; and what bad experiment files get.
+
+use scale::{report::Report, spec::Spec};
+use serde_json::Value;
+use std::path::PathBuf;
+use std::process::Command;
+
+const SMALL: &str = include_str!("../experiments/small.toml");
+
+/// The real ingress as it was built with these tests.
+fn ingress() -> PathBuf {
+    let mut path = std::env::current_exe().unwrap();
+    path.pop();
+    path.pop();
+    path.push("wrenfork");
+    assert!(path.exists(), "{} is missing: test with --workspace", path.display());
+    path
+}
+
+/// Runs one table of the small file; its points.
+fn points(table: &str) -> Vec<Value> {
+    let all: toml::Table = SMALL.parse().unwrap();
+    let mut one = toml::Table::new();
+    one.insert("seed".into(), all["seed"].clone());
+    one.insert(table.into(), all[table].clone());
+    let spec = Spec::parse(&one.to_string()).unwrap();
+    let mut report = Report::kept(spec.seed);
+    spec.run(&ingress(), &mut report).unwrap();
+    report.points
+}
+
+fn number(point: &Value, key: &str) -> f64 {
+    point[key].as_f64().unwrap_or_else(|| panic!("{key} in {point}"))
+}
+
+#[test]
+fn a_list_is_measured_at_each_size() {
+    let points = points("list");
+    let sizes: Vec<f64> = points.iter().map(|p| number(p, "backends")).collect();
+    assert_eq!(sizes, [200.0, 400.0]);
+    let zones: Vec<f64> = points.iter().map(|p| number(p, "zone")).collect();
+    assert_eq!(zones, [12.0, 23.0]);
+}
+
+#[test]
+fn all_requests_of_an_idle_fleet_are_sent_on() {
+    for point in points("request") {
+        assert_eq!(number(&point, "sent"), 500.0, "{point}");
+    }
+}
+
+/// Guards against quota messages that grow with the fleet at one rate: each ingress has its own customers to ask of.
+#[test]
+fn quota_messages_of_an_ingress_grow_with_requests_and_not_with_the_fleet() {
+    let points = points("quota");
+    for point in &points {
+        let (messages, bytes) = (number(point, "messages"), number(point, "bytes"));
+        assert!(messages > 0.0 && bytes <= 256.0 * messages, "{point}");
+    }
+    let of = |ingresses: f64, rate: f64| {
+        let found = points.iter().find(|p| number(p, "ingresses") == ingresses && number(p, "rate") == rate);
+        number(found.unwrap(), "messages")
+    };
+    assert!(of(6.0, 8.0) > of(6.0, 4.0) && of(12.0, 8.0) > of(12.0, 4.0), "{points:?}");
+    assert!(of(12.0, 4.0) < 2.0 * of(6.0, 4.0), "{points:?}");
+}
+
+/// The same draws give the same results: two plays differ in nothing.
+#[test]
+fn models_are_deterministic() {
+    for table in ["quota", "discovery", "cold"] {
+        assert_eq!(points(table), points(table), "{table}");
+    }
+}
+
+#[test]
+fn a_fleet_calls_a_discovery_that_is_back_once_each() {
+    let points = points("discovery");
+    assert_eq!((number(&points[0], "calls"), number(&points[0], "in_vain")), (50.0, 0.0));
+    assert!(number(&points[0], "longest_gap_s") <= 5.0, "{points:?}");
+}
+
+#[test]
+fn a_ramp_counts_what_cold_backends_get() {
+    let points = points("cold");
+    assert!(number(&points[0], "used") > 0.0 && number(&points[0], "worst") > 0.0, "{points:?}");
+    assert_eq!(number(&points[0], "passed"), 0.0, "{points:?}");
+}
+
+#[test]
+fn a_real_ingress_takes_a_list_and_its_changes() {
+    let points = points("real_list");
+    assert!(points[0]["taken"] == true && points[0]["runs"] == true, "{points:?}");
+}
+
+#[test]
+fn restarted_ingresses_call_discovery_and_heed_a_new_configuration() {
+    let points = points("real_restart");
+    assert_eq!((number(&points[0], "restarted"), number(&points[0], "configured")), (9.0, 10.0));
+    assert!(number(&points[0], "list_last_s").is_finite() && number(&points[0], "served") > 0.0);
+}
+
+#[test]
+fn requests_through_a_real_ingress_are_all_served() {
+    let points = points("real_added");
+    assert_eq!(number(&points[0], "served"), 100.0, "{points:?}");
+}
+
+/// What is wrong with a file is told in one line that names key and reason, and the status is 2.
+#[test]
+fn bad_experiment_files_are_told_by_their_key() {
+    let cases = [
+        ("", "seed"),
+        ("seed = 1", "no experiment"),
+        ("seed = \"x\"", "seed"),
+        ("seed = 1\nsed = 2", "sed"),
+        ("seed = 1\n[list]\nbackends = [0]\ningresses = 3\nchanges = 1", "list.backends: 0"),
+        ("seed = 1\n[list]\nbackends = []\ningresses = 3\nchanges = 1", "list.backends: is empty"),
+        ("seed = 1\n[list]\nbackends = [5, \"many\"]\ningresses = 3\nchanges = 1", "list.backends[1]"),
+        ("seed = 1\n[list]\nbackends = [5]\ningresses = 70000\nchanges = 1", "list.ingresses"),
+        ("seed = 1\n[list]\nbackends = [5]\ningresses = 3", "changes"),
+        (
+            "seed = 1\n[real_added]\nrates = [99999999]\nconnections = 1\nrequests = 1\nbackends = 1",
+            "real_added.rates",
+        ),
+        ("seed 1", "expected"),
+    ];
+    for (n, (text, key)) in cases.into_iter().enumerate() {
+        let why = Spec::parse(text).map(|_| ()).expect_err(text);
+        assert!(why.contains(key) && !why.contains('\n'), "{text:?}: {why}");
+        let file = std::env::temp_dir().join(format!("scale-bad-{}-{n}.toml", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_scale")).arg(&file).output().unwrap();
+        std::fs::remove_file(&file).unwrap();
+        let err = String::from_utf8(out.stderr).unwrap();
+        assert_eq!((out.status.code(), err.lines().count()), (Some(2), 1), "{text:?}: {err}");
+    }
+}
+
+/// The file that the capacity page rests on is one that can be run.
+#[test]
+fn the_experiments_of_the_capacity_page_are_well_formed() {
+    Spec::parse(include_str!("../experiments/capacity.toml")).unwrap();
+}
