Draw slopes through results, and let stand-in backends take 20 ms

`scale fit` prints a straight line through the points of a result by least squares of the relative errors, with the point that is furthest off. Seen in a trial: before backends that answer at once (0.2 to 0.4 ms) a real ingress refused 4 to 20% at 200 to 2,000 requests a second: noise of 4 ms is many times the calm time there, and passes for pressure.

--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cold;
 pub mod discovery;
+pub mod fit;
 pub mod list;
 pub mod model;
 pub mod processes;
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -251,7 +251,7 @@
     }
 }
 
-/// Time that a real ingress adds to a request, before a backend that answers at once.
+/// Time that a real ingress adds to a request, before a backend that takes as long for each.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AddedExperiment {
@@ -276,6 +276,7 @@
         ]
     }
 
+    /// Connections have to be many enough that none is late by the one before.
     /// Runs it: a point for each rate, times in microseconds, through an ingress and straight to the backend. Requests go
     /// out at set times, and a request's time counts from the time that was set for it.
     pub fn run(&self, program: &Path, report: &mut Report) -> anyhow::Result<()> {
--- a/scale/src/standin.rs
+++ b/scale/src/standin.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for what real ingresses talk to, on loopback: a discovery by its published protocol, and backends that answer
-//! at once.
+//! after a set time.
 
 use std::collections::HashMap;
 use std::io::{Read, Write};
@@ -131,7 +131,10 @@
     (at <= buf.len()).then_some((words, at))
 }
 
-/// Starts a backend that answers each request at once with its id.
+/// How long a backend takes for a request.
+const TAKES: Duration = Duration::from_millis(20);
+
+/// Starts a backend that answers each request with its id, after the same time each.
 pub fn backend() -> anyhow::Result<SocketAddr> {
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let at = listener.local_addr()?;
@@ -143,6 +146,7 @@
                 loop {
                     while let Some((words, taken)) = command(&buf) {
                         buf.drain(..taken);
+                        thread::sleep(TAKES);
                         let id = words.get(2).map_or("", String::as_str);
                         let answer = format!("*3\r\n${}\r\n{id}\r\n$-1\r\n$-1\r\n", id.len());
                         stream.write_all(answer.as_bytes())?;
