Keep the index of the endpoint list up to date at each change in place of sorting it anew

At fault: control.rs, on_roster(): whatever came, all records were looked through, summed, mapped by tag and sorted. A whole list is still indexed anew. Records of backends that have left go with their last attempt, not with the next list.

--- a/src/control.rs
+++ b/src/control.rs
@@ -353,7 +353,7 @@
         let n = if want < all && bound.is_none() { all.min(SUBSET) } else { all };
         let (mut sound, mut sick, mut best) = (0, 0, (f64::MAX, None));
         for step in 0..if want < all { 4 * n } else { n } {
-            let bid = self.order[((noise * n as f64) as usize + step) % n];
+            let Some(bid) = self.order.get(((noise * n as f64) as usize + step) % n) else { continue };
             let Some(b) = self.backends.get(&bid) else { continue };
             let fits = bound.map_or(true, |(group, l): (Group, Listed)| {
                 let (zone, cell) = (b.listed.zone == l.zone, b.listed.cell == l.cell);
@@ -493,6 +493,7 @@
         if let Some(b) = self.backends.get_mut(&a.to.backend) {
             b.out = b.out.saturating_sub(1);
         }
+        let left = a.to.backend;
         let (customer, units) = (o.req.customer, o.req.units);
         let more = charged.filter(|_| self.s.post_paid).map_or(0.0, |u| u - units);
         let mut news = more != 0.0;
@@ -506,6 +507,7 @@
         } else if o.out() == 0 && !self.again(id, act) {
             self.finish(id, act);
         }
+        self.forget_left(left);
         if news {
             self.report(customer, false, act);
         }
@@ -636,27 +638,27 @@
         if kind == RosterKind::Failed {
             return self.watch_at = self.watch_at.min(self.now + (self.s.rules.must_ask / 8).max(1));
         }
-        if kind != RosterKind::Delta {
+        if kind == RosterKind::Delta {
+            list.into_iter().for_each(|l| self.on_change(l));
+        } else {
             self.backends.values_mut().for_each(|b| b.ready = false); // absent from a whole list: gone
+            list.into_iter().for_each(|l| self.note(l));
+            self.backends.retain(|_, b| b.ready || b.out > 0);
+            self.index_all();
         }
-        let health = vec![Health::default(); self.s.classes.len()];
-        for l in list {
-            let b = self.backends.entry(l.backend).or_default();
-            if b.health.is_empty() || l.started != b.listed.started {
-                (b.slow, b.health, b.queue) = (1.0, health.clone(), 0.0); // a new process, a new record
-            }
-            b.listed = l;
-            let sized = self.s.sizes == SizeMeaning::Capacity && l.size.is_finite() && l.size > 0.0;
-            b.size = if sized { l.size } else { 1.0 };
-            b.ready = l.availability == Availability::Ready;
-        }
-        self.backends.retain(|_, b| b.ready || b.out > 0);
-        let ready: Vec<&Backend> = self.backends.values().filter(|b| b.ready).collect();
-        self.ready_size = ready.iter().map(|b| b.size).sum();
-        self.order = ready.iter().map(|b| b.listed.backend).collect();
-        self.tags = self.order.iter().map(|id| (tag(id.0), *id)).collect();
-        let place = |id: &BackendId| mix(id.0 ^ u64::from(self.s.me.0) << 48);
-        self.order.sort_by(|a, b| place(a).total_cmp(&place(b)));
         self.dispatch(act);
     }
+
+    /// Takes an entry of the list into the backend's record.
+    pub(crate) fn note(&mut self, l: Listed) {
+        let b = self.backends.entry(l.backend).or_default();
+        if b.health.is_empty() || l.started != b.listed.started {
+            (b.slow, b.queue) = (1.0, 0.0); // a new process, a new record
+            b.health = vec![Health::default(); self.s.classes.len()];
+        }
+        b.listed = l;
+        let sized = self.s.sizes == SizeMeaning::Capacity && l.size.is_finite() && l.size > 0.0;
+        b.size = if sized { l.size } else { 1.0 };
+        b.ready = l.availability == Availability::Ready;
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 mod gossip;
 mod interface;
 mod quota;
+mod roster;
 mod state;
 
 pub use interface::*;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,8 +1,9 @@
 //! What a gateway remembers: plain records, and the arithmetic that they share. No decision and no tuned value
 //! lives here; what the records mean and when they change is in `control.rs`.
 
-use crate::gossip::{incarnation, Body, Message, Sample};
+use crate::gossip::{incarnation, tag, Body, Message, Sample};
 use crate::interface::*;
+use crate::roster::Order;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
@@ -179,7 +180,7 @@
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     pub(crate) tags: BTreeMap<u32, BackendId>,
     /// The ready ones, in an order of this gateway's own.
-    pub(crate) order: Vec<BackendId>,
+    pub(crate) order: Order,
     pub(crate) ready_size: f64,
     /// Whether zones could be reached.
     pub(crate) zones: BTreeMap<u8, Health>,
@@ -241,6 +242,50 @@
         }
     }
 
+    /// Where a backend stands in this gateway's own order; any number at or above 0 is ordered as its bits are.
+    fn place(&self, id: BackendId) -> u64 {
+        mix(id.0 ^ u64::from(self.s.me.0) << 48).to_bits()
+    }
+
+    /// Indexes all that is ready, behind a whole list.
+    pub(crate) fn index_all(&mut self) {
+        let ready = || self.backends.values().filter(|b| b.ready);
+        self.ready_size = ready().map(|b| b.size).sum();
+        self.tags = ready().map(|b| (tag(b.listed.backend.0), b.listed.backend)).collect();
+        self.order = Order::of(ready().map(|b| (self.place(b.listed.backend), b.listed.backend)).collect());
+    }
+
+    /// Takes a changed entry of the list, and keeps what is made from the list up to date: all of that costs hardly more
+    /// where the list is long.
+    pub(crate) fn on_change(&mut self, l: Listed) {
+        let (id, place) = (l.backend, self.place(l.backend));
+        let before = self.backends.get(&id).filter(|b| b.ready).map_or(0.0, |b| b.size);
+        self.note(l);
+        let Some(b) = self.backends.get(&id) else { return };
+        let (ready, size) = (b.ready, if b.ready { b.size } else { 0.0 });
+        self.ready_size += size - before;
+        if ready {
+            self.order.insert(place, id);
+            self.tags.insert(tag(id.0), id);
+            return;
+        }
+        self.order.remove(place, id);
+        if self.tags.get(&tag(id.0)) == Some(&id) {
+            self.tags.remove(&tag(id.0));
+        }
+        if self.order.len() == 0 {
+            self.ready_size = 0.0; // what rounding left of it
+        }
+        self.forget_left(id);
+    }
+
+    /// Forgets a backend that has left the list once nothing is out there.
+    pub(crate) fn forget_left(&mut self, id: BackendId) {
+        if self.backends.get(&id).is_some_and(|b| !b.ready && b.out == 0) {
+            self.backends.remove(&id);
+        }
+    }
+
     /// Sends a peer a message, with the latest samples.
     pub(crate) fn post(&mut self, to: u16, body: Body, act: &mut Vec<Action>) {
         let samples = self.samples.iter().map(|s| s.1).collect();
