Read long lists an entry at a time, as long as the memory has room for them

Change: an eighth of the memory, 4 MiB at least, is the most of a body; entries are read one by one from the bytes that came; a body in chunks is put together when its end may have come. What is wrong anywhere makes the list bad, as before. Tests: a_list_may_be_as_long_as_..., a_list_that_is_wrong_somewhere_...; the first does not hold before.

--- a/scale/src/processes.rs
+++ b/scale/src/processes.rs
@@ -135,7 +135,8 @@
         bail!("the ingress at {} was not ready in {most:?}", self.at)
     }
 
-    fn answers(&self) -> bool {
+    /// Whether it answers PING.
+    pub fn answers(&self) -> bool {
         let ask = || -> std::io::Result<bool> {
             let mut stream = TcpStream::connect(self.at)?;
             stream.set_read_timeout(Some(Duration::from_secs(2)))?;
--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -60,8 +60,9 @@
             let (bytes, empty, cpu) = (body.len(), ingress.memory().0, ingress.cpu());
             let began = Instant::now();
             discovery.tell(2, body);
-            // It has taken the list once it asks for what is newer.
+            // It has read the list once it asks for what is newer, and has taken it once it answers behind that.
             let taken = discovery.wait_for(Some(2), 1, PATIENCE / 3);
+            anyhow::ensure!(ingress.answers(), "no answer behind the list");
             let (took, used) = (began.elapsed(), ingress.cpu() - cpu);
             let (memory, most) = ingress.memory();
             let mut change_us = None;
@@ -73,6 +74,7 @@
                     discovery.tell(3 + n, standin::list(3 + n, false, &[entry]));
                     anyhow::ensure!(discovery.wait_for(Some(3 + n), 1, PATIENCE), "change {n} was not taken");
                 }
+                anyhow::ensure!(ingress.answers(), "no answer behind the changes");
                 change_us = Some((ingress.cpu() - cpu) / self.changes as f64 * 1e6);
             }
             let runs = ingress.runs();
--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -7,7 +7,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
@@ -196,10 +196,10 @@
 
     /// Takes over the addresses of a list.
     pub fn update(&mut self, roster: &Roster) {
-        let (mut absent, mut left): (Vec<BackendId>, Vec<BackendId>) = (Vec::new(), Vec::new());
+        let (mut absent, mut left) = (Vec::new(), HashSet::new());
         if roster.whole {
-            let listed = |id: &BackendId| roster.entries.iter().any(|e| e.listed.backend == *id);
-            absent.extend(self.pools.keys().filter(|id| !listed(id)));
+            let listed: HashSet<BackendId> = roster.entries.iter().map(|e| e.listed.backend).collect();
+            absent.extend(self.pools.keys().filter(|id| !listed.contains(id)));
         }
         for e in &roster.entries {
             let id = e.listed.backend;
@@ -211,21 +211,21 @@
             // What is idle at a place that it left, or that drains, is of no more use.
             if moved || e.listed.availability == Availability::Draining {
                 self.close_idle(id);
-                left.push(id);
+                left.insert(id);
             }
             self.pools.entry(id).or_default().address = e.address;
         }
         for id in absent {
             self.close_idle(id);
             self.pools.remove(&id);
-            left.push(id);
+            left.insert(id);
         }
         self.call_back(&left);
     }
 
     /// Ends work of which nothing is written yet, since its connection is still to come up, at backends that want
     /// nothing new: it would begin once they may get nothing any more, and perhaps at whoever has the address then.
-    fn call_back(&mut self, left: &[BackendId]) {
+    fn call_back(&mut self, left: &HashSet<BackendId>) {
         let unbegun = |c: &Conn| c.work.is_some() && c.written == 0 && left.contains(&c.backend);
         let late: Vec<usize> = self.conns.iter().filter(|(_, c)| unbegun(c)).map(|(key, _)| key).collect();
         for key in late {
--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -5,13 +5,17 @@
 use chalkgap::{Availability, BackendId, Listed, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
+use serde::de::{self, DeserializeSeed, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde_json::Value;
+use std::borrow::Cow;
+use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-/// How a watch begins: its backoff, the seed of its jitter, and the time.
+/// How a watch begins: its backoff, the most bytes of an answer's body, the seed of its jitter, and the time.
 pub struct Way {
     pub backoff: Backoff,
+    pub most_body: usize,
     pub seed: u64,
     pub now: Micros,
 }
@@ -23,12 +27,22 @@
 const NO_NEWS: Micros = 50_000;
 /// An answer that came faster than this did not wait.
 const AT_ONCE: Micros = 20_000;
-/// The most bytes of an answer's head, and of its body.
+/// The most bytes of an answer's head.
 const MOST_HEAD: usize = 16 * 1024;
-const MOST_BODY: usize = 4 << 20;
+/// The most bytes of an answer's body, as a part of the memory, and in any case: with the room that its buffer grows into
+/// and with what is made from it a list takes several times as much.
+const BODY_SHARE: usize = 8;
+const LEAST_MOST_BODY: usize = 4 << 20;
+/// From this size on a body in chunks is only put together once its end may have come, not at each read.
+const LONG_BODY: usize = 64 * 1024;
 /// The most headers of an answer.
 const MOST_HEADERS: usize = 64;
 
+/// The most bytes that a list may have at an ingress with so much memory.
+pub fn most_body(memory: usize) -> usize {
+    (memory / BODY_SHARE).max(LEAST_MOST_BODY)
+}
+
 /// The names that places and machines have in the settings.
 pub struct Sites {
     pub zones: Vec<String>,
@@ -68,6 +82,71 @@
     }
 }
 
+/// Reads a list as it stands in an answer, an entry at a time: a tree of the whole of it would take many times its bytes.
+struct ListReader<'a>(&'a Sites);
+
+impl<'de> Visitor<'de> for ListReader<'_> {
+    type Value = Roster;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("a list of backends")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Roster, A::Error> {
+        let (mut index, mut whole, mut entries) = (None, None, None);
+        while let Some(key) = map.next_key::<Cow<str>>()? {
+            match &*key {
+                "index" => index = map.next_value::<Value>()?.as_u64(),
+                "snapshot" => whole = map.next_value::<Value>()?.as_bool(),
+                "endpoints" => entries = Some(map.next_value_seed(EntriesReader(self.0))?),
+                _ => drop(map.next_value::<IgnoredAny>()?),
+            }
+        }
+        let missing = |what| de::Error::custom(what);
+        Ok(Roster {
+            index: index.ok_or_else(|| missing("index is missing or no whole number"))?,
+            whole: whole.ok_or_else(|| missing("snapshot is missing or no flag"))?,
+            entries: entries.ok_or_else(|| missing("endpoints is missing or no list"))?,
+        })
+    }
+}
+
+struct EntriesReader<'a>(&'a Sites);
+
+impl<'de> DeserializeSeed<'de> for EntriesReader<'_> {
+    type Value = Vec<Entry>;
+
+    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<Entry>, D::Error> {
+        json.deserialize_seq(self)
+    }
+}
+
+impl<'de> Visitor<'de> for EntriesReader<'_> {
+    type Value = Vec<Entry>;
+
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("endpoints as a list")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Entry>, A::Error> {
+        let mut entries = Vec::new();
+        while let Some(json) = seq.next_element::<Value>()? {
+            entries.push(Entry::read(&json, self.0).map_err(de::Error::custom)?);
+        }
+        Ok(entries)
+    }
+}
+
+impl Roster {
+    /// Reads a list from the bytes of an answer.
+    fn parse(body: &[u8], sites: &Sites) -> Result<Roster, String> {
+        let mut json = serde_json::Deserializer::from_slice(body);
+        let roster = de::Deserializer::deserialize_map(&mut json, ListReader(sites));
+        let roster = roster.and_then(|roster| json.end().map(|()| roster));
+        roster.map_err(|e| format!("an answer is no list: {e}"))
+    }
+}
+
 impl Entry {
     fn read(json: &Value, sites: &Sites) -> Result<Entry, String> {
         let text = |key: &str| json.get(key).and_then(Value::as_str);
@@ -127,6 +206,7 @@
     due: Micros,
     buf: Vec<u8>,
     retry: Retry,
+    most_body: usize,
     /// When [`Watch::wake`] has something to do.
     pub wake_at: Micros,
     /// The last call stayed unanswered: the next one does not wait for news, so that what was missed comes at once,
@@ -137,7 +217,7 @@
 impl Watch {
     /// A watch for what is newer than the list held.
     pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token, way: Way) -> Self {
-        let Way { backoff, seed, now } = way;
+        let Way { backoff, most_body, seed, now } = way;
         let mut retry = Retry::new(backoff, seed);
         let first = retry.first(now);
         Watch {
@@ -151,6 +231,7 @@
             due: 0,
             buf: Vec::new(),
             retry,
+            most_body,
             wake_at: first,
             unanswered: false,
         }
@@ -266,7 +347,7 @@
                 }
                 Err(e) => return self.fail(now, &e.to_string()),
             }
-            if self.buf.len() > MOST_HEAD + MOST_BODY {
+            if self.buf.len() > MOST_HEAD + self.most_body {
                 return self.fail(now, "an answer is too long");
             }
         };
@@ -279,7 +360,7 @@
             }
             return false;
         };
-        match read_answer(&self.buf, ended, &self.sites) {
+        match read_answer(&self.buf, ended, &self.sites, self.most_body) {
             Answer::Partial if ended => self.fail(now, "the connection ended"),
             Answer::Partial => false,
             Answer::Bad(why) => self.fail(now, &why),
@@ -289,7 +370,7 @@
                 }
                 (self.index, self.called) = (Some(roster.index), None);
                 self.unanswered = false;
-                self.buf.clear();
+                self.buf = Vec::new(); // a whole list may have been long
                 if ended || !reusable {
                     self.stream = None;
                 }
@@ -303,8 +384,11 @@
     }
 }
 
-/// The body of an answer, and whether the connection goes on; none if it is not whole.
-fn body(buf: &[u8], ended: bool) -> Result<Option<(Vec<u8>, bool)>, String> {
+/// The body of an answer, and whether the connection goes on.
+type Body<'a> = (Cow<'a, [u8]>, bool);
+
+/// Finds the body of an answer; none if it is not whole.
+fn body(buf: &[u8], ended: bool, most: usize) -> Result<Option<Body<'_>>, String> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(buf).map_err(|e| format!("an answer is no HTTP: {e}"))? {
@@ -324,20 +408,23 @@
     let goes_on = head.version == Some(1) && header("connection").map_or(true, |c| c != "close");
     let rest = &buf[start..];
     if header("transfer-encoding").is_some_and(|t| t.contains("chunked")) {
-        return Ok(chunks(rest)?.map(|body| (body, goes_on)));
+        if rest.len() > LONG_BODY && !ended && !rest.ends_with(b"\r\n\r\n") {
+            return Ok(None);
+        }
+        return Ok(chunks(rest, most)?.map(|body| (Cow::Owned(body), goes_on)));
     }
     match header("content-length") {
         Some(text) => {
-            let n = text.parse::<usize>().ok().filter(|n| *n <= MOST_BODY);
+            let n = text.parse::<usize>().ok().filter(|n| *n <= most);
             let n = n.ok_or_else(|| format!("an answer's length is {text}"))?;
-            Ok(rest.get(..n).map(|body| (body.to_vec(), goes_on && rest.len() == n)))
+            Ok(rest.get(..n).map(|body| (Cow::Borrowed(body), goes_on && rest.len() == n)))
         }
-        None => Ok(ended.then(|| (rest.to_vec(), false))),
+        None => Ok(ended.then_some((Cow::Borrowed(rest), false))),
     }
 }
 
 /// A body in chunks; none if it is not whole.
-fn chunks(mut rest: &[u8]) -> Result<Option<Vec<u8>>, String> {
+fn chunks(mut rest: &[u8], most: usize) -> Result<Option<Vec<u8>>, String> {
     let mut body = Vec::new();
     loop {
         let (start, size) = match httparse::parse_chunk_size(rest) {
@@ -345,7 +432,7 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(_) => return Err("an answer's chunk is no chunk".into()),
         };
-        let size = usize::try_from(size).ok().filter(|n| *n <= MOST_BODY).ok_or("an answer is too long")?;
+        let size = usize::try_from(size).ok().filter(|n| *n <= most).ok_or("an answer is too long")?;
         let Some(chunk) = rest.get(start..start + size + 2) else { return Ok(None) };
         if size == 0 {
             return Ok(Some(body));
@@ -355,14 +442,13 @@
     }
 }
 
-fn read_answer(buf: &[u8], ended: bool, sites: &Sites) -> Answer {
-    let (body, goes_on) = match body(buf, ended) {
+fn read_answer(buf: &[u8], ended: bool, sites: &Sites, most_body: usize) -> Answer {
+    let (body, goes_on) = match body(buf, ended, most_body) {
         Ok(None) => return Answer::Partial,
         Ok(Some(found)) => found,
         Err(why) => return Answer::Bad(why),
     };
-    let json = serde_json::from_slice(&body).map_err(|e| format!("an answer is no JSON: {e}"));
-    match json.and_then(|json: Value| Roster::read(&json, sites)) {
+    match Roster::parse(&body, sites) {
         Ok(roster) => Answer::Whole(roster, goes_on),
         Err(why) => Answer::Bad(why),
     }
--- a/src/bin/wrenfork/discovery/tests.rs
+++ b/src/bin/wrenfork/discovery/tests.rs
@@ -9,6 +9,8 @@
 /// Within what a call that failed is to be followed by the next: 6 s, less what an answer takes.
 const WITHIN: Micros = 5_000_000;
 
+const MOST_BODY: usize = 4 << 20;
+
 const LIST: &str = r#"{"index":43,"snapshot":false,"endpoints":[
     {"name":"s-1","address":"127.0.0.9:6379","zone":"b","type":"m2","group":3,"status":"draining",
      "weight":1.5,"since_ms":7},
@@ -21,7 +23,7 @@
     let chunked = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunked}");
     for (text, ended) in [(length, false), (chunked, false), (format!("HTTP/1.0 200 OK\r\n\r\n{LIST}"), true)]
     {
-        let Answer::Whole(roster, goes_on) = read_answer(text.as_bytes(), ended, &sites()) else {
+        let Answer::Whole(roster, goes_on) = read_answer(text.as_bytes(), ended, &sites(), MOST_BODY) else {
             panic!("not read: {text}")
         };
         assert_eq!((roster.index, roster.whole, goes_on), (43, false, !ended));
@@ -30,7 +32,7 @@
         assert_eq!((one.listed.started, one.listed.availability), (7000, Availability::Draining));
         assert_eq!((two.address, two.listed.availability), (None, Availability::Gone));
         for cut in 0..text.len() - 1 {
-            let part = read_answer(&text.as_bytes()[..cut], false, &sites());
+            let part = read_answer(&text.as_bytes()[..cut], false, &sites(), MOST_BODY);
             assert!(matches!(part, Answer::Partial), "cut at {cut}: {text}");
         }
     }
@@ -42,7 +44,7 @@
 fn a_hundred_watches_neither_start_nor_come_again_in_unison() {
     let now: Micros = 1_000_000_000;
     let watch = |seed| {
-        let way = Way { backoff: Backoff::shared(10_000_000, 100), seed, now };
+        let way = Way { most_body: MOST_BODY, backoff: Backoff::shared(10_000_000, 100), seed, now };
         Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), way)
     };
     let mut watches: Vec<Watch> = (0..100).map(watch).collect();
@@ -56,7 +58,7 @@
         w.fail(now, "turned away");
     }
     assert!(most_at_once(&watches) <= Some(25), "second calls in a tenth of a second");
-    let agent = Way { backoff: Backoff::AGENT, seed: 7, now };
+    let agent = Way { most_body: MOST_BODY, backoff: Backoff::AGENT, seed: 7, now };
     let agent = Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), agent);
     assert_eq!(agent.wake_at, now, "an agent of one's own is asked at once");
 }
@@ -73,7 +75,7 @@
 impl Talk {
     fn new(backoff: Backoff) -> Talk {
         let (listener, now) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), 1_000_000_000);
-        let way = Way { backoff, seed: 7, now };
+        let way = Way { most_body: MOST_BODY, backoff, seed: 7, now };
         let watch = Watch::new(listener.local_addr().unwrap(), sites(), 41, Token(0), way);
         let mut talk = Talk { watch, poll: mio::Poll::new().unwrap(), listener, now, lists: Vec::new() };
         talk.wake();
@@ -210,7 +212,7 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "SSH-2.0\r\n",
     ] {
-        assert!(matches!(read_answer(bad.as_bytes(), false, &sites()), Answer::Bad(_)), "{bad}");
+        assert!(matches!(read_answer(bad.as_bytes(), false, &sites(), MOST_BODY), Answer::Bad(_)), "{bad}");
     }
 }
 
@@ -254,7 +256,12 @@
     const BACK: Micros = T + 8_000_000;
     let start = if late { BACK + 1_000_000 } else { T + 5_000_000 };
     let watch = |n: u64, now| {
-        let way = Way { backoff: Backoff::shared(10_000_000, ingresses), seed: seed * 100_000 + n, now };
+        let way = Way {
+            most_body: MOST_BODY,
+            backoff: Backoff::shared(10_000_000, ingresses),
+            seed: seed * 100_000 + n,
+            now,
+        };
         Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), way)
     };
     let mut line = Line { takes: 1_000_000 / capacity, free_at: 0 };
@@ -326,7 +333,12 @@
 #[test]
 fn a_call_without_a_connection_is_made_again_within_five_seconds() {
     for n in 0..20 {
-        let way = Way { backoff: Backoff::shared(10_000_000, 300), seed: n, now: 1_000_000_000 };
+        let way = Way {
+            most_body: MOST_BODY,
+            backoff: Backoff::shared(10_000_000, 300),
+            seed: n,
+            now: 1_000_000_000,
+        };
         let mut watch = Watch::new(([127, 0, 0, 1], 1).into(), sites(), 41, Token(0), way);
         let mut called = watch.wake_at;
         for _ in 0..5 {
@@ -390,3 +402,65 @@
         }
     }
 }
+
+/// A whole list of so many backends.
+fn long_list(backends: usize) -> String {
+    let entry = |n| {
+        format!(
+            r#"{{"name":"s-{n:08x}","address":"127.0.0.9:6379","zone":"b","type":"m2","group":3,"status":"up","weight":1.5,"since_ms":7}}"#
+        )
+    };
+    let entries: Vec<String> = (0..backends).map(entry).collect();
+    format!(r#"{{"index":43,"snapshot":true,"endpoints":[{}]}}"#, entries.join(","))
+}
+
+/// Guards against a list that is refused for its length where there is memory for it, and one that is taken where there is
+/// none: 4 MiB were the most, some 35,000 backends, whatever the memory.
+#[test]
+fn a_list_may_be_as_long_as_the_memory_has_room_for() {
+    assert_eq!((most_body(32 << 20), most_body(192 << 20)), (4 << 20, 24 << 20));
+    let list = long_list(60_000);
+    let size = list.len();
+    assert!((4 << 20..16 << 20).contains(&size), "{size}");
+    let chunk = |part: &str| format!("{:x}\r\n{part}\r\n", part.len());
+    let halves = chunk(&list[..size / 2]) + &chunk(&list[size / 2..]);
+    let texts = [
+        (format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n{list}"), false),
+        (format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{halves}0\r\n\r\n"), false),
+        (format!("HTTP/1.0 200 OK\r\n\r\n{list}"), true),
+    ];
+    for (n, (text, ended)) in texts.iter().enumerate() {
+        let Answer::Whole(roster, _) = read_answer(text.as_bytes(), *ended, &sites(), 16 << 20) else {
+            panic!("framing {n} is not read")
+        };
+        assert_eq!((roster.entries.len(), roster.whole), (60_000, true));
+        // All but its last byte: not whole, or no list.
+        let cut = read_answer(&text.as_bytes()[..text.len() - 1], *ended, &sites(), 16 << 20);
+        assert!(!matches!(cut, Answer::Whole(..)), "framing {n}");
+    }
+    let long = read_answer(texts[0].0.as_bytes(), false, &sites(), MOST_BODY);
+    assert!(matches!(long, Answer::Bad(_)), "longer than there is memory for");
+}
+
+/// Guards against a list of which a part is used: what is wrong anywhere in it makes all of it bad.
+#[test]
+fn a_list_that_is_wrong_somewhere_is_not_taken_at_all() {
+    let good = long_list(3);
+    for bad in [
+        good.replace("\"index\":43", "\"index\":-1"),
+        good.replace("\"snapshot\":true", "\"snapshot\":1"),
+        good.replace("\"snapshot\":true,", ""),
+        good.replacen("127.0.0.9:6379", "nowhere", 1),
+        good.replace("\"name\":\"s-00000002\",", ""),
+        good.replace("\"endpoints\":[", "\"endpoints\":7,\"more\":["),
+        good.replace("\"group\":3,\"status\":\"up\"", "\"group\":70000,\"status\":\"up\""),
+        good[..good.len() - 2].to_string(),
+        format!("{good}{good}"),
+        format!("[{good}]"),
+        String::new(),
+    ] {
+        assert!(Roster::parse(bad.as_bytes(), &sites()).is_err(), "{bad}");
+    }
+    let spaced = good.replace(',', " ,\n  ").replace("{\"index\"", "{ \"more\" : [ {} ], \"index\"");
+    assert_eq!(Roster::parse(spaced.as_bytes(), &sites()).map(|r| r.entries.len()), Ok(3));
+}
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -6,7 +6,7 @@
 use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
-use crate::discovery::{Roster, Watch, Way};
+use crate::discovery::{most_body, Roster, Watch, Way};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
@@ -235,7 +235,7 @@
             Discovery::Ask => Backoff::shared(settings.rules.must_ask, u64::from(settings.gateways)),
             Discovery::Push => Backoff::AGENT,
         };
-        let way = Way { backoff, seed: config.seed, now };
+        let way = Way { backoff, most_body: most_body(config.memory), seed: config.seed, now };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = Ingress {
             poll,
