Widen subsets where backends are many, so that none is left out, and look at fewer of them

Seen: with 40 gateways before 2,400 backends (60 to one, as 2,900 before 180,000) 994 of 2,400 were ever sent to; a request cost 16 to 25 us at 180,000 backends and 2.3 to 3.2 us at 200. At fault: control.rs, choose(): a subset of 32 whatever the ratio, which leaves e to the minus 0.5 of all backends to nobody, and 188 candidates wanted of 32, so that each request made 128 draws. Change: a subset has eight gateways to a backend where 32 are too few for that; before such a subset a request looks at eight candidates. Nothing changes up to four backends to a gateway. Test: where_backends_are_many_none_is_left_out, which fails without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -30,6 +30,10 @@
 const COLD_MARGIN: f64 = 0.35;
 const COLD_TURN: u64 = 4; // windows of the rule for which it stays drawn who may send a cold backend one more
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
+/// Gateways that have a backend in their subsets, where more than that have to: the part of those that are in none is
+/// e to the minus this.
+const COVER: usize = 8;
+const MOST_CANDIDATES: usize = 8; // looked at for a request before such a subset: more find hardly better ones
 const SICK_ERRORS: f64 = 0.25; // share of errors in recent answers from which a backend gets a trickle only
 const REST: Micros = 500_000; // how long it rests before one attempt tries it again; doubles up to 2^3
 const DOUBT_TAU: f64 = 4.0; // memory of doubts in seconds: a sick backend is tried again by and by
@@ -350,7 +354,9 @@
         // least would be the least for all of them at once.
         let (all, want) = (self.order.len(), 2 + 3 * self.order.len() / self.shares as usize);
         // Always among the same few: connections seldom used are closed, and made anew at each request.
-        let n = if want < all && bound.is_none() { all.min(SUBSET) } else { all };
+        let cover = COVER * all / self.shares as usize;
+        let want = if cover > SUBSET { want.min(MOST_CANDIDATES) } else { want };
+        let n = if want < all && bound.is_none() { all.min(SUBSET.max(cover)) } else { all };
         let (mut sound, mut sick, mut best) = (0, 0, (f64::MAX, None));
         for step in 0..if want < all { 4 * n } else { n } {
             let Some(bid) = self.order.get(((noise * n as f64) as usize + step) % n) else { continue };
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -984,3 +984,25 @@
     assert!(first_refused < last_taken, "the line is closed to some before it is full");
     assert!(refused(&rig.ask(0, 0, first_refused as u64, 1.0).1), "asking again changes nothing");
 }
+
+/// Guards against backends that no gateway sends to: with many more backends than gateways each sent to 32 of them, so that
+/// at sixty backends to a gateway three in five would have stood idle. Nor may a request look at very many.
+#[test]
+fn where_backends_are_many_none_is_left_out() {
+    let (gateways, backends) = (40u16, 2_400);
+    let mut used = std::collections::HashMap::new();
+    for me in 0..gateways {
+        let mut rig = Rig::with(Settings { me: GatewayNo(me), gateways, ..settings() }, backends);
+        for n in 0..2_000 {
+            rig.now += 1_000;
+            let (id, actions) = rig.ask(0, 0, n, 1.0);
+            for backend in sends(&actions) {
+                *used.entry(backend).or_insert(0u64) += 1;
+                rig.settle(id, 0, backend, Outcome::Ok);
+            }
+        }
+    }
+    let (most, all) = (used.values().max().unwrap(), used.values().sum::<u64>());
+    assert!(used.len() as u64 * 1000 >= backends * 999, "{} of {backends} are used", used.len());
+    assert!(*most < 6 * all / backends, "{most} of {all} at one");
+}
