Measure what customers' records take, with no memory freed by an earlier point

Seen: the memory of each point of [request] was 0, since what the ingress before had freed was taken first.

--- a/scale/src/request.rs
+++ b/scale/src/request.rs
@@ -29,8 +29,10 @@
     pub time: Histogram<u64>,
     /// Requests that were sent on.
     pub sent: u64,
-    /// Bytes taken by customers' records.
+    /// Bytes that the ingress grew by under the requests: customers' records, for the most part.
     pub memory: u64,
+    /// The ingress: what one frees must not pass for what the next one does not take.
+    pub gateway: Gateway,
 }
 
 /// Drives one hollow ingress at some thousand requests a second, all answered in time.
@@ -45,7 +47,7 @@
     let (mut now, mut actions) = (T0, Vec::new());
     gateway.handle(now, Event::Roster(RosterKind::Full, whole(backends)), &mut actions);
     let mut random = fastrand::Rng::with_seed(seed);
-    let mut cost = Cost { time: Histogram::new(3)?, sent: 0, memory: 0 };
+    let (mut time, mut all_sent) = (Histogram::new(3)?, 0);
     let before = resident();
     for n in 0..requests + requests / 10 {
         now += S / 1034;
@@ -68,12 +70,11 @@
             gateway.handle(now + 900, served(request.id, 0, backend, 100_000), &mut actions);
         }
         if n >= requests / 10 {
-            cost.sent += u64::from(sent.is_some());
-            cost.time.record(began.elapsed().as_nanos() as u64)?;
+            all_sent += u64::from(sent.is_some());
+            time.record(began.elapsed().as_nanos() as u64)?;
         }
     }
-    cost.memory = resident().saturating_sub(before);
-    Ok(cost)
+    Ok(Cost { time, sent: all_sent, memory: resident().saturating_sub(before), gateway })
 }
 
 impl Experiment {
@@ -93,6 +94,7 @@
         let mut points: Vec<(u64, u64, u64)> = self.backends.iter().map(|b| (*b, base.1, base.2)).collect();
         points.extend(self.customers.iter().skip(1).map(|c| (base.0, *c, base.2)));
         points.extend(self.ingresses.iter().skip(1).map(|i| (base.0, base.1, *i)));
+        let mut kept = Vec::new();
         for (backends, customers, ingresses) in points {
             let peers = u16::try_from(ingresses)?;
             let cost = drive(backends, customers, peers, self.requests, seed)?;
@@ -106,6 +108,7 @@
                     "p99_us": cost.time.value_at_quantile(0.99) as f64 / 1e3,
                 }),
             )?;
+            kept.push(cost.gateway);
         }
         Ok(())
     }
