Name endpoint lists, their entries and hashes by the field's terms

Renames only: the ingress's Roster and Entry are EndpointList and Endpoint, src/roster.rs is src/endpoints.rs, mix is hash.

--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/wrenfork/backends.rs
@@ -1,7 +1,7 @@
 //! Connections to backends: a pool for each, attempts and probes, and how these end. A connection carries one
 //! request at a time, for calling an attempt off means closing its connection.
 
-use crate::discovery::Roster;
+use crate::discovery::EndpointList;
 use crate::resp::{self, Element, Kind, Reply};
 use chalkgap::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
 use mio::net::TcpStream;
@@ -195,7 +195,7 @@
     }
 
     /// Takes over the addresses of a list.
-    pub fn update(&mut self, roster: &Roster) {
+    pub fn update(&mut self, roster: &EndpointList) {
         let (mut absent, mut left) = (Vec::new(), HashSet::new());
         if roster.whole {
             let listed: HashSet<BackendId> = roster.entries.iter().map(|e| e.listed.backend).collect();
--- a/src/bin/wrenfork/backends/tests.rs
+++ b/src/bin/wrenfork/backends/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::discovery::Entry;
+use crate::discovery::Endpoint;
 use chalkgap::Listed;
 use mio::Poll;
 use std::net::TcpListener;
@@ -21,8 +21,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut backends = Backends::new(keepalive, Token);
         let listed = Listed { backend: ID, ..Listed::default() };
-        let entries = vec![Entry { listed, address: listener.local_addr().ok() }];
-        backends.update(&Roster { index: 1, whole: true, entries });
+        let entries = vec![Endpoint { listed, address: listener.local_addr().ok() }];
+        backends.update(&EndpointList { index: 1, whole: true, entries });
         Rig { backends, poll: Poll::new().unwrap(), listener }
     }
 
--- a/src/bin/wrenfork/config.rs
+++ b/src/bin/wrenfork/config.rs
@@ -1,7 +1,7 @@
 //! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
 
 use crate::call::Vocabulary;
-use crate::discovery::{Roster, Sites};
+use crate::discovery::{EndpointList, Sites};
 use chalkgap::{conf::Conf, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -18,7 +18,7 @@
     /// Where peers' messages come in; none where the settings allow no messages.
     pub peers: Option<PeerAddresses>,
     /// The list of backends as last held.
-    pub known: Roster,
+    pub known: EndpointList,
     pub settings: Settings,
     pub vocabulary: Vocabulary,
     pub sites: Sites,
@@ -100,7 +100,7 @@
         let vocabulary = Vocabulary { classes, plans, most_units, gateways };
         let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
         let known = json.get("known").ok_or("known is missing")?;
-        let known = Roster::read(known, &sites).map_err(|e| format!("known: {e}"))?;
+        let known = EndpointList::read(known, &sites).map_err(|e| format!("known: {e}"))?;
         let peers = if settings.limits.peers { Some(Self::peers(&json)?) } else { None };
         if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateways)) {
             return Err("peers does not have one address for each of setting n_instances".into());
--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/wrenfork/discovery.rs
@@ -50,17 +50,17 @@
 }
 
 /// A line of the list, with the address that the backend has for this ingress.
-pub struct Entry {
+pub struct Endpoint {
     pub listed: Listed,
     pub address: Option<SocketAddr>,
 }
 
 /// A list as discovery tells it.
-pub struct Roster {
+pub struct EndpointList {
     pub index: u64,
     /// The whole list, not only what changed.
     pub whole: bool,
-    pub entries: Vec<Entry>,
+    pub entries: Vec<Endpoint>,
 }
 
 /// A backend's name as an id that is the same at every ingress: peers speak of backends by it (FNV-1a).
@@ -70,15 +70,15 @@
     )
 }
 
-impl Roster {
+impl EndpointList {
     /// Reads a list in discovery's form.
-    pub fn read(json: &Value, sites: &Sites) -> Result<Roster, String> {
+    pub fn read(json: &Value, sites: &Sites) -> Result<EndpointList, String> {
         let index = json.get("index").and_then(Value::as_u64).ok_or("index is missing or no whole number")?;
         let whole = json.get("snapshot").and_then(Value::as_bool).ok_or("snapshot is missing or no flag")?;
         let list =
             json.get("endpoints").and_then(Value::as_array).ok_or("endpoints is missing or no list")?;
-        let entries = list.iter().map(|e| Entry::read(e, sites)).collect::<Result<_, _>>()?;
-        Ok(Roster { index, whole, entries })
+        let entries = list.iter().map(|e| Endpoint::read(e, sites)).collect::<Result<_, _>>()?;
+        Ok(EndpointList { index, whole, entries })
     }
 }
 
@@ -86,13 +86,13 @@
 struct ListReader<'a>(&'a Sites);
 
 impl<'de> Visitor<'de> for ListReader<'_> {
-    type Value = Roster;
+    type Value = EndpointList;
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str("a list of backends")
     }
 
-    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Roster, A::Error> {
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<EndpointList, A::Error> {
         let (mut index, mut whole, mut entries) = (None, None, None);
         while let Some(key) = map.next_key::<Cow<str>>()? {
             match &*key {
@@ -103,7 +103,7 @@
             }
         }
         let missing = |what| de::Error::custom(what);
-        Ok(Roster {
+        Ok(EndpointList {
             index: index.ok_or_else(|| missing("index is missing or no whole number"))?,
             whole: whole.ok_or_else(|| missing("snapshot is missing or no flag"))?,
             entries: entries.ok_or_else(|| missing("endpoints is missing or no list"))?,
@@ -114,41 +114,41 @@
 struct EntriesReader<'a>(&'a Sites);
 
 impl<'de> DeserializeSeed<'de> for EntriesReader<'_> {
-    type Value = Vec<Entry>;
+    type Value = Vec<Endpoint>;
 
-    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<Entry>, D::Error> {
+    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<Endpoint>, D::Error> {
         json.deserialize_seq(self)
     }
 }
 
 impl<'de> Visitor<'de> for EntriesReader<'_> {
-    type Value = Vec<Entry>;
+    type Value = Vec<Endpoint>;
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str("endpoints as a list")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Entry>, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Endpoint>, A::Error> {
         let mut entries = Vec::new();
         while let Some(json) = seq.next_element::<Value>()? {
-            entries.push(Entry::read(&json, self.0).map_err(de::Error::custom)?);
+            entries.push(Endpoint::read(&json, self.0).map_err(de::Error::custom)?);
         }
         Ok(entries)
     }
 }
 
-impl Roster {
+impl EndpointList {
     /// Reads a list from the bytes of an answer.
-    fn parse(body: &[u8], sites: &Sites) -> Result<Roster, String> {
+    fn parse(body: &[u8], sites: &Sites) -> Result<EndpointList, String> {
         let mut json = serde_json::Deserializer::from_slice(body);
-        let roster = de::Deserializer::deserialize_map(&mut json, ListReader(sites));
-        let roster = roster.and_then(|roster| json.end().map(|()| roster));
-        roster.map_err(|e| format!("an answer is no list: {e}"))
+        let list = de::Deserializer::deserialize_map(&mut json, ListReader(sites));
+        let list = list.and_then(|list| json.end().map(|()| list));
+        list.map_err(|e| format!("an answer is no list: {e}"))
     }
 }
 
-impl Entry {
-    fn read(json: &Value, sites: &Sites) -> Result<Entry, String> {
+impl Endpoint {
+    fn read(json: &Value, sites: &Sites) -> Result<Endpoint, String> {
         let text = |key: &str| json.get(key).and_then(Value::as_str);
         let name = text("name").ok_or("endpoints has an entry without a name")?;
         let bad = |key: &str| format!("endpoints: {key} of {name} is missing or bad");
@@ -177,7 +177,7 @@
             // The host's clock counts from the same moment as Unix time: only the unit is another.
             started: since.saturating_mul(1000),
         };
-        Ok(Entry { listed, address })
+        Ok(Endpoint { listed, address })
     }
 }
 
@@ -186,7 +186,7 @@
     /// Not whole yet.
     Partial,
     /// A list, and whether the connection can be used again.
-    Whole(Roster, bool),
+    Whole(EndpointList, bool),
     /// Not to be used.
     Bad(String),
 }
@@ -330,7 +330,7 @@
     }
 
     /// Takes in what the socket has. Gives lists as they come; true if discovery just failed.
-    pub fn ready(&mut self, now: Micros, registry: &Registry, take: &mut impl FnMut(Roster)) -> bool {
+    pub fn ready(&mut self, now: Micros, registry: &Registry, take: &mut impl FnMut(EndpointList)) -> bool {
         if self.write(now) {
             return true;
         }
@@ -364,20 +364,20 @@
             Answer::Partial if ended => self.fail(now, "the connection ended"),
             Answer::Partial => false,
             Answer::Bad(why) => self.fail(now, &why),
-            Answer::Whole(roster, reusable) => {
+            Answer::Whole(list, reusable) => {
                 if self.retry.answered() {
                     crate::log("discovery: back");
                 }
-                (self.index, self.called) = (Some(roster.index), None);
+                (self.index, self.called) = (Some(list.index), None);
                 self.unanswered = false;
                 self.buf = Vec::new(); // a whole list may have been long
                 if ended || !reusable {
                     self.stream = None;
                 }
                 // One that answers at once with nothing must not be asked without end.
-                let idle = roster.entries.is_empty() && now < called + AT_ONCE;
+                let idle = list.entries.is_empty() && now < called + AT_ONCE;
                 self.wake_at = if idle { now + NO_NEWS } else { now };
-                take(roster);
+                take(list);
                 self.wake(now, registry)
             }
         }
@@ -448,8 +448,8 @@
         Ok(Some(found)) => found,
         Err(why) => return Answer::Bad(why),
     };
-    match Roster::parse(&body, sites) {
-        Ok(roster) => Answer::Whole(roster, goes_on),
+    match EndpointList::parse(&body, sites) {
+        Ok(list) => Answer::Whole(list, goes_on),
         Err(why) => Answer::Bad(why),
     }
 }
--- a/src/bin/wrenfork/discovery/tests.rs
+++ b/src/bin/wrenfork/discovery/tests.rs
@@ -23,11 +23,11 @@
     let chunked = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunked}");
     for (text, ended) in [(length, false), (chunked, false), (format!("HTTP/1.0 200 OK\r\n\r\n{LIST}"), true)]
     {
-        let Answer::Whole(roster, goes_on) = read_answer(text.as_bytes(), ended, &sites(), MOST_BODY) else {
+        let Answer::Whole(list, goes_on) = read_answer(text.as_bytes(), ended, &sites(), MOST_BODY) else {
             panic!("not read: {text}")
         };
-        assert_eq!((roster.index, roster.whole, goes_on), (43, false, !ended));
-        let [one, two] = &roster.entries[..] else { panic!("not two entries") };
+        assert_eq!((list.index, list.whole, goes_on), (43, false, !ended));
+        let [one, two] = &list.entries[..] else { panic!("not two entries") };
         assert_eq!((one.listed.zone, one.listed.kind, one.listed.cell), (1, 1, 3));
         assert_eq!((one.listed.started, one.listed.availability), (7000, Availability::Draining));
         assert_eq!((two.address, two.listed.availability), (None, Availability::Gone));
@@ -430,10 +430,10 @@
         (format!("HTTP/1.0 200 OK\r\n\r\n{list}"), true),
     ];
     for (n, (text, ended)) in texts.iter().enumerate() {
-        let Answer::Whole(roster, _) = read_answer(text.as_bytes(), *ended, &sites(), 16 << 20) else {
+        let Answer::Whole(list, _) = read_answer(text.as_bytes(), *ended, &sites(), 16 << 20) else {
             panic!("framing {n} is not read")
         };
-        assert_eq!((roster.entries.len(), roster.whole), (60_000, true));
+        assert_eq!((list.entries.len(), list.whole), (60_000, true));
         // All but its last byte: not whole, or no list.
         let cut = read_answer(&text.as_bytes()[..text.len() - 1], *ended, &sites(), 16 << 20);
         assert!(!matches!(cut, Answer::Whole(..)), "framing {n}");
@@ -459,8 +459,8 @@
         format!("[{good}]"),
         String::new(),
     ] {
-        assert!(Roster::parse(bad.as_bytes(), &sites()).is_err(), "{bad}");
+        assert!(EndpointList::parse(bad.as_bytes(), &sites()).is_err(), "{bad}");
     }
     let spaced = good.replace(',', " ,\n  ").replace("{\"index\"", "{ \"more\" : [ {} ], \"index\"");
-    assert_eq!(Roster::parse(spaced.as_bytes(), &sites()).map(|r| r.entries.len()), Ok(3));
+    assert_eq!(EndpointList::parse(spaced.as_bytes(), &sites()).map(|r| r.entries.len()), Ok(3));
 }
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/wrenfork/ingress.rs
@@ -6,7 +6,7 @@
 use crate::call::Call;
 use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
 use crate::config::Config;
-use crate::discovery::{most_body, Roster, Watch, Way};
+use crate::discovery::{most_body, EndpointList, Watch, Way};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
@@ -382,7 +382,7 @@
         self.pump();
     }
 
-    fn take_roster(&mut self, roster: Roster, kind: RosterKind) {
+    fn take_roster(&mut self, roster: EndpointList, kind: RosterKind) {
         self.backends.update(&roster);
         if kind != RosterKind::Delta || !roster.entries.is_empty() {
             let list = roster.entries.iter().map(|e| e.listed).collect();
--- a/src/control.rs
+++ b/src/control.rs
@@ -262,7 +262,7 @@
     }
 
     fn draw(&self, customer: CustomerId) -> f64 {
-        mix(customer.0 ^ (self.now / EPOCH) << 33)
+        hash(customer.0 ^ (self.now / EPOCH) << 33)
     }
 
     // ---- 2. The alert: pressure, rungs, and the bound on what is out ----
@@ -333,14 +333,14 @@
         // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and whoever wins
         // in any part of it sends.
         let turn = span * COLD_TURN;
-        let turns = (self.now + (mix(u64::from(self.s.me.0)) * turn as f64) as u64) / turn;
-        let lot = mix(b.listed.backend.0 ^ turns << 48 ^ u64::from(self.s.me.0) << 32);
+        let turns = (self.now + (hash(u64::from(self.s.me.0)) * turn as f64) as u64) / turn;
+        let lot = hash(b.listed.backend.0 ^ turns << 48 ^ u64::from(self.s.me.0) << 32);
         (warmth, recent + lot < budget)
     }
 
     fn choose(&mut self, id: RequestId) -> Option<BackendId> {
         self.rng = self.rng.wrapping_add(1);
-        let (noise, now) = (mix(self.rng), self.now);
+        let (noise, now) = (hash(self.rng), self.now);
         let o = &self.requests[&id];
         let k = usize::from(o.req.class);
         // An attempt begins once its connection is up: by then, too, the window has to be open.
@@ -368,7 +368,7 @@
             let tried = o.attempts.iter().any(|a| a.to.backend == bid);
             let (warmth, may) = self.warmth(b);
             let weight = b.size * warmth / b.slow * all as f64 / self.ready_size / 2.0;
-            if !fits || !may || (want < all && mix(self.rng ^ (step as u64) << 40) > weight) {
+            if !fits || !may || (want < all && hash(self.rng ^ (step as u64) << 40) > weight) {
                 continue;
             }
             // Failing connections are laid to the zone as well: it may be cut off, with all that is in it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,10 +46,10 @@
 pub mod backoff;
 pub mod conf;
 mod control;
+mod endpoints;
 mod gossip;
 mod interface;
 mod quota;
-mod roster;
 mod state;
 
 pub use interface::*;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -51,8 +51,8 @@
         let Some(c) = self.customers.get_mut(&id).filter(|c| c.homes.is_empty()) else { return };
         let (plan, set) = (&self.s.plans[c.plan], u64::from(width.clamp(1, all)));
         let at = |n: u64| ((u64::from(first) + n % set) % u64::from(all)) as u16;
-        let one = (mix(id.0) * set as f64) as u64;
-        let other = 1 + (mix(!id.0) * (set as f64 - 1.0)) as u64;
+        let one = (hash(id.0) * set as f64) as u64;
+        let other = 1 + (hash(!id.0) * (set as f64 - 1.0)) as u64;
         (c.first, c.width, c.pools) = (first, set as f64, [at(one), at(one + other)]);
         // In a large fleet one counts, and is asked before each request: messages are scarce.
         // A ceiling lies with both.
@@ -102,7 +102,7 @@
         let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.heard_at));
         // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the
         // fewer the more it costs to be wrong.
-        let lot = mix(req.id.0 ^ self.born << 24) * (1.0 + plan.over_cost) > 1.0;
+        let lot = hash(req.id.0 ^ self.born << 24) * (1.0 + plan.over_cost) > 1.0;
         let overrun = !told && c.asked_at > 0 && (lot || c.homes.iter().all(talks));
         let mut quota = None;
         if plan.rate > 0.0 {
@@ -130,7 +130,7 @@
         let c = &self.customers[&req.customer];
         let capped = self.period == 0 && self.s.plans[c.plan].open_cap > 0;
         let told = !c.home && self.now - c.news_at.min(self.now) < WORD_LIFE;
-        capped && told && mix(self.rng) * c.others > ASKING * self.s.limits.peer_in_per_s
+        capped && told && hash(self.rng) * c.others > ASKING * self.s.limits.peer_in_per_s
     }
 
     /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
@@ -183,7 +183,7 @@
             let Some(c) = self.fill(customer) else { continue };
             let known = c.home || now - c.news_at.min(now) < AGING / 10;
             // One of the two is asked for ceiling units, by lot: two gifts would waste one.
-            let at = c.pools[usize::from(mix(now ^ customer.0) < 0.5)];
+            let at = c.pools[usize::from(hash(now ^ customer.0) < 0.5)];
             let short = ask && c.short && (at == to || c.pools.contains(&me));
             let (first, width, units) = (c.first, c.width as u16, c.asks);
             let (total, open, plan, level) = (wrap(c.used), c.open.min(127) as u8, c.plan, c.level);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,9 +1,9 @@
 //! What a gateway remembers: plain records, and the arithmetic that they share. No decision and no tuned value
 //! lives here; what the records mean and when they change is in `control.rs`.
 
+use crate::endpoints::Order;
 use crate::gossip::{incarnation, tag, Body, Message, Sample};
 use crate::interface::*;
-use crate::roster::Order;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
@@ -216,7 +216,7 @@
 }
 
 /// A number from 0 to 1 that looks random (splitmix64).
-pub fn mix(seed: u64) -> f64 {
+pub fn hash(seed: u64) -> f64 {
     let mut z = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
@@ -244,7 +244,7 @@
 
     /// Where a backend stands in this gateway's own order; any number at or above 0 is ordered as its bits are.
     fn place(&self, id: BackendId) -> u64 {
-        mix(id.0 ^ u64::from(self.s.me.0) << 48).to_bits()
+        hash(id.0 ^ u64::from(self.s.me.0) << 48).to_bits()
     }
 
     /// Indexes all that is ready, behind a whole list.
