--- a/src/control.rs
+++ b/src/control.rs
@@ -25,8 +25,8 @@
 const RETRY_SHARE: f64 = 0.1; // further attempts per first attempt: retries cannot feed an overload
 const RETRY_STORE: f64 = 40.0; // and the store of them, over all gateways
 const RETRY_STORES: (f64, f64) = (2.0, 10.0); // the least and the most of it at one gateway
-/// Part of the rule's budget spent on a cold backend. The budget is reckoned from what is sent, which may be two
-/// and a half times what backends bear before answers tell; the rest is for chance.
+/// Part of the rule's budget spent on a cold backend. The budget is reckoned from what is sent, which may be
+/// two and a half times what backends bear before answers tell; the rest is for chance.
 const COLD_MARGIN: f64 = 0.35;
 const COLD_TURN: u64 = 4; // windows of the rule for which it stays drawn who may send a cold backend one more
 const SUBSET: usize = 32; // backends that a sliver of the load goes to: each once in a few seconds
@@ -330,8 +330,8 @@
         let rate = self.sent_rate * decay(self.sent_at, self.now, RATE_TAU);
         let fair = rate * b.size / self.ready_size.max(b.size) * span as f64 / SECOND;
         let budget = (rules.fall_factor * warmth * fair * COLD_MARGIN).max(1.0 / self.shares as f64);
-        // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and whoever
-        // wins in any part of it sends.
+        // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and
+        // whoever wins in any part of it sends.
         let turn = span * COLD_TURN;
         let turns = (self.now + (hash(u64::from(self.s.me.0)) * turn as f64) as u64) / turn;
         let lot = hash(b.listed.backend.0 ^ turns << 48 ^ u64::from(self.s.me.0) << 32);
