--- a/src/bin/wrenfork/ingress/tests.rs
+++ b/src/bin/wrenfork/ingress/tests.rs
@@ -154,6 +154,18 @@
         call
     }
 
+    /// A client whose request is with a backend, and how many commands came for it.
+    fn begun(&mut self) -> (std::net::TcpStream, usize) {
+        let mut client = self.client();
+        client.write_all(&Stage::call(1)).unwrap();
+        let mut first = 0;
+        self.turns("the first attempt", |s| {
+            first += s.commands();
+            first > 0
+        });
+        (client, first)
+    }
+
     /// What is ready at once, with no turn taken.
     fn gather(&mut self, until: impl Fn(&[(Token, bool, bool)]) -> bool) -> Vec<(Token, bool, bool)> {
         let (mut events, mut ready) = (Events::with_capacity(1024), Vec::new());
@@ -239,13 +251,7 @@
 fn a_backend_that_turns_away_for_a_client_that_has_gone_is_not_followed_by_another() {
     for (cancel, half) in [(true, false), (false, false), (true, true), (false, true)] {
         let mut stage = Stage::new("gone-retry", cancel);
-        let mut client = stage.client();
-        client.write_all(&Stage::call(1)).unwrap();
-        let mut first = 0;
-        stage.turns("the first attempt", |s| {
-            first += s.commands();
-            first > 0
-        });
+        let (client, first) = stage.begun();
         for link in stage.links.iter_mut().flatten() {
             link.write_all(b"-BUSY\r\n").unwrap();
         }
@@ -298,13 +304,7 @@
 fn what_falls_due_as_a_client_goes_begins_nothing_for_it() {
     for cancel in [true, false] {
         let mut stage = Stage::new("gone-hedge", cancel);
-        let mut client = stage.client();
-        client.write_all(&Stage::call(1)).unwrap();
-        let mut first = 0;
-        stage.turns("the first attempt", |s| {
-            first += s.commands();
-            first > 0
-        });
+        let (client, first) = stage.begun();
         let mut ready = stage.all_left(vec![client], false);
         stage.ingress.now += 300_000; // past the time after which silence is answered by a second copy
         stage.ingress.turn(&mut ready);
