Name packages, programs and folders by what they do

Cause: `chalkgap`, `wrenfork` and `chalkgap-simhost` say nothing of what they are, and `scale` is a verb for a tool of experiments.

Change: library and package `ingress`, programs `ingress` and `simulator-adapter`, package, program and folder `fleet-experiments`, `INGRESS_RUN` for `WRENFORK_RUN`, log prefix `ingress:`. The loop's module is `event_loop` with `EventLoop`, since a module may not share the crate's name. Keys of the deploy file, of settings and of messages stay.

--- a/scale/src/cold.rs
+++ b/fleet-experiments/src/cold.rs
@@ -4,7 +4,7 @@
 use crate::model::*;
 use crate::report::Report;
 use crate::spec::Amounts;
-use chalkgap::*;
+use ingress::*;
 use serde::Deserialize;
 use serde_json::json;
 use std::collections::HashMap;
--- a/scale/src/discovery.rs
+++ b/fleet-experiments/src/discovery.rs
@@ -3,8 +3,8 @@
 use crate::model::*;
 use crate::report::Report;
 use crate::spec::{whole as amounts_of, Amounts};
-use chalkgap::backoff::{Backoff, Retry};
-use chalkgap::Micros;
+use ingress::backoff::{Backoff, Retry};
+use ingress::Micros;
 use serde::Deserialize;
 use serde_json::json;
 
--- a/scale/src/lib.rs
+++ b/fleet-experiments/src/lib.rs
@@ -1,6 +1,6 @@
 //! Experiments on a fleet of ingresses at sizes that no single machine holds: hollow ingresses (the decision module under a
 //! driven clock) against models of backends, network, discovery and clients; and, for what only sockets show, real
-//! `wrenfork` processes on loopback.
+//! `ingress` processes on loopback.
 
 pub mod cold;
 pub mod discovery;
--- a/scale/src/list.rs
+++ b/fleet-experiments/src/list.rs
@@ -4,8 +4,8 @@
 use crate::model::*;
 use crate::report::Report;
 use crate::spec::{whole as amounts_of, Amounts};
-use chalkgap::*;
 use hdrhistogram::Histogram;
+use ingress::*;
 use serde::Deserialize;
 use serde_json::json;
 use std::time::Instant;
--- a/scale/src/main.rs
+++ b/fleet-experiments/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use clap::{Parser, Subcommand};
-use scale::{fit, report::Report, spec::Spec};
+use fleet_experiments::{fit, report::Report, spec::Spec};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -18,13 +18,13 @@
 enum Command {
     /// Runs the experiments of a file.
     Run {
-        /// The experiment file (TOML); see scale/experiments.
+        /// The experiment file (TOML); see fleet-experiments/experiments.
         experiment: PathBuf,
         /// Where results go, a line of JSON each; standard output without it.
         #[arg(short, long)]
         out: Option<PathBuf>,
         /// The program of a real ingress, for experiments on sockets.
-        #[arg(long, default_value = "target/release/wrenfork")]
+        #[arg(long, default_value = "target/release/ingress")]
         ingress: PathBuf,
     },
     /// Prints straight lines through the points of a file of results.
--- a/scale/src/model.rs
+++ b/fleet-experiments/src/model.rs
@@ -1,6 +1,6 @@
 //! What hollow ingresses share: their settings, and the lists that they are told.
 
-use chalkgap::*;
+use ingress::*;
 
 /// The driven clock's beginning, in microseconds.
 pub const T0: Micros = 1_000_000_000_000;
--- a/scale/src/processes.rs
+++ b/fleet-experiments/src/processes.rs
@@ -87,7 +87,8 @@
     /// Starts one.
     pub fn start(program: &Path, setup: &Setup) -> anyhow::Result<Ingress> {
         let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let file = std::env::temp_dir().join(format!("scale-{}-{}.json", std::process::id(), at.port()));
+        let file =
+            std::env::temp_dir().join(format!("fleet-experiments-{}-{}.json", std::process::id(), at.port()));
         std::fs::write(&file, setup.config(at))
             .with_context(|| format!("cannot write {}", file.display()))?;
         let child = Self::spawn(program, &file)?;
--- a/scale/src/report.rs
+++ b/fleet-experiments/src/report.rs
@@ -26,7 +26,8 @@
 fn commit() -> String {
     let Some(head) = first_line("git", &["rev-parse", "--short", "HEAD"]) else { return "unknown".into() };
     let changed =
-        first_line("git", &["status", "--porcelain", "--", "src", "scale/src", "Cargo.lock"]).is_some();
+        first_line("git", &["status", "--porcelain", "--", "src", "fleet-experiments/src", "Cargo.lock"])
+            .is_some();
     if changed {
         head + "+"
     } else {
--- a/scale/tests/experiments.rs
+++ b/fleet-experiments/tests/experiments.rs
@@ -1,6 +1,6 @@
 //! Every experiment in small, judged by counts; and what bad experiment files get.
 
-use scale::{report::Report, spec::Spec};
+use fleet_experiments::{report::Report, spec::Spec};
 use serde_json::Value;
 use std::path::PathBuf;
 use std::process::Command;
@@ -12,7 +12,7 @@
     let mut path = std::env::current_exe().unwrap();
     path.pop();
     path.pop();
-    path.push("wrenfork");
+    path.push("ingress");
     assert!(path.exists(), "{} is missing: test with --workspace", path.display());
     path
 }
@@ -128,9 +128,11 @@
     for (n, (text, key)) in cases.into_iter().enumerate() {
         let why = Spec::parse(text).map(|_| ()).expect_err(text);
         assert!(why.contains(key) && !why.contains('\n'), "{text:?}: {why}");
-        let file = std::env::temp_dir().join(format!("scale-bad-{}-{n}.toml", std::process::id()));
+        let file =
+            std::env::temp_dir().join(format!("fleet-experiments-bad-{}-{n}.toml", std::process::id()));
         std::fs::write(&file, text).unwrap();
-        let out = Command::new(env!("CARGO_BIN_EXE_scale")).arg("run").arg(&file).output().unwrap();
+        let out =
+            Command::new(env!("CARGO_BIN_EXE_fleet-experiments")).arg("run").arg(&file).output().unwrap();
         std::fs::remove_file(&file).unwrap();
         let err = String::from_utf8(out.stderr).unwrap();
         assert_eq!((out.status.code(), err.lines().count()), (Some(2), 1), "{text:?}: {err}");
--- a/scale/tests/fit.rs
+++ b/fleet-experiments/tests/fit.rs
@@ -1,6 +1,6 @@
 //! Slopes through results.
 
-use scale::fit::{fits, line};
+use fleet_experiments::fit::{fits, line};
 
 #[test]
 fn a_straight_line_is_found_and_a_bent_one_is_told_by_its_distance() {
--- a/src/bin/wrenfork/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -3,7 +3,7 @@
 
 use crate::discovery::EndpointList;
 use crate::resp::{self, Element, Kind, Reply};
-use chalkgap::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
+use ingress::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
--- a/src/bin/wrenfork/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::discovery::Endpoint;
-use chalkgap::Listed;
+use ingress::Listed;
 use mio::Poll;
 use std::net::TcpListener;
 
--- a/src/bin/wrenfork/call.rs
+++ b/src/bin/ingress/call.rs
@@ -1,7 +1,7 @@
 //! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
 
 use crate::resp;
-use chalkgap::{CustomerId, Micros, Repeat, Request};
+use ingress::{CustomerId, Micros, Repeat, Request};
 use std::ops::Range;
 
 /// The longest that a client may say it waits, in milliseconds.
--- a/src/bin/wrenfork/call/tests.rs
+++ b/src/bin/ingress/call/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-use chalkgap::Group;
+use ingress::Group;
 
 fn words() -> Vocabulary {
     let keyed = Repeat::Keyed { group: Group::Cell, window: 3_000_000 };
--- a/src/bin/wrenfork/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -2,7 +2,7 @@
 
 use crate::call::{Call, Vocabulary};
 use crate::resp;
-use chalkgap::{Micros, RequestId};
+use ingress::{Micros, RequestId};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Interest, Registry, Token};
 use slab::Slab;
--- a/src/bin/wrenfork/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-use chalkgap::Repeat;
+use ingress::Repeat;
 use mio::Poll;
 
 const T: Micros = 1_000_000_000;
--- a/src/bin/wrenfork/config.rs
+++ b/src/bin/ingress/config.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Vocabulary;
 use crate::discovery::{EndpointList, Sites};
-use chalkgap::{conf::Conf, Micros, Settings};
+use ingress::{conf::Conf, Micros, Settings};
 use serde_json::Value;
 use std::net::SocketAddr;
 
--- a/src/bin/wrenfork/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -1,8 +1,8 @@
 //! Discovery: the list of backends, and the watch that keeps it fresh over HTTP/1.1. While discovery is silent or
 //! broken the list stays as it was, and the watch is begun anew with growing pauses.
 
-use chalkgap::backoff::{Backoff, Retry};
-use chalkgap::{Availability, BackendId, Listed, Micros};
+use ingress::backoff::{Backoff, Retry};
+use ingress::{Availability, BackendId, Listed, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use serde::de::{self, DeserializeSeed, IgnoredAny, MapAccess, SeqAccess, Visitor};
--- a/src/bin/wrenfork/ingress.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -10,10 +10,8 @@
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
-use chalkgap::backoff::Backoff;
-use chalkgap::{
-    Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind,
-};
+use ingress::backoff::Backoff;
+use ingress::{Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -138,7 +136,7 @@
 }
 
 /// The ingress.
-pub struct Ingress {
+pub struct EventLoop {
     poll: Poll,
     clock: Clock,
     now: Micros,
@@ -210,8 +208,8 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot take signals: {e}"))
 }
 
-impl Ingress {
-    /// Opens the sockets. From here on clients may come; they are served once [`Ingress::run`] runs.
+impl EventLoop {
+    /// Opens the sockets. From here on clients may come; they are served once [`EventLoop::run`] runs.
     pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, String> {
         let failed = |what: &str, e: io::Error| format!("{what}: {e}");
         let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
@@ -239,7 +237,7 @@
         };
         let way = Way { backoff, most_body: most_body(config.memory), seed: config.seed, now };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
-        let mut ingress = Ingress {
+        let mut ingress = EventLoop {
             poll,
             clock,
             now,
--- a/src/bin/wrenfork/ingress/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -18,12 +18,12 @@
 "membership_mode":"push","weights":"none","reporting":{"how":"none","fields":[]}}}"#;
 
 /// An ingress in this process, whose turns the test takes.
-fn ingress(name: &str) -> (Ingress, std::net::TcpStream) {
+fn ingress(name: &str) -> (EventLoop, std::net::TcpStream) {
     ingress_of(name, CONFIG)
 }
 
-fn ingress_of(name: &str, config: &str) -> (Ingress, std::net::TcpStream) {
-    let file = std::env::temp_dir().join(format!("wrenfork-{name}-{}.json", std::process::id()));
+fn ingress_of(name: &str, config: &str) -> (EventLoop, std::net::TcpStream) {
+    let file = std::env::temp_dir().join(format!("ingress-{name}-{}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let path = file.to_str().unwrap().to_string();
     let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -31,7 +31,7 @@
     drop(probe);
     let var = |name: &str| (name == "LB_LISTEN").then(|| at.to_string());
     let config = Config::read(&path, var).unwrap();
-    let ingress = Ingress::start(config, Reload::new(path), signals().unwrap()).unwrap();
+    let ingress = EventLoop::start(config, Reload::new(path), signals().unwrap()).unwrap();
     std::fs::remove_file(&file).unwrap();
     let client = std::net::TcpStream::connect(at).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -110,7 +110,7 @@
 
 /// An ingress in this process before two backends that the test plays.
 struct Stage {
-    ingress: Ingress,
+    ingress: EventLoop,
     backends: [std::net::TcpListener; 2],
     /// Connections that backends have accepted.
     links: [Vec<std::net::TcpStream>; 2],
--- a/src/bin/wrenfork/main.rs
+++ b/src/bin/ingress/main.rs
@@ -1,11 +1,11 @@
-//! wrenfork, the real ingress: clients, backends, discovery and peers on sockets, round the decision module.
+//! The ingress: clients, backends, discovery and peers on sockets, around the decision module.
 
 mod backends;
 mod call;
 mod clients;
 mod config;
 mod discovery;
-mod ingress;
+mod event_loop;
 mod peers;
 mod reload;
 mod resp;
@@ -15,16 +15,16 @@
 
 /// Writes a line to the log. An ingress whose log cannot be written goes on.
 pub fn log(text: &str) {
-    let _ = writeln!(std::io::stderr(), "wrenfork: {text}");
+    let _ = writeln!(std::io::stderr(), "ingress: {text}");
 }
 
 fn run() -> Result<(), String> {
     let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
     let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
     // From here on no signal ends the process: one that comes while it starts is taken up by the loop.
-    let signals = ingress::signals()?;
+    let signals = event_loop::signals()?;
     let config = config::Config::read(&path, var)?;
-    ingress::Ingress::start(config, reload::Reload::new(path), signals)?.run()
+    event_loop::EventLoop::start(config, reload::Reload::new(path), signals)?.run()
 }
 
 fn main() -> ExitCode {
--- a/src/bin/wrenfork/peers.rs
+++ b/src/bin/ingress/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between ingresses: UDP datagrams, known by the address they come from.
 
 use crate::config::PeerAddresses;
-use chalkgap::GatewayNo;
+use ingress::GatewayNo;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
 use std::io;
--- a/src/bin/wrenfork/reload.rs
+++ b/src/bin/ingress/reload.rs
@@ -2,7 +2,7 @@
 //! over: all else is fixed from the start on.
 
 use crate::config::Config;
-use chalkgap::Micros;
+use ingress::Micros;
 use std::net::SocketAddr;
 
 /// The first pause before a file that could not be read is read again, and the longest: it may be half written.
--- a/src/bin/chalkgap-simhost/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use chalkgap::{conf::Conf, Action, Event, Gateway, Settings};
+use ingress::{conf::Conf, Action, Event, Gateway, Settings};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -80,7 +80,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("chalkgap-simhost: {message}");
+            eprintln!("simulator-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/chalkgap-simhost/wire.rs
+++ b/src/bin/simulator-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's frames: reading batches, writing replies. Every length and offset is checked.
 
-use chalkgap::{
+use ingress::{
     conf::note_field, Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report,
     Request, RequestId, RosterKind,
 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! chalkgap decides for an admission gateway of a service sold by plan: which requests to let in, which backend
+//! Decides for an admission gateway of a service sold by plan: which requests to let in, which backend
 //! gets them, when to try again, what to tell the peers. It does no input or output and reads no clock: the
 //! host feeds [`Event`]s with the time and carries out the [`Action`]s that come back, in their order.
 //!
 //! One request, from its arrival to its answer:
 //!
 //! ```
-//! use chalkgap::*;
+//! use ingress::*;
 //!
 //! let plan = Plan {
 //!     rate: 10.0, burst: 20.0, open_cap: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0,
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -1,6 +1,6 @@
 //! The module by events and actions: no bench, no simulator.
 
-use chalkgap::*;
+use ingress::*;
 
 const T0: Micros = 1_000_000_000;
 const S: Micros = 1_000_000;
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -1,6 +1,6 @@
 //! Properties over arbitrary legal and hostile sequences of events, with a fixed seed.
 
-use chalkgap::*;
+use ingress::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -826,9 +826,9 @@
 
 /// The command in deploy/balancer.toml; `.ci/run` hands it in.
 #[test]
-#[ignore = "wants the command in WRENFORK_RUN"]
+#[ignore = "wants the command in INGRESS_RUN"]
 fn the_deploy_command_starts() {
-    let command = std::env::var("WRENFORK_RUN").expect("WRENFORK_RUN is the command");
+    let command = std::env::var("INGRESS_RUN").expect("INGRESS_RUN is the command");
     let backend = Backend::start(serve);
     let mut ingress = Setup::of(&[&backend]).start_with(&command);
     assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -1,7 +1,7 @@
 //! Quotas over a whole fleet on a quiet day: what passes beyond them, and what that costs, against policies that see the
 //! true state. The network is the test's: messages take their time, some are lost, and nobody takes in too many.
 
-use chalkgap::*;
+use ingress::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
--- a/tests/simhost.rs
+++ b/tests/simulator_adapter.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_chalkgap-simhost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_simulator-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -457,7 +457,7 @@
 
 /// The shell command for the program as it was built for the tests.
 pub fn own_program() -> String {
-    format!("exec '{}'", env!("CARGO_BIN_EXE_wrenfork"))
+    format!("exec '{}'", env!("CARGO_BIN_EXE_ingress"))
 }
 
 pub struct Ingress {
@@ -468,7 +468,7 @@
 
 impl Ingress {
     pub fn run(config: &str, at: SocketAddr, program: &str) -> Ingress {
-        let file = std::env::temp_dir().join(format!("wrenfork-{}-{at}.json", std::process::id()));
+        let file = std::env::temp_dir().join(format!("ingress-{}-{at}.json", std::process::id()));
         std::fs::write(&file, config).unwrap();
         let mut command = Command::new("/bin/sh");
         command.args(["-c", program]).env("LB_CONFIG", &file);
