--- a/fleet-experiments/src/cold.rs
+++ b/fleet-experiments/src/cold.rs
@@ -94,11 +94,11 @@
     let (mut schedule, mut actions, mut fleet) = (Schedule::default(), Vec::new(), Vec::new());
     for (g, weight) in weights.iter().enumerate() {
         let mut s = settings(ramp.ingresses, g as u16);
-        (s.rules.cold_from, s.rules.cold_time) = (COLD_FROM, COLD_TIME);
-        (s.rules.fall_factor, s.rules.fall_time) = (ramp.factor, SPAN);
+        (s.rules.slow_start_floor, s.rules.slow_start_duration) = (COLD_FROM, COLD_TIME);
+        (s.rules.overload_factor, s.rules.overload_window) = (ramp.factor, SPAN);
         let mut gateway = Gateway::new(s, ramp.seed * 1000 + g as u64, T0);
         let list = (0..backends).map(|n| entry(n, T0)).collect();
-        gateway.handle(T0, Event::Roster(RosterKind::Cached, list), &mut actions);
+        gateway.handle(T0, Event::Endpoints(EndpointUpdate::CachedSnapshot, list), &mut actions);
         actions.clear();
         fleet.push(gateway);
         schedule.put(T0 + random.u64(1..20_000), Due::Timer(g, 0));
@@ -117,7 +117,7 @@
             Due::Timer(g, token) => (g, Event::Timer(token)),
             Due::Told(g) => {
                 let list = (0..backends).step_by(2).map(|n| entry(n, now)).collect();
-                (g, Event::Roster(RosterKind::Delta, list))
+                (g, Event::Endpoints(EndpointUpdate::Delta, list))
             }
             Due::Answer(g, id, attempt, n, sent) => {
                 out.answered += 1;
@@ -132,8 +132,8 @@
                     deadline: now + 3 * S,
                     customer: CustomerId(random.u64(0..1_000_000)),
                     units: 1.0,
-                    width: 1.0,
-                    first: g as f64,
+                    gateway_set_size: 1.0,
+                    gateway_set_start: g as f64,
                     ..Request::default()
                 };
                 (g, Event::Request(request))
@@ -158,7 +158,7 @@
                         sends[n].push(now);
                     }
                 }
-                Action::Refuse { .. } | Action::Fail(_) => out.refused += 1,
+                Action::Reject { .. } | Action::Fail(_) => out.refused += 1,
                 _ => {}
             }
         }
--- a/fleet-experiments/src/list.rs
+++ b/fleet-experiments/src/list.rs
@@ -43,24 +43,24 @@
             let mut take = |gateway: &mut Gateway, kind, list| {
                 now += 4_000;
                 let began = Instant::now();
-                gateway.handle(now, Event::Roster(kind, list), &mut actions);
+                gateway.handle(now, Event::Endpoints(kind, list), &mut actions);
                 actions.clear();
                 began.elapsed().as_secs_f64() * 1e6
             };
-            let first = take(&mut gateway, RosterKind::Full, whole(backends));
+            let first = take(&mut gateway, EndpointUpdate::Snapshot, whole(backends));
             let memory = resident().saturating_sub(before);
-            let again = take(&mut gateway, RosterKind::Full, whole(backends));
+            let again = take(&mut gateway, EndpointUpdate::Snapshot, whole(backends));
             let mut change = Histogram::<u64>::new(3)?;
             for n in 0..self.changes {
                 let state = if n % 2 == 0 { Availability::Draining } else { Availability::Ready };
                 let entry = listed(n / 2 * 7919 % backends, state, 0);
-                change.record((take(&mut gateway, RosterKind::Delta, vec![entry]) * 1e3) as u64)?;
+                change.record((take(&mut gateway, EndpointUpdate::Delta, vec![entry]) * 1e3) as u64)?;
             }
-            let zone = |state, started| -> Vec<Listed> {
+            let zone = |state, started| -> Vec<Endpoint> {
                 (0..backends).step_by(ZONES as usize).map(|n| listed(n, state, started)).collect()
             };
-            let lost = take(&mut gateway, RosterKind::Delta, zone(Availability::Gone, 0));
-            let back = take(&mut gateway, RosterKind::Delta, zone(Availability::Ready, T0));
+            let lost = take(&mut gateway, EndpointUpdate::Delta, zone(Availability::Gone, 0));
+            let back = take(&mut gateway, EndpointUpdate::Delta, zone(Availability::Ready, T0));
             kept.push(gateway); // what one frees must not pass for what the next one does not take
             report.point(
                 "list",
--- a/fleet-experiments/src/model.rs
+++ b/fleet-experiments/src/model.rs
@@ -12,85 +12,85 @@
 /// The settings of one ingress among `gateways`, as those of the given site are, but for quotas that refuse nobody.
 pub fn settings(gateways: u16, me: u16) -> Settings {
     let class = Class {
-        aim: S,
-        aim_stretch: 0.0,
+        latency_objective: S,
+        latency_objective_stretch: 0.0,
         deadline: 4 * S,
-        worth: 1.0,
-        late_worth: 0.0,
-        repeat: Repeat::Safe,
-        stream: false,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency: Idempotency::Idempotent,
+        streaming: false,
     };
     let plan = Plan {
         rate: 1e6,
         burst: 1e6,
-        open_cap: 0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
+        concurrency_quota: 0,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
         price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 1.0,
     };
     Settings {
-        gateways,
-        me: GatewayNo(me),
+        gateway_count: gateways,
+        own_id: GatewayId(me),
         tick: 4_000,
         classes: vec![class],
         plans: vec![plan],
         limits: Limits {
             max_attempts: 4,
-            second_copies: true,
-            cancel: true,
-            peer_in_per_s: 40.0,
+            hedging: true,
+            cancellation: true,
+            peer_messages_per_second: 40.0,
             retry_after: true,
             max_retry_after: S,
-            max_open: 20_000,
+            max_open_requests: 20_000,
             connect_timeout: 250_000,
             ..Limits::default()
         },
         rules: Rules {
             answer_slack: 16_000,
             drain_grace: 250_000,
-            cold_from: 0.23,
-            cold_time: 15 * S,
-            fall_factor: 4.0,
-            fall_time: 3 * S,
-            must_ask: 10 * S,
+            slow_start_floor: 0.23,
+            slow_start_duration: 15 * S,
+            overload_factor: 4.0,
+            overload_window: 3 * S,
+            max_poll_interval: 10 * S,
         },
         ..Settings::default()
     }
 }
 
 /// A backend of the list, in the zone that its number gives; `started` 0 is long ago.
-pub fn listed(n: u64, availability: Availability, started: Micros) -> Listed {
-    Listed {
+pub fn listed(n: u64, availability: Availability, started: Micros) -> Endpoint {
+    Endpoint {
         backend: BackendId(n.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
         zone: (n % ZONES) as u8,
         cell: (n % ZONES) as u16,
         availability,
         size: 1.0,
-        started,
-        ..Listed::default()
+        started_at: started,
+        ..Endpoint::default()
     }
 }
 
 /// A whole list.
-pub fn whole(backends: u64) -> Vec<Listed> {
+pub fn whole(backends: u64) -> Vec<Endpoint> {
     (0..backends).map(|n| listed(n, Availability::Ready, 0)).collect()
 }
 
 /// An answer to an attempt, good and whole.
 pub fn served(id: RequestId, attempt: u16, backend: BackendId, took: Micros) -> Event {
-    Event::Settled {
+    Event::AttemptEnded {
         id,
         attempt,
         backend,
         outcome: Outcome::Ok,
-        complete: true,
-        took,
+        answered: true,
+        elapsed: took,
         metered: None,
-        charged: None,
-        report: None,
+        charged_units: None,
+        load_report: None,
     }
 }
 
--- a/fleet-experiments/src/quota.rs
+++ b/fleet-experiments/src/quota.rs
@@ -44,7 +44,7 @@
     Arrival(usize),
     Timer(usize, u32),
     Answer(usize, RequestId, BackendId, Micros),
-    Message(usize, GatewayNo, Vec<u8>),
+    Message(usize, GatewayId, Vec<u8>),
 }
 
 /// Plays a fleet for `seconds`, the first of which is not counted.
@@ -53,7 +53,7 @@
     let (mut traffic, mut schedule, mut actions) = (Traffic::default(), Schedule::default(), Vec::new());
     let of = |me| {
         let mut s = settings(ingresses, me);
-        s.limits.peers = true;
+        s.limits.peer_messages = true;
         // A quota that a customer uses a third of.
         let each = rate / customers as f64 * 3.0;
         (s.plans[0].rate, s.plans[0].burst) =
@@ -63,13 +63,13 @@
     let mut fleet: Vec<Gateway> =
         (0..ingresses).map(|g| Gateway::new(of(g), seed + u64::from(g), T0)).collect();
     for (g, gateway) in fleet.iter_mut().enumerate() {
-        gateway.handle(T0, Event::Roster(RosterKind::Cached, whole(32)), &mut actions);
+        gateway.handle(T0, Event::Endpoints(EndpointUpdate::CachedSnapshot, whole(32)), &mut actions);
         actions.clear();
         schedule.put(T0 + random.u64(1..20_000), Due::Timer(g, 0));
         schedule.put(T0 + gap(&mut random, rate), Due::Arrival(g));
     }
     let (mut next, mut taken): (u64, HashMap<(usize, u64), u64>) = (0, HashMap::new());
-    let most = settings(ingresses, 0).limits.peer_in_per_s as u64;
+    let most = settings(ingresses, 0).limits.peer_messages_per_second as u64;
     while let Some((now, due)) = schedule.take() {
         if now > T0 + seconds * S {
             break;
@@ -86,7 +86,7 @@
                     traffic.dropped += counted;
                     continue;
                 }
-                (g, Event::Peer { from, bytes })
+                (g, Event::PeerMessage { from, bytes })
             }
             Due::Arrival(g) => {
                 schedule.put(now + gap(&mut random, rate), Due::Arrival(g));
@@ -100,8 +100,8 @@
                     deadline: now + 3 * S,
                     customer,
                     units: 1.0,
-                    width: f64::from(spread),
-                    first: first as f64,
+                    gateway_set_size: f64::from(spread),
+                    gateway_set_start: first as f64,
                     ..Request::default()
                 };
                 (g, Event::Request(request))
@@ -115,11 +115,11 @@
                     traffic.sent += counted;
                     schedule.put(now + random.u64(60_000..160_000), Due::Answer(g, id, backend, now));
                 }
-                Action::Tell { to: Some(to), bytes } => {
+                Action::SendToPeer { to: Some(to), bytes } => {
                     traffic.messages += counted;
                     traffic.bytes += counted * bytes.len() as u64;
                     let at = now + random.u64(500..3_000);
-                    schedule.put(at, Due::Message(usize::from(to.0), GatewayNo(g as u16), bytes));
+                    schedule.put(at, Due::Message(usize::from(to.0), GatewayId(g as u16), bytes));
                 }
                 _ => {}
             }
--- a/fleet-experiments/src/request.rs
+++ b/fleet-experiments/src/request.rs
@@ -45,7 +45,7 @@
 ) -> anyhow::Result<Cost> {
     let mut gateway = Gateway::new(settings(ingresses, 0), seed, T0);
     let (mut now, mut actions) = (T0, Vec::new());
-    gateway.handle(now, Event::Roster(RosterKind::Full, whole(backends)), &mut actions);
+    gateway.handle(now, Event::Endpoints(EndpointUpdate::Snapshot, whole(backends)), &mut actions);
     let mut random = fastrand::Rng::with_seed(seed);
     let (mut time, mut all_sent) = (Histogram::new(3)?, 0);
     let before = resident();
@@ -57,7 +57,7 @@
             deadline: now + 3 * S,
             customer: CustomerId(random.u64(0..customers)),
             units: 1.0,
-            width: 1.0,
+            gateway_set_size: 1.0,
             ..Request::default()
         };
         let began = Instant::now();
--- /dev/null
+++ b/src/action.rs
@@ -0,0 +1,66 @@
+//! What a gateway asks its host to do.
+
+use crate::{BackendId, GatewayId, Micros, RequestId};
+
+/// What a gateway asks its host to do; several are carried out in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to a backend.
+    Send {
+        /// The request.
+        id: RequestId,
+        /// Where to.
+        backend: BackendId,
+        /// When to give the attempt up; 0 for the client's deadline.
+        expires_at: Micros,
+    },
+    /// Final answer: rejected, trying again is harmless.
+    Reject {
+        /// The request.
+        id: RequestId,
+        /// How long the client should keep away; 0 gives no advice.
+        retry_after: Micros,
+    },
+    /// Final answer: failed, with no promise.
+    Fail(RequestId),
+    /// Cancel an attempt.
+    Cancel {
+        /// The request.
+        id: RequestId,
+        /// The number of the attempt, from 0.
+        attempt: u16,
+    },
+    /// Wake the gateway after `delay` with [`Event::Timer`](crate::Event::Timer).
+    SetTimer {
+        /// From now.
+        delay: Micros,
+        /// Comes back with the event.
+        token: u32,
+    },
+    /// Send a message of at most 256 bytes to one peer, or to all.
+    SendToPeer {
+        /// The receiver; none means all.
+        to: Option<GatewayId>,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// Check the health of a backend.
+    CheckHealth(BackendId),
+    /// Close idle connections to a backend.
+    CloseIdleConnections(BackendId),
+    /// Subscribe to discovery, or no longer.
+    WatchEndpoints(bool),
+    /// Ask discovery for the whole endpoint list once.
+    FetchEndpoints,
+    /// Add to a shared number.
+    IncrementCounter {
+        /// Its name.
+        name: u64,
+        /// The amount.
+        delta: f64,
+        /// How long a new name lives.
+        lifetime: Micros,
+    },
+    /// A line for the log.
+    Log(String),
+}
--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -3,7 +3,7 @@
 
 use crate::discovery::EndpointList;
 use crate::resp::{self, Element, Kind, Reply};
-use ingress::{conf::note_field, Availability, BackendId, Micros, Outcome, Report, RequestId};
+use ingress::{Availability, BackendId, LoadReport, Micros, Outcome, RequestId};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -76,7 +76,7 @@
     pub backend: BackendId,
     pub outcome: Outcome,
     pub began: Micros,
-    pub report: Option<Report>,
+    pub report: Option<LoadReport>,
     /// With [`Outcome::Ok`]: the value's bytes as they came.
     pub value: Vec<u8>,
 }
@@ -137,24 +137,24 @@
 }
 
 /// The value's bytes if this is the answer to a request, else none.
-fn served(buf: &[u8], list: &[Element]) -> Option<(Vec<u8>, Option<Report>)> {
+fn served(buf: &[u8], list: &[Element]) -> Option<(Vec<u8>, Option<LoadReport>)> {
     let [value, _, load] = list else { return None };
     let report = (load.kind == Kind::Bulk).then(|| report(&buf[load.text.clone()])).flatten();
     (value.kind == Kind::Bulk).then(|| (buf[value.whole.clone()].to_vec(), report))
 }
 
 /// A load report such as `inflight=7,util=0.61`; none if nothing in it is one.
-fn report(text: &[u8]) -> Option<Report> {
-    let mut report = Report::default();
+fn report(text: &[u8]) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
     for (name, value) in std::str::from_utf8(text).ok()?.split(',').filter_map(|f| f.split_once('=')) {
         let value = value.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
-        note_field(&mut report, name, value);
+        report.set_field(name, value);
     }
-    (report != Report::default()).then_some(report)
+    (report != LoadReport::default()).then_some(report)
 }
 
 /// What an answer means; none if it is no answer to this work.
-fn judge(buf: &[u8], reply: &Reply, work: Work) -> Option<(Outcome, Vec<u8>, Option<Report>)> {
+fn judge(buf: &[u8], reply: &Reply, work: Work) -> Option<(Outcome, Vec<u8>, Option<LoadReport>)> {
     match (reply, work) {
         (Reply::Array(list), Work::Attempt(..)) => {
             served(buf, list).map(|(value, report)| (Outcome::Ok, value, report))
@@ -162,7 +162,7 @@
         (Reply::One(e), _) if e.kind == Kind::Error => {
             let text = &buf[e.text.clone()];
             let first = text.split(|b| *b == b' ').next();
-            let outcome = if first == Some(b"BUSY") { Outcome::Full } else { Outcome::Error };
+            let outcome = if first == Some(b"BUSY") { Outcome::Rejected } else { Outcome::Error };
             let last = text.rsplit(|b| *b == b' ').next();
             Some((outcome, Vec::new(), last.and_then(report)))
         }
@@ -198,18 +198,18 @@
     pub fn update(&mut self, roster: &EndpointList) {
         let (mut absent, mut left) = (Vec::new(), HashSet::new());
         if roster.whole {
-            let listed: HashSet<BackendId> = roster.entries.iter().map(|e| e.listed.backend).collect();
+            let listed: HashSet<BackendId> = roster.entries.iter().map(|e| e.endpoint.backend).collect();
             absent.extend(self.pools.keys().filter(|id| !listed.contains(id)));
         }
         for e in &roster.entries {
-            let id = e.listed.backend;
-            if e.listed.availability == Availability::Gone {
+            let id = e.endpoint.backend;
+            if e.endpoint.availability == Availability::Gone {
                 absent.push(id);
                 continue;
             }
             let moved = self.pools.get(&id).is_some_and(|p| p.address != e.address);
             // What is idle at a place that it left, or that drains, is of no more use.
-            if moved || e.listed.availability == Availability::Draining {
+            if moved || e.endpoint.availability == Availability::Draining {
                 self.close_idle(id);
                 left.insert(id);
             }
@@ -229,7 +229,7 @@
         let unbegun = |c: &Conn| c.work.is_some() && c.written == 0 && left.contains(&c.backend);
         let late: Vec<usize> = self.conns.iter().filter(|(_, c)| unbegun(c)).map(|(key, _)| key).collect();
         for key in late {
-            self.end(key, Outcome::Moot, Vec::new(), None, Micros::MAX);
+            self.end(key, Outcome::NotSent, Vec::new(), None, Micros::MAX);
             self.remove(key);
         }
     }
@@ -361,7 +361,7 @@
     }
 
     /// Notes how a connection's work ended.
-    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<Report>, now: Micros) {
+    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<LoadReport>, now: Micros) {
         let conn = &mut self.conns[key];
         if let Some(work) = conn.work {
             let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
@@ -464,7 +464,7 @@
         };
         let judged = judge(&conn.buf, &reply, work);
         // An answer to half a command can only say that it was not let in.
-        let judged = judged.filter(|j| conn.sent() || j.0 == Outcome::Full);
+        let judged = judged.filter(|j| conn.sent() || j.0 == Outcome::Rejected);
         let broken = conn.broken();
         let clean = judged.is_some() && conn.sent() && end == conn.buf.len();
         let (outcome, value, report) = judged.unwrap_or((broken, Vec::new(), None));
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::discovery::Endpoint;
-use ingress::Listed;
+use crate::discovery::EndpointEntry;
+use ingress::Endpoint;
 use mio::Poll;
 use std::net::TcpListener;
 
@@ -20,8 +20,8 @@
     fn new(keepalive: Micros) -> Rig {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut backends = Backends::new(keepalive, Token);
-        let listed = Listed { backend: ID, ..Listed::default() };
-        let entries = vec![Endpoint { listed, address: listener.local_addr().ok() }];
+        let endpoint = Endpoint { backend: ID, ..Endpoint::default() };
+        let entries = vec![EndpointEntry { endpoint, address: listener.local_addr().ok() }];
         backends.update(&EndpointList { index: 1, whole: true, entries });
         Rig { backends, poll: Poll::new().unwrap(), listener }
     }
--- a/src/bin/ingress/call.rs
+++ b/src/bin/ingress/call.rs
@@ -1,7 +1,7 @@
 //! The CALL commands: read strictly from a client, written for a backend with a `d` of the attempt's own.
 
 use crate::resp;
-use ingress::{CustomerId, Micros, Repeat, Request};
+use ingress::{CustomerId, Idempotency, Micros, Request};
 use std::ops::Range;
 
 /// The longest that a client may say it waits, in milliseconds.
@@ -14,7 +14,7 @@
 /// What the settings name: needed to read a request.
 pub struct Vocabulary {
     /// The classes, and whether each is safe or keyed.
-    pub classes: Vec<(String, Repeat)>,
+    pub classes: Vec<(String, Idempotency)>,
     /// The plans.
     pub plans: Vec<String>,
     /// The most units that a request takes.
@@ -117,10 +117,10 @@
         let plan = words.plans.iter().position(|p| p.as_bytes() == plan).ok_or("the plan is unknown")?;
         let (wait, place) = wait.ok_or_else(|| missing("d"))?;
         let repeat = words.classes[class].1;
-        if post == (repeat == Repeat::Safe) {
+        if post == (repeat == Idempotency::Idempotent) {
             return Err("CALL.GET is for classes that are safe to repeat, CALL.POST for the others".into());
         }
-        if matches!(repeat, Repeat::Keyed { .. }) && !key.is_some_and(graphic) {
+        if matches!(repeat, Idempotency::Keyed { .. }) && !key.is_some_and(graphic) {
             return Err(missing("k"));
         }
         // What is out of range reaches neither the module, which keeps it in the customer's record, nor a backend.
@@ -137,8 +137,8 @@
             plan: u16::try_from(plan).map_err(|_| "the plan is unknown")?,
             customer: CustomerId(customer_id),
             units,
-            width: width as f64,
-            first: first as f64,
+            gateway_set_size: width as f64,
+            gateway_set_start: first as f64,
             ..Request::default()
         };
         let mut bytes = Vec::with_capacity(96 + options.len() + args.get(4).map_or(0, |b| b.len() + 16));
--- a/src/bin/ingress/call/tests.rs
+++ b/src/bin/ingress/call/tests.rs
@@ -1,12 +1,15 @@
 //! Tests of [`super`].
 
 use super::*;
-use ingress::Group;
+use ingress::IdempotencyScope;
 
 fn words() -> Vocabulary {
-    let keyed = Repeat::Keyed { group: Group::Cell, window: 3_000_000 };
-    let classes =
-        vec![("quote".into(), Repeat::Safe), ("save".into(), keyed), ("refer".into(), Repeat::Once)];
+    let keyed = Idempotency::Keyed { scope: IdempotencyScope::Cell, window: 3_000_000 };
+    let classes = vec![
+        ("quote".into(), Idempotency::Idempotent),
+        ("save".into(), keyed),
+        ("refer".into(), Idempotency::NonIdempotent),
+    ];
     let plans = vec!["starter".into(), "business".into()];
     Vocabulary { classes, plans, most_units: 4.0, gateways: 4 }
 }
@@ -26,7 +29,7 @@
     let r = call.request;
     assert_eq!((r.class, r.plan, r.customer.0, call.wait), (1, 1, 0xb4d6_5521, 480_000));
     assert_eq!(call.id(), b"9b1f");
-    assert_eq!((r.units, r.width, r.first), (2.0, 3.0, 1.0));
+    assert_eq!((r.units, r.gateway_set_size, r.gateway_set_start), (2.0, 3.0, 1.0));
     let mut out = Vec::new();
     call.write(123_999, &mut out);
     let want = options.replace("480", "123");
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
-use ingress::Repeat;
+use ingress::Idempotency;
 use mio::Poll;
 
 const T: Micros = 1_000_000_000;
@@ -15,7 +15,7 @@
 impl Rig {
     fn new(memory: usize) -> Rig {
         let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let (at, classes) = (listener.local_addr().unwrap(), vec![("quote".into(), Repeat::Safe)]);
+        let (at, classes) = (listener.local_addr().unwrap(), vec![("quote".into(), Idempotency::Idempotent)]);
         let words = Vocabulary { classes, plans: vec!["starter".into()], most_units: 1.0, gateways: 1 };
         Rig { clients: Clients::new(listener, words, memory, Token), poll: Poll::new().unwrap(), at }
     }
--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -2,7 +2,7 @@
 
 use crate::call::Vocabulary;
 use crate::discovery::{EndpointList, Sites};
-use ingress::{conf::Conf, Micros, Settings};
+use ingress::{Micros, Settings, SettingsReader};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -88,21 +88,25 @@
         let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hex number: {seed}"))?;
         let mut pairs = Vec::new();
         flatten("", json.get("settings").ok_or("settings is missing")?, &mut pairs);
-        let conf = Conf::new(pairs);
-        let settings = conf.settings()?;
+        let conf = SettingsReader::new(pairs);
+        let settings = conf.settings().map_err(|e| e.to_string())?;
         if settings.tick == 0 {
             return Err("setting tick_us is 0".into());
         }
-        let names = conf.names("grades")?;
-        let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.repeat)).collect();
-        let most_units = conf.number_or("family_info.most_units", f64::MAX)?;
-        let (plans, gateways) = (conf.names("contracts")?, u64::from(settings.gateways));
+        let names = conf.names("grades").map_err(|e| e.to_string())?;
+        let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.idempotency)).collect();
+        let most_units = conf.number_or("family_info.most_units", f64::MAX).map_err(|e| e.to_string())?;
+        let (plans, gateways) =
+            (conf.names("contracts").map_err(|e| e.to_string())?, u64::from(settings.gateway_count));
         let vocabulary = Vocabulary { classes, plans, most_units, gateways };
-        let sites = Sites { zones: conf.list("zones")?, kinds: conf.list("skus")? };
+        let sites = Sites {
+            zones: conf.list("zones").map_err(|e| e.to_string())?,
+            kinds: conf.list("skus").map_err(|e| e.to_string())?,
+        };
         let known = json.get("known").ok_or("known is missing")?;
         let known = EndpointList::read(known, &sites).map_err(|e| format!("known: {e}"))?;
-        let peers = if settings.limits.peers { Some(Self::peers(&json)?) } else { None };
-        if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateways)) {
+        let peers = if settings.limits.peer_messages { Some(Self::peers(&json)?) } else { None };
+        if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateway_count)) {
             return Err("peers does not have one address for each of setting n_instances".into());
         }
         Ok(Config {
@@ -113,8 +117,8 @@
             memory: whole(&json, "limits", "memory_mb")?.saturating_mul(1 << 20),
             peers,
             known,
-            connect_timeout: conf.micros("limits.connect_timeout_us")?,
-            keepalive: conf.micros("limits.keepalive_us")?,
+            connect_timeout: conf.micros("limits.connect_timeout_us").map_err(|e| e.to_string())?,
+            keepalive: conf.micros("limits.keepalive_us").map_err(|e| e.to_string())?,
             settings,
             vocabulary,
             sites,
--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -2,7 +2,7 @@
 //! broken the list stays as it was, and the watch is begun anew with growing pauses.
 
 use ingress::backoff::{Backoff, Retry};
-use ingress::{Availability, BackendId, Listed, Micros};
+use ingress::{Availability, BackendId, Endpoint, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use serde::de::{self, DeserializeSeed, IgnoredAny, MapAccess, SeqAccess, Visitor};
@@ -50,8 +50,8 @@
 }
 
 /// A line of the list, with the address that the backend has for this ingress.
-pub struct Endpoint {
-    pub listed: Listed,
+pub struct EndpointEntry {
+    pub endpoint: Endpoint,
     pub address: Option<SocketAddr>,
 }
 
@@ -60,7 +60,7 @@
     pub index: u64,
     /// The whole list, not only what changed.
     pub whole: bool,
-    pub entries: Vec<Endpoint>,
+    pub entries: Vec<EndpointEntry>,
 }
 
 /// A backend's name as an id that is the same at every ingress: peers speak of backends by it (FNV-1a).
@@ -77,7 +77,7 @@
         let whole = json.get("snapshot").and_then(Value::as_bool).ok_or("snapshot is missing or no flag")?;
         let list =
             json.get("endpoints").and_then(Value::as_array).ok_or("endpoints is missing or no list")?;
-        let entries = list.iter().map(|e| Endpoint::read(e, sites)).collect::<Result<_, _>>()?;
+        let entries = list.iter().map(|e| EndpointEntry::read(e, sites)).collect::<Result<_, _>>()?;
         Ok(EndpointList { index, whole, entries })
     }
 }
@@ -114,24 +114,24 @@
 struct EntriesReader<'a>(&'a Sites);
 
 impl<'de> DeserializeSeed<'de> for EntriesReader<'_> {
-    type Value = Vec<Endpoint>;
+    type Value = Vec<EndpointEntry>;
 
-    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<Endpoint>, D::Error> {
+    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<EndpointEntry>, D::Error> {
         json.deserialize_seq(self)
     }
 }
 
 impl<'de> Visitor<'de> for EntriesReader<'_> {
-    type Value = Vec<Endpoint>;
+    type Value = Vec<EndpointEntry>;
 
     fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
         f.write_str("endpoints as a list")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<Endpoint>, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<EndpointEntry>, A::Error> {
         let mut entries = Vec::new();
         while let Some(json) = seq.next_element::<Value>()? {
-            entries.push(Endpoint::read(&json, self.0).map_err(de::Error::custom)?);
+            entries.push(EndpointEntry::read(&json, self.0).map_err(de::Error::custom)?);
         }
         Ok(entries)
     }
@@ -147,8 +147,8 @@
     }
 }
 
-impl Endpoint {
-    fn read(json: &Value, sites: &Sites) -> Result<Endpoint, String> {
+impl EndpointEntry {
+    fn read(json: &Value, sites: &Sites) -> Result<EndpointEntry, String> {
         let text = |key: &str| json.get(key).and_then(Value::as_str);
         let name = text("name").ok_or("endpoints has an entry without a name")?;
         let bad = |key: &str| format!("endpoints: {key} of {name} is missing or bad");
@@ -167,17 +167,17 @@
         };
         let since = json.get("since_ms").map_or(Some(0), Value::as_u64).ok_or_else(|| bad("since_ms"))?;
         let group = json.get("group").and_then(Value::as_u64).unwrap_or(0);
-        let listed = Listed {
+        let endpoint = Endpoint {
             backend: backend_id(name),
             zone: u8::try_from(place(&sites.zones, "zone")).unwrap_or(u8::MAX),
             cell: u16::try_from(group).map_err(|_| bad("group"))?,
-            kind: u16::try_from(place(&sites.kinds, "type")).unwrap_or(u16::MAX),
+            machine_type: u16::try_from(place(&sites.kinds, "type")).unwrap_or(u16::MAX),
             availability,
             size: json.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
             // The host's clock counts from the same moment as Unix time: only the unit is another.
-            started: since.saturating_mul(1000),
+            started_at: since.saturating_mul(1000),
         };
-        Ok(Endpoint { listed, address })
+        Ok(EndpointEntry { endpoint, address })
     }
 }
 
--- a/src/bin/ingress/discovery/tests.rs
+++ b/src/bin/ingress/discovery/tests.rs
@@ -28,9 +28,9 @@
         };
         assert_eq!((list.index, list.whole, goes_on), (43, false, !ended));
         let [one, two] = &list.entries[..] else { panic!("not two entries") };
-        assert_eq!((one.listed.zone, one.listed.kind, one.listed.cell), (1, 1, 3));
-        assert_eq!((one.listed.started, one.listed.availability), (7000, Availability::Draining));
-        assert_eq!((two.address, two.listed.availability), (None, Availability::Gone));
+        assert_eq!((one.endpoint.zone, one.endpoint.machine_type, one.endpoint.cell), (1, 1, 3));
+        assert_eq!((one.endpoint.started_at, one.endpoint.availability), (7000, Availability::Draining));
+        assert_eq!((two.address, two.endpoint.availability), (None, Availability::Gone));
         for cut in 0..text.len() - 1 {
             let part = read_answer(&text.as_bytes()[..cut], false, &sites(), MOST_BODY);
             assert!(matches!(part, Answer::Partial), "cut at {cut}: {text}");
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -11,7 +11,9 @@
 use crate::reload::Reload;
 use crate::resp;
 use ingress::backoff::Backoff;
-use ingress::{Action, BackendId, Discovery, Event, Gateway, Limits, Micros, Outcome, RequestId, RosterKind};
+use ingress::{
+    Action, BackendId, Discovery, EndpointUpdate, Event, Gateway, Limits, Micros, Outcome, RequestId,
+};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -184,16 +186,16 @@
     now: Micros,
 ) -> Event {
     let (backend, took) = (a.0, now.saturating_sub(a.1));
-    Event::Settled {
+    Event::AttemptEnded {
         id,
         attempt,
         backend,
         outcome,
-        complete,
-        took,
+        answered: complete,
+        elapsed: took,
         metered: None,
-        charged: None,
-        report: None,
+        charged_units: None,
+        load_report: None,
     }
 }
 
@@ -232,7 +234,9 @@
         // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
         let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
         let backoff = match settings.discovery {
-            Discovery::Ask => Backoff::shared(settings.rules.must_ask, u64::from(settings.gateways)),
+            Discovery::Poll => {
+                Backoff::shared(settings.rules.max_poll_interval, u64::from(settings.gateway_count))
+            }
             Discovery::Push => Backoff::AGENT,
         };
         let way = Way { backoff, most_body: most_body(config.memory), seed: config.seed, now };
@@ -243,7 +247,7 @@
             now,
             tick: settings.tick,
             limits: settings.limits.clone(),
-            asks_discovery: settings.discovery == Discovery::Ask,
+            asks_discovery: settings.discovery == Discovery::Poll,
             connect_timeout: config.connect_timeout,
             sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {allowed}"))?,
             memory: config.memory / MEMORY_SHARE,
@@ -271,7 +275,7 @@
             stopping: false,
             closing_since: None,
         };
-        ingress.take_roster(config.known, RosterKind::Cached);
+        ingress.take_roster(config.known, EndpointUpdate::CachedSnapshot);
         ingress.pump();
         crate::log(&format!("listening at {}", config.listen));
         Ok(ingress)
@@ -376,27 +380,28 @@
         let mut failed = ready && self.watch.ready(now, registry, &mut |roster| came.push(roster));
         failed |= self.watch.wake(now, registry);
         for roster in came {
-            let kind = if roster.whole { RosterKind::Full } else { RosterKind::Delta };
+            let kind = if roster.whole { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             self.take_roster(roster, kind);
         }
         if failed && self.asks_discovery {
-            self.events.push_back(Event::Roster(RosterKind::Failed, Vec::new()));
+            self.events.push_back(Event::Endpoints(EndpointUpdate::PollFailed, Vec::new()));
         }
         self.pump();
     }
 
-    fn take_roster(&mut self, roster: EndpointList, kind: RosterKind) {
+    fn take_roster(&mut self, roster: EndpointList, kind: EndpointUpdate) {
         self.backends.update(&roster);
-        if kind != RosterKind::Delta || !roster.entries.is_empty() {
-            let list = roster.entries.iter().map(|e| e.listed).collect();
-            self.events.push_back(Event::Roster(kind, list));
+        if kind != EndpointUpdate::Delta || !roster.entries.is_empty() {
+            let list = roster.entries.iter().map(|e| e.endpoint).collect();
+            self.events.push_back(Event::Endpoints(kind, list));
         }
     }
 
     fn hear_peers(&mut self) {
         let events = &mut self.events;
         if let Some(peers) = &mut self.peers {
-            self.peers_more |= peers.receive(|from, bytes| events.push_back(Event::Peer { from, bytes }));
+            self.peers_more |=
+                peers.receive(|from, bytes| events.push_back(Event::PeerMessage { from, bytes }));
         }
         self.pump();
     }
@@ -462,7 +467,7 @@
             let Incoming::Gone(id) = incoming else { continue };
             if let Some(open) = self.requests.get_mut(id).filter(|o| !o.over) {
                 open.over = true;
-                self.events.push_back(Event::Withdrawn(*id));
+                self.events.push_back(Event::ClientDisconnected(*id));
             }
         }
     }
@@ -492,7 +497,7 @@
             // There is no time left to serve it in, but it is answered: it never ran.
             return self.clients.answer(origin, b"-BUSY\r\n");
         }
-        if self.requests.len() >= self.limits.max_open as usize || self.held + size > self.memory {
+        if self.requests.len() >= self.limits.max_open_requests as usize || self.held + size > self.memory {
             // Never let in, so trying again is harmless.
             return self.clients.answer(origin, b"-BUSY\r\n");
         }
@@ -527,7 +532,12 @@
                     if let Some(sent) = self.backends.abandon(link) {
                         let outcome = if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         let took = self.now - began;
-                        self.events.push_back(Event::Probed { backend, outcome, took, report: None });
+                        self.events.push_back(Event::HealthCheckEnded {
+                            backend,
+                            outcome,
+                            elapsed: took,
+                            load_report: None,
+                        });
                     }
                 }
                 Due::Sweep => {
@@ -600,7 +610,7 @@
     fn overdue(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| !o.over) {
             self.answer(id, b"-ERR failed\r\n");
-            self.events.push_back(Event::Withdrawn(id));
+            self.events.push_back(Event::ClientDisconnected(id));
         }
     }
 
@@ -626,7 +636,14 @@
         let took = self.clock.now().saturating_sub(began);
         let (id, attempt) = match work {
             Work::Attempt(id, attempt) => (id, attempt),
-            Work::Probe => return self.events.push_back(Event::Probed { backend, outcome, took, report }),
+            Work::Probe => {
+                return self.events.push_back(Event::HealthCheckEnded {
+                    backend,
+                    outcome,
+                    elapsed: took,
+                    load_report: report,
+                })
+            }
         };
         let Some(open) = self.requests.get_mut(&id) else { return };
         if let Some(a) = open.attempts.get_mut(usize::from(attempt)) {
@@ -637,16 +654,16 @@
         }
         let complete = self.requests.get(&id).map_or(true, |o| o.over);
         let (metered, charged) = (None, None);
-        self.events.push_back(Event::Settled {
+        self.events.push_back(Event::AttemptEnded {
             id,
             attempt,
             backend,
             outcome,
-            complete,
-            took,
+            answered: complete,
+            elapsed: took,
             metered,
-            charged,
-            report,
+            charged_units: charged,
+            load_report: report,
         });
         self.forget(id);
     }
@@ -670,7 +687,7 @@
                 self.backends.abandon(link);
                 a.link = None;
                 let who = (a.backend, a.began);
-                self.events.push_back(settled(id, n, who, Outcome::Moot, true, self.clock.now()));
+                self.events.push_back(settled(id, n, who, Outcome::NotSent, true, self.clock.now()));
             }
         }
     }
@@ -687,8 +704,8 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { id, backend, expires } => self.send(id, backend, expires),
-            Action::Refuse { id, pause } => {
+            Action::Send { id, backend, expires_at: expires } => self.send(id, backend, expires),
+            Action::Reject { id, retry_after: pause } => {
                 let mut text = [0; 40];
                 let mut rest = &mut text[..];
                 let _ = match pause {
@@ -703,20 +720,20 @@
             Action::SetTimer { delay, token } => {
                 self.timers.push(Reverse((self.now.saturating_add(delay), Due::Module(token))));
             }
-            Action::Tell { to, bytes } => {
+            Action::SendToPeer { to, bytes } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &bytes);
                 }
             }
-            Action::Probe(backend) => self.probe(backend),
-            Action::CloseIdle(backend) => self.backends.close_idle(backend),
+            Action::CheckHealth(backend) => self.probe(backend),
+            Action::CloseIdleConnections(backend) => self.backends.close_idle(backend),
             // The watch is always on: a real ingress must keep one in any case.
-            Action::Watch(_) => {}
-            Action::FetchRoster => self.watch.fetch_whole(),
+            Action::WatchEndpoints(_) => {}
+            Action::FetchEndpoints => self.watch.fetch_whole(),
             // There is no counter among the real ingresses: nothing was added.
-            Action::Count { name, .. } => {
+            Action::IncrementCounter { name, .. } => {
                 let (outcome, total) = (Outcome::ConnectFailed, 0.0);
-                self.events.push_back(Event::Counted { name, outcome, total });
+                self.events.push_back(Event::CounterUpdated { name, outcome, total });
             }
             Action::Log(text) => crate::log(&text),
         }
@@ -725,14 +742,21 @@
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
         let Some(open) = self.requests.get_mut(&id) else {
             // Ended and forgotten: there is no attempt to count.
-            return self.events.push_back(settled(id, 0, (backend, self.now), Outcome::Moot, true, self.now));
+            return self.events.push_back(settled(
+                id,
+                0,
+                (backend, self.now),
+                Outcome::NotSent,
+                true,
+                self.now,
+            ));
         };
         let number = open.attempts.len();
         let attempt = u16::try_from(number).unwrap_or(u16::MAX);
         let until = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
         open.attempts.push(Attempt { backend, began: self.now, until, link: None });
         if open.over || until <= self.now || number >= self.limits.max_attempts as usize {
-            let event = settled(id, attempt, (backend, self.now), Outcome::Moot, open.over, self.now);
+            let event = settled(id, attempt, (backend, self.now), Outcome::NotSent, open.over, self.now);
             return self.events.push_back(event);
         }
         if !self.make_room(backend) {
@@ -770,7 +794,12 @@
     fn probe(&mut self, backend: BackendId) {
         if !self.make_room(backend) {
             let (outcome, took) = (Outcome::ConnectFailed, 0);
-            return self.events.push_back(Event::Probed { backend, outcome, took, report: None });
+            return self.events.push_back(Event::HealthCheckEnded {
+                backend,
+                outcome,
+                elapsed: took,
+                load_report: None,
+            });
         }
         let fill = |out: &mut Vec<u8>| {
             resp::put_array(out, 2);
--- a/src/bin/ingress/peers.rs
+++ b/src/bin/ingress/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between ingresses: UDP datagrams, known by the address they come from.
 
 use crate::config::PeerAddresses;
-use ingress::GatewayNo;
+use ingress::GatewayId;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry, Token};
 use std::io;
@@ -26,14 +26,14 @@
     }
 
     /// Takes in what has come, from peers alone; true if more may be waiting.
-    pub fn receive(&mut self, mut take: impl FnMut(GatewayNo, Vec<u8>)) -> bool {
+    pub fn receive(&mut self, mut take: impl FnMut(GatewayId, Vec<u8>)) -> bool {
         let mut buf = [0; MOST + 1]; // one more than allowed: a longer datagram shows as such
         for _ in 0..MOST_A_TURN {
             match self.socket.recv_from(&mut buf) {
                 Ok((n, from)) => {
                     let sender = self.known.peers.iter().position(|p| *p == from);
                     if let Some(no) = sender.and_then(|i| u16::try_from(i).ok()).filter(|_| n <= MOST) {
-                        take(GatewayNo(no), buf[..n].to_vec());
+                        take(GatewayId(no), buf[..n].to_vec());
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
@@ -45,7 +45,7 @@
     }
 
     /// Sends a message to one peer or to all; lost where it cannot go, as on the way.
-    pub fn tell(&self, to: Option<GatewayNo>, bytes: &[u8]) {
+    pub fn tell(&self, to: Option<GatewayId>, bytes: &[u8]) {
         let address = match to {
             Some(no) => self.known.peers.get(usize::from(no.0)),
             None => self.known.all.as_ref(),
--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use ingress::{conf::Conf, Action, Event, Gateway, Settings};
+use ingress::{Action, Event, Gateway, Settings, SettingsError, SettingsReader};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -30,9 +30,9 @@
 }
 
 /// The settings, and the names of the values in a load report.
-fn parse(text: &str) -> Result<(Settings, Vec<String>), String> {
-    let conf = Conf::from_lines(text)?;
-    Ok((conf.settings()?, conf.report_fields()?))
+fn parse(text: &str) -> Result<(Settings, Vec<String>), SettingsError> {
+    let reader = SettingsReader::from_lines(text)?;
+    Ok((reader.settings()?, reader.report_fields()?))
 }
 
 fn run() -> Result<(), String> {
@@ -49,7 +49,7 @@
             let event = match record.decode(&fields)? {
                 None => continue,
                 Some(wire::Decoded::Start { instance, seed, conf }) => {
-                    let (settings, names) = parse(conf).map_err(|e| record.error("conf", &e))?;
+                    let (settings, names) = parse(conf).map_err(|e| record.error("conf", &e.to_string()))?;
                     fields.insert(instance, names);
                     gateways.insert(instance, Gateway::new(settings, seed, batch.clock));
                     continue;
--- a/src/bin/simulator-adapter/wire.rs
+++ b/src/bin/simulator-adapter/wire.rs
@@ -1,8 +1,8 @@
 //! The simulator's frames: reading batches, writing replies. Every length and offset is checked.
 
 use ingress::{
-    conf::note_field, Action, Availability, BackendId, CustomerId, Event, GatewayNo, Listed, Outcome, Report,
-    Request, RequestId, RosterKind,
+    Action, Availability, BackendId, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId, LoadReport,
+    Outcome, Request, RequestId,
 };
 use std::collections::BTreeMap;
 
@@ -127,33 +127,33 @@
         Ok(match u16_at(self.body, at) {
             200 => Outcome::Ok,
             502 => Outcome::Error,
-            429 => Outcome::Full,
+            429 => Outcome::Rejected,
             408 => Outcome::TimedOut,
             521 => Outcome::ConnectFailed,
             520 => Outcome::Reset,
             444 => Outcome::Cancelled,
-            409 => Outcome::Moot,
+            409 => Outcome::NotSent,
             other => return Err(self.error("outcome", &format!("unknown code {other}"))),
         })
     }
 
-    fn report(&self, at: usize, fields: &[String]) -> Option<Report> {
+    fn report(&self, at: usize, fields: &[String]) -> Option<LoadReport> {
         let n = usize::from(self.body[at]).min(4);
-        let mut report = Report::default();
+        let mut report = LoadReport::default();
         for (i, name) in fields.iter().enumerate().take(n) {
             let value = f32_at(self.body, at + 1 + 4 * i);
             let value = value.is_finite().then_some(value);
-            note_field(&mut report, name, value);
+            report.set_field(name, value);
         }
         (n > 0).then_some(report)
     }
 
     fn roster(&self) -> Result<Event, String> {
         let kind = match self.body[3] {
-            0 => RosterKind::Delta,
-            1 => RosterKind::Full,
-            2 => RosterKind::Cached,
-            3 => RosterKind::Failed,
+            0 => EndpointUpdate::Delta,
+            1 => EndpointUpdate::Snapshot,
+            2 => EndpointUpdate::CachedSnapshot,
+            3 => EndpointUpdate::PollFailed,
             other => return Err(self.error("scope", &format!("unknown kind {other}"))),
         };
         let rows = self.tail_part(12, "rows", ENTRY)?;
@@ -165,17 +165,17 @@
                 2 => Availability::Gone,
                 other => return Err(self.error("rows.availability", &format!("unknown state {other}"))),
             };
-            list.push(Listed {
+            list.push(Endpoint {
                 backend: backend_at(row, 0),
                 zone: row[6],
-                kind: u16_at(row, 7),
+                machine_type: u16_at(row, 7),
                 cell: u16_at(row, 9),
                 availability,
                 size: f32_at(row, 12),
-                started: u64_at(row, 16),
+                started_at: u64_at(row, 16),
             });
         }
-        Ok(Event::Roster(kind, list))
+        Ok(Event::Endpoints(kind, list))
     }
 
     /// What the record says; none for a code that this adapter does not know.
@@ -198,33 +198,36 @@
                 customer: CustomerId(u64_at(b, 14)),
                 deadline: u64_at(b, 22),
                 units: f32_at(b, 30),
-                width: f32_at(b, 34),
-                first: f32_at(b, 38),
+                gateway_set_size: f32_at(b, 34),
+                gateway_set_start: f32_at(b, 38),
             }),
-            30 => Event::Probed {
+            30 => Event::HealthCheckEnded {
                 backend: backend_at(b, 3),
                 outcome: self.outcome(9)?,
-                took: u64::from(u32_at(b, 11)),
-                report: self.report(15, names),
+                elapsed: u64::from(u32_at(b, 11)),
+                load_report: self.report(15, names),
             },
-            20 => Event::Settled {
+            20 => Event::AttemptEnded {
                 id: RequestId(u64_at(b, 3)),
-                took: u64::from(u32_at(b, 11)),
+                elapsed: u64::from(u32_at(b, 11)),
                 outcome: self.outcome(15)?,
-                complete: b[17] != 0,
+                answered: b[17] != 0,
                 attempt: u16_at(b, 18),
                 metered: Some(u16_at(b, 20)).filter(|m| *m > 0).map(|m| f64::from(m - 1) / 100.0),
                 backend: backend_at(b, 22),
-                charged: Some(u16_at(b, 28)).filter(|c| *c > 0).map(f64::from),
-                report: self.report(30, names),
+                charged_units: Some(u16_at(b, 28)).filter(|c| *c > 0).map(f64::from),
+                load_report: self.report(30, names),
             },
-            40 => Event::Counted { name: u64_at(b, 3), outcome: self.outcome(11)?, total: f32_at(b, 13) },
-            90 => Event::Withdrawn(RequestId(u64_at(b, 3))),
+            40 => {
+                Event::CounterUpdated { name: u64_at(b, 3), outcome: self.outcome(11)?, total: f32_at(b, 13) }
+            }
+            90 => Event::ClientDisconnected(RequestId(u64_at(b, 3))),
             70 => Event::Timer(u32_at(b, 3)),
             100 => Event::FirstByte { id: RequestId(u64_at(b, 3)), attempt: u16_at(b, 11) },
-            80 => {
-                Event::Peer { from: GatewayNo(u16_at(b, 3)), bytes: self.tail_part(5, "octets", 1)?.to_vec() }
-            }
+            80 => Event::PeerMessage {
+                from: GatewayId(u16_at(b, 3)),
+                bytes: self.tail_part(5, "octets", 1)?.to_vec(),
+            },
             _ => return Ok(None),
         };
         Ok(Some(Decoded::Event { instance, event }))
@@ -252,13 +255,13 @@
             let mut put = |at: usize, bytes: &[u8]| r[at..at + bytes.len()].copy_from_slice(bytes);
             let mut code = |value: u8| put(0, &[value]);
             match action {
-                Action::Send { id, backend, expires } => {
+                Action::Send { id, backend, expires_at: expires } => {
                     code(10);
                     put(3, &id.0.to_le_bytes());
                     put(11, &expires.to_le_bytes());
                     put(19, &backend.0.to_le_bytes()[..6]);
                 }
-                Action::Refuse { id, pause } => {
+                Action::Reject { id, retry_after: pause } => {
                     code(20);
                     put(3, &id.0.to_le_bytes());
                     put(11, &u32::try_from(*pause).unwrap_or(u32::MAX).to_le_bytes());
@@ -277,15 +280,15 @@
                     put(3, &u32::try_from(*delay).unwrap_or(u32::MAX).to_le_bytes());
                     put(7, &token.to_le_bytes());
                 }
-                Action::Probe(backend) => {
+                Action::CheckHealth(backend) => {
                     code(60);
                     put(3, &backend.0.to_le_bytes()[..6]);
                 }
-                Action::CloseIdle(backend) => {
+                Action::CloseIdleConnections(backend) => {
                     code(70);
                     put(3, &backend.0.to_le_bytes()[..6]);
                 }
-                Action::Tell { to, bytes } => {
+                Action::SendToPeer { to, bytes } => {
                     code(80);
                     put(3, &to.map_or(u16::MAX, |peer| peer.0).to_le_bytes());
                     put(5, &(self.tail.len() as u32).to_le_bytes());
@@ -298,12 +301,12 @@
                     put(7, &(text.len() as u32).to_le_bytes());
                     self.tail.extend_from_slice(text.as_bytes());
                 }
-                Action::Watch(on) => {
+                Action::WatchEndpoints(on) => {
                     code(110);
                     put(3, &[u8::from(*on)]);
                 }
-                Action::FetchRoster => code(120),
-                Action::Count { name, delta, lifetime } => {
+                Action::FetchEndpoints => code(120),
+                Action::IncrementCounter { name, delta, lifetime } => {
                     code(130);
                     put(3, &u32::try_from(*lifetime).unwrap_or(u32::MAX).to_le_bytes());
                     put(7, &(*delta as f32).to_le_bytes());
--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -6,21 +6,21 @@
 fn every_action_has_its_code_and_its_fields_in_place() {
     let (id, backend) = (RequestId(0x0a_0b0c), BackendId(0x0605_0403_0201));
     let actions = [
-        (10, Action::Send { id, backend, expires: 77 }, vec![(3, 0x0c), (11, 77), (19, 1), (24, 6)]),
-        (20, Action::Refuse { id, pause: 300 }, vec![(3, 0x0c), (11, 44), (12, 1)]),
+        (10, Action::Send { id, backend, expires_at: 77 }, vec![(3, 0x0c), (11, 77), (19, 1), (24, 6)]),
+        (20, Action::Reject { id, retry_after: 300 }, vec![(3, 0x0c), (11, 44), (12, 1)]),
         (30, Action::Fail(id), vec![(3, 0x0c), (4, 0x0b)]),
         (40, Action::Cancel { id, attempt: 258 }, vec![(3, 0x0c), (11, 2), (12, 1)]),
         (50, Action::SetTimer { delay: 5, token: 9 }, vec![(3, 5), (7, 9)]),
-        (60, Action::Probe(backend), vec![(3, 1), (8, 6)]),
-        (70, Action::CloseIdle(backend), vec![(3, 1), (8, 6)]),
-        (80, Action::Tell { to: Some(GatewayNo(2)), bytes: vec![8, 9] }, vec![(3, 2), (5, 0), (9, 2)]),
-        (80, Action::Tell { to: None, bytes: vec![7] }, vec![(3, 255), (4, 255), (5, 2), (9, 1)]),
+        (60, Action::CheckHealth(backend), vec![(3, 1), (8, 6)]),
+        (70, Action::CloseIdleConnections(backend), vec![(3, 1), (8, 6)]),
+        (80, Action::SendToPeer { to: Some(GatewayId(2)), bytes: vec![8, 9] }, vec![(3, 2), (5, 0), (9, 2)]),
+        (80, Action::SendToPeer { to: None, bytes: vec![7] }, vec![(3, 255), (4, 255), (5, 2), (9, 1)]),
         (90, Action::Log("abc".into()), vec![(3, 3), (7, 3)]),
-        (110, Action::Watch(true), vec![(3, 1)]),
-        (120, Action::FetchRoster, vec![(3, 0)]),
+        (110, Action::WatchEndpoints(true), vec![(3, 1)]),
+        (120, Action::FetchEndpoints, vec![(3, 0)]),
         (
             130,
-            Action::Count { name: 6, delta: 4.0, lifetime: 8 },
+            Action::IncrementCounter { name: 6, delta: 4.0, lifetime: 8 },
             vec![(3, 8), (9, 0x80), (10, 0x40), (11, 6)],
         ),
     ];
@@ -95,7 +95,7 @@
     assert_eq!(read(body(70, &[(3, &[6])])), "Timer(6)");
     assert_eq!(read(body(100, &[(3, &[6]), (11, &[2])])), "FirstByte { id: RequestId(6), attempt: 2 }");
     let peer = body(80, &[(3, &[2]), (5, &[1]), (9, &[2])]);
-    assert_eq!(read(peer), "Peer { from: GatewayNo(2), bytes: [5, 6] }");
+    assert_eq!(read(peer), "Peer { from: GatewayId(2), bytes: [5, 6] }");
     let probed = read(body(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
     assert!(probed.contains("Moot") && probed.contains("took: 7"), "{probed}");
     let counted = read(body(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,5 +1,5 @@
 //! Every decision of a gateway. Its types stand in `src/interface.rs`, its records in `src/state.rs`.
-use crate::{gossip::*, interface::*, quota::*, state::*};
+use crate::{gossip::*, quota::*, state::*, *};
 use std::cmp::Reverse;
 
 const WAKE_TICKS: u64 = 5; // ticks between wake-ups, which look at deadlines and gossip; more saves CPU
@@ -69,12 +69,14 @@
 impl Gateway {
     /// A gateway that starts now and knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
-        let usual =
-            settings.classes.iter().map(|c| Usual { recent: c.aim as f64 * 0.15, ..Usual::default() });
+        let usual = settings
+            .classes
+            .iter()
+            .map(|c| Usual { recent: c.latency_objective as f64 * 0.15, ..Usual::default() });
         let usual = usual.map(|u| Usual { calm: u.recent, at: now, ..u }).collect();
-        let shares = u64::from(settings.gateways.max(1));
+        let shares = u64::from(settings.gateway_count.max(1));
         // Most of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
-        let period = 1.5 * (shares as f64 - 1.0) / settings.limits.peer_in_per_s.max(1.0);
+        let period = 1.5 * (shares as f64 - 1.0) / settings.limits.peer_messages_per_second.max(1.0);
         let few = period <= FEW_PERIOD;
         Gateway {
             rng: seed,
@@ -107,13 +109,13 @@
         self.now = self.now.max(now);
         match event {
             Event::Request(req) => self.on_request(req, act),
-            Event::Settled { .. } => self.on_settled(event, act),
-            Event::Withdrawn(id) => self.on_gone(id, act),
+            Event::AttemptEnded { .. } => self.on_settled(event, act),
+            Event::ClientDisconnected(id) => self.on_gone(id, act),
             Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, act),
-            Event::Peer { from, bytes } => self.on_peer(from, &bytes, act),
-            Event::Roster(kind, list) => self.on_roster(kind, list, act),
+            Event::PeerMessage { from, bytes } => self.on_peer(from, &bytes, act),
+            Event::Endpoints(kind, list) => self.on_roster(kind, list, act),
             Event::Timer(_) if self.now < self.wake_at => return,
-            Event::Timer(_) | Event::Probed { .. } | Event::Counted { .. } => {}
+            Event::Timer(_) | Event::HealthCheckEnded { .. } | Event::CounterUpdated { .. } => {}
         }
         if self.now >= self.wake_at {
             self.on_wake(act);
@@ -145,10 +147,10 @@
         let (quota, ceiling) = self.wait_for_room(&req);
         let c = &self.customers[&req.customer];
         // A no may rest on older news than a yes: else a red customer's retries ask without end.
-        let red = quota.is_some() && self.s.plans[plan].open_cap == 0;
+        let red = quota.is_some() && self.s.plans[plan].concurrency_quota == 0;
         let yes = if self.period > 0 { FRESH } else { 0 }; // a yes was for another request
         let known = c.home || now - c.news_at.min(now) < if red { NO_AGAIN } else { yes };
-        let short = ceiling.is_some() && quota.is_none() && c.pools != [self.s.me.0; 2];
+        let short = ceiling.is_some() && quota.is_none() && c.pools != [self.s.own_id.0; 2];
         if !may_wait || (known && !short) {
             self.requests.insert(req.id, open);
             return self.admit(req.id, true, act);
@@ -173,7 +175,7 @@
 
     /// How long a request may be held for its homes' word.
     fn word_wait(&self, req: &Request, arrived: Micros) -> Micros {
-        let left = (req.deadline - arrived).min(self.s.classes[usize::from(req.class)].aim);
+        let left = (req.deadline - arrived).min(self.s.classes[usize::from(req.class)].latency_objective);
         FRESH.min(left / 5)
     }
 
@@ -219,7 +221,7 @@
 
     fn refuse(&self, id: RequestId, pause: Micros, act: &mut Vec<Action>) {
         let most = if self.s.limits.retry_after { self.s.limits.max_retry_after } else { 0 };
-        act.push(Action::Refuse { id, pause: pause.min(most) });
+        act.push(Action::Reject { id, retry_after: pause.min(most) });
     }
 
     /// Seconds for which all use has been known here.
@@ -231,9 +233,13 @@
     fn meet(&mut self, req: &mut Request) -> bool {
         let (now, life) = (self.now, self.life());
         let plan = &self.s.plans[usize::from(req.plan)];
-        let most = self.s.gateways.max(1) as f64;
-        let sane = req.width.is_finite() && (0.0..most).contains(&req.first);
-        let (first, width) = if sane { (req.first.floor(), req.width.clamp(1.0, most)) } else { (0.0, most) };
+        let most = self.s.gateway_count.max(1) as f64;
+        let sane = req.gateway_set_size.is_finite() && (0.0..most).contains(&req.gateway_set_start);
+        let (first, width) = if sane {
+            (req.gateway_set_start.floor(), req.gateway_set_size.clamp(1.0, most))
+        } else {
+            (0.0, most)
+        };
         // A customer unseen here: its share, or one request, and what has filled since this start.
         let known = ((plan.burst / width).max(req.units) + plan.rate * life).min(plan.burst);
         // In a large fleet a start says little: most customers have all but full stores, and one home counts.
@@ -320,21 +326,22 @@
     /// How warm a backend is for sure, and whether this gateway alone may send it one more in the rule's
     /// window. Where its part is less than a request, it is drawn who may: one each would be a hundred.
     fn warmth(&self, b: &Backend) -> (f64, bool) {
-        let (rules, age) = (&self.s.rules, self.now.saturating_sub(b.listed.started));
-        if b.listed.started == 0 || age >= rules.cold_time {
+        let (rules, age) = (&self.s.rules, self.now.saturating_sub(b.listed.started_at));
+        if b.listed.started_at == 0 || age >= rules.slow_start_duration {
             return (1.0, true);
         }
-        let warmth = rules.cold_from + (1.0 - rules.cold_from) * age as f64 / rules.cold_time as f64;
-        let span = rules.fall_time.max(1);
+        let warmth = rules.slow_start_floor
+            + (1.0 - rules.slow_start_floor) * age as f64 / rules.slow_start_duration as f64;
+        let span = rules.overload_window.max(1);
         let recent = b.cold_sends.iter().filter(|t| **t + span > self.now).count() as f64;
         let rate = self.sent_rate * decay(self.sent_at, self.now, RATE_TAU);
         let fair = rate * b.size / self.ready_size.max(b.size) * span as f64 / SECOND;
-        let budget = (rules.fall_factor * warmth * fair * COLD_MARGIN).max(1.0 / self.shares as f64);
+        let budget = (rules.overload_factor * warmth * fair * COLD_MARGIN).max(1.0 / self.shares as f64);
         // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and
         // whoever wins in any part of it sends.
         let turn = span * COLD_TURN;
-        let turns = (self.now + (hash(u64::from(self.s.me.0)) * turn as f64) as u64) / turn;
-        let lot = hash(b.listed.backend.0 ^ turns << 48 ^ u64::from(self.s.me.0) << 32);
+        let turns = (self.now + (hash(u64::from(self.s.own_id.0)) * turn as f64) as u64) / turn;
+        let lot = hash(b.listed.backend.0 ^ turns << 48 ^ u64::from(self.s.own_id.0) << 32);
         (warmth, recent + lot < budget)
     }
 
@@ -345,9 +352,9 @@
         let k = usize::from(o.req.class);
         // An attempt begins once its connection is up: by then, too, the window has to be open.
         let latest = now + self.s.tick + self.s.limits.connect_timeout;
-        let bound = match (self.s.classes[k].repeat, o.may_have_run()) {
-            (Repeat::Keyed { window, .. }, Some(a)) if latest >= a.sent + window => return None,
-            (Repeat::Keyed { group, .. }, Some(a)) => Some((group, a.to)),
+        let bound = match (self.s.classes[k].idempotency, o.may_have_run()) {
+            (Idempotency::Keyed { window, .. }, Some(a)) if latest >= a.sent + window => return None,
+            (Idempotency::Keyed { scope: group, .. }, Some(a)) => Some((group, a.to)),
             _ => None,
         };
         // Two drawn by their weight, and more the more of the load is its own: what many see as the
@@ -361,9 +368,11 @@
         for step in 0..if want < all { 4 * n } else { n } {
             let Some(bid) = self.order.get(((noise * n as f64) as usize + step) % n) else { continue };
             let Some(b) = self.backends.get(&bid) else { continue };
-            let fits = bound.map_or(true, |(group, l): (Group, Listed)| {
+            let fits = bound.map_or(true, |(group, l): (IdempotencyScope, Endpoint)| {
                 let (zone, cell) = (b.listed.zone == l.zone, b.listed.cell == l.cell);
-                group == Group::All || (group == Group::Zone && zone) || (group == Group::Cell && cell)
+                group == IdempotencyScope::Fleet
+                    || (group == IdempotencyScope::Zone && zone)
+                    || (group == IdempotencyScope::Cell && cell)
             });
             let tried = o.attempts.iter().any(|a| a.to.backend == bid);
             let (warmth, may) = self.warmth(b);
@@ -401,7 +410,7 @@
             self.retries = (self.retries + RETRY_SHARE).min(retry_store(self.shares));
         }
         self.customers.entry(o.req.customer).and_modify(|c| c.open += 1);
-        let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
+        let patience = o.patience(self.s.classes[usize::from(o.req.class)].latency_objective);
         self.checks.push(Reverse((now + (patience * SILENCE) as Micros, id)));
         self.out += 1;
         self.sent_rate = self.sent_rate * decay(self.sent_at, now, RATE_TAU) + 1.0 / RATE_TAU;
@@ -409,17 +418,19 @@
         if let Some(b) = self.backends.get_mut(&bid) {
             o.attempts.push(Attempt { to: b.listed, sent: now, out: true, cancelled: false, void: false });
             b.out += 1;
-            b.cold_sends.retain(|t| *t + self.s.rules.fall_time > now);
+            b.cold_sends.retain(|t| *t + self.s.rules.overload_window > now);
             b.cold_sends.push_back(now);
         }
         // Past the aim an attempt earns nothing, but goes on holding one of its customer's few places. In a
         // small fleet the clients that come again would cost more.
         let (class, plan) =
             (&self.s.classes[usize::from(o.req.class)], &self.s.plans[usize::from(o.req.plan)]);
-        let idle =
-            self.period == 0 && plan.open_cap > 0 && class.late_worth == 0.0 && class.aim_stretch == 0.0;
-        let expires = if idle { (o.arrived + class.aim).max(now + self.s.tick) } else { 0 };
-        act.push(Action::Send { id, backend: bid, expires });
+        let idle = self.period == 0
+            && plan.concurrency_quota > 0
+            && class.late_weight == 0.0
+            && class.latency_objective_stretch == 0.0;
+        let expires = if idle { (o.arrived + class.latency_objective).max(now + self.s.tick) } else { 0 };
+        act.push(Action::Send { id, backend: bid, expires_at: expires });
         true
     }
 
@@ -427,7 +438,7 @@
 
     /// An answer's lesson; one that a peer had (`own` false) counts, but rests nobody.
     pub(crate) fn learn(&mut self, bid: BackendId, class: usize, took: Option<f64>, own: bool) {
-        let (now, aim) = (self.now, self.s.classes[class].aim.max(1) as f64);
+        let (now, aim) = (self.now, self.s.classes[class].latency_objective.max(1) as f64);
         let Some(b) = self.backends.get_mut(&bid) else { return };
         if own {
             b.health[class].note(now, took.is_none(), 0.15);
@@ -460,7 +471,7 @@
 
     fn on_answer(&mut self, bid: BackendId, outcome: Outcome, took: Micros, class: Option<usize>) {
         let (Some(b), Some(class)) = (self.backends.get_mut(&bid), class) else { return };
-        if matches!(outcome, Outcome::Moot | Outcome::Cancelled | Outcome::TimedOut) {
+        if matches!(outcome, Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut) {
             return;
         }
         let now = self.now;
@@ -469,7 +480,7 @@
         self.zones.entry(b.listed.zone).or_default().note(now, !reached, if reached { 1.0 } else { 0.3 });
         let h = &mut b.health[class];
         h.heard = now;
-        if outcome == Outcome::Full {
+        if outcome == Outcome::Rejected {
             b.queue += self.shares as f64;
             return self.feel(2.0);
         }
@@ -483,29 +494,40 @@
     }
 
     fn on_settled(&mut self, event: Event, act: &mut Vec<Action>) {
-        let Event::Settled { id, attempt, backend, outcome, complete, took, charged, report, .. } = event
+        let Event::AttemptEnded {
+            id,
+            attempt,
+            backend,
+            outcome,
+            answered: complete,
+            elapsed: took,
+            charged_units: charged,
+            load_report: report,
+            ..
+        } = event
         else {
             return;
         };
         let class = self.requests.get(&id).map(|o| usize::from(o.req.class));
         self.on_answer(backend, outcome, took, class);
-        if let (Some(b), Some(queue)) = (self.backends.get_mut(&backend), report.and_then(|r| r.queue)) {
+        if let (Some(b), Some(queue)) = (self.backends.get_mut(&backend), report.and_then(|r| r.queue_depth))
+        {
             (b.queue, b.told_at) = (queue.clamp(0.0, 1000.0), self.now);
         }
         let Some(o) = self.requests.get_mut(&id) else { return };
         let Some(a) = o.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
-        (a.out, a.void) = (false, outcome.never_ran());
+        (a.out, a.void) = (false, outcome.never_executed());
         self.out = self.out.saturating_sub(1);
         if let Some(b) = self.backends.get_mut(&a.to.backend) {
             b.out = b.out.saturating_sub(1);
         }
         let left = a.to.backend;
         let (customer, units) = (o.req.customer, o.req.units);
-        let more = charged.filter(|_| self.s.post_paid).map_or(0.0, |u| u - units);
+        let more = charged.filter(|_| self.s.postpaid).map_or(0.0, |u| u - units);
         let mut news = more != 0.0;
         if let Some(c) = self.customers.get_mut(&customer) {
             (c.open, c.level, c.used) = (c.open.saturating_sub(1), c.level - more, c.used + more);
-            news |= self.s.plans[c.plan].open_cap > 0;
+            news |= self.s.plans[c.plan].concurrency_quota > 0;
         }
         o.done |= complete || outcome == Outcome::Ok;
         if o.done {
@@ -524,10 +546,10 @@
     fn again(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let o = &self.requests[&id];
         let class = &self.s.classes[usize::from(o.req.class)];
-        let allowed = class.repeat != Repeat::Once || o.may_have_run().is_none();
-        let useful = self.now + self.s.tick < (o.arrived + class.aim).min(o.req.deadline);
+        let allowed = class.idempotency != Idempotency::NonIdempotent || o.may_have_run().is_none();
+        let useful = self.now + self.s.tick < (o.arrived + class.latency_objective).min(o.req.deadline);
         let room = (o.attempts.len() as u32) < self.s.limits.max_attempts;
-        let single = o.out() == 0 || self.s.limits.second_copies;
+        let single = o.out() == 0 || self.s.limits.hedging;
         let sent = allowed && useful && room && single && self.retries >= 1.0 && self.send(id, act);
         self.retries -= f64::from(u8::from(sent));
         sent
@@ -536,9 +558,11 @@
     /// The final answer of a request that is not served: refused where that is true, else failed.
     fn finish(&mut self, id: RequestId, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
-        let repeat = self.s.classes[usize::from(o.req.class)].repeat;
-        if matches!(repeat, Repeat::Safe | Repeat::Keyed { group: Group::All, .. })
-            || o.may_have_run().is_none()
+        let repeat = self.s.classes[usize::from(o.req.class)].idempotency;
+        if matches!(
+            repeat,
+            Idempotency::Idempotent | Idempotency::Keyed { scope: IdempotencyScope::Fleet, .. }
+        ) || o.may_have_run().is_none()
         {
             self.refuse(id, RUNG_UP, act);
         } else {
@@ -551,7 +575,7 @@
     fn on_gone(&mut self, id: RequestId, act: &mut Vec<Action>) {
         let Some(o) = self.requests.get_mut(&id) else { return };
         o.done = true;
-        o.call_off(None, self.s.limits.cancel && !o.streaming, act);
+        o.call_off(None, self.s.limits.cancellation && !o.streaming, act);
         if o.out() == 0 {
             let (req, unsent, held) = (o.req, o.attempts.is_empty(), o.held);
             self.requests.remove(&id);
@@ -583,9 +607,9 @@
         let ready: Vec<u16> = self.due.iter().copied().filter(ready).collect();
         ready.into_iter().for_each(|p| self.flush(p, act));
         self.sweep(act);
-        if self.s.discovery == Discovery::Ask && now >= self.watch_at {
-            self.watch_at = now + (self.s.rules.must_ask / 2).max(1);
-            act.push(Action::Watch(true));
+        if self.s.discovery == Discovery::Poll && now >= self.watch_at {
+            self.watch_at = now + (self.s.rules.max_poll_interval / 2).max(1);
+            act.push(Action::WatchEndpoints(true));
         }
     }
 
@@ -597,7 +621,7 @@
     /// Ends a request that has waited for a place for as long as it may; true if it need not wait.
     fn give_up(&mut self, id: RequestId, act: &mut Vec<Action>) -> bool {
         let Some(o) = self.requests.get(&id).filter(|o| !o.done && o.out() == 0) else { return true };
-        let patience = o.patience(self.s.classes[usize::from(o.req.class)].aim);
+        let patience = o.patience(self.s.classes[usize::from(o.req.class)].latency_objective);
         let end = self.now > o.arrived + (patience * HOLD) as Micros || !self.may_wait(o, self.now);
         if end {
             self.finish(id, act);
@@ -617,7 +641,10 @@
         }
         let Some(o) = self.requests.get_mut(&id).filter(|o| !o.done && !o.streaming) else { return };
         let k = usize::from(o.req.class);
-        let (once, patience) = (self.s.classes[k].repeat == Repeat::Once, o.patience(self.s.classes[k].aim));
+        let (once, patience) = (
+            self.s.classes[k].idempotency == Idempotency::NonIdempotent,
+            o.patience(self.s.classes[k].latency_objective),
+        );
         let Some(a) = o.attempts.iter_mut().rev().find(|a| a.out && !a.cancelled) else { return };
         let (bid, hedge_at) = (a.to.backend, a.sent + (patience * HEDGE) as Micros);
         let Some(b) = self.backends.get_mut(&bid) else { return };
@@ -626,25 +653,25 @@
             return self.checks.push(Reverse((hedge_at, id)));
         }
         let (hedge, limits) = ((silent || self.rung == 0) && !once, &self.s.limits);
-        if hedge && !limits.second_copies && silent && limits.cancel && self.retries >= 1.0 {
+        if hedge && !limits.hedging && silent && limits.cancellation && self.retries >= 1.0 {
             o.call_off(None, true, act);
         }
         if silent && now >= b.health[k].rest_until {
             b.health[k].rest(now);
             self.learn(bid, k, None, true);
         }
-        if hedge && self.s.limits.second_copies {
+        if hedge && self.s.limits.hedging {
             self.again(id, act);
         }
     }
 
     // ---- 6. The list of backends ----
 
-    fn on_roster(&mut self, kind: RosterKind, list: Vec<Listed>, act: &mut Vec<Action>) {
-        if kind == RosterKind::Failed {
-            return self.watch_at = self.watch_at.min(self.now + (self.s.rules.must_ask / 8).max(1));
+    fn on_roster(&mut self, kind: EndpointUpdate, list: Vec<Endpoint>, act: &mut Vec<Action>) {
+        if kind == EndpointUpdate::PollFailed {
+            return self.watch_at = self.watch_at.min(self.now + (self.s.rules.max_poll_interval / 8).max(1));
         }
-        if kind == RosterKind::Delta {
+        if kind == EndpointUpdate::Delta {
             list.into_iter().for_each(|l| self.on_change(l));
         } else {
             self.backends.values_mut().for_each(|b| b.ready = false); // absent from a whole list: gone
@@ -656,14 +683,14 @@
     }
 
     /// Takes an entry of the list into the backend's record.
-    pub(crate) fn note(&mut self, l: Listed) {
+    pub(crate) fn note(&mut self, l: Endpoint) {
         let b = self.backends.entry(l.backend).or_default();
-        if b.health.is_empty() || l.started != b.listed.started {
+        if b.health.is_empty() || l.started_at != b.listed.started_at {
             (b.slow, b.queue) = (1.0, 0.0); // a new process, a new record
             b.health = vec![Health::default(); self.s.classes.len()];
         }
         b.listed = l;
-        let sized = self.s.sizes == SizeMeaning::Capacity && l.size.is_finite() && l.size > 0.0;
+        let sized = self.s.size_meaning == SizeMeaning::Capacity && l.size.is_finite() && l.size > 0.0;
         b.size = if sized { l.size } else { 1.0 };
         b.ready = l.availability == Availability::Ready;
     }
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,152 @@
+//! What a gateway sees: requests, the ends of attempts, endpoint lists, peers' messages and timers.
+
+use crate::{BackendId, CustomerId, Endpoint, EndpointUpdate, GatewayId, Micros, RequestId};
+
+/// The load that a backend reported, as far as it reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Requests in work.
+    pub in_flight: Option<f64>,
+    /// Requests waiting.
+    pub queue_depth: Option<f64>,
+    /// Share of the cores in use.
+    pub utilization: Option<f64>,
+    /// Recent service time in milliseconds.
+    pub latency_ms: Option<f64>,
+    /// Requests served a second.
+    pub requests_per_second: Option<f64>,
+    /// Errors a second.
+    pub errors_per_second: Option<f64>,
+}
+
+impl LoadReport {
+    /// Sets the value that the settings, or plain words, give this name; unknown names are skipped.
+    pub fn set_field(&mut self, name: &str, value: Option<f64>) {
+        match name {
+            "concurrent" | "inflight" => self.in_flight = value,
+            "depth" | "queue" => self.queue_depth = value,
+            "load_share" | "util" => self.utilization = value,
+            "mean_ms" | "latency_ms" => self.latency_ms = value,
+            "tps" | "qps" => self.requests_per_second = value,
+            "err_ps" | "eps" => self.errors_per_second = value,
+            _ => {}
+        }
+    }
+}
+
+/// How an attempt, a health check or a call to the shared counter ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Ok,
+    /// An error answer; it may have been executed.
+    Error,
+    /// Rejected unseen.
+    Rejected,
+    /// No answer in time; it may have been executed.
+    TimedOut,
+    /// No connection; it was never executed.
+    ConnectFailed,
+    /// The connection broke; it may have been executed.
+    Reset,
+    /// Cancelled; it may have been executed.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt was never executed.
+    pub fn never_executed(self) -> bool {
+        matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent)
+    }
+}
+
+/// A client's request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Request {
+    /// Its name.
+    pub id: RequestId,
+    /// Index into [`Settings::classes`](crate::Settings::classes).
+    pub class: u8,
+    /// Index into [`Settings::plans`](crate::Settings::plans).
+    pub plan: u16,
+    /// Whose it is.
+    pub customer: CustomerId,
+    /// When the client abandons it.
+    pub deadline: Micros,
+    /// What it draws from the quota.
+    pub units: f64,
+    /// Over how many gateways the customer's requests come.
+    pub gateway_set_size: f64,
+    /// The first of these gateways; the others follow it by index, and gateway 0 follows the last.
+    pub gateway_set_start: f64,
+}
+
+/// What a gateway sees.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// An endpoint list, or a change of it.
+    Endpoints(EndpointUpdate, Vec<Endpoint>),
+    /// A request arrived.
+    Request(Request),
+    /// An attempt ended.
+    AttemptEnded {
+        /// The request.
+        id: RequestId,
+        /// The number of the attempt, from 0.
+        attempt: u16,
+        /// Where it went.
+        backend: BackendId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The request has its final answer.
+        answered: bool,
+        /// How long it was in flight.
+        elapsed: Micros,
+        /// The customer's metered use as a share of its rate or concurrency quota, where there is a meter.
+        metered: Option<f64>,
+        /// True units, where they are settled afterwards.
+        charged_units: Option<f64>,
+        /// The load report that came along.
+        load_report: Option<LoadReport>,
+    },
+    /// A streamed answer began; the attempt is the client's from now on.
+    FirstByte {
+        /// The request.
+        id: RequestId,
+        /// The number of the attempt.
+        attempt: u16,
+    },
+    /// The client disconnected; no answer is owed.
+    ClientDisconnected(RequestId),
+    /// A timer came due.
+    Timer(u32),
+    /// A health check ended.
+    HealthCheckEnded {
+        /// The backend.
+        backend: BackendId,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// The load report that came along.
+        load_report: Option<LoadReport>,
+    },
+    /// A peer's message.
+    PeerMessage {
+        /// The sender.
+        from: GatewayId,
+        /// The message.
+        bytes: Vec<u8>,
+    },
+    /// A call to the shared counter ended.
+    CounterUpdated {
+        /// The number's name.
+        name: u64,
+        /// How it ended.
+        outcome: Outcome,
+        /// The total, with [`Outcome::Ok`].
+        total: f64,
+    },
+}
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,6 +1,6 @@
 //! The bytes of messages between gateways: packing and checked unpacking. No decision lives here.
 
-use crate::interface::CustomerId;
+use crate::CustomerId;
 
 const USE: u8 = 0;
 const NEWS: u8 = 1;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,49 +8,62 @@
 //! use ingress::*;
 //!
 //! let plan = Plan {
-//!     rate: 10.0, burst: 20.0, open_cap: 0, ceiling_rate: 0.0, ceiling_burst: 0.0, ceiling_slack: 0.0,
-//!     price: 1.0, over_worth: 0.0, over_cost: 1.0,
+//!     rate: 10.0, burst: 20.0, concurrency_quota: 0,
+//!     hard_limit_rate: 0.0, hard_limit_burst: 0.0, hard_limit_slack: 0.0,
+//!     price: 1.0, over_quota_weight: 0.0, over_quota_cost: 1.0,
 //! };
 //! let class = Class {
-//!     aim: 500_000, aim_stretch: 0.0, deadline: 2_000_000, worth: 1.0, late_worth: 0.0,
-//!     repeat: Repeat::Safe, stream: false,
+//!     latency_objective: 500_000, latency_objective_stretch: 0.0, deadline: 2_000_000,
+//!     priority_weight: 1.0, late_weight: 0.0, idempotency: Idempotency::Idempotent, streaming: false,
 //! };
 //! let settings = Settings {
-//!     gateways: 1, tick: 4_000, classes: vec![class], plans: vec![plan], ..Settings::default()
+//!     gateway_count: 1, tick: 4_000, classes: vec![class], plans: vec![plan], ..Settings::default()
 //! };
 //! let start = 1_000_000;
 //! let mut gateway = Gateway::new(settings, 42, start);
 //! let mut actions = Vec::new();
 //!
 //! let backend = BackendId(7);
-//! let list = vec![Listed { backend, size: 1.0, ..Listed::default() }];
-//! gateway.handle(start, Event::Roster(RosterKind::Full, list), &mut actions);
+//! let list = vec![Endpoint { backend, size: 1.0, ..Endpoint::default() }];
+//! gateway.handle(start, Event::Endpoints(EndpointUpdate::Snapshot, list), &mut actions);
 //! // The gateway asks to be woken; the host answers each `SetTimer` with an `Event::Timer` when it is due.
 //! assert!(matches!(actions[..], [Action::SetTimer { .. }]));
 //!
 //! actions.clear();
 //! let id = RequestId(1);
-//! let request = Request { id, deadline: start + 2_000_000, units: 1.0, width: 1.0, ..Request::default() };
+//! let request = Request { id, deadline: start + 2_000_000, units: 1.0, gateway_set_size: 1.0, ..Request::default() };
 //! gateway.handle(start + 4_000, Event::Request(request), &mut actions);
-//! assert_eq!(actions, [Action::Send { id, backend, expires: 0 }]);
+//! assert_eq!(actions, [Action::Send { id, backend, expires_at: 0 }]);
 //!
 //! actions.clear();
-//! let answer = Event::Settled {
-//!     id, attempt: 0, backend, outcome: Outcome::Ok, complete: true, took: 12_000,
-//!     metered: None, charged: None, report: None,
+//! let answer = Event::AttemptEnded {
+//!     id, attempt: 0, backend, outcome: Outcome::Ok, answered: true, elapsed: 12_000,
+//!     metered: None, charged_units: None, load_report: None,
 //! };
 //! gateway.handle(start + 16_000, answer, &mut actions);
 //! assert!(actions.is_empty(), "the answer went to the client; nothing is left to do");
 //! ```
 
+mod action;
 pub mod backoff;
-pub mod conf;
 mod control;
+mod endpoint;
 mod endpoints;
+mod event;
 mod gossip;
-mod interface;
+mod identifiers;
 mod quota;
+mod settings;
 mod state;
+mod time;
 
-pub use interface::*;
+pub use action::Action;
+pub use endpoint::{Availability, Endpoint, EndpointUpdate};
+pub use event::{Event, LoadReport, Outcome, Request};
+pub use identifiers::{BackendId, CustomerId, GatewayId, RequestId};
+pub use settings::{
+    Class, Discovery, Idempotency, IdempotencyScope, Limits, Plan, Rules, Settings, SettingsError,
+    SettingsReader, SizeMeaning,
+};
 pub use state::Gateway;
+pub use time::Micros;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,6 +1,6 @@
 //! The quotas of customers over all gateways together: their stores, the homes that count for each, what
 //! gateways tell them of use, and their word. Decisions as in `control.rs`, which asks here for room.
-use crate::{gossip::*, interface::*, state::*};
+use crate::{gossip::*, state::*, *};
 
 /// How long a home's word stands where it cannot be had anew. Past that a customer is let in: most are inside
 /// their quota, and a large fleet whose messages are lost would else refuse them all.
@@ -30,7 +30,7 @@
     /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most
     /// say: one that comes with the settings of another changes nothing, nor does the first for good.
     pub(crate) fn claim(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
-        let set = f64::from(width.clamp(1, self.s.gateways));
+        let set = f64::from(width.clamp(1, self.s.gateway_count));
         match self.customers.get_mut(&id) {
             None => drop(self.customers.insert(id, new)),
             Some(c) if (c.plan, c.first, c.width) == (new.plan, first, set) => {
@@ -47,7 +47,8 @@
 
     /// Fixes, for good, a customer's homes and the part of its ceiling here: not to be given out twice.
     pub(crate) fn settle_in(&mut self, id: CustomerId, first: u16, width: u16) {
-        let (few, me, all, life) = (self.period > 0, self.s.me.0, self.s.gateways, self.now - self.born);
+        let (few, me, all, life) =
+            (self.period > 0, self.s.own_id.0, self.s.gateway_count, self.now - self.born);
         let Some(c) = self.customers.get_mut(&id).filter(|c| c.homes.is_empty()) else { return };
         let (plan, set) = (&self.s.plans[c.plan], u64::from(width.clamp(1, all)));
         let at = |n: u64| ((u64::from(first) + n % set) % u64::from(all)) as u16;
@@ -56,7 +57,7 @@
         (c.first, c.width, c.pools) = (first, set as f64, [at(one), at(one + other)]);
         // In a large fleet one counts, and is asked before each request: messages are scarce.
         // A ceiling lies with both.
-        let asked = if plan.ceiling_rate > 0.0 { 2 } else { 1 };
+        let asked = if plan.hard_limit_rate > 0.0 { 2 } else { 1 };
         c.homes = if few { (0..set).map(at).collect() } else { c.pools[..asked].to_vec() };
         c.homes.dedup();
         c.home = c.homes.contains(&me);
@@ -64,7 +65,7 @@
         let pools = c.pools.iter().filter(|p| **p == me).count() as f64;
         c.part = (1.0 - POOLED) / c.width + pools * POOLED / 2.0;
         // It counts from nothing at this start: what went before is not known here.
-        c.ceiling = (plan.ceiling_rate * life as f64 / SECOND).min(plan.ceiling_burst) * c.part;
+        c.ceiling = (plan.hard_limit_rate * life as f64 / SECOND).min(plan.hard_limit_burst) * c.part;
     }
 
     /// Fills a customer's stores up to now.
@@ -83,7 +84,7 @@
             filling = (plan.rate - c.others).max(plan.rate * c.share(plan));
         }
         c.level = (c.level + filling * span).min(plan.burst);
-        c.ceiling = (c.ceiling + plan.ceiling_rate * c.part * span).min(plan.ceiling_burst * c.part);
+        c.ceiling = (c.ceiling + plan.hard_limit_rate * c.part * span).min(plan.hard_limit_burst * c.part);
         c.filled = now;
         Some(c)
     }
@@ -102,7 +103,7 @@
         let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.heard_at));
         // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the
         // fewer the more it costs to be wrong.
-        let lot = hash(req.id.0 ^ self.born << 24) * (1.0 + plan.over_cost) > 1.0;
+        let lot = hash(req.id.0 ^ self.born << 24) * (1.0 + plan.over_quota_cost) > 1.0;
         let overrun = !told && c.asked_at > 0 && (lot || c.homes.iter().all(talks));
         let mut quota = None;
         if plan.rate > 0.0 {
@@ -114,12 +115,12 @@
         }
         // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts.
         let open = c.open + c.others_open + (unheard / req.units.max(0.1)) as u32;
-        if plan.open_cap > 0 && (overrun || told && open >= plan.open_cap) {
+        if plan.concurrency_quota > 0 && (overrun || told && open >= plan.concurrency_quota) {
             quota = Some(quota.unwrap_or(0.0).max(self.usual[usize::from(req.class)].calm / SECOND));
         }
         let has = c.ceiling + c.granted;
-        let short = plan.ceiling_rate > 0.0 && has + 1e-9 < req.units;
-        let ceiling = short.then(|| (req.units - has) / (plan.ceiling_rate * c.part.max(0.01)));
+        let short = plan.hard_limit_rate > 0.0 && has + 1e-9 < req.units;
+        let ceiling = short.then(|| (req.units - has) / (plan.hard_limit_rate * c.part.max(0.01)));
         (quota, ceiling)
     }
 
@@ -128,9 +129,9 @@
     pub(crate) fn spared(&mut self, req: &Request) -> bool {
         self.rng = self.rng.wrapping_add(1);
         let c = &self.customers[&req.customer];
-        let capped = self.period == 0 && self.s.plans[c.plan].open_cap > 0;
+        let capped = self.period == 0 && self.s.plans[c.plan].concurrency_quota > 0;
         let told = !c.home && self.now - c.news_at.min(self.now) < WORD_LIFE;
-        capped && told && hash(self.rng) * c.others > ASKING * self.s.limits.peer_in_per_s
+        capped && told && hash(self.rng) * c.others > ASKING * self.s.limits.peer_messages_per_second
     }
 
     /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
@@ -141,7 +142,7 @@
         c.level = (c.level - units).clamp(-plan.burst, plan.burst);
         let granted = units.clamp(0.0, c.granted);
         c.granted -= granted;
-        c.ceiling = (c.ceiling - units + granted).min(plan.ceiling_burst * c.part);
+        c.ceiling = (c.ceiling - units + granted).min(plan.hard_limit_burst * c.part);
         c.used += units;
         c.rate = (c.rate + units / RATE_TAU).max(0.0);
     }
@@ -150,8 +151,8 @@
 
     /// Puts a customer on the way to its homes.
     pub(crate) fn report(&mut self, id: CustomerId, ask: bool, act: &mut Vec<Action>) {
-        let Some(c) = self.customers.get(&id).filter(|_| self.s.limits.peers) else { return };
-        let (me, pools) = (self.s.me.0, c.pools);
+        let Some(c) = self.customers.get(&id).filter(|_| self.s.limits.peer_messages) else { return };
+        let (me, pools) = (self.s.own_id.0, c.pools);
         for home in c.homes.clone().into_iter().filter(|h| *h != me) {
             let p = self.peers.entry(home).or_default();
             // Told twice: a lost end would hold a place for long. In a large fleet it costs another's word.
@@ -178,7 +179,7 @@
         if p.outbox.is_empty() {
             self.due.remove(&to);
         }
-        let (mut uses, now, me) = (Vec::new(), self.now, self.s.me.0);
+        let (mut uses, now, me) = (Vec::new(), self.now, self.s.own_id.0);
         for (customer, (_, ask)) in list {
             let Some(c) = self.fill(customer) else { continue };
             let known = c.home || now - c.news_at.min(now) < AGING / 10;
@@ -203,27 +204,27 @@
         self.sweep_at = now + SECOND as Micros;
         self.customers.retain(|id, c| {
             let p = &plans[c.plan];
-            if p.open_cap > 0 && c.home {
+            if p.concurrency_quota > 0 && c.home {
                 // Attempts of a peer that fell silent hold no place for ever.
                 c.heard.values_mut().filter(|h| now - h.at > 1_500_000).for_each(|h| h.open = 0);
                 c.others_open = c.heard.values().map(|h| u32::from(h.open)).sum();
             }
-            if p.open_cap > 0 && c.open > 0 {
+            if p.concurrency_quota > 0 && c.open > 0 {
                 again.push(*id);
             }
             // Their counts go on: once forgotten, all that one let through would pass for new.
             c.heard.retain(|_, h| few || now - h.at <= 2 * AGING);
             // Kept until both stores are full for sure: a customer met anew starts with full ones.
-            let full = (p.burst / p.rate).max(p.ceiling_burst / p.ceiling_rate).clamp(0.0, 1e6); // NaN: 0 / 0
+            let full = (p.burst / p.rate).max(p.hard_limit_burst / p.hard_limit_rate).clamp(0.0, 1e6); // NaN: 0 / 0
             c.open > 0 || !c.held.is_empty() || now - c.seen <= 2 * AGING.max((full * SECOND) as Micros)
         });
         again.into_iter().for_each(|id| self.report(id, false, act));
     }
 
-    pub(crate) fn on_peer(&mut self, from: GatewayNo, bytes: &[u8], act: &mut Vec<Action>) {
+    pub(crate) fn on_peer(&mut self, from: GatewayId, bytes: &[u8], act: &mut Vec<Action>) {
         let Some(m) = Message::unpack(bytes) else { return };
         let (now, mine) = (self.now, incarnation(self.born));
-        if from == self.s.me || from.0 >= self.s.gateways {
+        if from == self.s.own_id || from.0 >= self.s.gateway_count {
             return;
         }
         let peer = self.peers.entry(from.0).or_default();
@@ -251,7 +252,7 @@
         for s in m.samples {
             let class = usize::from(s.class);
             if let (Some(bid), Some(k)) = (self.tags.get(&s.tag), self.s.classes.get(class)) {
-                self.learn(*bid, class, s.took.map(|t| t * k.aim as f64), false);
+                self.learn(*bid, class, s.took.map(|t| t * k.latency_objective as f64), false);
             }
         }
         match m.body {
@@ -285,7 +286,8 @@
         let young = self.known_since.is_none() && now - self.born < AGING; // later one may have forgotten
         let plan = self.s.plans.get(usize::from(u.plan))?;
         let few = self.period > 0;
-        let (burst, cap, told) = (plan.burst, plan.open_cap, f64::from(u.level) / 254.0 * plan.burst);
+        let (burst, cap, told) =
+            (plan.burst, plan.concurrency_quota, f64::from(u.level) / 254.0 * plan.burst);
         let unknown = if few { (plan.rate * life).min(burst) } else { burst };
         let level = if u.level < 255 && !young { told } else { unknown };
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
@@ -337,9 +339,9 @@
 
     /// A home's word on a customer: the store is what it says, less what it cannot have heard.
     fn on_news(&mut self, from: u16, n: News, act: &mut Vec<Action>) {
-        let (now, me) = (self.now, self.s.me.0);
+        let (now, me) = (self.now, self.s.own_id.0);
         let Some(plan) = self.customers.get(&n.customer).map(|c| &self.s.plans[c.plan]) else { return };
-        let (rated, cap) = (plan.burst > 0.0, plan.open_cap);
+        let (rated, cap) = (plan.burst > 0.0, plan.concurrency_quota);
         let Some(c) = self.fill(n.customer).filter(|c| c.homes.contains(&from)) else { return };
         if !c.home {
             (c.others, c.others_open, c.news_at) = (n.rate, u32::from(n.open), now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 
 use crate::endpoints::Order;
 use crate::gossip::{incarnation, tag, Body, Message, Sample};
-use crate::interface::*;
+use crate::*;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
@@ -11,7 +11,7 @@
 pub const SECOND: f64 = 1e6;
 
 pub struct Attempt {
-    pub to: Listed,
+    pub to: Endpoint,
     pub sent: Micros,
     pub out: bool,
     pub cancelled: bool,
@@ -136,7 +136,7 @@
 
 #[derive(Default)]
 pub struct Backend {
-    pub listed: Listed,
+    pub listed: Endpoint,
     pub size: f64,
     pub ready: bool,
     pub out: u32,
@@ -237,14 +237,14 @@
     /// An answer streams: the other attempts are called off, and this one is the client's.
     pub(crate) fn on_first_byte(&mut self, id: RequestId, attempt: u16, act: &mut Vec<Action>) {
         if let Some(o) = self.requests.get_mut(&id) {
-            o.call_off(Some(attempt), self.s.limits.cancel, act);
+            o.call_off(Some(attempt), self.s.limits.cancellation, act);
             o.streaming = true;
         }
     }
 
     /// Where a backend stands in this gateway's own order; any number at or above 0 is ordered as its bits are.
     fn place(&self, id: BackendId) -> u64 {
-        hash(id.0 ^ u64::from(self.s.me.0) << 48).to_bits()
+        hash(id.0 ^ u64::from(self.s.own_id.0) << 48).to_bits()
     }
 
     /// Indexes all that is ready, behind a whole list.
@@ -257,7 +257,7 @@
 
     /// Takes a changed entry of the list, and keeps what is made from the list up to date: all of that costs hardly more
     /// where the list is long.
-    pub(crate) fn on_change(&mut self, l: Listed) {
+    pub(crate) fn on_change(&mut self, l: Endpoint) {
         let (id, place) = (l.backend, self.place(l.backend));
         let before = self.backends.get(&id).filter(|b| b.ready).map_or(0.0, |b| b.size);
         self.note(l);
@@ -295,6 +295,6 @@
         p.sent = p.sent.wrapping_add(1);
         p.next = now + self.period;
         let bytes = Message { born: incarnation(self.born), seq: p.sent, samples, body }.pack();
-        act.push(Action::Tell { to: Some(GatewayNo(to)), bytes });
+        act.push(Action::SendToPeer { to: Some(GatewayId(to)), bytes });
     }
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -5,70 +5,78 @@
 const T0: Micros = 1_000_000_000;
 const S: Micros = 1_000_000;
 
-fn class(repeat: Repeat) -> Class {
-    Class { aim: S, aim_stretch: 0.0, deadline: 4 * S, worth: 1.0, late_worth: 0.0, repeat, stream: false }
+fn class(repeat: Idempotency) -> Class {
+    Class {
+        latency_objective: S,
+        latency_objective_stretch: 0.0,
+        deadline: 4 * S,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency: repeat,
+        streaming: false,
+    }
 }
 
 fn plan(rate: f64, burst: f64) -> Plan {
     Plan {
         rate,
         burst,
-        open_cap: 0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
+        concurrency_quota: 0,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
         price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 1.0,
     }
 }
 
 /// Three gateways; classes: safe, keyed by cell for 2 s, once; plans: large, small, ceiling, capped.
 fn settings() -> Settings {
-    let keyed = Repeat::Keyed { group: Group::Cell, window: 2 * S };
-    let ceiling = Plan { ceiling_rate: 6.0, ceiling_burst: 12.0, ..plan(100.0, 100.0) };
+    let keyed = Idempotency::Keyed { scope: IdempotencyScope::Cell, window: 2 * S };
+    let ceiling = Plan { hard_limit_rate: 6.0, hard_limit_burst: 12.0, ..plan(100.0, 100.0) };
     Settings {
-        gateways: 3,
-        me: GatewayNo(0),
+        gateway_count: 3,
+        own_id: GatewayId(0),
         zone: 0,
         tick: 4_000,
-        classes: vec![class(Repeat::Safe), class(keyed), class(Repeat::Once)],
-        plans: vec![plan(1e6, 1e6), plan(2.0, 6.0), ceiling, Plan { open_cap: 2, ..plan(0.0, 0.0) }],
+        classes: vec![class(Idempotency::Idempotent), class(keyed), class(Idempotency::NonIdempotent)],
+        plans: vec![plan(1e6, 1e6), plan(2.0, 6.0), ceiling, Plan { concurrency_quota: 2, ..plan(0.0, 0.0) }],
         limits: Limits {
             max_attempts: 3,
-            second_copies: true,
-            cancel: true,
-            probes: false,
-            peers: true,
-            peer_in_per_s: 60.0,
+            hedging: true,
+            cancellation: true,
+            health_checks: false,
+            peer_messages: true,
+            peer_messages_per_second: 60.0,
             retry_after: true,
             max_retry_after: 2 * S,
-            counter: false,
-            max_open: 20_000,
+            shared_counter: false,
+            max_open_requests: 20_000,
             connect_timeout: 250_000,
         },
         rules: Rules {
             answer_slack: 16_000,
             drain_grace: 250_000,
-            cold_from: 0.2,
-            cold_time: 10 * S,
-            fall_factor: 3.0,
-            fall_time: S,
-            must_ask: 10 * S,
+            slow_start_floor: 0.2,
+            slow_start_duration: 10 * S,
+            overload_factor: 3.0,
+            overload_window: S,
+            max_poll_interval: 10 * S,
         },
         ..Settings::default()
     }
 }
 
-fn listed(n: u64) -> Listed {
-    Listed {
+fn listed(n: u64) -> Endpoint {
+    Endpoint {
         backend: BackendId(n),
         zone: (n % 2) as u8,
         cell: (n % 2) as u16,
-        kind: 0,
+        machine_type: 0,
         availability: Availability::Ready,
         size: 1.0,
-        started: 0,
+        started_at: 0,
     }
 }
 
@@ -81,7 +89,7 @@
 impl Rig {
     fn with(settings: Settings, backends: u64) -> Rig {
         let mut rig = Rig { gateway: Gateway::new(settings, 7, T0), now: T0, next: 0 };
-        rig.feed(Event::Roster(RosterKind::Cached, (0..backends).map(listed).collect()));
+        rig.feed(Event::Endpoints(EndpointUpdate::CachedSnapshot, (0..backends).map(listed).collect()));
         rig
     }
 
@@ -118,21 +126,30 @@
         let deadline = self.now + 4 * S;
         let customer = CustomerId(customer);
         let first = if width == 6.0 { 15.0 } else { 0.0 };
-        let req = Request { id, class, plan, customer, deadline, units, width, first };
+        let req = Request {
+            id,
+            class,
+            plan,
+            customer,
+            deadline,
+            units,
+            gateway_set_size: width,
+            gateway_set_start: first,
+        };
         (id, self.feed(Event::Request(req)))
     }
 
     fn settle(&mut self, id: RequestId, attempt: u16, backend: BackendId, outcome: Outcome) -> Vec<Action> {
-        self.feed(Event::Settled {
+        self.feed(Event::AttemptEnded {
             id,
             attempt,
             backend,
             outcome,
-            complete: outcome == Outcome::Ok,
-            took: 100_000,
+            answered: outcome == Outcome::Ok,
+            elapsed: 100_000,
             metered: None,
-            charged: None,
-            report: None,
+            charged_units: None,
+            load_report: None,
         })
     }
 }
@@ -143,7 +160,7 @@
 }
 
 fn refused(actions: &[Action]) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+    actions.iter().any(|a| matches!(a, Action::Reject { .. }))
 }
 
 fn failed(actions: &[Action]) -> bool {
@@ -177,7 +194,7 @@
 fn an_unsafe_request_is_sent_again_on_proof_that_it_never_ran() {
     let mut rig = Rig::with(settings(), 4);
     let (id, actions) = rig.ask(2, 0, 1, 1.0);
-    let again = rig.settle(id, 0, sends(&actions)[0], Outcome::Full);
+    let again = rig.settle(id, 0, sends(&actions)[0], Outcome::Rejected);
     assert_eq!(sends(&again).len(), 1);
     let end = rig.settle(id, 1, sends(&again)[0], Outcome::Reset);
     assert!(failed(&end) && !refused(&end), "the second attempt may have run");
@@ -193,9 +210,9 @@
     assert_eq!(sends(&again)[0].0 % 2, first.0 % 2, "same cell");
 
     let mut s = settings();
-    s.classes[1].aim = 4 * S;
-    s.limits.second_copies = false;
-    s.limits.cancel = false;
+    s.classes[1].latency_objective = 4 * S;
+    s.limits.hedging = false;
+    s.limits.cancellation = false;
     let mut rig = Rig::with(s, 6);
     let (id, actions) = rig.ask(1, 0, 1, 1.0);
     rig.pass(2 * S);
@@ -208,9 +225,9 @@
 fn a_keyed_retry_is_sent_only_while_its_connection_can_come_up_within_the_window() {
     for (after, want) in [(1_600_000, 1), (1_800_000, 0)] {
         let mut s = settings();
-        s.classes[1].aim = 4 * S;
-        s.limits.second_copies = false;
-        s.limits.cancel = false;
+        s.classes[1].latency_objective = 4 * S;
+        s.limits.hedging = false;
+        s.limits.cancellation = false;
         let mut rig = Rig::with(s, 6);
         let (id, actions) = rig.ask(1, 0, 1, 1.0);
         rig.pass(after);
@@ -225,8 +242,8 @@
     let mut rig = Rig::with(settings(), 6);
     let (id, actions) = rig.ask(1, 0, 1, 1.0);
     let first = sends(&actions)[0];
-    let gone: Vec<Listed> = (0..6).map(listed).filter(|l| l.cell != (first.0 % 2) as u16).collect();
-    rig.feed(Event::Roster(RosterKind::Full, gone));
+    let gone: Vec<Endpoint> = (0..6).map(listed).filter(|l| l.cell != (first.0 % 2) as u16).collect();
+    rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, gone));
     let end = rig.settle(id, 0, first, Outcome::Reset);
     assert!(sends(&end).is_empty() && failed(&end), "nobody left who knows the key");
 }
@@ -236,15 +253,15 @@
 #[test]
 fn a_request_whose_client_has_left_is_not_sent_on() {
     for cancel in [true, false] {
-        let s = || Settings { limits: Limits { cancel, ..settings().limits }, ..settings() };
+        let s = || Settings { limits: Limits { cancellation: cancel, ..settings().limits }, ..settings() };
         // For a place: the bound of one backend is reached.
-        let mut rig = Rig::with(Settings { gateways: 1, ..s() }, 1);
+        let mut rig = Rig::with(Settings { gateway_count: 1, ..s() }, 1);
         let asked: Vec<_> = (0..12).map(|n| rig.ask(0, 0, n, 1.0)).collect();
         let (out, wait): (Vec<_>, Vec<_>) = asked.iter().partition(|(_, a)| !sends(a).is_empty());
         let wait: Vec<_> = wait.into_iter().filter(|(_, a)| !refused(a)).collect();
         assert!(!out.is_empty() && !wait.is_empty(), "{} out, {} wait", out.len(), wait.len());
         for (id, _) in &wait {
-            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+            assert!(sends(&rig.feed(Event::ClientDisconnected(*id))).is_empty());
         }
         for (id, actions) in &out {
             let freed = rig.settle(*id, 0, sends(actions)[0], Outcome::Ok);
@@ -253,19 +270,19 @@
         assert!(sends(&rig.pass(S)).is_empty());
 
         // For a home's word, in a fleet where one home counts; the time of waiting for it ends.
-        let mut rig = Rig::with(Settings { gateways: 100, ..s() }, 6);
+        let mut rig = Rig::with(Settings { gateway_count: 100, ..s() }, 6);
         let asked: Vec<_> = (0..20).map(|n| rig.ask(2, 1, n, 1.0)).collect();
         let held: Vec<_> = asked.iter().filter(|(_, a)| sends(a).is_empty() && !refused(a)).collect();
         assert!(held.len() > 5, "{} of 20 are held", held.len());
         for (id, _) in &held {
-            assert!(sends(&rig.feed(Event::Withdrawn(*id))).is_empty());
+            assert!(sends(&rig.feed(Event::ClientDisconnected(*id))).is_empty());
         }
         assert!(sends(&rig.pass(S)).is_empty());
 
         // For a further attempt: the one that is out fails behind it.
         let mut rig = Rig::with(s(), 6);
         let (id, actions) = rig.ask(0, 0, 1, 1.0);
-        rig.feed(Event::Withdrawn(id));
+        rig.feed(Event::ClientDisconnected(id));
         let end = rig.settle(id, 0, sends(&actions)[0], Outcome::ConnectFailed);
         assert!(sends(&end).is_empty() && sends(&rig.pass(S)).is_empty());
     }
@@ -276,7 +293,7 @@
 #[test]
 fn a_request_under_anothers_plan_or_set_does_not_change_the_customers_record() {
     for forged_first in [false, true] {
-        let mut rig = Rig::with(Settings { gateways: 1, ..settings() }, 6);
+        let mut rig = Rig::with(Settings { gateway_count: 1, ..settings() }, 6);
         let usual = |rig: &mut Rig| {
             let (id, actions) = rig.ask_of(0, 1, 9, 1.0, 1.0);
             let to = sends(&actions);
@@ -303,15 +320,15 @@
 #[test]
 fn a_drained_backend_gets_nothing_new() {
     let mut rig = Rig::with(settings(), 2);
-    let drained = Listed { availability: Availability::Draining, ..listed(0) };
-    rig.feed(Event::Roster(RosterKind::Delta, vec![drained]));
+    let drained = Endpoint { availability: Availability::Draining, ..listed(0) };
+    rig.feed(Event::Endpoints(EndpointUpdate::Delta, vec![drained]));
     for n in 0..20 {
         let (_, actions) = rig.ask(0, 0, n, 1.0);
         assert!(sends(&actions).iter().all(|b| *b == BackendId(1)));
     }
-    rig.feed(Event::Roster(
-        RosterKind::Delta,
-        vec![Listed { availability: Availability::Gone, ..listed(1) }],
+    rig.feed(Event::Endpoints(
+        EndpointUpdate::Delta,
+        vec![Endpoint { availability: Availability::Gone, ..listed(1) }],
     ));
     let (_, held) = rig.ask(0, 0, 1, 1.0);
     assert!(sends(&held).is_empty());
@@ -324,8 +341,8 @@
 fn a_cold_backend_is_not_flooded_by_a_hundred_and_fifty_gateways() {
     let (mut in_window, mut ever) = (0, 0);
     for me in 0..150 {
-        let mut rig = Rig::with(Settings { me: GatewayNo(me), gateways: 150, ..settings() }, 1);
-        rig.feed(Event::Roster(RosterKind::Full, vec![Listed { started: T0, ..listed(0) }]));
+        let mut rig = Rig::with(Settings { own_id: GatewayId(me), gateway_count: 150, ..settings() }, 1);
+        rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, vec![Endpoint { started_at: T0, ..listed(0) }]));
         for n in 0..20 {
             in_window += sends(&rig.ask(0, 0, n, 1.0).1).len();
         }
@@ -341,7 +358,7 @@
 #[test]
 fn silence_and_restarts_mint_no_ceiling() {
     for gateways in [3, 40, 200] {
-        let settings = |me| Settings { gateways, me: GatewayNo(me), ..settings() };
+        let settings = |me| Settings { gateway_count: gateways, own_id: GatewayId(me), ..settings() };
         let total: usize = (0..gateways)
             .map(|me| {
                 let mut rig = Rig::with(settings(me), 4);
@@ -357,7 +374,10 @@
                     }
                     if second == 4 {
                         rig.gateway = Gateway::new(settings(me), 8, rig.now);
-                        rig.feed(Event::Roster(RosterKind::Cached, (0..4).map(listed).collect()));
+                        rig.feed(Event::Endpoints(
+                            EndpointUpdate::CachedSnapshot,
+                            (0..4).map(listed).collect(),
+                        ));
                     }
                 }
                 sent
@@ -373,8 +393,8 @@
     // Found by a day drawn to test the rules: a client's last try came with a few milliseconds left, was
     // held for want of a place, and the next wake-up was past its deadline.
     let mut rig = Rig::with(settings(), 1);
-    rig.feed(Event::Roster(RosterKind::Full, vec![]));
-    let base = Request { id: RequestId(1), units: 1.0, width: 3.0, ..Request::default() };
+    rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, vec![]));
+    let base = Request { id: RequestId(1), units: 1.0, gateway_set_size: 3.0, ..Request::default() };
     assert!(refused(&rig.feed(Event::Request(Request { deadline: rig.now + 10_000, ..base }))));
     let held = Request { id: RequestId(2), deadline: rig.now + 100_000, ..base };
     assert!(!refused(&rig.feed(Event::Request(held))));
@@ -386,13 +406,18 @@
 #[test]
 fn what_a_stall_outlasted_is_answered_in_the_waking_turn() {
     let mut rig = Rig::with(settings(), 1);
-    rig.feed(Event::Roster(RosterKind::Full, vec![]));
+    rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, vec![]));
     rig.pass(S);
-    let held =
-        Request { id: RequestId(1), units: 1.0, width: 3.0, deadline: rig.now + S, ..Request::default() };
+    let held = Request {
+        id: RequestId(1),
+        units: 1.0,
+        gateway_set_size: 3.0,
+        deadline: rig.now + S,
+        ..Request::default()
+    };
     assert!(!refused(&rig.feed(Event::Request(held))));
     rig.now += S + 12_000;
-    assert!(refused(&rig.feed(Event::Withdrawn(RequestId(99)))));
+    assert!(refused(&rig.feed(Event::ClientDisconnected(RequestId(99)))));
 }
 
 /// A gateway that stood still reads all that came meanwhile before it judges anybody by its own pause.
@@ -402,10 +427,10 @@
     let (id, actions) = rig.ask(0, 0, 1, 1.0);
     assert_eq!(sends(&actions).len(), 1);
     rig.now += 2 * S;
-    let woken = rig.feed(Event::Withdrawn(RequestId(99)));
+    let woken = rig.feed(Event::ClientDisconnected(RequestId(99)));
     assert!(!woken
         .iter()
-        .any(|a| matches!(a, Action::Cancel { .. } | Action::Refuse { .. } | Action::Send { .. })));
+        .any(|a| matches!(a, Action::Cancel { .. } | Action::Reject { .. } | Action::Send { .. })));
     rig.settle(id, 0, BackendId(0), Outcome::Ok);
     rig.pass(100_000);
     assert_eq!(sends(&rig.ask(0, 0, 2, 1.0).1).len(), 1, "its answer had come: it is not resting");
@@ -454,7 +479,8 @@
 
 impl Fleet {
     fn new(gateways: u16) -> Fleet {
-        let rig = |me| Rig::with(Settings { gateways, me: GatewayNo(me), ..settings() }, 6);
+        let rig =
+            |me| Rig::with(Settings { gateway_count: gateways, own_id: GatewayId(me), ..settings() }, 6);
         Fleet { rigs: (0..gateways).map(rig).collect(), carried: 0 }
     }
 
@@ -470,25 +496,25 @@
                     let (outcome, took) = (Outcome::Ok, 100_000);
                     let (attempt, complete) = (0, true);
                     let (metered, charged, report) = (None, None, None);
-                    let event = Event::Settled {
+                    let event = Event::AttemptEnded {
                         id,
                         attempt,
                         backend,
                         outcome,
-                        complete,
-                        took,
+                        answered: complete,
+                        elapsed: took,
                         metered,
-                        charged,
-                        report,
+                        charged_units: charged,
+                        load_report: report,
                     };
                     (at, event)
                 }
-                Action::Tell { to: Some(to), bytes } => {
+                Action::SendToPeer { to: Some(to), bytes } => {
                     self.carried += 1;
                     if lossy > 0 && self.carried % lossy == 0 {
                         continue;
                     }
-                    (usize::from(to.0), Event::Peer { from: GatewayNo(at as u16), bytes })
+                    (usize::from(to.0), Event::PeerMessage { from: GatewayId(at as u16), bytes })
                 }
                 _ => continue,
             };
@@ -515,8 +541,8 @@
 #[test]
 fn of_capped_customers_whose_home_is_not_heard_some_are_let_in_by_lot() {
     for (over_cost, share) in [(0.0, 1.0), (1.0, 0.5), (3.0, 0.25)] {
-        let mut s = Settings { gateways: 300, ..settings() };
-        s.plans[3].over_cost = over_cost;
+        let mut s = Settings { gateway_count: 300, ..settings() };
+        s.plans[3].over_quota_cost = over_cost;
         let mut rig = Rig::with(s, 200);
         let (mut sent, mut asked) = (0, 0);
         for customer in 0..400 {
@@ -547,11 +573,14 @@
             used += 2.0 * fleet.ask(step * 7 % 60, 1, 2.0, 60.0, lossy) as f64;
             if restart && step == 150 {
                 for me in 0..60u16 {
-                    let s = Settings { gateways: 60, me: GatewayNo(me), ..settings() };
+                    let s = Settings { gateway_count: 60, own_id: GatewayId(me), ..settings() };
                     let rig = &mut fleet.rigs[usize::from(me)];
                     if me % 3 == 0 {
                         rig.gateway = Gateway::new(s, 9, rig.now);
-                        rig.feed(Event::Roster(RosterKind::Cached, (0..6).map(listed).collect()));
+                        rig.feed(Event::Endpoints(
+                            EndpointUpdate::CachedSnapshot,
+                            (0..6).map(listed).collect(),
+                        ));
                     }
                 }
             }
@@ -591,7 +620,7 @@
 fn a_hundred_gateways_do_not_double_the_load_of_backends_that_slow_down() {
     let (mut first, mut further) = (0, 0);
     for me in 0..100 {
-        let mut rig = Rig::with(Settings { gateways: 100, me: GatewayNo(me), ..settings() }, 200);
+        let mut rig = Rig::with(Settings { gateway_count: 100, own_id: GatewayId(me), ..settings() }, 200);
         let (_, early) = rig.ask_of(0, 0, 5, 1.0, 1.0);
         first += sends(&early).len();
         for n in 0..20 {
@@ -610,7 +639,7 @@
 fn a_hundred_gateways_learn_of_a_silent_backend_together() {
     let mut fleet = Fleet::new(100);
     for rig in &mut fleet.rigs {
-        rig.feed(Event::Roster(RosterKind::Full, (0..30).map(listed).collect()));
+        rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, (0..30).map(listed).collect()));
     }
     let (mut all, mut silent) = (0, 0);
     for n in 0..2000usize {
@@ -627,8 +656,8 @@
                         let more = fleet.rigs[at].settle(id, 0, backend, Outcome::Ok);
                         queue.extend(more.into_iter().map(|a| (at, a)));
                     }
-                    Action::Tell { to: Some(to), bytes } => {
-                        let event = Event::Peer { from: GatewayNo(at as u16), bytes };
+                    Action::SendToPeer { to: Some(to), bytes } => {
+                        let event = Event::PeerMessage { from: GatewayId(at as u16), bytes };
                         let more = fleet.rigs[usize::from(to.0)].feed(event);
                         queue.extend(more.into_iter().map(|a| (usize::from(to.0), a)));
                     }
@@ -668,13 +697,13 @@
     let after = first_come(&mut fleet, 5);
     assert!((4..=7).contains(&(before + after)), "{before} and {after}: what was held back, once");
     assert!((5..=7).contains(&first_come(&mut fleet, 6)), "a customer met later has its whole store");
-    let s = Settings { me: GatewayNo(2), ..settings() };
+    let s = Settings { own_id: GatewayId(2), ..settings() };
     for n in 0..3 {
         let actions = fleet.rigs[n].pass(2 * S);
         fleet.carry(n, actions, 0);
     }
     fleet.rigs[2].gateway = Gateway::new(s, 9, fleet.rigs[2].now);
-    fleet.rigs[2].feed(Event::Roster(RosterKind::Cached, (0..6).map(listed).collect()));
+    fleet.rigs[2].feed(Event::Endpoints(EndpointUpdate::CachedSnapshot, (0..6).map(listed).collect()));
     for at in 0..3 {
         fleet.ask(at, 0, 1.0, 3.0, 0);
     }
@@ -723,7 +752,7 @@
     let (id, actions) = rig.ask(0, 3, 5, 1.0);
     assert_eq!(sends(&rig.ask(0, 3, 5, 1.0).1).len(), 1);
     assert!(refused(&rig.ask(0, 3, 5, 1.0).1));
-    rig.feed(Event::Withdrawn(id));
+    rig.feed(Event::ClientDisconnected(id));
     assert!(refused(&rig.ask(0, 3, 5, 1.0).1), "called off, yet still out");
     rig.settle(id, 0, sends(&actions)[0], Outcome::Cancelled);
     assert_eq!(sends(&rig.ask(0, 3, 5, 1.0).1).len(), 1);
@@ -733,9 +762,10 @@
 /// waits, though its answer has been worth nothing since the aim.
 #[test]
 fn an_attempt_of_a_capped_customer_ends_with_its_aim() {
-    let mut rig = Rig::with(Settings { gateways: 100, ..settings() }, 200);
+    let mut rig = Rig::with(Settings { gateway_count: 100, ..settings() }, 200);
     let until = |actions: &[Action]| {
-        let expiry = |a: &Action| if let Action::Send { expires, .. } = a { Some(*expires) } else { None };
+        let expiry =
+            |a: &Action| if let Action::Send { expires_at: expires, .. } = a { Some(*expires) } else { None };
         actions.iter().find_map(expiry)
     };
     let (id, actions) = rig.ask_of(2, 3, 5, 1.0, 1.0);
@@ -757,14 +787,14 @@
 fn a_capped_customer_is_refused_where_its_home_talks_but_not_of_it() {
     // Where being wrong costs nothing no lot is drawn: who is not heard is let in.
     let rig_of = |me| {
-        let mut s = Settings { gateways: 100, me: GatewayNo(me), ..settings() };
-        s.plans[3].over_cost = 0.0;
+        let mut s = Settings { gateway_count: 100, own_id: GatewayId(me), ..settings() };
+        s.plans[3].over_quota_cost = 0.0;
         Rig::with(s, 200)
     };
     let mut rig = rig_of(0);
     let told = |actions: &[Action]| {
         let one = |a: &Action| {
-            if let Action::Tell { to, bytes } = a {
+            if let Action::SendToPeer { to, bytes } = a {
                 Some((to.unwrap(), bytes.clone()))
             } else {
                 None
@@ -785,12 +815,13 @@
     };
     let mut its = rig_of(home.0);
     its.now = rig.now;
-    let (_, bytes) = told(&its.feed(Event::Peer { from: GatewayNo(0), bytes: question })).expect("its word");
-    rig.feed(Event::Peer { from: home, bytes });
+    let (_, bytes) =
+        told(&its.feed(Event::PeerMessage { from: GatewayId(0), bytes: question })).expect("its word");
+    rig.feed(Event::PeerMessage { from: home, bytes });
     rig.pass(300_000);
     let (id, _) = rig.ask_of(0, 3, 5, 1.0, 100.0);
     let later = rig.pass(300_000);
-    assert!(later.iter().any(|a| matches!(a, Action::Refuse { id: refused, .. } if *refused == id)));
+    assert!(later.iter().any(|a| matches!(a, Action::Reject { id: refused, .. } if *refused == id)));
 }
 
 /// Guards against one capped customer that is asked for so often that its home cannot take the questions in, and loses
@@ -811,15 +842,15 @@
 fn an_end_that_races_the_gateways_own_gets_no_second_answer() {
     let mut rig = Rig::with(settings(), 4);
     let (id, actions) = rig.ask(0, 0, 1, 1.0);
-    rig.feed(Event::Withdrawn(id));
+    rig.feed(Event::ClientDisconnected(id));
     let late = rig.settle(id, 0, sends(&actions)[0], Outcome::TimedOut);
     assert!(!refused(&late) && !failed(&late) && sends(&late).is_empty());
-    assert!(rig.feed(Event::Withdrawn(id)).is_empty());
+    assert!(rig.feed(Event::ClientDisconnected(id)).is_empty());
 }
 
 #[test]
 fn gossip_converges_through_loss_and_repeats() {
-    let mut other = Rig::with(Settings { me: GatewayNo(1), ..settings() }, 4);
+    let mut other = Rig::with(Settings { own_id: GatewayId(1), ..settings() }, 4);
     let mut rig = Rig::with(settings(), 4);
     rig.pass(4 * S);
     other.pass(4 * S);
@@ -830,10 +861,10 @@
     let told: Vec<Vec<u8>> = other
         .pass(300_000)
         .into_iter()
-        .filter_map(|a| if let Action::Tell { bytes, .. } = a { Some(bytes) } else { None })
+        .filter_map(|a| if let Action::SendToPeer { bytes, .. } = a { Some(bytes) } else { None })
         .collect();
     for bytes in told.iter().chain(told.iter().rev()) {
-        rig.feed(Event::Peer { from: GatewayNo(1), bytes: bytes.clone() });
+        rig.feed(Event::PeerMessage { from: GatewayId(1), bytes: bytes.clone() });
     }
     // 6 units less 0.5 here and 5 there: a request of 3 finds no room, though this gateway sent half a unit.
     assert!(refused(&rig.ask(0, 1, 9, 3.0).1));
@@ -844,11 +875,17 @@
     let mut rig = Rig::with(settings(), 2);
     for bytes in [vec![], vec![1; 5], vec![9; 40], vec![1; 256], vec![2; 300], vec![255; 19]] {
         for from in [0, 1, 2, 900] {
-            let actions = rig.feed(Event::Peer { from: GatewayNo(from), bytes: bytes.clone() });
+            let actions = rig.feed(Event::PeerMessage { from: GatewayId(from), bytes: bytes.clone() });
             assert!(sends(&actions).is_empty());
         }
     }
-    let base = Request { id: RequestId(500), deadline: T0 + S, units: 1.0, width: 3.0, ..Request::default() };
+    let base = Request {
+        id: RequestId(500),
+        deadline: T0 + S,
+        units: 1.0,
+        gateway_set_size: 3.0,
+        ..Request::default()
+    };
     let odd = [
         Request { class: 99, ..base },
         Request { plan: 99, id: RequestId(501), ..base },
@@ -857,14 +894,19 @@
     ];
     for req in odd {
         let actions = rig.feed(Event::Request(req));
-        let answers = actions.iter().filter(|a| matches!(a, Action::Refuse { .. } | Action::Fail(_)));
+        let answers = actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail(_)));
         assert_eq!(answers.count(), 1);
         assert!(sends(&actions).is_empty());
     }
     for width in [0.0, f64::NAN, -3.0, 1e30] {
         rig.next += 1000;
         let id = RequestId(rig.next);
-        rig.feed(Event::Request(Request { id, width, first: f64::NAN, ..base }));
+        rig.feed(Event::Request(Request {
+            id,
+            gateway_set_size: width,
+            gateway_set_start: f64::NAN,
+            ..base
+        }));
     }
     rig.settle(RequestId(77_777), 3, BackendId(99), Outcome::Ok);
     rig.feed(Event::FirstByte { id: RequestId(77_777), attempt: 9 });
@@ -879,16 +921,16 @@
         let slow = (100..300).contains(&step);
         let (id, actions) = rig.ask(0, 0, step, 1.0);
         if let Some(b) = sends(&actions).first() {
-            let event = Event::Settled {
+            let event = Event::AttemptEnded {
                 id,
                 attempt: 0,
                 backend: *b,
                 outcome: Outcome::Ok,
-                complete: true,
-                took: if slow { 900_000 } else { 100_000 },
+                answered: true,
+                elapsed: if slow { 900_000 } else { 100_000 },
                 metered: None,
-                charged: None,
-                report: None,
+                charged_units: None,
+                load_report: None,
             };
             rig.feed(event);
         }
@@ -911,7 +953,7 @@
 fn backends_that_are_left_do_not_inherit_the_load_of_the_fallen() {
     let out = |left: u64| {
         let mut rig = Rig::with(settings(), 12);
-        rig.feed(Event::Roster(RosterKind::Full, (0..left).map(listed).collect()));
+        rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, (0..left).map(listed).collect()));
         (0..200).map(|n| sends(&rig.ask(0, 0, n, 1.0).1).len()).sum::<usize>()
     };
     assert!(out(12) >= 12);
@@ -930,7 +972,7 @@
             }
         }
         for action in rig.pass(100_000) {
-            if let Action::Tell { bytes, .. } = action {
+            if let Action::SendToPeer { bytes, .. } = action {
                 told.extend((0..100u8).filter(|n| bytes.windows(5).any(|w| w == [*n, 0, 0, 0, 0])));
             }
         }
@@ -942,7 +984,7 @@
 #[test]
 fn the_ladder_cuts_whole_customers_alike_at_all_gateways() {
     let verdicts = |me: u16| {
-        let mut s = Settings { me: GatewayNo(me), ..settings() };
+        let mut s = Settings { own_id: GatewayId(me), ..settings() };
         s.plans = vec![plan(1e6, 1e6)];
         let mut rig = Rig::with(s, 4);
         for step in 0..400u64 {
@@ -952,16 +994,16 @@
                 let (complete, outcome) = (true, Outcome::Ok);
                 let (metered, charged, report) = (None, None, None);
                 let attempt = 0;
-                rig.feed(Event::Settled {
+                rig.feed(Event::AttemptEnded {
                     id,
                     attempt,
                     backend,
                     outcome,
-                    complete,
-                    took,
+                    answered: complete,
+                    elapsed: took,
                     metered,
-                    charged,
-                    report,
+                    charged_units: charged,
+                    load_report: report,
                 });
             }
             rig.pass(20_000);
@@ -992,7 +1034,8 @@
     let (gateways, backends) = (40u16, 2_400);
     let mut used = std::collections::HashMap::new();
     for me in 0..gateways {
-        let mut rig = Rig::with(Settings { me: GatewayNo(me), gateways, ..settings() }, backends);
+        let mut rig =
+            Rig::with(Settings { own_id: GatewayId(me), gateway_count: gateways, ..settings() }, backends);
         for n in 0..2_000 {
             rig.now += 1_000;
             let (id, actions) = rig.ask(0, 0, n, 1.0);
--- a/tests/decision_digest.rs
+++ b/tests/decision_digest.rs
@@ -21,19 +21,19 @@
 const RESTART_AT: Micros = 14 * SECOND;
 /// When the endpoint list changes or is told anew, and how.
 const ROSTER_NEWS: [RosterNews; 8] = [
-    RosterNews { at: 5 * SECOND, kind: RosterKind::Delta },
-    RosterNews { at: 6 * SECOND, kind: RosterKind::Delta },
-    RosterNews { at: 7 * SECOND, kind: RosterKind::Delta },
-    RosterNews { at: 9 * SECOND, kind: RosterKind::Failed },
-    RosterNews { at: 18 * SECOND, kind: RosterKind::Full },
-    RosterNews { at: 22 * SECOND, kind: RosterKind::Full },
-    RosterNews { at: 23 * SECOND, kind: RosterKind::Delta },
-    RosterNews { at: 25 * SECOND, kind: RosterKind::Cached },
+    RosterNews { at: 5 * SECOND, kind: EndpointUpdate::Delta },
+    RosterNews { at: 6 * SECOND, kind: EndpointUpdate::Delta },
+    RosterNews { at: 7 * SECOND, kind: EndpointUpdate::Delta },
+    RosterNews { at: 9 * SECOND, kind: EndpointUpdate::PollFailed },
+    RosterNews { at: 18 * SECOND, kind: EndpointUpdate::Snapshot },
+    RosterNews { at: 22 * SECOND, kind: EndpointUpdate::Snapshot },
+    RosterNews { at: 23 * SECOND, kind: EndpointUpdate::Delta },
+    RosterNews { at: 25 * SECOND, kind: EndpointUpdate::CachedSnapshot },
 ];
 
 struct RosterNews {
     at: Micros,
-    kind: RosterKind,
+    kind: EndpointUpdate,
 }
 
 /// A fleet: how many gateways its settings name, and how many of them take part.
@@ -60,19 +60,32 @@
     Single,
 }
 
-fn class(repeat: Repeat, aim: Micros) -> Class {
-    Class { aim, aim_stretch: 0.0, deadline: 4 * SECOND, worth: 1.0, late_worth: 0.0, repeat, stream: false }
+fn class(repeat: Idempotency, aim: Micros) -> Class {
+    Class {
+        latency_objective: aim,
+        latency_objective_stretch: 0.0,
+        deadline: 4 * SECOND,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency: repeat,
+        streaming: false,
+    }
 }
 
 /// Idempotent, keyed by cell and by zone, once only, streamed.
 fn classes() -> Vec<Class> {
-    let keyed = |group| Repeat::Keyed { group, window: 2 * SECOND };
+    let keyed = |group| Idempotency::Keyed { scope: group, window: 2 * SECOND };
     vec![
-        class(Repeat::Safe, SECOND),
-        class(keyed(Group::Cell), SECOND),
-        class(keyed(Group::Zone), 2 * SECOND),
-        class(Repeat::Once, SECOND),
-        Class { stream: true, late_worth: 0.2, aim_stretch: 0.5, ..class(Repeat::Safe, 2 * SECOND) },
+        class(Idempotency::Idempotent, SECOND),
+        class(keyed(IdempotencyScope::Cell), SECOND),
+        class(keyed(IdempotencyScope::Zone), 2 * SECOND),
+        class(Idempotency::NonIdempotent, SECOND),
+        Class {
+            streaming: true,
+            late_weight: 0.2,
+            latency_objective_stretch: 0.5,
+            ..class(Idempotency::Idempotent, 2 * SECOND)
+        },
     ]
 }
 
@@ -81,13 +94,13 @@
     let large = Plan {
         rate: 1e6,
         burst: 1e6,
-        open_cap: 0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
+        concurrency_quota: 0,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
         price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 1.0,
     };
     vec![
         large.clone(),
@@ -95,27 +108,27 @@
         Plan {
             rate: 100.0,
             burst: 100.0,
-            ceiling_rate: 5.0,
-            ceiling_burst: 12.0,
+            hard_limit_rate: 5.0,
+            hard_limit_burst: 12.0,
             price: 2.0,
             ..large.clone()
         },
-        Plan { rate: 0.0, burst: 0.0, open_cap: 2, over_cost: 0.5, ..large },
+        Plan { rate: 0.0, burst: 0.0, concurrency_quota: 2, over_quota_cost: 0.5, ..large },
     ]
 }
 
 fn limits(size: Size, deployment: Deployment) -> Limits {
     Limits {
         max_attempts: 3,
-        second_copies: deployment == Deployment::Hedged,
-        cancel: true,
-        probes: false,
-        peers: true,
-        peer_in_per_s: size.peer_in_per_s,
+        hedging: deployment == Deployment::Hedged,
+        cancellation: true,
+        health_checks: false,
+        peer_messages: true,
+        peer_messages_per_second: size.peer_in_per_s,
         retry_after: true,
         max_retry_after: 2 * SECOND,
-        counter: false,
-        max_open: 20_000,
+        shared_counter: false,
+        max_open_requests: 20_000,
         connect_timeout: 250 * MILLISECOND,
     }
 }
@@ -123,8 +136,8 @@
 fn settings(size: Size, deployment: Deployment, me: u16) -> Settings {
     let single = deployment == Deployment::Single;
     Settings {
-        gateways: size.named,
-        me: GatewayNo(me),
+        gateway_count: size.named,
+        own_id: GatewayId(me),
         zone: (me % 2) as u8,
         tick: 4 * MILLISECOND,
         classes: classes(),
@@ -133,21 +146,21 @@
         rules: Rules {
             answer_slack: 16 * MILLISECOND,
             drain_grace: 250 * MILLISECOND,
-            cold_from: 0.2,
-            cold_time: 10 * SECOND,
-            fall_factor: 3.0,
-            fall_time: SECOND,
-            must_ask: 10 * SECOND,
+            slow_start_floor: 0.2,
+            slow_start_duration: 10 * SECOND,
+            overload_factor: 3.0,
+            overload_window: SECOND,
+            max_poll_interval: 10 * SECOND,
         },
-        discovery: if single { Discovery::Ask } else { Discovery::Push },
-        sizes: if single { SizeMeaning::Capacity } else { SizeMeaning::None },
+        discovery: if single { Discovery::Poll } else { Discovery::Push },
+        size_meaning: if single { SizeMeaning::Capacity } else { SizeMeaning::None },
         meter_period: 0,
-        post_paid: single,
+        postpaid: single,
     }
 }
 
 /// The line of the endpoint list for a backend at a time of the day; none while it is not on the list.
-fn listed(backend: u64, time: Micros, size: Size) -> Option<Listed> {
+fn listed(backend: u64, time: Micros, size: Size) -> Option<Endpoint> {
     let away = (18 * SECOND..22 * SECOND).contains(&time) && backend + 2 >= size.backends;
     let (availability, started) = match (backend, time / SECOND) {
         (2, 5) => (Availability::Draining, 0),
@@ -155,26 +168,26 @@
         (2, 7..) => (Availability::Ready, START + 7 * SECOND),
         _ => (Availability::Ready, 0),
     };
-    let line = Listed {
+    let line = Endpoint {
         backend: BackendId(backend),
         zone: (backend % 2) as u8,
         cell: (backend % 4) as u16,
-        kind: 0,
+        machine_type: 0,
         availability,
         size: 1.0 + (backend % 3) as f64 / 2.0,
-        started,
+        started_at: started,
     };
     (!away).then_some(line)
 }
 
 /// The event that tells a gateway of the endpoint list.
-fn roster(kind: RosterKind, time: Micros, size: Size) -> Event {
+fn roster(kind: EndpointUpdate, time: Micros, size: Size) -> Event {
     let backends = match kind {
-        RosterKind::Delta => 2..4,
-        RosterKind::Full | RosterKind::Cached => 0..size.backends,
-        RosterKind::Failed => 0..0,
+        EndpointUpdate::Delta => 2..4,
+        EndpointUpdate::Snapshot | EndpointUpdate::CachedSnapshot => 0..size.backends,
+        EndpointUpdate::PollFailed => 0..0,
     };
-    Event::Roster(kind, backends.filter_map(|backend| listed(backend, time, size)).collect())
+    Event::Endpoints(kind, backends.filter_map(|backend| listed(backend, time, size)).collect())
 }
 
 /// splitmix64.
@@ -256,11 +269,11 @@
     fn action(&mut self, action: &Action) {
         let counts = &mut self.counts;
         match action {
-            Action::Send { id, backend, expires } => {
+            Action::Send { id, backend, expires_at: expires } => {
                 counts.sends += 1;
                 self.numbers(&[1, id.0, backend.0, Self::rounded(*expires)]);
             }
-            Action::Refuse { id, pause } => {
+            Action::Reject { id, retry_after: pause } => {
                 let with_pause = *pause > 0;
                 counts.refusals_with_pause += u32::from(with_pause);
                 counts.refusals_without_pause += u32::from(!with_pause);
@@ -278,8 +291,8 @@
                 counts.timers += 1;
                 self.numbers(&[5, *delay, u64::from(*token)]);
             }
-            Action::Tell { to, bytes } => self.message(to.map(|peer| peer.0), bytes),
-            Action::Watch(on) => {
+            Action::SendToPeer { to, bytes } => self.message(to.map(|peer| peer.0), bytes),
+            Action::WatchEndpoints(on) => {
                 counts.watches += 1;
                 self.numbers(&[7, u64::from(*on)]);
             }
@@ -287,7 +300,10 @@
                 counts.logs += 1;
                 self.numbers(&[8]);
             }
-            Action::Probe(_) | Action::CloseIdle(_) | Action::FetchRoster | Action::Count { .. } => {
+            Action::CheckHealth(_)
+            | Action::CloseIdleConnections(_)
+            | Action::FetchEndpoints
+            | Action::IncrementCounter { .. } => {
                 counts.others += 1;
                 self.numbers(&[9]);
             }
@@ -388,7 +404,7 @@
         for me in 0..size.live {
             let host = Host { gateway: fleet.start(me, 0), restarts: 0, pending: BTreeMap::new() };
             fleet.hosts.push(host);
-            fleet.plan(0, me, Happening::Seen(roster(RosterKind::Cached, 0, size)));
+            fleet.plan(0, me, Happening::Seen(roster(EndpointUpdate::CachedSnapshot, 0, size)));
             fleet.plan(MILLISECOND, me, Happening::Arrival);
             for news in &ROSTER_NEWS {
                 fleet.plan(news.at, me, Happening::Seen(roster(news.kind, news.at, size)));
@@ -449,7 +465,7 @@
             Happening::Withdrawal(id) => {
                 if host.pending.get(&id).is_some_and(|pending| !pending.answered) {
                     self.answered(gateway, id);
-                    self.feed(gateway, Event::Withdrawn(id));
+                    self.feed(gateway, Event::ClientDisconnected(id));
                 }
             }
             Happening::Restart => {
@@ -457,7 +473,7 @@
                 let started = self.start(gateway, restarts);
                 self.hosts[usize::from(gateway)] =
                     Host { gateway: started, restarts, pending: BTreeMap::new() };
-                self.feed(gateway, roster(RosterKind::Cached, self.time(), self.size));
+                self.feed(gateway, roster(EndpointUpdate::CachedSnapshot, self.time(), self.size));
             }
         }
     }
@@ -476,7 +492,7 @@
     fn act(&mut self, gateway: u16, action: Action) {
         match action {
             Action::Send { id, backend, .. } => self.send(gateway, id, backend),
-            Action::Refuse { id, .. } | Action::Fail(id) => self.answered(gateway, id),
+            Action::Reject { id, .. } | Action::Fail(id) => self.answered(gateway, id),
             Action::Cancel { id, attempt } => {
                 let end = Happening::End { id, attempt, outcome: Outcome::Cancelled };
                 self.plan(MILLISECOND, gateway, end);
@@ -485,9 +501,13 @@
                 let restarts = self.hosts[usize::from(gateway)].restarts;
                 self.plan(delay, gateway, Happening::Timer { restarts, token });
             }
-            Action::Tell { to, bytes } => self.tell(gateway, to, bytes),
-            Action::Watch(true) => {
-                let kind = if self.random.percent(25) { RosterKind::Failed } else { RosterKind::Full };
+            Action::SendToPeer { to, bytes } => self.tell(gateway, to, bytes),
+            Action::WatchEndpoints(true) => {
+                let kind = if self.random.percent(25) {
+                    EndpointUpdate::PollFailed
+                } else {
+                    EndpointUpdate::Snapshot
+                };
                 let event = roster(kind, self.time(), self.size);
                 self.plan(30 * MILLISECOND, gateway, Happening::Seen(event));
             }
@@ -529,8 +549,8 @@
             customer: CustomerId(customer),
             deadline: self.now + wait,
             units: 0.5 + self.random.below(4) as f64 / 2.0,
-            width: live - first,
-            first,
+            gateway_set_size: live - first,
+            gateway_set_start: first,
         }
     }
 
@@ -544,11 +564,11 @@
             _ if silent => (3 * SECOND, Outcome::TimedOut),
             _ if sick => (20 * MILLISECOND, Outcome::Error),
             0..=1 => (takes, Outcome::Error),
-            2..=3 => (5 * MILLISECOND, Outcome::Full),
+            2..=3 => (5 * MILLISECOND, Outcome::Rejected),
             4 => (2 * SECOND, Outcome::TimedOut),
             5 => (250 * MILLISECOND, Outcome::ConnectFailed),
             6 => (takes / 2, Outcome::Reset),
-            7 => (MILLISECOND, Outcome::Moot),
+            7 => (MILLISECOND, Outcome::NotSent),
             _ => (takes, Outcome::Ok),
         }
     }
@@ -577,12 +597,22 @@
         pending.answered |= outcome == Outcome::Ok;
         let complete = pending.answered;
         let queue = self.random.percent(30).then(|| self.random.below(4) as f64);
-        let report = queue.map(|queue| Report { queue: Some(queue), ..Report::default() });
+        let report = queue.map(|queue| LoadReport { queue_depth: Some(queue), ..LoadReport::default() });
         let charged = (self.deployment == Deployment::Single).then_some(units * 1.25);
         let metered = None;
         self.feed(
             gateway,
-            Event::Settled { id, attempt, backend, outcome, complete, took, metered, charged, report },
+            Event::AttemptEnded {
+                id,
+                attempt,
+                backend,
+                outcome,
+                answered: complete,
+                elapsed: took,
+                metered,
+                charged_units: charged,
+                load_report: report,
+            },
         );
         self.forget(gateway, id);
     }
@@ -605,24 +635,24 @@
     }
 
     /// The network between gateways: it drops, delays, repeats and garbles some messages.
-    fn tell(&mut self, from: u16, to: Option<GatewayNo>, bytes: Vec<u8>) {
-        let GatewayNo(to) = to.expect("messages go to one peer each");
+    fn tell(&mut self, from: u16, to: Option<GatewayId>, bytes: Vec<u8>) {
+        let GatewayId(to) = to.expect("messages go to one peer each");
         if to >= self.size.live || self.random.percent(10) {
             return;
         }
         let late = self.random.percent(5);
         let delay =
             if late { self.random.between(300_000, 900_000) } else { self.random.between(2_000, 20_000) };
-        let from = GatewayNo(from);
+        let from = GatewayId(from);
         if self.random.percent(5) {
-            let event = Event::Peer { from, bytes: bytes.clone() };
+            let event = Event::PeerMessage { from, bytes: bytes.clone() };
             self.plan(delay + 7 * MILLISECOND, to, Happening::Seen(event));
         }
         if self.random.percent(2) {
-            let event = Event::Peer { from, bytes: self.garbled(&bytes) };
+            let event = Event::PeerMessage { from, bytes: self.garbled(&bytes) };
             self.plan(delay / 2, to, Happening::Seen(event));
         }
-        self.plan(delay, to, Happening::Seen(Event::Peer { from, bytes }));
+        self.plan(delay, to, Happening::Seen(Event::PeerMessage { from, bytes }));
     }
 
     /// A message that no gateway can have sent: cut short, of another version, or noise.
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -9,46 +9,46 @@
 
 fn settings() -> Settings {
     let class = |repeat| Class {
-        aim: 500_000,
-        aim_stretch: 0.0,
+        latency_objective: 500_000,
+        latency_objective_stretch: 0.0,
         deadline: 2_000_000,
-        worth: 1.0,
-        late_worth: 0.0,
-        repeat,
-        stream: false,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency: repeat,
+        streaming: false,
     };
     let plan = |ceiling_rate, ceiling_burst| Plan {
         rate: 20.0,
         burst: 40.0,
-        open_cap: 0,
-        ceiling_rate,
-        ceiling_burst,
-        ceiling_slack: 1.0,
+        concurrency_quota: 0,
+        hard_limit_rate: ceiling_rate,
+        hard_limit_burst: ceiling_burst,
+        hard_limit_slack: 1.0,
         price: 1.0,
-        over_worth: 0.0,
-        over_cost: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 1.0,
     };
-    let keyed = Repeat::Keyed { group: Group::Cell, window: 1_000_000 };
+    let keyed = Idempotency::Keyed { scope: IdempotencyScope::Cell, window: 1_000_000 };
     Settings {
-        gateways: 3,
+        gateway_count: 3,
         tick: 4_000,
-        classes: vec![class(Repeat::Safe), class(keyed), class(Repeat::Once)],
+        classes: vec![class(Idempotency::Idempotent), class(keyed), class(Idempotency::NonIdempotent)],
         plans: vec![plan(0.0, 0.0), plan(30.0, 60.0)],
         limits: Limits {
             max_attempts: 3,
-            second_copies: false,
-            cancel: true,
-            peers: true,
-            peer_in_per_s: 50.0,
+            hedging: false,
+            cancellation: true,
+            peer_messages: true,
+            peer_messages_per_second: 50.0,
             retry_after: true,
             max_retry_after: 1_000_000,
             ..Limits::default()
         },
         rules: Rules {
-            cold_from: 0.2,
-            cold_time: 5_000_000,
-            fall_factor: 3.0,
-            fall_time: 1_000_000,
+            slow_start_floor: 0.2,
+            slow_start_duration: 5_000_000,
+            overload_factor: 3.0,
+            overload_window: 1_000_000,
             ..Rules::default()
         },
         ..Settings::default()
@@ -124,13 +124,13 @@
                         *self.ceiling.entry(customer).or_insert(0.0) += units;
                     }
                 }
-                Action::Refuse { id, .. } => {
+                Action::Reject { id, .. } => {
                     assert!(self.ended.insert(*id), "a second answer");
                     let unproved = self.unproved.get(id).copied().unwrap_or(0);
                     assert!(self.classes[id] == 0 || unproved == 0, "refused what may have run");
                 }
                 Action::Fail(id) => assert!(self.ended.insert(*id), "a second answer"),
-                Action::Probe(_) | Action::Count { .. } => panic!("forbidden here"),
+                Action::CheckHealth(_) | Action::IncrementCounter { .. } => panic!("forbidden here"),
                 _ => {}
             }
         }
@@ -148,7 +148,7 @@
     let outcomes = [
         Outcome::Ok,
         Outcome::Error,
-        Outcome::Full,
+        Outcome::Rejected,
         Outcome::ConnectFailed,
         Outcome::Reset,
         Outcome::TimedOut,
@@ -159,16 +159,20 @@
         gateway.handle(now, event, &mut actions);
         host.take(now, &actions);
     };
-    let listed = |n: u64, state: u8, started: Micros| Listed {
+    let listed = |n: u64, state: u8, started: Micros| Endpoint {
         backend: BackendId(n),
         zone: (n % 2) as u8,
         cell: (n % 2) as u16,
         availability: [Availability::Ready, Availability::Draining, Availability::Gone][usize::from(state)],
         size: 1.0,
-        started,
-        ..Listed::default()
+        started_at: started,
+        ..Endpoint::default()
     };
-    feed(&mut host, now, Event::Roster(RosterKind::Cached, (0..5).map(|n| listed(n, 0, 0)).collect()));
+    feed(
+        &mut host,
+        now,
+        Event::Endpoints(EndpointUpdate::CachedSnapshot, (0..5).map(|n| listed(n, 0, 0)).collect()),
+    );
     for step in steps.iter().cloned() {
         match step {
             Step::Ask { class, plan, customer, units, width, left } => {
@@ -179,7 +183,16 @@
                 host.classes.insert(id, if class < 3 { class } else { 0 });
                 host.customers.insert(id, (plan, customer, units));
                 let customer = CustomerId(customer);
-                let req = Request { id, class, plan, customer, deadline, units, width, first: 0.0 };
+                let req = Request {
+                    id,
+                    class,
+                    plan,
+                    customer,
+                    deadline,
+                    units,
+                    gateway_set_size: width,
+                    gateway_set_start: 0.0,
+                };
                 feed(&mut host, now, Event::Request(req));
             }
             Step::Settle { pick, outcome, unknown } => {
@@ -189,7 +202,7 @@
                     Some(at) => host.out.swap_remove(at),
                     None => (RequestId(1 << 40), 7, BackendId(77)),
                 };
-                if outcome.never_ran() {
+                if outcome.never_executed() {
                     host.unproved.entry(id).and_modify(|n| *n -= 1);
                 }
                 let complete = outcome == Outcome::Ok || host.ended.contains(&id);
@@ -199,16 +212,16 @@
                 feed(
                     &mut host,
                     now,
-                    Event::Settled {
+                    Event::AttemptEnded {
                         id,
                         attempt,
                         backend,
                         outcome,
-                        complete,
-                        took: 50_000,
+                        answered: complete,
+                        elapsed: 50_000,
                         metered: None,
-                        charged: None,
-                        report: None,
+                        charged_units: None,
+                        load_report: None,
                     },
                 );
             }
@@ -217,18 +230,24 @@
                 if id.0 < next {
                     host.ended.insert(id);
                 }
-                feed(&mut host, now, Event::Withdrawn(id));
+                feed(&mut host, now, Event::ClientDisconnected(id));
+            }
+            Step::Peer { from, bytes } => {
+                feed(&mut host, now, Event::PeerMessage { from: GatewayId(from), bytes })
             }
-            Step::Peer { from, bytes } => feed(&mut host, now, Event::Peer { from: GatewayNo(from), bytes }),
             Step::Roster { kind, states, cold } => {
-                let kind = [RosterKind::Delta, RosterKind::Full, RosterKind::Cached, RosterKind::Failed]
-                    [usize::from(kind)];
+                let kind = [
+                    EndpointUpdate::Delta,
+                    EndpointUpdate::Snapshot,
+                    EndpointUpdate::CachedSnapshot,
+                    EndpointUpdate::PollFailed,
+                ][usize::from(kind)];
                 let list: Vec<_> =
                     (0..).zip(&states).map(|(n, s)| listed(n, *s, if cold { now } else { 0 })).collect();
-                if kind == RosterKind::Full || kind == RosterKind::Cached {
+                if kind == EndpointUpdate::Snapshot || kind == EndpointUpdate::CachedSnapshot {
                     host.shut = (0..6).map(BackendId).collect();
                 }
-                if kind != RosterKind::Failed {
+                if kind != EndpointUpdate::PollFailed {
                     for l in &list {
                         host.shut.remove(&l.backend);
                         if l.availability != Availability::Ready {
@@ -236,7 +255,7 @@
                         }
                     }
                 }
-                feed(&mut host, now, Event::Roster(kind, list));
+                feed(&mut host, now, Event::Endpoints(kind, list));
             }
             Step::Pass(ticks) => {
                 for _ in 0..ticks {
@@ -247,10 +266,14 @@
             Step::Stray(n) => {
                 feed(&mut host, now, Event::Timer(n as u32));
                 feed(&mut host, now, Event::FirstByte { id: RequestId(n), attempt: n as u16 });
-                let report = Some(Report { queue: Some(f64::NAN), ..Report::default() });
+                let report = Some(LoadReport { queue_depth: Some(f64::NAN), ..LoadReport::default() });
                 let (backend, outcome) = (BackendId(n), Outcome::Ok);
-                feed(&mut host, now, Event::Probed { backend, outcome, took: n, report });
-                feed(&mut host, now, Event::Counted { name: n, outcome, total: f64::NAN });
+                feed(
+                    &mut host,
+                    now,
+                    Event::HealthCheckEnded { backend, outcome, elapsed: n, load_report: report },
+                );
+                feed(&mut host, now, Event::CounterUpdated { name: n, outcome, total: f64::NAN });
             }
         }
     }
@@ -264,16 +287,16 @@
             feed(
                 &mut host,
                 now,
-                Event::Settled {
+                Event::AttemptEnded {
                     id,
                     attempt,
                     backend,
                     outcome,
-                    complete,
-                    took: 1,
+                    answered: complete,
+                    elapsed: 1,
                     metered: None,
-                    charged: None,
-                    report: None,
+                    charged_units: None,
+                    load_report: None,
                 },
             );
         }
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -193,7 +193,7 @@
 
 /// Requests of a class that must never run twice are all served, though `bad` lets none in. They come at once:
 /// one after the other they would all go to the backend that answers.
-fn never_ran(bad: SocketAddr) -> Duration {
+fn never_executed(bad: SocketAddr) -> Duration {
     let good = Backend::start(|args| Act::Later(Duration::from_millis(30), served(args)));
     let mut setup = Setup::of(&[&good]);
     setup.known.push(entry("s-9", bad, "up"));
@@ -212,20 +212,20 @@
 #[test]
 fn an_unsafe_request_turned_away_is_sent_elsewhere() {
     let bad = Backend::start(|_| Act::Say(b"-BUSY util=0.99\r\n".to_vec()));
-    never_ran(bad.at);
+    never_executed(bad.at);
     assert!(bad.count() > 0, "it was never tried");
 }
 
 #[test]
 fn an_unsafe_request_to_a_closed_port_is_sent_elsewhere() {
-    never_ran(place());
+    never_executed(place());
 }
 
 /// Guards against waiting for a connection for as long as for an answer: a machine that is cut off says nothing.
 #[test]
 fn a_connection_that_never_comes_up_is_given_up_in_time() {
     let silent = Unreached::new();
-    let longest = never_ran(silent.at);
+    let longest = never_executed(silent.at);
     assert!(longest >= Duration::from_millis(250), "it was never tried, or not waited for: {longest:?}");
 }
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -17,49 +17,56 @@
 
 fn settings(me: u16) -> Settings {
     let class = Class {
-        aim: S,
-        aim_stretch: 0.0,
+        latency_objective: S,
+        latency_objective_stretch: 0.0,
         deadline: 4 * S,
-        worth: 1.0,
-        late_worth: 0.0,
-        repeat: Repeat::Safe,
-        stream: false,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency: Idempotency::Idempotent,
+        streaming: false,
     };
     let rated = Plan {
         rate: 2.0,
         burst: 8.0,
-        open_cap: 0,
-        ceiling_rate: 0.0,
-        ceiling_burst: 0.0,
-        ceiling_slack: 0.0,
+        concurrency_quota: 0,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
         price: 1.3,
-        over_worth: 0.0,
-        over_cost: 0.6,
+        over_quota_weight: 0.0,
+        over_quota_cost: 0.6,
+    };
+    let capped = Plan {
+        rate: 0.0,
+        burst: 0.0,
+        concurrency_quota: 4,
+        price: 1.4,
+        over_quota_cost: 1.0,
+        ..rated.clone()
     };
-    let capped = Plan { rate: 0.0, burst: 0.0, open_cap: 4, price: 1.4, over_cost: 1.0, ..rated.clone() };
     Settings {
-        gateways: GATEWAYS,
-        me: GatewayNo(me),
+        gateway_count: GATEWAYS,
+        own_id: GatewayId(me),
         tick: 4_000,
         classes: vec![class],
         plans: vec![rated, capped],
         limits: Limits {
             max_attempts: 4,
-            second_copies: true,
-            cancel: true,
-            peers: true,
-            peer_in_per_s: 40.0,
+            hedging: true,
+            cancellation: true,
+            peer_messages: true,
+            peer_messages_per_second: 40.0,
             retry_after: true,
             max_retry_after: S,
-            max_open: 20_000,
+            max_open_requests: 20_000,
             connect_timeout: 250_000,
             ..Limits::default()
         },
         rules: Rules {
-            cold_from: 0.2,
-            cold_time: 10 * S,
-            fall_factor: 4.0,
-            fall_time: 3 * S,
+            slow_start_floor: 0.2,
+            slow_start_duration: 10 * S,
+            overload_factor: 4.0,
+            overload_window: 3 * S,
             ..Rules::default()
         },
         ..Settings::default()
@@ -126,7 +133,7 @@
             self.levels.iter().rev().find(|l| l.0 <= at).copied().unwrap_or((T0, self.plan.burst));
         let level = (level + self.plan.rate * at.saturating_sub(since) as f64 / 1e6).min(self.plan.burst);
         (self.plan.rate == 0.0 || level >= 1.0)
-            && (self.plan.open_cap == 0 || out < self.plan.open_cap as usize)
+            && (self.plan.concurrency_quota == 0 || out < self.plan.concurrency_quota as usize)
     }
 
     /// A try is sent on.
@@ -138,7 +145,7 @@
             self.level -= if self.plan.rate > 0.0 { 1.0 } else { 0.0 };
             sum.inside += self.plan.price;
         } else {
-            sum.cost += self.plan.price * self.plan.over_cost;
+            sum.cost += self.plan.price * self.plan.over_quota_cost;
         }
         self.levels.push((now, self.level));
         self.out.push(now);
@@ -186,11 +193,11 @@
 /// The same tries at the gateways of a fleet.
 fn fleet(arrivals: &[(Micros, u64)], random: &mut u64) -> Sum {
     let (mut truths, mut sum) = (Truth::all(), Sum::default());
-    let listed = |n| Listed { backend: BackendId(n), size: 1.0, ..Listed::default() };
+    let listed = |n| Endpoint { backend: BackendId(n), size: 1.0, ..Endpoint::default() };
     let (mut queue, mut gateways, mut pending) = (Queue::default(), Vec::new(), Vec::new());
     for me in 0..GATEWAYS {
         let (mut gateway, mut actions) = (Gateway::new(settings(me), 100 + u64::from(me), T0), Vec::new());
-        let roster = Event::Roster(RosterKind::Cached, (0..200).map(listed).collect());
+        let roster = Event::Endpoints(EndpointUpdate::CachedSnapshot, (0..200).map(listed).collect());
         gateway.handle(T0, roster, &mut actions);
         gateways.push(gateway);
         pending.push((me, T0, actions));
@@ -213,7 +220,7 @@
                         queue.push(now + TAKES, me, What::Settle { id, attempt: *attempts, backend });
                         *attempts += 1;
                     }
-                    Action::Tell { to: Some(to), bytes } if draw(random, 100) >= 5 => {
+                    Action::SendToPeer { to: Some(to), bytes } if draw(random, 100) >= 5 => {
                         let at = now + 1_300 + draw(random, 32_000);
                         queue.push(at, to.0, What::Tell { from: me, bytes });
                     }
@@ -235,8 +242,8 @@
                     customer: CustomerId(customer),
                     deadline: now + 3 * S,
                     units: 1.0,
-                    width: f64::from(GATEWAYS),
-                    first: 0.0,
+                    gateway_set_size: f64::from(GATEWAYS),
+                    gateway_set_start: 0.0,
                 })
             }
             What::Tell { from, bytes } => {
@@ -245,18 +252,18 @@
                 if *second > 40 {
                     continue; // more than it takes in
                 }
-                Event::Peer { from: GatewayNo(from), bytes }
+                Event::PeerMessage { from: GatewayId(from), bytes }
             }
-            What::Settle { id, attempt, backend } => Event::Settled {
+            What::Settle { id, attempt, backend } => Event::AttemptEnded {
                 id,
                 attempt,
                 backend,
                 outcome: Outcome::Ok,
-                complete: true,
-                took: TAKES,
+                answered: true,
+                elapsed: TAKES,
                 metered: None,
-                charged: None,
-                report: None,
+                charged_units: None,
+                load_report: None,
             },
             What::Wake => Event::Timer(0),
         };
