--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -63,7 +63,7 @@
     );
     let text = read(call);
     assert!(text.contains("RequestId(9), class: 2, plan: 3, customer: CustomerId(4), deadline: 5"), "{text}");
-    assert!(text.contains("units: 2.0, width: 3.0, first: 0.0"), "{text}");
+    assert!(text.contains("units: 2.0, gateway_set_size: 3.0, gateway_set_start: 0.0"), "{text}");
     let settled = body(
         20,
         &[
@@ -84,20 +84,20 @@
         "attempt: 2",
         "BackendId(8)",
         "Ok",
-        "complete: true",
-        "took: 7",
+        "answered: true",
+        "elapsed: 7",
         "metered: Some(0.5)",
-        "queue: Some(6.0)",
+        "queue_depth: Some(6.0)",
     ] {
         assert!(text.contains(part), "{part} in {text}");
     }
-    assert_eq!(read(body(90, &[(3, &[6])])), "Withdrawn(RequestId(6))");
+    assert_eq!(read(body(90, &[(3, &[6])])), "ClientDisconnected(RequestId(6))");
     assert_eq!(read(body(70, &[(3, &[6])])), "Timer(6)");
     assert_eq!(read(body(100, &[(3, &[6]), (11, &[2])])), "FirstByte { id: RequestId(6), attempt: 2 }");
     let peer = body(80, &[(3, &[2]), (5, &[1]), (9, &[2])]);
-    assert_eq!(read(peer), "Peer { from: GatewayId(2), bytes: [5, 6] }");
+    assert_eq!(read(peer), "PeerMessage { from: GatewayId(2), bytes: [5, 6] }");
     let probed = read(body(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
-    assert!(probed.contains("Moot") && probed.contains("took: 7"), "{probed}");
+    assert!(probed.contains("NotSent") && probed.contains("elapsed: 7"), "{probed}");
     let counted = read(body(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
     assert!(counted.contains("name: 5") && counted.contains("38.0"), "{counted}");
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,4 +1,4 @@
-//! Every decision of a gateway. Its types stand in `src/interface.rs`, its records in `src/state.rs`.
+//! Every decision of a gateway. Its events and actions stand in files of their own, its records in `src/state.rs`.
 use crate::{gossip::*, quota::*, state::*, *};
 use std::cmp::Reverse;
 
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -215,7 +215,8 @@
             // Their counts go on: once forgotten, all that one let through would pass for new.
             c.heard.retain(|_, h| few || now - h.at <= 2 * AGING);
             // Kept until both stores are full for sure: a customer met anew starts with full ones.
-            let full = (p.burst / p.rate).max(p.hard_limit_burst / p.hard_limit_rate).clamp(0.0, 1e6); // NaN: 0 / 0
+            // Without a rate this is 0 / 0, a NaN, which the cast turns into 0.
+            let full = (p.burst / p.rate).max(p.hard_limit_burst / p.hard_limit_rate).clamp(0.0, 1e6);
             c.open > 0 || !c.held.is_empty() || now - c.seen <= 2 * AGING.max((full * SECOND) as Micros)
         });
         again.into_iter().for_each(|id| self.report(id, false, act));
