Name the interface of clients, commands and RESP by the field's terms

Callers of these modules read words of their own making: Call, Vocabulary, Room, surplus, Gone, put_bulk.

The file call is now command; Command, CommandSchema, Capacity, AcceptOutcome, ClientEvent, ReplyHandle, ElementKind and the functions around them have the usual names; a pair of a class's name and its idempotency is a struct, the flag of drain an enum, and the queue of events is read through two methods. No behaviour changes.

The tests of the program pass.

--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -2,7 +2,7 @@
 //! request at a time, for calling an attempt off means closing its connection.
 
 use crate::discovery::EndpointList;
-use crate::resp::{self, Element, Kind, Reply};
+use crate::resp::{self, Element, ElementKind, Reply};
 use ingress::{Availability, BackendId, LoadReport, Micros, Outcome, RequestId};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -139,8 +139,8 @@
 /// The value's bytes if this is the answer to a request, else none.
 fn served(buf: &[u8], list: &[Element]) -> Option<(Vec<u8>, Option<LoadReport>)> {
     let [value, _, load] = list else { return None };
-    let report = (load.kind == Kind::Bulk).then(|| report(&buf[load.text.clone()])).flatten();
-    (value.kind == Kind::Bulk).then(|| (buf[value.whole.clone()].to_vec(), report))
+    let report = (load.kind == ElementKind::Bulk).then(|| report(&buf[load.payload.clone()])).flatten();
+    (value.kind == ElementKind::Bulk).then(|| (buf[value.span.clone()].to_vec(), report))
 }
 
 /// A load report such as `inflight=7,util=0.61`; none if nothing in it is one.
@@ -159,15 +159,15 @@
         (Reply::Array(list), Work::Attempt(..)) => {
             served(buf, list).map(|(value, report)| (Outcome::Ok, value, report))
         }
-        (Reply::One(e), _) if e.kind == Kind::Error => {
-            let text = &buf[e.text.clone()];
+        (Reply::Single(e), _) if e.kind == ElementKind::Error => {
+            let text = &buf[e.payload.clone()];
             let first = text.split(|b| *b == b' ').next();
             let outcome = if first == Some(b"BUSY") { Outcome::Rejected } else { Outcome::Error };
             let last = text.rsplit(|b| *b == b' ').next();
             Some((outcome, Vec::new(), last.and_then(report)))
         }
-        (Reply::One(e), Work::Probe) if e.kind == Kind::Bulk => {
-            Some((Outcome::Ok, Vec::new(), report(&buf[e.text.clone()])))
+        (Reply::Single(e), Work::Probe) if e.kind == ElementKind::Bulk => {
+            Some((Outcome::Ok, Vec::new(), report(&buf[e.payload.clone()])))
         }
         _ => None,
     }
@@ -453,7 +453,7 @@
     fn take_answer(&mut self, key: usize, now: Micros) -> bool {
         let conn = &mut self.conns[key];
         let Some(work) = conn.work else { return false }; // nobody asked for anything
-        let (reply, end) = match resp::reply(&conn.buf) {
+        let (reply, end) = match resp::parse_reply(&conn.buf) {
             Ok(None) => return true,
             Ok(Some(found)) => found,
             Err(_) => {
--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -1,6 +1,6 @@
 //! The clients' side: the listener, the connections, and the answers in the order of their requests.
 
-use crate::call::{Call, Vocabulary};
+use crate::command::{Command, CommandSchema};
 use crate::resp;
 use ingress::{Micros, RequestId};
 use mio::net::{TcpListener, TcpStream};
@@ -36,18 +36,25 @@
 
 /// Where an answer belongs.
 #[derive(Clone, Copy, Debug)]
-pub struct Origin {
+pub struct ReplyHandle {
     key: usize,
     serial: u64,
     slot: u64,
 }
 
 /// What a connection brought.
-pub enum Incoming {
+pub enum ClientEvent {
     /// A request, under the name that it has here.
-    Call(RequestId, Origin, Call),
+    Command {
+        /// The id that the request has in this process.
+        id: RequestId,
+        /// Where its reply belongs.
+        reply_to: ReplyHandle,
+        /// What the client sent.
+        command: Command,
+    },
     /// The client of a request that is not answered has gone.
-    Gone(RequestId),
+    Disconnected(RequestId),
 }
 
 /// An answer, or the place for one that is still to come.
@@ -136,22 +143,31 @@
 
 /// Whether there is a descriptor for one more connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Room {
-    Free,
+pub enum Capacity {
+    Available,
     /// Only to say that there is none.
-    Surplus,
-    None,
+    OverLimit,
+    Exhausted,
 }
 
 /// What accepting came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Accepted {
+pub enum AcceptOutcome {
     /// All that waited is in.
-    All,
+    Drained,
     /// There may be more.
-    More,
+    MorePending,
     /// There is no descriptor to accept with.
-    NoRoom,
+    NoDescriptor,
+}
+
+/// Whether a draining ingress still accepts connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepting {
+    /// Clients that have not noticed the shutdown may still connect.
+    Continue,
+    /// The listening port is closed.
+    Stop,
 }
 
 /// All client connections.
@@ -161,7 +177,7 @@
     serial: u64,
     next_id: u64,
     tokens: fn(usize) -> Token,
-    words: Vocabulary,
+    words: CommandSchema,
     chunk: Vec<u8>,
     args: Vec<Range<usize>>,
     /// Connections with something to write, and those to be read again.
@@ -171,18 +187,23 @@
     draining: bool,
     lingering: usize,
     /// When the latest connection came.
-    pub accepted_at: Micros,
+    pub last_accepted_at: Micros,
     surplus: usize,
     /// What all of them hold in memory, and may.
     held: usize,
     memory: usize,
     /// What came since it was last looked at, in order.
-    pub incoming: VecDeque<Incoming>,
+    events: VecDeque<ClientEvent>,
 }
 
 impl Clients {
     /// Starts from a listener that is registered already; `memory` is what connections may hold in all.
-    pub fn new(listener: TcpListener, words: Vocabulary, memory: usize, tokens: fn(usize) -> Token) -> Self {
+    pub fn new(
+        listener: TcpListener,
+        words: CommandSchema,
+        memory: usize,
+        tokens: fn(usize) -> Token,
+    ) -> Self {
         Clients {
             listener: Some(listener),
             conns: Slab::new(),
@@ -196,14 +217,24 @@
             again: Vec::new(),
             draining: false,
             lingering: 0,
-            accepted_at: 0,
+            last_accepted_at: 0,
             surplus: 0,
             held: 0,
             memory,
-            incoming: VecDeque::new(),
+            events: VecDeque::new(),
         }
     }
 
+    /// What came since it was last taken, in order.
+    pub fn pending_events(&self) -> impl Iterator<Item = &ClientEvent> {
+        self.events.iter()
+    }
+
+    /// Takes the first of what came.
+    pub fn next_event(&mut self) -> Option<ClientEvent> {
+        self.events.pop_front()
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
@@ -211,17 +242,17 @@
 
     /// How many of them are between two requests.
     #[cfg(test)]
-    pub fn idle(&self) -> usize {
+    pub fn idle_count(&self) -> usize {
         self.conns.iter().filter(|(_, c)| c.idle()).count()
     }
 
     /// How many of them were taken in beyond the budget.
-    pub fn surplus(&self) -> usize {
+    pub fn over_limit_count(&self) -> usize {
         self.surplus
     }
 
     /// How many of them still owe or await something.
-    pub fn busy(&self) -> usize {
+    pub fn busy_count(&self) -> usize {
         self.conns.iter().filter(|(_, c)| !c.slots.is_empty() || !c.out.is_empty()).count()
     }
 
@@ -230,26 +261,26 @@
         &mut self,
         registry: &Registry,
         now: Micros,
-        mut room: impl FnMut(&mut Self) -> Room,
-    ) -> Accepted {
+        mut room: impl FnMut(&mut Self) -> Capacity,
+    ) -> AcceptOutcome {
         for _ in 0..ACCEPTS_A_TURN {
             let room = room(self);
-            if room == Room::None {
-                return Accepted::NoRoom;
+            if room == Capacity::Exhausted {
+                return AcceptOutcome::NoDescriptor;
             }
-            let Some(listener) = &self.listener else { return Accepted::All };
+            let Some(listener) = &self.listener else { return AcceptOutcome::Drained };
             match listener.accept() {
-                Ok((stream, _)) => self.add(stream, registry, now, room == Room::Surplus),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Accepted::All,
+                Ok((stream, _)) => self.add(stream, registry, now, room == Capacity::OverLimit),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return AcceptOutcome::Drained,
                 // One that was gone before it was accepted.
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
                 // Out of descriptors or memory in spite of the budget: an idle one may make room.
-                Err(_) if self.close_oldest(now) => {}
-                Err(_) => return Accepted::NoRoom,
+                Err(_) if self.close_oldest_idle(now) => {}
+                Err(_) => return AcceptOutcome::NoDescriptor,
             }
         }
-        Accepted::More
+        AcceptOutcome::MorePending
     }
 
     fn add(&mut self, mut stream: TcpStream, registry: &Registry, now: Micros, surplus: bool) {
@@ -260,7 +291,7 @@
         }
         let _ = stream.set_nodelay(true); // an answer is one write: there is nothing to wait for
         self.serial += 1;
-        self.accepted_at = now;
+        self.last_accepted_at = now;
         self.lingering += usize::from(surplus);
         self.surplus += usize::from(surplus);
         place.insert(Client {
@@ -288,7 +319,7 @@
     }
 
     /// Does what a connection is ready for.
-    pub fn ready(&mut self, key: usize, now: Micros, writable: bool) {
+    pub fn on_ready(&mut self, key: usize, now: Micros, writable: bool) {
         let Some(c) = self.conns.get_mut(key) else { return };
         if writable && !c.out.is_empty() && !c.dirty {
             c.dirty = true;
@@ -299,19 +330,19 @@
 
     /// The client of a connection has closed it, or ended its sending: it has gone, and whatever it said that was not
     /// looked at yet is nobody's.
-    pub fn left(&mut self, key: usize) {
+    pub fn on_disconnect(&mut self, key: usize) {
         if self.conns.contains(key) {
             self.remove(key);
         }
     }
 
     /// Whether there is something to do before any socket shows as ready.
-    pub fn has_more(&self) -> bool {
-        !(self.again.is_empty() && self.dirty.is_empty() && self.incoming.is_empty())
+    pub fn has_pending_work(&self) -> bool {
+        !(self.again.is_empty() && self.dirty.is_empty() && self.events.is_empty())
     }
 
     /// Reads on where a turn's bound ended the reading.
-    pub fn read_again(&mut self, now: Micros) {
+    pub fn resume_reads(&mut self, now: Micros) {
         for key in std::mem::take(&mut self.again) {
             if let Some(c) = self.conns.get_mut(key) {
                 c.listed = false;
@@ -399,7 +430,7 @@
     /// Ends a connection in the middle of a command, once it has been told why.
     fn break_off(c: &mut Client, why: &str) {
         let mut text = Vec::new();
-        resp::put_error(&mut text, why);
+        resp::write_error(&mut text, why);
         c.answer_now(&text);
         (c.closing, c.buf) = (true, Vec::new());
     }
@@ -416,13 +447,13 @@
         let mut at = 0;
         while !c.closing && !c.full() && at < c.buf.len() {
             let slots = c.slots.len() as u64;
-            match resp::command(&c.buf[at..], &mut self.args) {
+            match resp::parse_command(&c.buf[at..], &mut self.args) {
                 Ok(None) => break,
                 Ok(Some(n)) => {
                     let part = &c.buf[at..at + n];
                     at += n;
                     (c.since, c.begun) = (now.max(c.since), now.max(c.begun));
-                    match Call::read(part, &self.args, &self.words) {
+                    match Command::parse(part, &self.args, &self.words) {
                         Some(Ok(_)) if c.surplus => {
                             c.answer_now(b"-BUSY\r\n");
                             c.closing = true;
@@ -431,15 +462,19 @@
                         Some(Ok(call)) => {
                             self.next_id += 1;
                             let id = RequestId(self.next_id);
-                            let origin = Origin { key, serial: c.serial, slot: c.first + slots };
+                            let origin = ReplyHandle { key, serial: c.serial, slot: c.first + slots };
                             c.errors = 0;
                             c.slots.push_back(Slot::Waiting(id));
-                            self.incoming.push_back(Incoming::Call(id, origin, call));
+                            self.events.push_back(ClientEvent::Command {
+                                id,
+                                reply_to: origin,
+                                command: call,
+                            });
                             continue;
                         }
                         Some(Err(why)) => {
                             let mut text = Vec::new();
-                            resp::put_error(&mut text, &why);
+                            resp::write_error(&mut text, &why);
                             c.answer_now(&text);
                             c.strike();
                         }
@@ -455,7 +490,7 @@
                 }
                 Err(why) => {
                     let mut text = Vec::new();
-                    resp::put_error(&mut text, &format!("protocol error: {}", why.0));
+                    resp::write_error(&mut text, &format!("protocol error: {}", why.0));
                     c.answer_now(&text);
                     c.closing = true;
                     at = c.buf.len();
@@ -476,17 +511,17 @@
     }
 
     /// Answers a request that could not be taken: the connection bears some of them.
-    pub fn reject(&mut self, origin: Origin, why: &str) {
+    pub fn reject(&mut self, origin: ReplyHandle, why: &str) {
         let mut text = Vec::new();
-        resp::put_error(&mut text, why);
+        resp::write_error(&mut text, why);
         if let Some(c) = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial) {
             c.strike();
         }
-        self.answer(origin, &text);
+        self.reply(origin, &text);
     }
 
     /// Gives a request its final answer, a whole RESP2 value.
-    pub fn answer(&mut self, origin: Origin, text: &[u8]) {
+    pub fn reply(&mut self, origin: ReplyHandle, text: &[u8]) {
         let found = self.conns.get_mut(origin.key).filter(|c| c.serial == origin.serial);
         let Some(c) = found.filter(|c| origin.slot >= c.first) else { return };
         let at = (origin.slot - c.first) as usize;
@@ -572,7 +607,7 @@
     }
 
     /// Closes the connection that has been idle for longest, to make room; false if none is idle.
-    pub fn close_oldest(&mut self, now: Micros) -> bool {
+    pub fn close_oldest_idle(&mut self, now: Micros) -> bool {
         loop {
             let idle = self.conns.iter().filter(|(_, c)| c.idle());
             // Those that never said anything go first, but for those of this very turn: room is made before it is
@@ -598,11 +633,13 @@
         // The latest first: one that waits for a place must not get that of one before it, only to be called off.
         let slots = c.slots.iter().rev();
         let waiting = slots.filter_map(|s| if let Slot::Waiting(id) = s { Some(*id) } else { None });
-        let gone: Vec<Incoming> = waiting.map(Incoming::Gone).collect();
+        let gone: Vec<ClientEvent> = waiting.map(ClientEvent::Disconnected).collect();
         if !gone.is_empty() {
             // What came in the same turn as the end was never taken up.
-            self.incoming.retain(|i| !matches!(i, Incoming::Call(_, origin, _) if origin.serial == c.serial));
-            self.incoming.extend(gone);
+            self.events.retain(
+                |i| !matches!(i, ClientEvent::Command { reply_to, .. } if reply_to.serial == c.serial),
+            );
+            self.events.extend(gone);
         }
     }
 
@@ -631,7 +668,7 @@
     }
 
     /// Closes what has lingered for long enough.
-    pub fn sweep(&mut self, now: Micros) {
+    pub fn close_expired(&mut self, now: Micros) {
         self.end_silent(now);
         if self.lingering > 0 {
             let over = |c: &Client| c.linger_until.is_some_and(|t| t <= now);
@@ -646,15 +683,15 @@
         }
     }
 
-    /// Closes connections between requests from now on, those as well that have not said anything yet and takes
-    /// no new ones, unless some are still `coming`.
-    pub fn drain(&mut self, now: Micros, coming: bool) {
+    /// Closes connections as soon as they are between requests, from now on. While connections are still accepted,
+    /// those that have not sent a command yet are kept.
+    pub fn drain(&mut self, now: Micros, accepting: Accepting) {
         self.draining = true;
-        if !coming {
+        if accepting == Accepting::Stop {
             self.listener = None;
         }
-        let idle = self.conns.iter().filter(|(_, c)| c.idle() && (c.spoke() || !coming));
-        let idle: Vec<usize> = idle.map(|(key, _)| key).collect();
+        let closable = |c: &Client| c.idle() && (c.spoke() || accepting == Accepting::Stop);
+        let idle: Vec<usize> = self.conns.iter().filter(|(_, c)| closable(c)).map(|(key, _)| key).collect();
         idle.into_iter().for_each(|key| self.close_if_silent(key, now));
     }
 }
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
+use crate::command::ClassSchema;
 use ingress::Idempotency;
 use mio::Poll;
 
@@ -15,13 +16,17 @@
 impl Rig {
     fn new(memory: usize) -> Rig {
         let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let (at, classes) = (listener.local_addr().unwrap(), vec![("quote".into(), Idempotency::Idempotent)]);
-        let words = Vocabulary { classes, plans: vec!["starter".into()], most_units: 1.0, gateways: 1 };
+        let (at, classes) = (
+            listener.local_addr().unwrap(),
+            vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }],
+        );
+        let words =
+            CommandSchema { classes, plans: vec!["starter".into()], max_units: 1.0, gateway_count: 1 };
         Rig { clients: Clients::new(listener, words, memory, Token), poll: Poll::new().unwrap(), at }
     }
 
     /// A client that has been accepted.
-    fn client(&mut self, room: Room) -> std::net::TcpStream {
+    fn client(&mut self, room: Capacity) -> std::net::TcpStream {
         let client = std::net::TcpStream::connect(self.at).unwrap();
         client.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
         let before = self.clients.len();
@@ -32,12 +37,12 @@
     }
 
     /// Has a client send a request, and gives where its answer belongs.
-    fn request(&mut self, client: &mut std::net::TcpStream) -> Origin {
+    fn request(&mut self, client: &mut std::net::TcpStream) -> ReplyHandle {
         client.write_all(&call()).unwrap();
         for _ in 0..1_000_000 {
             self.clients.read_all(T);
-            if let Some(Incoming::Call(_, origin, _)) = self.clients.incoming.pop_front() {
-                return origin;
+            if let Some(ClientEvent::Command { reply_to, .. }) = self.clients.next_event() {
+                return reply_to;
             }
         }
         panic!("the request did not come");
@@ -46,9 +51,9 @@
 
 fn call() -> Vec<u8> {
     let mut out = Vec::new();
-    resp::put_array(&mut out, 4);
+    resp::write_array_header(&mut out, 4);
     for word in ["CALL.GET", "0000000000000001", "q1", "c=quote,t=starter,d=900,units=1,spread=1,first=0"] {
-        resp::put_bulk(&mut out, &[word.as_bytes()]);
+        resp::write_bulk_string(&mut out, &[word.as_bytes()]);
     }
     out
 }
@@ -63,10 +68,10 @@
 #[test]
 fn an_answer_that_took_long_is_not_taken_for_unread() {
     let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Room::Free);
+    let mut client = rig.client(Capacity::Available);
     let origin = rig.request(&mut client);
-    rig.clients.answer(origin, b"+late\r\n");
-    rig.clients.sweep(T + UNREAD + 1_000_000);
+    rig.clients.reply(origin, b"+late\r\n");
+    rig.clients.close_expired(T + UNREAD + 1_000_000);
     rig.clients.flush(T + UNREAD + 1_000_000);
     hears(&mut client, b"+late\r\n");
 }
@@ -75,10 +80,10 @@
 #[test]
 fn an_answer_on_its_way_is_not_dropped_for_the_memory_that_it_takes() {
     let mut rig = Rig::new(10_000);
-    let mut client = rig.client(Room::Free);
+    let mut client = rig.client(Capacity::Available);
     let origin = rig.request(&mut client);
     let answer = [b"$60000\r\n", &[b'x'; 60_000][..], b"\r\n"].concat();
-    rig.clients.answer(origin, &answer);
+    rig.clients.reply(origin, &answer);
     rig.clients.read_all(T);
     rig.clients.flush(T);
     hears(&mut client, &answer);
@@ -88,13 +93,13 @@
 #[test]
 fn the_rest_of_a_command_that_has_come_is_read_before_it_is_called_missing() {
     let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Room::Free);
+    let mut client = rig.client(Capacity::Available);
     client.write_all(b"*1\r\n$4\r\nPI").unwrap();
-    while rig.clients.idle() > 0 {
+    while rig.clients.idle_count() > 0 {
         rig.clients.read_all(T);
     }
     client.write_all(b"NG\r\n").unwrap();
-    rig.clients.sweep(T + PATIENCE + 1);
+    rig.clients.close_expired(T + PATIENCE + 1);
     rig.clients.flush(T + PATIENCE + 1);
     hears(&mut client, b"+PONG\r\n");
 }
@@ -104,11 +109,11 @@
 #[test]
 fn one_that_is_to_be_told_of_no_room_is_told_so_before_its_time_is_over() {
     let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Room::Surplus);
+    let mut client = rig.client(Capacity::OverLimit);
     client.write_all(&call()).unwrap();
-    rig.clients.sweep(T + LINGER);
+    rig.clients.close_expired(T + LINGER);
     rig.clients.flush(T + LINGER);
     hears(&mut client, b"-BUSY\r\n");
-    rig.clients.sweep(T + 3 * LINGER);
+    rig.clients.close_expired(T + 3 * LINGER);
     assert_eq!(rig.clients.len(), 0, "told and gone");
 }
--- a/src/bin/ingress/call.rs
+++ b/src/bin/ingress/command.rs
@@ -11,25 +11,33 @@
 /// Customers are numbers below this.
 const MOST_CUSTOMER: u64 = 1 << 33;
 
+/// A class of requests, as commands name it.
+pub struct ClassSchema {
+    /// The class's name in commands.
+    pub name: String,
+    /// Whether a request of this class may be executed more than once.
+    pub idempotency: Idempotency,
+}
+
 /// What the settings name: needed to read a request.
-pub struct Vocabulary {
-    /// The classes, and whether each is safe or keyed.
-    pub classes: Vec<(String, Idempotency)>,
+pub struct CommandSchema {
+    /// The classes of requests; a request's class is its place here.
+    pub classes: Vec<ClassSchema>,
     /// The plans.
     pub plans: Vec<String>,
     /// The most units that a request takes.
-    pub most_units: f64,
+    pub max_units: f64,
     /// How many ingresses there are.
-    pub gateways: u64,
+    pub gateway_count: u64,
 }
 
 /// A client's request.
 #[derive(Debug)]
-pub struct Call {
+pub struct Command {
     /// What the module is told; its id and deadline are the host's to fill in.
     pub request: Request,
     /// How long the client waits.
-    pub wait: Micros,
+    pub timeout: Micros,
     /// Where its id is in the command.
     id: Range<usize>,
     /// The command as it came, but for the length of its options and the value of `d`.
@@ -56,9 +64,13 @@
     !text.is_empty() && text.len() <= MOST_ID && text.iter().all(u8::is_ascii_graphic)
 }
 
-impl Call {
+impl Command {
     /// Reads a command's arguments, the verb among them; none if the verb is another one.
-    pub fn read(buf: &[u8], args: &[Range<usize>], words: &Vocabulary) -> Option<Result<Call, String>> {
+    pub fn parse(
+        buf: &[u8],
+        args: &[Range<usize>],
+        words: &CommandSchema,
+    ) -> Option<Result<Command, String>> {
         let verb = &buf[args.first()?.clone()];
         let post = match verb {
             b"CALL.GET" => false,
@@ -70,10 +82,10 @@
             return Some(Err(format!("{want} arguments are wanted, with the command")));
         }
         let args: Vec<&[u8]> = args.iter().map(|r| &buf[r.clone()]).collect();
-        Some(Call::parse(post, &args, words))
+        Some(Command::parse_arguments(post, &args, words))
     }
 
-    fn parse(post: bool, args: &[&[u8]], words: &Vocabulary) -> Result<Call, String> {
+    fn parse_arguments(post: bool, args: &[&[u8]], words: &CommandSchema) -> Result<Command, String> {
         let (customer, id, options) = (args[1], args[2], args[3]);
         let hex = customer.len() == 16 && customer.iter().all(u8::is_ascii_hexdigit);
         let customer_id = std::str::from_utf8(customer).ok().filter(|_| hex);
@@ -112,11 +124,11 @@
         let missing = |name: &str| format!("{name} is missing");
         let class = class.ok_or_else(|| missing("c"))?;
         let class =
-            words.classes.iter().position(|c| c.0.as_bytes() == class).ok_or("the class is unknown")?;
+            words.classes.iter().position(|c| c.name.as_bytes() == class).ok_or("the class is unknown")?;
         let plan = plan.ok_or_else(|| missing("t"))?;
         let plan = words.plans.iter().position(|p| p.as_bytes() == plan).ok_or("the plan is unknown")?;
         let (wait, place) = wait.ok_or_else(|| missing("d"))?;
-        let repeat = words.classes[class].1;
+        let repeat = words.classes[class].idempotency;
         if post == (repeat == Idempotency::Idempotent) {
             return Err("CALL.GET is for classes that are safe to repeat, CALL.POST for the others".into());
         }
@@ -129,9 +141,9 @@
         let (units, width) =
             (units.ok_or_else(|| missing("units"))?, width.ok_or_else(|| missing("spread"))?);
         let first = first.ok_or_else(|| missing("first"))?;
-        range(units > 0.0 && units <= words.most_units, "units")?;
-        range((1..=words.gateways).contains(&width), "spread")?;
-        range(first < words.gateways, "first")?;
+        range(units > 0.0 && units <= words.max_units, "units")?;
+        range((1..=words.gateway_count).contains(&width), "spread")?;
+        range(first < words.gateway_count, "first")?;
         let request = Request {
             class: u8::try_from(class).map_err(|_| "the class is unknown")?,
             plan: u16::try_from(plan).map_err(|_| "the plan is unknown")?,
@@ -142,35 +154,35 @@
             ..Request::default()
         };
         let mut bytes = Vec::with_capacity(96 + options.len() + args.get(4).map_or(0, |b| b.len() + 16));
-        resp::put_array(&mut bytes, args.len());
-        args[..3].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
+        resp::write_array_header(&mut bytes, args.len());
+        args[..3].iter().for_each(|a| resp::write_bulk_string(&mut bytes, &[a]));
         let head = bytes.len();
         let id = head - 2 - id.len()..head - 2;
         bytes.extend_from_slice(&options[..place.start]);
         let before = bytes.len();
         bytes.extend_from_slice(&options[place.end..]);
         let after = bytes.len();
-        args[4..].iter().for_each(|a| resp::put_bulk(&mut bytes, &[a]));
-        Ok(Call { request, wait, id, bytes, head, before, after })
+        args[4..].iter().for_each(|a| resp::write_bulk_string(&mut bytes, &[a]));
+        Ok(Command { request, timeout: wait, id, bytes, head, before, after })
     }
 
     /// The id that the client gave it.
-    pub fn id(&self) -> &[u8] {
+    pub fn client_request_id(&self) -> &[u8] {
         &self.bytes[self.id.clone()]
     }
 
     /// Appends the command as it goes to a backend, which is told how long it is waited for.
-    pub fn write(&self, wait: Micros, out: &mut Vec<u8>) {
+    pub fn encode(&self, wait: Micros, out: &mut Vec<u8>) {
         let ms = (wait / 1000).max(1).to_string();
         out.extend_from_slice(&self.bytes[..self.head]);
         let (before, after) = (&self.bytes[self.head..self.before], &self.bytes[self.before..self.after]);
-        resp::put_bulk(out, &[before, ms.as_bytes(), after]);
+        resp::write_bulk_string(out, &[before, ms.as_bytes(), after]);
         out.extend_from_slice(&self.bytes[self.after..]);
     }
 
     /// What it takes in memory, roughly.
-    pub fn size(&self) -> usize {
-        self.bytes.capacity() + std::mem::size_of::<Call>()
+    pub fn memory_size(&self) -> usize {
+        self.bytes.capacity() + std::mem::size_of::<Command>()
     }
 }
 
--- a/src/bin/ingress/call/tests.rs
+++ b/src/bin/ingress/command/tests.rs
@@ -3,23 +3,23 @@
 use super::*;
 use ingress::IdempotencyScope;
 
-fn words() -> Vocabulary {
+fn words() -> CommandSchema {
     let keyed = Idempotency::Keyed { scope: IdempotencyScope::Cell, window: 3_000_000 };
     let classes = vec![
-        ("quote".into(), Idempotency::Idempotent),
-        ("save".into(), keyed),
-        ("refer".into(), Idempotency::NonIdempotent),
+        ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent },
+        ClassSchema { name: "save".into(), idempotency: keyed },
+        ClassSchema { name: "refer".into(), idempotency: Idempotency::NonIdempotent },
     ];
     let plans = vec!["starter".into(), "business".into()];
-    Vocabulary { classes, plans, most_units: 4.0, gateways: 4 }
+    CommandSchema { classes, plans, max_units: 4.0, gateway_count: 4 }
 }
 
-fn read(parts: &[&str]) -> Result<Call, String> {
+fn read(parts: &[&str]) -> Result<Command, String> {
     let (mut buf, mut args) = (Vec::new(), Vec::new());
-    resp::put_array(&mut buf, parts.len());
-    parts.iter().for_each(|p| resp::put_bulk(&mut buf, &[p.as_bytes()]));
-    resp::command(&buf, &mut args).unwrap().unwrap();
-    Call::read(&buf, &args, &words()).unwrap()
+    resp::write_array_header(&mut buf, parts.len());
+    parts.iter().for_each(|p| resp::write_bulk_string(&mut buf, &[p.as_bytes()]));
+    resp::parse_command(&buf, &mut args).unwrap().unwrap();
+    Command::parse(&buf, &args, &words()).unwrap()
 }
 
 #[test]
@@ -27,11 +27,11 @@
     let options = "c=save,t=business,d=480,k=5c0f,r=1,units=2,spread=3,first=1,new=x";
     let call = read(&["CALL.POST", "00000000b4d65521", "9b1f", options, "BO\r\nDY"]).unwrap();
     let r = call.request;
-    assert_eq!((r.class, r.plan, r.customer.0, call.wait), (1, 1, 0xb4d6_5521, 480_000));
-    assert_eq!(call.id(), b"9b1f");
+    assert_eq!((r.class, r.plan, r.customer.0, call.timeout), (1, 1, 0xb4d6_5521, 480_000));
+    assert_eq!(call.client_request_id(), b"9b1f");
     assert_eq!((r.units, r.gateway_set_size, r.gateway_set_start), (2.0, 3.0, 1.0));
     let mut out = Vec::new();
-    call.write(123_999, &mut out);
+    call.encode(123_999, &mut out);
     let want = options.replace("480", "123");
     let want = format!(
         "*5\r\n$9\r\nCALL.POST\r\n$16\r\n00000000b4d65521\r\n$4\r\n9b1f\r\n${}\r\n{want}\r\n$6\r\nBO\r\nDY\r\n",
--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -1,8 +1,8 @@
 //! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
 
-use crate::call::Vocabulary;
+use crate::command::{ClassSchema, CommandSchema};
 use crate::discovery::{EndpointList, Sites};
-use ingress::{Micros, Settings, SettingsReader};
+use ingress::{Class, Micros, Settings, SettingsReader};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -20,7 +20,7 @@
     /// The list of backends as last held.
     pub known: EndpointList,
     pub settings: Settings,
-    pub vocabulary: Vocabulary,
+    pub vocabulary: CommandSchema,
     pub sites: Sites,
     pub connect_timeout: Micros,
     pub keepalive: Micros,
@@ -94,11 +94,12 @@
             return Err("setting tick_us is 0".into());
         }
         let names = conf.names("grades").map_err(|e| e.to_string())?;
-        let classes = names.into_iter().zip(settings.classes.iter().map(|c| c.idempotency)).collect();
-        let most_units = conf.number_or("family_info.most_units", f64::MAX).map_err(|e| e.to_string())?;
-        let (plans, gateways) =
+        let class = |(name, class): (String, &Class)| ClassSchema { name, idempotency: class.idempotency };
+        let classes = names.into_iter().zip(&settings.classes).map(class).collect();
+        let max_units = conf.number_or("family_info.most_units", f64::MAX).map_err(|e| e.to_string())?;
+        let (plans, gateway_count) =
             (conf.names("contracts").map_err(|e| e.to_string())?, u64::from(settings.gateway_count));
-        let vocabulary = Vocabulary { classes, plans, most_units, gateways };
+        let vocabulary = CommandSchema { classes, plans, max_units, gateway_count };
         let sites = Sites {
             zones: conf.list("zones").map_err(|e| e.to_string())?,
             kinds: conf.list("skus").map_err(|e| e.to_string())?,
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -3,8 +3,8 @@
 //! where a limit of the settings leaves no room to ask the module.
 
 use crate::backends::{Backends, Done, Link, Work};
-use crate::call::Call;
-use crate::clients::{Accepted, Clients, Incoming, Origin, Room};
+use crate::clients::{AcceptOutcome, Accepting, Capacity, ClientEvent, Clients, ReplyHandle};
+use crate::command::Command;
 use crate::config::Config;
 use crate::discovery::{most_body, EndpointList, Watch, Way};
 use crate::peers::Peers;
@@ -121,10 +121,10 @@
 }
 
 struct Open {
-    call: Call,
+    call: Command,
     /// A hash of its id.
     name: u64,
-    origin: Origin,
+    origin: ReplyHandle,
     deadline: Micros,
     attempts: Vec<Attempt>,
     /// It has its final answer, or its client has gone.
@@ -311,7 +311,7 @@
     }
 
     fn timeout(&self) -> Duration {
-        if self.accept_more || self.peers_more || self.clients.has_more() {
+        if self.accept_more || self.peers_more || self.clients.has_pending_work() {
             return Duration::ZERO;
         }
         if self.now >= self.last_at {
@@ -329,7 +329,7 @@
         // Before all else: whatever comes in this turn, and whatever is due, begins nothing for a client that has gone.
         for &(token, _, closed) in ready.iter() {
             if closed && token.0 >= FIRST && (token.0 - FIRST) % 2 == 0 {
-                self.clients.left((token.0 - FIRST) / 2);
+                self.clients.on_disconnect((token.0 - FIRST) / 2);
             }
         }
         self.withdraw_gone();
@@ -343,7 +343,7 @@
         if std::mem::take(&mut self.peers_more) {
             self.hear_peers();
         }
-        self.clients.read_again(self.now);
+        self.clients.resume_reads(self.now);
         self.take_incoming();
         for &(token, writable, closed) in ready.iter() {
             match token {
@@ -360,7 +360,7 @@
                     self.pump();
                 }
                 Token(t) => {
-                    self.clients.ready((t - FIRST) / 2, self.now, writable);
+                    self.clients.on_ready((t - FIRST) / 2, self.now, writable);
                     self.take_incoming();
                 }
             }
@@ -441,30 +441,30 @@
         let room = |clients: &mut Clients| {
             let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
             let full = clients.len() >= share || all >= budget;
-            if !full || clients.close_oldest(now) || (clients.len() < share && backends.close_oldest()) {
-                Room::Free
-            } else if clients.surplus() < MOST_SURPLUS {
-                Room::Surplus
+            if !full || clients.close_oldest_idle(now) || (clients.len() < share && backends.close_oldest()) {
+                Capacity::Available
+            } else if clients.over_limit_count() < MOST_SURPLUS {
+                Capacity::OverLimit
             } else {
-                Room::None
+                Capacity::Exhausted
             }
         };
         let accepted = self.clients.accept(self.poll.registry(), self.now, room);
         match accepted {
-            Accepted::All => {}
-            Accepted::More => self.accept_more = true,
+            AcceptOutcome::Drained => {}
+            AcceptOutcome::MorePending => self.accept_more = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
-            Accepted::NoRoom => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
+            AcceptOutcome::NoDescriptor => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
         }
         self.take_incoming();
-        accepted == Accepted::All
+        accepted == AcceptOutcome::Drained
     }
 
     /// Tells the module of all whose clients have gone, before it hears of anything that this brings about: a place that
     /// one of them leaves must not go to the next.
     fn withdraw_gone(&mut self) {
-        for incoming in &self.clients.incoming {
-            let Incoming::Gone(id) = incoming else { continue };
+        for incoming in self.clients.pending_events() {
+            let ClientEvent::Disconnected(id) = incoming else { continue };
             if let Some(open) = self.requests.get_mut(id).filter(|o| !o.over) {
                 open.over = true;
                 self.events.push_back(Event::ClientDisconnected(*id));
@@ -474,10 +474,12 @@
 
     fn take_incoming(&mut self) {
         self.withdraw_gone();
-        while let Some(incoming) = self.clients.incoming.pop_front() {
+        while let Some(incoming) = self.clients.next_event() {
             match incoming {
-                Incoming::Call(id, origin, call) => self.take_call(id, origin, call),
-                Incoming::Gone(id) => {
+                ClientEvent::Command { id, reply_to: origin, command: call } => {
+                    self.take_call(id, origin, call)
+                }
+                ClientEvent::Disconnected(id) => {
                     self.call_back(id);
                     self.forget(id);
                 }
@@ -486,23 +488,23 @@
         }
     }
 
-    fn take_call(&mut self, id: RequestId, origin: Origin, call: Call) {
+    fn take_call(&mut self, id: RequestId, origin: ReplyHandle, call: Command) {
         // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
-        let name = self.hasher.hash_one(call.id());
+        let name = self.hasher.hash_one(call.client_request_id());
         if self.names.contains(&name) {
             return self.clients.reject(origin, "the id is not new");
         }
-        let size = call.size();
+        let size = call.memory_size();
         if self.now >= self.last_at {
             // There is no time left to serve it in, but it is answered: it never ran.
-            return self.clients.answer(origin, b"-BUSY\r\n");
+            return self.clients.reply(origin, b"-BUSY\r\n");
         }
         if self.requests.len() >= self.limits.max_open_requests as usize || self.held + size > self.memory {
             // Never let in, so trying again is harmless.
-            return self.clients.answer(origin, b"-BUSY\r\n");
+            return self.clients.reply(origin, b"-BUSY\r\n");
         }
         // The module's deadline is a little before the client's: the last answer has a way to go.
-        let wait = call.wait.min(LONGEST_WAIT);
+        let wait = call.timeout.min(LONGEST_WAIT);
         let early = (2 * self.tick + ON_THE_WAY).min(wait / 4);
         let mut request = call.request;
         (request.id, request.deadline) = (id, self.now + wait - early);
@@ -542,7 +544,7 @@
                 }
                 Due::Sweep => {
                     self.backends.sweep(self.now);
-                    self.clients.sweep(self.now);
+                    self.clients.close_expired(self.now);
                     while self.ended.front().is_some_and(|e| e.0 <= self.now) {
                         self.ended.pop_front().map(|e| self.names.remove(&e.1));
                     }
@@ -554,7 +556,7 @@
                     // Those that the kernel took in meanwhile are ours as well: with the port, all that still wait
                     // would be reset, and what they had asked for lost.
                     let mut more = !self.accept();
-                    let coming = more || self.now < self.clients.accepted_at + STILL_COMING;
+                    let coming = more || self.now < self.clients.last_accepted_at + STILL_COMING;
                     let coming = coming && self.now + STILL_ACCEPTING < self.last_at;
                     for _ in 0..MOST_LAST_ACCEPTS {
                         if coming || !more {
@@ -562,7 +564,8 @@
                         }
                         more = !self.accept();
                     }
-                    self.clients.drain(self.now, coming);
+                    let accepting = if coming { Accepting::Continue } else { Accepting::Stop };
+                    self.clients.drain(self.now, accepting);
                     if coming {
                         self.timers.push(Reverse((self.now + LOOK_AGAIN, Due::Close)));
                     } else {
@@ -586,7 +589,7 @@
         let Some(open) = self.requests.get(&id) else { return };
         let Some(a) = open.attempts.get(usize::from(attempt)) else { return };
         let wait = a.until.saturating_sub(self.clock.now());
-        self.backends.refill(key, |out| open.call.write(wait, out));
+        self.backends.refill(key, |out| open.call.encode(wait, out));
     }
 
     /// Gives an attempt up whose time is over. It may have run only if its last byte was written.
@@ -672,7 +675,7 @@
     fn answer(&mut self, id: RequestId, text: &[u8]) {
         if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
             open.over = true;
-            self.clients.answer(open.origin, text);
+            self.clients.reply(open.origin, text);
         }
         self.call_back(id);
         self.forget(id);
@@ -696,7 +699,7 @@
     fn forget(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
             if let Some(open) = self.requests.remove(&id) {
-                self.held -= open.call.size();
+                self.held -= open.call.memory_size();
                 self.ended.push_back((self.now + ID_KNOWN, open.name));
             }
         }
@@ -770,7 +773,7 @@
         // a tick would take no time at all.
         let began = self.clock.now();
         open.attempts[number].began = began;
-        let begun = self.backends.begin(registry, backend, work, began, |out| open.call.write(wait, out));
+        let begun = self.backends.begin(registry, backend, work, began, |out| open.call.encode(wait, out));
         if let Some((link, unsent)) = begun {
             open.attempts[number].link = Some(link);
             self.timers.push(Reverse((until, Due::Expire(id, attempt))));
@@ -788,7 +791,7 @@
         if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
             return self.backends.close_oldest();
         }
-        !self.full() || self.backends.close_oldest() || self.clients.close_oldest(self.now)
+        !self.full() || self.backends.close_oldest() || self.clients.close_oldest_idle(self.now)
     }
 
     fn probe(&mut self, backend: BackendId) {
@@ -802,9 +805,9 @@
             });
         }
         let fill = |out: &mut Vec<u8>| {
-            resp::put_array(out, 2);
-            resp::put_bulk(out, &[b"INFO"]);
-            resp::put_bulk(out, &[b"load"]);
+            resp::write_array_header(out, 2);
+            resp::write_bulk_string(out, &[b"INFO"]);
+            resp::write_bulk_string(out, &[b"load"]);
         };
         let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, self.now, fill);
         if let Some((link, _)) = begun {
@@ -830,12 +833,12 @@
 
     fn is_done(&self) -> bool {
         let Some(since) = self.closing_since else { return false };
-        if self.requests.values().any(|o| !o.over) || self.clients.has_more() {
+        if self.requests.values().any(|o| !o.over) || self.clients.has_pending_work() {
             return false;
         }
         let waited = self.now - since;
         // Half a request, or answers that nobody reads, must not keep it until it is killed.
-        let quiet = waited > LAST_WAIT && self.clients.busy() == 0;
+        let quiet = waited > LAST_WAIT && self.clients.busy_count() == 0;
         self.clients.len() == 0 || quiet || waited > LAST_READ || self.now >= self.last_at
     }
 }
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -48,7 +48,7 @@
     }
     // Told to stop long ago, and all is answered; half a command of this one has come.
     client.write_all(b"*1\r\n$4\r\nPI").unwrap();
-    while ingress.clients.idle() > 0 {
+    while ingress.clients.idle_count() > 0 {
         ingress.clients.read_all(ingress.now);
     }
     (ingress.stopping, ingress.closing_since) = (true, Some(ingress.now - LAST_READ - 1));
@@ -95,9 +95,9 @@
     (ingress.stopping, ingress.closing_since, ingress.last_at) = (true, Some(ingress.now), ingress.now);
     let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
     let mut call = Vec::new();
-    resp::put_array(&mut call, 4);
+    resp::write_array_header(&mut call, 4);
     for word in ["CALL.GET", "0000000000000001", "q1", options] {
-        resp::put_bulk(&mut call, &[word.as_bytes()]);
+        resp::write_bulk_string(&mut call, &[word.as_bytes()]);
     }
     client.write_all(&call).unwrap();
     ingress.may_exit();
@@ -147,9 +147,9 @@
         let (customer, id) = (format!("{id:016x}"), format!("q{id}"));
         let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
         let mut call = Vec::new();
-        resp::put_array(&mut call, 4);
+        resp::write_array_header(&mut call, 4);
         for word in ["CALL.GET", &customer, &id, options] {
-            resp::put_bulk(&mut call, &[word.as_bytes()]);
+            resp::write_bulk_string(&mut call, &[word.as_bytes()]);
         }
         call
     }
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -1,8 +1,8 @@
 //! The ingress: clients, backends, discovery and peers on sockets, around the decision module.
 
 mod backends;
-mod call;
 mod clients;
+mod command;
 mod config;
 mod discovery;
 mod event_loop;
--- a/src/bin/ingress/resp.rs
+++ b/src/bin/ingress/resp.rs
@@ -9,11 +9,11 @@
 use std::ops::Range;
 
 /// The most bytes that a value may have.
-pub const MOST_VALUE: usize = 64 * 1024;
+pub const MAX_VALUE_LEN: usize = 64 * 1024;
 /// The most arguments of a command and elements of an answer.
 const MOST_ITEMS: usize = 8;
 /// The most bytes of all arguments of a command, or elements of an answer, together.
-const MOST_TOTAL: usize = MOST_VALUE + 4096;
+const MOST_TOTAL: usize = MAX_VALUE_LEN + 4096;
 /// The most bytes of a line: a length, an error or a status.
 const MOST_LINE: usize = 1024;
 /// The most digits of a length.
@@ -27,7 +27,7 @@
 
 /// What an element of an answer is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
+pub enum ElementKind {
     Simple,
     Error,
     Integer,
@@ -38,15 +38,15 @@
 /// An element of an answer: its text, and the whole of it with its head and end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Element {
-    pub kind: Kind,
-    pub text: Range<usize>,
-    pub whole: Range<usize>,
+    pub kind: ElementKind,
+    pub payload: Range<usize>,
+    pub span: Range<usize>,
 }
 
 /// A backend's answer.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Reply {
-    One(Element),
+    Single(Element),
     Array(Vec<Element>),
 }
 
@@ -93,7 +93,7 @@
 }
 
 /// A command, an array of bulk strings. Fills in where its arguments are and returns its length.
-pub fn command(buf: &[u8], args: &mut Vec<Range<usize>>) -> Step<usize> {
+pub fn parse_command(buf: &[u8], args: &mut Vec<Range<usize>>) -> Step<usize> {
     args.clear();
     match buf.first() {
         None => return Ok(None),
@@ -109,7 +109,7 @@
             Some(b'$') => {}
             Some(_) => return Err(Malformed("an argument is no bulk string")),
         }
-        let Some((n, start)) = head(buf, at, MOST_VALUE.min(left))? else { return Ok(None) };
+        let Some((n, start)) = head(buf, at, MAX_VALUE_LEN.min(left))? else { return Ok(None) };
         let Some(n) = n else { return Err(Malformed("an argument is null")) };
         let Some(end) = bulk_end(buf, start, n)? else { return Ok(None) };
         args.push(start..start + n);
@@ -122,64 +122,67 @@
 fn element(buf: &[u8], at: usize, most: usize) -> Step<Element> {
     let Some(mark) = buf.get(at) else { return Ok(None) };
     let kind = match mark {
-        b'+' => Kind::Simple,
-        b'-' => Kind::Error,
-        b':' => Kind::Integer,
-        b'$' | b'*' => Kind::Bulk,
+        b'+' => ElementKind::Simple,
+        b'-' => ElementKind::Error,
+        b':' => ElementKind::Integer,
+        b'$' | b'*' => ElementKind::Bulk,
         _ => return Err(Malformed("an answer begins with no mark of RESP2")),
     };
-    if kind != Kind::Bulk {
+    if kind != ElementKind::Bulk {
         let Some((text, end)) = line(buf, at + 1, MOST_LINE)? else { return Ok(None) };
-        return Ok(Some(Element { kind, text, whole: at..end }));
+        return Ok(Some(Element { kind, payload: text, span: at..end }));
     }
     let Some((n, start)) = head(buf, at, most)? else { return Ok(None) };
     let Some(n) = n else {
-        return Ok(Some(Element { kind: Kind::Null, text: start..start, whole: at..start }));
+        return Ok(Some(Element { kind: ElementKind::Null, payload: start..start, span: at..start }));
     };
     if *mark == b'*' {
         return Err(Malformed("an array stands inside an array"));
     }
     let Some(end) = bulk_end(buf, start, n)? else { return Ok(None) };
-    Ok(Some(Element { kind, text: start..start + n, whole: at..end }))
+    Ok(Some(Element { kind, payload: start..start + n, span: at..end }))
 }
 
 /// An answer and its length.
-pub fn reply(buf: &[u8]) -> Step<(Reply, usize)> {
+pub fn parse_reply(buf: &[u8]) -> Step<(Reply, usize)> {
     if buf.first() != Some(&b'*') {
-        return Ok(element(buf, 0, MOST_VALUE)?.map(|e| {
-            let end = e.whole.end;
-            (Reply::One(e), end)
+        return Ok(element(buf, 0, MAX_VALUE_LEN)?.map(|e| {
+            let end = e.span.end;
+            (Reply::Single(e), end)
         }));
     }
     let Some((count, mut at)) = head(buf, 0, MOST_ITEMS)? else { return Ok(None) };
     let Some(count) = count else {
-        return Ok(Some((Reply::One(Element { kind: Kind::Null, text: at..at, whole: 0..at }), at)));
+        return Ok(Some((
+            Reply::Single(Element { kind: ElementKind::Null, payload: at..at, span: 0..at }),
+            at,
+        )));
     };
     let (mut list, mut left) = (Vec::with_capacity(count), MOST_TOTAL);
     for _ in 0..count {
-        let Some(e) = element(buf, at, MOST_VALUE.min(left))? else { return Ok(None) };
-        at = e.whole.end;
-        left = left.saturating_sub(e.text.len());
+        let Some(e) = element(buf, at, MAX_VALUE_LEN.min(left))? else { return Ok(None) };
+        at = e.span.end;
+        left = left.saturating_sub(e.payload.len());
         list.push(e);
     }
     Ok(Some((Reply::Array(list), at)))
 }
 
 /// Appends the head of an array of `n` elements.
-pub fn put_array(out: &mut Vec<u8>, n: usize) {
+pub fn write_array_header(out: &mut Vec<u8>, n: usize) {
     // Writing to a Vec cannot fail.
     let _ = write!(out, "*{n}\r\n");
 }
 
 /// Appends a bulk string given in parts.
-pub fn put_bulk(out: &mut Vec<u8>, parts: &[&[u8]]) {
+pub fn write_bulk_string(out: &mut Vec<u8>, parts: &[&[u8]]) {
     let _ = write!(out, "${}\r\n", parts.iter().map(|p| p.len()).sum::<usize>());
     parts.iter().for_each(|p| out.extend_from_slice(p));
     out.extend_from_slice(b"\r\n");
 }
 
 /// Appends an error line, less what would break it.
-pub fn put_error(out: &mut Vec<u8>, text: &str) {
+pub fn write_error(out: &mut Vec<u8>, text: &str) {
     out.extend_from_slice(b"-ERR ");
     out.extend(text.bytes().map(|b| if b.is_ascii_control() { b' ' } else { b }).take(MOST_LINE - 8));
     out.extend_from_slice(b"\r\n");
--- a/src/bin/ingress/resp/tests.rs
+++ b/src/bin/ingress/resp/tests.rs
@@ -4,7 +4,7 @@
 
 fn texts(buf: &[u8]) -> Step<(Vec<String>, usize)> {
     let mut args = Vec::new();
-    let end = command(buf, &mut args)?;
+    let end = parse_command(buf, &mut args)?;
     let list = args.iter().map(|r| String::from_utf8_lossy(&buf[r.clone()]).into_owned()).collect();
     Ok(end.map(|end| (list, end)))
 }
@@ -48,15 +48,15 @@
 #[test]
 fn an_answer_is_read_with_its_nulls_and_its_bounds() {
     let whole = b"*3\r\n$2\r\nhi\r\n*-1\r\n$9\r\nutil=0.61\r\n";
-    let Ok(Some((Reply::Array(list), end))) = reply(whole) else { panic!("not an array") };
+    let Ok(Some((Reply::Array(list), end))) = parse_reply(whole) else { panic!("not an array") };
     assert_eq!(end, whole.len());
-    assert_eq!(&whole[list[0].whole.clone()], b"$2\r\nhi\r\n");
-    assert_eq!((list[1].kind, &whole[list[2].text.clone()]), (Kind::Null, &b"util=0.61"[..]));
+    assert_eq!(&whole[list[0].span.clone()], b"$2\r\nhi\r\n");
+    assert_eq!((list[1].kind, &whole[list[2].payload.clone()]), (ElementKind::Null, &b"util=0.61"[..]));
     for cut in 0..whole.len() {
-        assert_eq!(reply(&whole[..cut]), Ok(None), "cut at {cut}");
+        assert_eq!(parse_reply(&whole[..cut]), Ok(None), "cut at {cut}");
     }
     for bad in [&b"?\r\n"[..], b"*1\r\n*1\r\n:1\r\n", b"$65537\r\n", b"*9\r\n", b"+a\n", b"$1\r\nab\r\n"] {
-        assert!(reply(bad).is_err(), "{:?}", String::from_utf8_lossy(bad));
+        assert!(parse_reply(bad).is_err(), "{:?}", String::from_utf8_lossy(bad));
     }
-    assert!(reply(&[&b"-"[..], &[b'e'; 2000]].concat()).is_err(), "an endless line");
+    assert!(parse_reply(&[&b"-"[..], &[b'e'; 2000]].concat()).is_err(), "an endless line");
 }
