Pin the texts by which a bad configuration and a failed start are told

The errors of config.rs and of EventLoop::start are plain strings.

Tests for each text: of the file, of the peers' addresses, of the environment and of a start that finds its sockets taken or too few. The configuration that the event loop's tests use moves to config/tests.rs, where both can read it.

--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -78,7 +78,7 @@
     }
 
     /// Reads the file's text; `var` looks up the environment.
-    fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    pub(crate) fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let json: Value = serde_json::from_str(file).map_err(|e| format!("the file is no JSON: {e}"))?;
         let place = |name: &str, key: &str| match var(name) {
             Some(text) => address(&text, name),
@@ -137,3 +137,6 @@
         })
     }
 }
+
+#[cfg(test)]
+pub mod tests;
--- /dev/null
+++ b/src/bin/ingress/config/tests.rs
@@ -0,0 +1,96 @@
+//! Tests of [`super`].
+
+use super::*;
+
+/// A configuration with nothing wrong in it.
+pub const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7",
+"limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":{"index":1,"snapshot":true,"endpoints":[]},
+"settings":{"n_instances":1,"slot_no":0,"zone":0,"tick_us":4000,"zones":["a"],"skus":["m"],
+"grades":[{"name":"quote","effect":"repeatable","group":"all","window_us":0,"objective_us":400000,
+ "give_up_us":1000000,"worth":1.0,"late_worth":0.0,"stream":false}],
+"contracts":[{"name":"starter","quota_rate":1.5,"burst":7.0,"max_out":0,"never_over_rate":0.0,"ceiling_burst":0.0,
+ "ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}],
+"limits":{"most_tries":3,"second_copies":true,"cancelling":true,"may_probe":false,"peers":false,"retry_after":true,
+ "max_retry_after_us":2000000,"max_open":20000,"connect_timeout_us":250000,"keepalive_us":15000000},
+"family_info":{"peer_in_per_s":40.0,"has_counter":false,"meter_period_us":0,"post_paid":false},
+"rules":{"answer_slack_us":16000,"drain_grace_us":250000,"cold_from":0.28,"cold_us":16000000,
+ "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
+"membership_mode":"push","weights":"none","reporting":{"how":"none","fields":[]}}}"#;
+
+fn fault(config: &str) -> String {
+    Config::parse(config, |_| None).err().unwrap()
+}
+
+/// Operators look for these texts: they stay as they are, and name the key at fault.
+#[test]
+fn each_fault_has_its_text() {
+    assert!(Config::parse(CONFIG, |_| None).is_ok());
+    for (from, to, text) in [
+        ("{\"name\"", "\"name\"", "the file is no JSON: trailing characters at line 1 column 7"),
+        ("\"seed\":\"7\"", "\"seed\":7", "seed is missing or no text"),
+        ("\"seed\":\"7\"", "\"seed\":\"seven\"", "seed is no hex number: seven"),
+        ("\"settings\":{", "\"other\":{", "settings is missing"),
+        ("\"tick_us\":4000,", "", "setting tick_us is missing"),
+        ("\"tick_us\":4000", "\"tick_us\":0", "setting tick_us is 0"),
+        ("\"zones\":[\"a\"],", "", "setting zones is missing"),
+        ("\"skus\":[\"m\"],", "", "setting skus is missing"),
+        ("\"known\":{", "\"other\":{", "known is missing"),
+        ("\"index\":1,", "", "known: index is missing or no whole number"),
+        ("\"snapshot\":true,", "", "known: snapshot is missing or no flag"),
+        ("\"endpoints\":[]", "\"endpoints\":0", "known: endpoints is missing or no list"),
+        ("\"peers\":false", "\"peers\":true", "peers is missing or no list"),
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"x\"", "listen is no address and port: x"),
+        ("\"discovery\":\"127.0.0.1:1\",", "", "discovery is missing or no text"),
+        ("\"sockets\":256", "\"sockets\":0", "limits.sockets is missing or no whole number above 0"),
+        ("\"memory_mb\":64", "\"memory_mb\":0.5", "limits.memory_mb is missing or no whole number above 0"),
+        (
+            "\"keepalive_us\":15000000",
+            "\"keepalive_us\":-1",
+            "setting limits.keepalive_us is not a whole number up to 4503599627370495: -1",
+        ),
+    ] {
+        assert_eq!(fault(&CONFIG.replacen(from, to, 1)), text);
+    }
+}
+
+#[test]
+fn each_fault_of_the_peers_has_its_text() {
+    let config = CONFIG.replacen("\"peers\":false", "\"peers\":true", 1);
+    for (peers, text) in [
+        ("\"peers\":[],", "peer_listen is missing or no text"),
+        ("\"peers\":[],\"peer_listen\":\"y\",", "peer_listen is no address and port: y"),
+        ("\"peers\":[\"z\"],\"peer_listen\":\"127.0.0.1:2\",", "peers is no address and port: z"),
+        ("\"peers\":[0],\"peer_listen\":\"127.0.0.1:2\",", "peers is no address and port: "),
+        (
+            "\"peers\":[],\"peer_listen\":\"127.0.0.1:2\",\"peers_all\":\"w\",",
+            "peers_all is no address and port: w",
+        ),
+        (
+            "\"peers\":[],\"peer_listen\":\"127.0.0.1:2\",",
+            "peers does not have one address for each of setting n_instances",
+        ),
+    ] {
+        assert_eq!(fault(&config.replacen('{', &format!("{{{peers}"), 1)), text);
+    }
+}
+
+#[test]
+fn an_address_of_the_environment_comes_before_that_of_the_file() {
+    let variable = |name: &str| (name == "LB_LISTEN").then(|| "127.0.0.1:3".to_string());
+    assert_eq!(Config::parse(CONFIG, variable).ok().unwrap().listen.port(), 3);
+    let variable = |name: &str| (name == "LB_DISCOVERY").then(|| "there".to_string());
+    let fault = Config::parse(CONFIG, variable).err().unwrap();
+    assert_eq!(fault, "LB_DISCOVERY is no address and port: there");
+}
+
+#[test]
+fn a_file_is_told_by_its_path() {
+    let fault = Config::read("/no/such/file", |_| None).err().unwrap();
+    assert_eq!(fault, "LB_CONFIG: cannot read /no/such/file: No such file or directory (os error 2)");
+    let file = std::env::temp_dir().join(format!("ingress-config-{}.json", std::process::id()));
+    std::fs::write(&file, CONFIG.replacen("\"tick_us\":4000", "\"tick_us\":0", 1)).unwrap();
+    let path = file.to_str().unwrap();
+    let fault = Config::read(path, |_| None).err().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(fault, format!("{path}: setting tick_us is 0"));
+}
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -1,22 +1,9 @@
 //! Tests of [`super`].
 
 use super::*;
+use crate::config::tests::CONFIG;
 use std::io::Read;
 
-const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7",
-"limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":{"index":1,"snapshot":true,"endpoints":[]},
-"settings":{"n_instances":1,"slot_no":0,"zone":0,"tick_us":4000,"zones":["a"],"skus":["m"],
-"grades":[{"name":"quote","effect":"repeatable","group":"all","window_us":0,"objective_us":400000,
- "give_up_us":1000000,"worth":1.0,"late_worth":0.0,"stream":false}],
-"contracts":[{"name":"starter","quota_rate":1.5,"burst":7.0,"max_out":0,"never_over_rate":0.0,"ceiling_burst":0.0,
- "ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}],
-"limits":{"most_tries":3,"second_copies":true,"cancelling":true,"may_probe":false,"peers":false,"retry_after":true,
- "max_retry_after_us":2000000,"max_open":20000,"connect_timeout_us":250000,"keepalive_us":15000000},
-"family_info":{"peer_in_per_s":40.0,"has_counter":false,"meter_period_us":0,"post_paid":false},
-"rules":{"answer_slack_us":16000,"drain_grace_us":250000,"cold_from":0.28,"cold_us":16000000,
- "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
-"membership_mode":"push","weights":"none","reporting":{"how":"none","fields":[]}}}"#;
-
 /// An ingress in this process, whose turns the test takes.
 fn ingress(name: &str) -> (EventLoop, std::net::TcpStream) {
     ingress_of(name, CONFIG)
@@ -311,3 +298,28 @@
         assert_eq!((first, stage.goes_on(100)), (1, 0), "cancel {cancel}");
     }
 }
+
+/// Operators look for these texts: they stay as they are, and name the key at fault.
+#[test]
+fn a_start_that_fails_tells_why() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let datagrams = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let (address, peer) = (taken.local_addr().unwrap(), datagrams.local_addr().unwrap());
+    let in_use = "Address already in use (os error 98)";
+    let own_peers = format!("{{\"peer_listen\":\"{peer}\",\"peers\":[\"{peer}\"],");
+    for (config, text) in [
+        (CONFIG.replacen("\"sockets\":256", "\"sockets\":3", 1), "limits.sockets is too few: 3".into()),
+        (
+            CONFIG.replacen("127.0.0.1:0", &address.to_string(), 1),
+            format!("listen: cannot listen at {address}: {in_use}"),
+        ),
+        (
+            CONFIG.replacen("\"peers\":false", "\"peers\":true", 1).replacen('{', &own_peers, 1),
+            format!("peer_listen: cannot bind {peer}: {in_use}"),
+        ),
+    ] {
+        let config = Config::parse(&config, |_| None).ok().unwrap();
+        let started = EventLoop::start(config, Reload::new(String::new()), signals().unwrap());
+        assert_eq!(started.err().unwrap(), text);
+    }
+}
