--- a/fleet-experiments/src/discovery.rs
+++ b/fleet-experiments/src/discovery.rs
@@ -49,7 +49,7 @@
     let start = back.saturating_sub(2 * S).max(T0);
     let is_killed = |n: u64| n % 10 < killed;
     let mut schedule = Schedule::default();
-    let retry = |n: u64| Retry::new(Backoff::shared(10 * S, ingresses), seed << 32 | n);
+    let retry = |n: u64| Retry::new(Backoff::shared_service(10 * S, ingresses), seed << 32 | n);
     let mut fleet: Vec<Retry> = (0..ingresses).map(retry).collect();
     for n in 0..ingresses {
         let at = if is_killed(n) {
--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -31,14 +31,14 @@
     /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
     /// be told once this is over.
     /// What it has counts as told whether or not a call is open, so that no pause may last as long as a grace.
-    pub const AGENT: Backoff =
+    pub const LOCAL_AGENT: Backoff =
         Backoff { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
 
     /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
     /// given up, so a line that is full after a mass restart empties only if those turned away stay away: as long as
     /// the rule lets them. `must_ask` is the time of the settings within which discovery must be asked.
-    pub fn shared(must_ask: Micros, ingresses: u64) -> Backoff {
-        let wait = (2 * must_ask).clamp(Self::AGENT.wait, MOST_WAIT);
+    pub fn shared_service(must_ask: Micros, ingresses: u64) -> Backoff {
+        let wait = (2 * must_ask).clamp(Self::LOCAL_AGENT.wait, MOST_WAIT);
         let pauses = (1_000_000, 8_000_000);
         let spread = (ingresses * SPREAD_EACH).min(MOST_SPREAD);
         Backoff { wait, patience: 3_000_000, pauses, spread }
--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -58,25 +58,52 @@
 
 /// What a connection is busy with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Work {
-    Attempt(RequestId, u16),
-    Probe,
+pub enum Assignment {
+    /// An attempt of a request, the first one with number 0.
+    Attempt { id: RequestId, attempt: u16 },
+    /// A health check.
+    HealthCheck,
+}
+
+/// How much of a command is written. Only a backend that has its last byte may have begun to execute it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CommandState {
+    /// At least one byte is still to be written.
+    Unsent,
+    /// All of it is written.
+    Sent,
+}
+
+/// What the poll reported about a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Readiness {
+    pub writable: bool,
+    /// The backend has closed its end, or the connection has an error.
+    pub closed: bool,
+}
+
+/// A connection that has been given an assignment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AssignedConnection {
+    pub connection: ConnectionId,
+    /// How much of the command could be written at once.
+    pub command: CommandState,
 }
 
 /// A connection, for as long as it lives: places in the slab are used again, serial numbers are not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Link {
+pub struct ConnectionId {
     key: usize,
     serial: u64,
 }
 
 /// How an attempt or a probe ended.
-pub struct Done {
-    pub work: Work,
+pub struct Completion {
+    pub assignment: Assignment,
     pub backend: BackendId,
     pub outcome: Outcome,
-    pub began: Micros,
-    pub report: Option<LoadReport>,
+    pub started_at: Micros,
+    pub load_report: Option<LoadReport>,
     /// With [`Outcome::Ok`]: the value's bytes as they came.
     pub value: Vec<u8>,
 }
@@ -87,7 +114,7 @@
     backend: BackendId,
     address: SocketAddr,
     connected: bool,
-    work: Option<Work>,
+    assignment: Option<Assignment>,
     /// When its work began, or when it fell idle.
     since: Micros,
     /// How long it was idle before; none on its first use.
@@ -105,6 +132,14 @@
         self.written == self.out.len()
     }
 
+    fn command_state(&self) -> CommandState {
+        if self.sent() {
+            CommandState::Sent
+        } else {
+            CommandState::Unsent
+        }
+    }
+
     /// What the end of the connection means for the work on it.
     fn broken(&self) -> Outcome {
         if self.sent() {
@@ -132,8 +167,8 @@
     idle_for: Micros,
     staleness: Staleness,
     tokens: fn(usize) -> Token,
-    /// What ended since it was last looked at, in order.
-    pub done: Vec<Done>,
+    /// What has ended since [`Backends::take_completions`] was last called, in order.
+    completions: Vec<Completion>,
 }
 
 /// The value's bytes if this is the answer to a request, else none.
@@ -154,9 +189,13 @@
 }
 
 /// What an answer means; none if it is no answer to this work.
-fn judge(buf: &[u8], reply: &Reply, work: Work) -> Option<(Outcome, Vec<u8>, Option<LoadReport>)> {
-    match (reply, work) {
-        (Reply::Array(list), Work::Attempt(..)) => {
+fn judge(
+    buf: &[u8],
+    reply: &Reply,
+    assignment: Assignment,
+) -> Option<(Outcome, Vec<u8>, Option<LoadReport>)> {
+    match (reply, assignment) {
+        (Reply::Array(list), Assignment::Attempt { .. }) => {
             served(buf, list).map(|(value, report)| (Outcome::Ok, value, report))
         }
         (Reply::Single(e), _) if e.kind == ElementKind::Error => {
@@ -166,7 +205,7 @@
             let last = text.rsplit(|b| *b == b' ').next();
             Some((outcome, Vec::new(), last.and_then(report)))
         }
-        (Reply::Single(e), Work::Probe) if e.kind == ElementKind::Bulk => {
+        (Reply::Single(e), Assignment::HealthCheck) if e.kind == ElementKind::Bulk => {
             Some((Outcome::Ok, Vec::new(), report(&buf[e.payload.clone()])))
         }
         _ => None,
@@ -185,23 +224,28 @@
             idle_for: keepalive / 5 * 4,
             staleness: Staleness::default(),
             tokens,
-            done: Vec::new(),
+            completions: Vec::new(),
         }
     }
 
+    /// The completions since the last call, in order.
+    pub fn take_completions(&mut self) -> Vec<Completion> {
+        std::mem::take(&mut self.completions)
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.conns.len()
     }
 
     /// Takes over the addresses of a list.
-    pub fn update(&mut self, roster: &EndpointList) {
+    pub fn update_endpoints(&mut self, endpoints: &EndpointList) {
         let (mut absent, mut left) = (Vec::new(), HashSet::new());
-        if roster.whole {
-            let listed: HashSet<BackendId> = roster.entries.iter().map(|e| e.endpoint.backend).collect();
+        if endpoints.is_snapshot {
+            let listed: HashSet<BackendId> = endpoints.entries.iter().map(|e| e.endpoint.backend).collect();
             absent.extend(self.pools.keys().filter(|id| !listed.contains(id)));
         }
-        for e in &roster.entries {
+        for e in &endpoints.entries {
             let id = e.endpoint.backend;
             if e.endpoint.availability == Availability::Gone {
                 absent.push(id);
@@ -226,7 +270,7 @@
     /// Ends work of which nothing is written yet, since its connection is still to come up, at backends that want
     /// nothing new: it would begin once they may get nothing any more, and perhaps at whoever has the address then.
     fn call_back(&mut self, left: &HashSet<BackendId>) {
-        let unbegun = |c: &Conn| c.work.is_some() && c.written == 0 && left.contains(&c.backend);
+        let unbegun = |c: &Conn| c.assignment.is_some() && c.written == 0 && left.contains(&c.backend);
         let late: Vec<usize> = self.conns.iter().filter(|(_, c)| unbegun(c)).map(|(key, _)| key).collect();
         for key in late {
             self.end(key, Outcome::NotSent, Vec::new(), None, Micros::MAX);
@@ -235,7 +279,7 @@
     }
 
     /// Whether work for a backend would need a new connection. `now` is the true time.
-    pub fn must_connect(&self, backend: BackendId, now: Micros) -> bool {
+    pub fn needs_connection(&self, backend: BackendId, now: Micros) -> bool {
         self.pools.get(&backend).is_some_and(|p| self.newest_rested(p, now).is_none())
     }
 
@@ -262,28 +306,35 @@
         }
     }
 
-    /// Begins an attempt or a probe with what `fill` writes. What fails at once is in `done`; else the
-    /// connection is told, and whether the command is still to be written.
-    pub fn begin(
+    /// Begins an attempt or a probe with what `fill` writes. What fails at once is among
+    /// the completions, and gives none.
+    pub fn assign(
         &mut self,
         registry: &Registry,
         backend: BackendId,
-        work: Work,
+        assignment: Assignment,
         now: Micros,
         fill: impl FnOnce(&mut Vec<u8>),
-    ) -> Option<(Link, bool)> {
+    ) -> Option<AssignedConnection> {
         let Some(key) = self.connection(registry, backend, now) else {
-            let (outcome, report, value) = (Outcome::ConnectFailed, None, Vec::new());
-            self.done.push(Done { work, backend, outcome, began: now, report, value });
+            let (outcome, load_report, value) = (Outcome::ConnectFailed, None, Vec::new());
+            self.completions.push(Completion {
+                assignment,
+                backend,
+                outcome,
+                started_at: now,
+                load_report,
+                value,
+            });
             return None;
         };
         let conn = &mut self.conns[key];
-        (conn.work, conn.since, conn.written) = (Some(work), now, 0);
+        (conn.assignment, conn.since, conn.written) = (Some(assignment), now, 0);
         conn.out.clear();
         fill(&mut conn.out);
-        let link = Link { key, serial: conn.serial };
+        let connection = ConnectionId { key, serial: conn.serial };
         self.write(key);
-        self.conns.get(key).map(|conn| (link, !conn.sent()))
+        self.conns.get(key).map(|conn| AssignedConnection { connection, command: conn.command_state() })
     }
 
     /// An idle connection to a backend, or a new one.
@@ -307,7 +358,7 @@
             backend,
             address,
             connected: false,
-            work: None,
+            assignment: None,
             since: now,
             idled: None,
             heard: 0,
@@ -319,35 +370,36 @@
     }
 
     /// The work on a connection of whose command nothing is written yet.
-    pub fn unbegun(&self, key: usize) -> Option<Work> {
-        self.conns.get(key).filter(|c| c.written == 0).and_then(|c| c.work)
+    pub fn not_yet_written(&self, key: usize) -> Option<Assignment> {
+        self.conns.get(key).filter(|c| c.written == 0).and_then(|c| c.assignment)
     }
 
     /// Replaces a command of which nothing is written yet.
-    pub fn refill(&mut self, key: usize, fill: impl FnOnce(&mut Vec<u8>)) {
-        if let Some(conn) = self.conns.get_mut(key).filter(|c| c.written == 0 && c.work.is_some()) {
+    pub fn rewrite_command(&mut self, key: usize, fill: impl FnOnce(&mut Vec<u8>)) {
+        if let Some(conn) = self.conns.get_mut(key).filter(|c| c.written == 0 && c.assignment.is_some()) {
             conn.out.clear();
             fill(&mut conn.out);
         }
     }
 
     /// Whether the command on a connection is not written to its last byte, so that it has not begun for sure.
-    pub fn unsent(&self, link: Link) -> bool {
+    pub fn is_unsent(&self, link: ConnectionId) -> bool {
         self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.sent())
     }
 
-    /// Closes a connection, if it is still the one meant; the work on it is the caller's to account for. Tells
-    /// whether the command's last byte had been written.
-    pub fn abandon(&mut self, link: Link) -> Option<bool> {
-        let sent = self.conns.get(link.key).filter(|c| c.serial == link.serial)?.sent();
-        self.remove(link.key);
-        Some(sent)
+    /// Closes a connection, if it is still the one meant, and gives how much of its command was written. There
+    /// is no completion: what was assigned to it is the caller's to account for.
+    pub fn cancel(&mut self, connection: ConnectionId) -> Option<CommandState> {
+        let meant = self.conns.get(connection.key).filter(|c| c.serial == connection.serial);
+        let command = meant?.command_state();
+        self.remove(connection.key);
+        Some(command)
     }
 
     /// Ends a connection that has not come up, or not taken the whole command, in time: what begins later than the
     /// module counts on might begin behind the window of its key.
-    pub fn connect_overdue(&mut self, link: Link) {
-        if self.unsent(link) {
+    pub fn on_connect_timeout(&mut self, link: ConnectionId) {
+        if self.is_unsent(link) {
             self.end(link.key, Outcome::ConnectFailed, Vec::new(), None, Micros::MAX);
             self.remove(link.key);
         }
@@ -355,22 +407,36 @@
 
     fn remove(&mut self, key: usize) {
         let conn = self.conns.remove(key); // dropped, it is closed, and so out of the poll
-        if let Some(pool) = self.pools.get_mut(&conn.backend).filter(|_| conn.work.is_none()) {
+        if let Some(pool) = self.pools.get_mut(&conn.backend).filter(|_| conn.assignment.is_none()) {
             pool.idle.retain(|k| *k != key);
         }
     }
 
     /// Notes how a connection's work ended.
-    fn end(&mut self, key: usize, outcome: Outcome, value: Vec<u8>, report: Option<LoadReport>, now: Micros) {
+    fn end(
+        &mut self,
+        key: usize,
+        outcome: Outcome,
+        value: Vec<u8>,
+        load_report: Option<LoadReport>,
+        now: Micros,
+    ) {
         let conn = &mut self.conns[key];
-        if let Some(work) = conn.work {
+        if let Some(assignment) = conn.assignment {
             let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
             let dead = broken && conn.buf.is_empty() && now <= conn.since + AT_ONCE;
             if let Some(idle) = conn.idled.filter(|_| dead || !broken) {
                 self.staleness.note(idle, dead);
             }
-            let (backend, began) = (conn.backend, conn.since);
-            self.done.push(Done { work, backend, outcome, began, report, value });
+            let (backend, started_at) = (conn.backend, conn.since);
+            self.completions.push(Completion {
+                assignment,
+                backend,
+                outcome,
+                started_at,
+                load_report,
+                value,
+            });
         }
     }
 
@@ -401,8 +467,9 @@
         }
     }
 
-    /// Does what a connection is ready for; `closed` says that its end is near, `now` when it falls idle.
-    pub fn ready(&mut self, key: usize, now: Micros, writable: bool, closed: bool) {
+    /// Does what a connection is ready for. If it falls idle, that is at `now`.
+    pub fn on_ready(&mut self, key: usize, now: Micros, readiness: Readiness) {
+        let Readiness { writable, closed } = readiness;
         let Some(conn) = self.conns.get_mut(key) else { return };
         if writable && !conn.connected && conn.stream.peer_addr().is_ok() {
             conn.connected = true;
@@ -452,7 +519,7 @@
     /// Looks whether the answer is whole; false if the connection is of no more use.
     fn take_answer(&mut self, key: usize, now: Micros) -> bool {
         let conn = &mut self.conns[key];
-        let Some(work) = conn.work else { return false }; // nobody asked for anything
+        let Some(assignment) = conn.assignment else { return false }; // nobody asked for anything
         let (reply, end) = match resp::parse_reply(&conn.buf) {
             Ok(None) => return true,
             Ok(Some(found)) => found,
@@ -462,7 +529,7 @@
                 return false;
             }
         };
-        let judged = judge(&conn.buf, &reply, work);
+        let judged = judge(&conn.buf, &reply, assignment);
         // An answer to half a command can only say that it was not let in.
         let judged = judged.filter(|j| conn.sent() || j.0 == Outcome::Rejected);
         let broken = conn.broken();
@@ -472,7 +539,7 @@
         let conn = &mut self.conns[key];
         let pool = self.pools.get_mut(&conn.backend).filter(|p| p.address == Some(conn.address));
         let Some(pool) = pool.filter(|_| clean) else { return false };
-        (conn.work, conn.since) = (None, now);
+        (conn.assignment, conn.since) = (None, now);
         conn.buf.clear();
         conn.buf.shrink_to(CHUNK);
         conn.out.shrink_to(CHUNK);
@@ -490,7 +557,7 @@
     pub fn sweep(&mut self, now: Micros) {
         self.staleness.fade();
         let most = self.idle_for.min(self.staleness.limit());
-        let old = |c: &Conn| c.work.is_none() && now.saturating_sub(c.since) > most;
+        let old = |c: &Conn| c.assignment.is_none() && now.saturating_sub(c.since) > most;
         let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
         old.into_iter().for_each(|key| self.remove(key));
         // An answer that began and goes no further will not be whole: a line or a length without an end.
@@ -504,8 +571,8 @@
     }
 
     /// Closes the connection that has been idle for longest, to make room; false if none is idle.
-    pub fn close_oldest(&mut self) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| c.work.is_none());
+    pub fn close_longest_idle(&mut self) -> bool {
+        let idle = self.conns.iter().filter(|(_, c)| c.assignment.is_none());
         let oldest = idle.min_by_key(|(_, c)| (c.since, c.serial)).map(|(key, _)| key);
         oldest.into_iter().for_each(|key| self.remove(key));
         oldest.is_some()
--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -1,7 +1,7 @@
 //! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
 
 use crate::command::{ClassSchema, CommandSchema};
-use crate::discovery::{EndpointList, Sites};
+use crate::discovery::{EndpointList, LocationNames};
 use ingress::{Class, Micros, Settings, SettingsReader};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -17,11 +17,11 @@
     pub memory: usize,
     /// Where peers' messages come in; none where the settings allow no messages.
     pub peers: Option<PeerAddresses>,
-    /// The list of backends as last held.
-    pub known: EndpointList,
+    /// The endpoint list as cached before the start.
+    pub cached_endpoints: EndpointList,
     pub settings: Settings,
     pub vocabulary: CommandSchema,
-    pub sites: Sites,
+    pub location_names: LocationNames,
     pub connect_timeout: Micros,
     pub keepalive: Micros,
 }
@@ -100,12 +100,13 @@
         let (plans, gateway_count) =
             (conf.names("contracts").map_err(|e| e.to_string())?, u64::from(settings.gateway_count));
         let vocabulary = CommandSchema { classes, plans, max_units, gateway_count };
-        let sites = Sites {
+        let location_names = LocationNames {
             zones: conf.list("zones").map_err(|e| e.to_string())?,
-            kinds: conf.list("skus").map_err(|e| e.to_string())?,
+            machine_types: conf.list("skus").map_err(|e| e.to_string())?,
         };
         let known = json.get("known").ok_or("known is missing")?;
-        let known = EndpointList::read(known, &sites).map_err(|e| format!("known: {e}"))?;
+        let cached_endpoints =
+            EndpointList::from_json(known, &location_names).map_err(|e| format!("known: {e}"))?;
         let peers = if settings.limits.peer_messages { Some(Self::peers(&json)?) } else { None };
         if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateway_count)) {
             return Err("peers does not have one address for each of setting n_instances".into());
@@ -117,12 +118,12 @@
             sockets: whole(&json, "limits", "sockets")?,
             memory: whole(&json, "limits", "memory_mb")?.saturating_mul(1 << 20),
             peers,
-            known,
+            cached_endpoints,
             connect_timeout: conf.micros("limits.connect_timeout_us").map_err(|e| e.to_string())?,
             keepalive: conf.micros("limits.keepalive_us").map_err(|e| e.to_string())?,
             settings,
             vocabulary,
-            sites,
+            location_names,
         })
     }
 
--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -13,9 +13,9 @@
 use std::net::SocketAddr;
 
 /// How a watch begins: its backoff, the most bytes of an answer's body, the seed of its jitter, and the time.
-pub struct Way {
+pub struct WatchOptions {
     pub backoff: Backoff,
-    pub most_body: usize,
+    pub max_body_bytes: usize,
     pub seed: u64,
     pub now: Micros,
 }
@@ -39,14 +39,14 @@
 const MOST_HEADERS: usize = 64;
 
 /// The most bytes that a list may have at an ingress with so much memory.
-pub fn most_body(memory: usize) -> usize {
+pub fn max_body_bytes(memory: usize) -> usize {
     (memory / BODY_SHARE).max(LEAST_MOST_BODY)
 }
 
 /// The names that places and machines have in the settings.
-pub struct Sites {
+pub struct LocationNames {
     pub zones: Vec<String>,
-    pub kinds: Vec<String>,
+    pub machine_types: Vec<String>,
 }
 
 /// A line of the list, with the address that the backend has for this ingress.
@@ -59,7 +59,7 @@
 pub struct EndpointList {
     pub index: u64,
     /// The whole list, not only what changed.
-    pub whole: bool,
+    pub is_snapshot: bool,
     pub entries: Vec<EndpointEntry>,
 }
 
@@ -72,18 +72,20 @@
 
 impl EndpointList {
     /// Reads a list in discovery's form.
-    pub fn read(json: &Value, sites: &Sites) -> Result<EndpointList, String> {
+    pub fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointList, String> {
         let index = json.get("index").and_then(Value::as_u64).ok_or("index is missing or no whole number")?;
-        let whole = json.get("snapshot").and_then(Value::as_bool).ok_or("snapshot is missing or no flag")?;
+        let is_snapshot =
+            json.get("snapshot").and_then(Value::as_bool).ok_or("snapshot is missing or no flag")?;
         let list =
             json.get("endpoints").and_then(Value::as_array).ok_or("endpoints is missing or no list")?;
-        let entries = list.iter().map(|e| EndpointEntry::read(e, sites)).collect::<Result<_, _>>()?;
-        Ok(EndpointList { index, whole, entries })
+        let entries =
+            list.iter().map(|e| EndpointEntry::from_json(e, location_names)).collect::<Result<_, _>>()?;
+        Ok(EndpointList { index, is_snapshot, entries })
     }
 }
 
 /// Reads a list as it stands in an answer, an entry at a time: a tree of the whole of it would take many times its bytes.
-struct ListReader<'a>(&'a Sites);
+struct ListReader<'a>(&'a LocationNames);
 
 impl<'de> Visitor<'de> for ListReader<'_> {
     type Value = EndpointList;
@@ -93,11 +95,11 @@
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<EndpointList, A::Error> {
-        let (mut index, mut whole, mut entries) = (None, None, None);
+        let (mut index, mut is_snapshot, mut entries) = (None, None, None);
         while let Some(key) = map.next_key::<Cow<str>>()? {
             match &*key {
                 "index" => index = map.next_value::<Value>()?.as_u64(),
-                "snapshot" => whole = map.next_value::<Value>()?.as_bool(),
+                "snapshot" => is_snapshot = map.next_value::<Value>()?.as_bool(),
                 "endpoints" => entries = Some(map.next_value_seed(EntriesReader(self.0))?),
                 _ => drop(map.next_value::<IgnoredAny>()?),
             }
@@ -105,13 +107,13 @@
         let missing = |what| de::Error::custom(what);
         Ok(EndpointList {
             index: index.ok_or_else(|| missing("index is missing or no whole number"))?,
-            whole: whole.ok_or_else(|| missing("snapshot is missing or no flag"))?,
+            is_snapshot: is_snapshot.ok_or_else(|| missing("snapshot is missing or no flag"))?,
             entries: entries.ok_or_else(|| missing("endpoints is missing or no list"))?,
         })
     }
 }
 
-struct EntriesReader<'a>(&'a Sites);
+struct EntriesReader<'a>(&'a LocationNames);
 
 impl<'de> DeserializeSeed<'de> for EntriesReader<'_> {
     type Value = Vec<EndpointEntry>;
@@ -131,7 +133,7 @@
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<EndpointEntry>, A::Error> {
         let mut entries = Vec::new();
         while let Some(json) = seq.next_element::<Value>()? {
-            entries.push(EndpointEntry::read(&json, self.0).map_err(de::Error::custom)?);
+            entries.push(EndpointEntry::from_json(&json, self.0).map_err(de::Error::custom)?);
         }
         Ok(entries)
     }
@@ -139,16 +141,16 @@
 
 impl EndpointList {
     /// Reads a list from the bytes of an answer.
-    fn parse(body: &[u8], sites: &Sites) -> Result<EndpointList, String> {
+    fn parse(body: &[u8], location_names: &LocationNames) -> Result<EndpointList, String> {
         let mut json = serde_json::Deserializer::from_slice(body);
-        let list = de::Deserializer::deserialize_map(&mut json, ListReader(sites));
+        let list = de::Deserializer::deserialize_map(&mut json, ListReader(location_names));
         let list = list.and_then(|list| json.end().map(|()| list));
         list.map_err(|e| format!("an answer is no list: {e}"))
     }
 }
 
 impl EndpointEntry {
-    fn read(json: &Value, sites: &Sites) -> Result<EndpointEntry, String> {
+    fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointEntry, String> {
         let text = |key: &str| json.get(key).and_then(Value::as_str);
         let name = text("name").ok_or("endpoints has an entry without a name")?;
         let bad = |key: &str| format!("endpoints: {key} of {name} is missing or bad");
@@ -169,9 +171,9 @@
         let group = json.get("group").and_then(Value::as_u64).unwrap_or(0);
         let endpoint = Endpoint {
             backend: backend_id(name),
-            zone: u8::try_from(place(&sites.zones, "zone")).unwrap_or(u8::MAX),
+            zone: u8::try_from(place(&location_names.zones, "zone")).unwrap_or(u8::MAX),
             cell: u16::try_from(group).map_err(|_| bad("group"))?,
-            machine_type: u16::try_from(place(&sites.kinds, "type")).unwrap_or(u16::MAX),
+            machine_type: u16::try_from(place(&location_names.machine_types, "type")).unwrap_or(u16::MAX),
             availability,
             size: json.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
             // The host's clock counts from the same moment as Unix time: only the unit is another.
@@ -194,7 +196,7 @@
 /// The watch.
 pub struct Watch {
     address: SocketAddr,
-    sites: Sites,
+    location_names: LocationNames,
     token: Token,
     stream: Option<TcpStream>,
     /// The version of the list held; none asks for the whole list.
@@ -206,9 +208,9 @@
     due: Micros,
     buf: Vec<u8>,
     retry: Retry,
-    most_body: usize,
-    /// When [`Watch::wake`] has something to do.
-    pub wake_at: Micros,
+    max_body_bytes: usize,
+    /// When [`Watch::on_timer`] has something to do.
+    pub next_timer_at: Micros,
     /// The last call stayed unanswered: the next one does not wait for news, so that what was missed comes at once,
     /// and a second silence shows soon.
     unanswered: bool,
@@ -216,13 +218,19 @@
 
 impl Watch {
     /// A watch for what is newer than the list held.
-    pub fn new(address: SocketAddr, sites: Sites, index: u64, token: Token, way: Way) -> Self {
-        let Way { backoff, most_body, seed, now } = way;
+    pub fn new(
+        address: SocketAddr,
+        location_names: LocationNames,
+        index: u64,
+        token: Token,
+        options: WatchOptions,
+    ) -> Self {
+        let WatchOptions { backoff, max_body_bytes, seed, now } = options;
         let mut retry = Retry::new(backoff, seed);
         let first = retry.first(now);
         Watch {
             address,
-            sites,
+            location_names,
             token,
             stream: None,
             index: Some(index),
@@ -231,28 +239,28 @@
             due: 0,
             buf: Vec::new(),
             retry,
-            most_body,
-            wake_at: first,
+            max_body_bytes,
+            next_timer_at: first,
             unanswered: false,
         }
     }
 
     /// Goes on at another address: it is asked for its whole list at once, whatever the old one still owed and
     /// however long a failure was to be waited out.
-    pub fn move_to(&mut self, address: SocketAddr, now: Micros) {
+    pub fn set_address(&mut self, address: SocketAddr, now: Micros) {
         self.index = None;
-        self.hang_up();
+        self.disconnect();
         self.retry.reset();
-        (self.address, self.wake_at) = (address, now);
+        (self.address, self.next_timer_at) = (address, now);
     }
 
     /// Asks for the whole list with the next call.
-    pub fn fetch_whole(&mut self) {
+    pub fn request_snapshot(&mut self) {
         self.index = None;
     }
 
     /// Closes the connection, with all that is under way on it: nothing of it belongs to the next one.
-    fn hang_up(&mut self) {
+    fn disconnect(&mut self) {
         (self.stream, self.called) = (None, None);
         self.buf.clear();
         self.out.clear();
@@ -261,8 +269,8 @@
     /// Gives the connection up; the next one comes after a pause. True if all had been well before.
     fn fail(&mut self, now: Micros, why: &str) -> bool {
         let (first, next) = self.retry.failed(now, self.called, self.out.is_empty());
-        self.hang_up();
-        self.wake_at = next;
+        self.disconnect();
+        self.next_timer_at = next;
         if first {
             crate::log(&format!("discovery: {why}; serving on with the list as it is"));
         }
@@ -270,8 +278,8 @@
     }
 
     /// Makes the next call, or notices that the last one stays unanswered; true if discovery just failed.
-    pub fn wake(&mut self, now: Micros, registry: &Registry) -> bool {
-        if now < self.wake_at {
+    pub fn on_timer(&mut self, now: Micros, registry: &Registry) -> bool {
+        if now < self.next_timer_at {
             return false;
         }
         if self.called.is_some() {
@@ -282,8 +290,8 @@
             if !again {
                 return failed;
             }
-            self.wake_at = now;
-            self.wake(now, registry);
+            self.next_timer_at = now;
+            self.on_timer(now, registry);
             return failed;
         }
         if self.stream.is_none() {
@@ -304,7 +312,7 @@
         self.called = Some(now);
         self.due = now + if waits { wait + PAST_WAIT } else { self.retry.backoff.patience };
         // Without a connection it is no watch yet, however long it may wait: the system tries ever more seldom.
-        self.wake_at = self.due.min(now + self.retry.backoff.patience);
+        self.next_timer_at = self.due.min(now + self.retry.backoff.patience);
         self.write(now)
     }
 
@@ -315,7 +323,7 @@
                 Ok(n) => {
                     self.out.drain(..n);
                     if self.out.is_empty() {
-                        self.wake_at = self.due; // now it waits for the answer
+                        self.next_timer_at = self.due; // now it waits for the answer
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -330,7 +338,12 @@
     }
 
     /// Takes in what the socket has. Gives lists as they come; true if discovery just failed.
-    pub fn ready(&mut self, now: Micros, registry: &Registry, take: &mut impl FnMut(EndpointList)) -> bool {
+    pub fn on_ready(
+        &mut self,
+        now: Micros,
+        registry: &Registry,
+        take: &mut impl FnMut(EndpointList),
+    ) -> bool {
         if self.write(now) {
             return true;
         }
@@ -347,7 +360,7 @@
                 }
                 Err(e) => return self.fail(now, &e.to_string()),
             }
-            if self.buf.len() > MOST_HEAD + self.most_body {
+            if self.buf.len() > MOST_HEAD + self.max_body_bytes {
                 return self.fail(now, "an answer is too long");
             }
         };
@@ -355,12 +368,12 @@
             // Between two calls nothing is due but the end of the connection. What came all the same is nobody's
             // answer, and must not pass for that of the next call.
             if ended || !self.buf.is_empty() {
-                self.hang_up();
-                self.wake_at = now;
+                self.disconnect();
+                self.next_timer_at = now;
             }
             return false;
         };
-        match read_answer(&self.buf, ended, &self.sites, self.most_body) {
+        match read_answer(&self.buf, ended, &self.location_names, self.max_body_bytes) {
             Answer::Partial if ended => self.fail(now, "the connection ended"),
             Answer::Partial => false,
             Answer::Bad(why) => self.fail(now, &why),
@@ -376,9 +389,9 @@
                 }
                 // One that answers at once with nothing must not be asked without end.
                 let idle = list.entries.is_empty() && now < called + AT_ONCE;
-                self.wake_at = if idle { now + NO_NEWS } else { now };
+                self.next_timer_at = if idle { now + NO_NEWS } else { now };
                 take(list);
-                self.wake(now, registry)
+                self.on_timer(now, registry)
             }
         }
     }
@@ -442,13 +455,13 @@
     }
 }
 
-fn read_answer(buf: &[u8], ended: bool, sites: &Sites, most_body: usize) -> Answer {
-    let (body, goes_on) = match body(buf, ended, most_body) {
+fn read_answer(buf: &[u8], ended: bool, location_names: &LocationNames, max_body_bytes: usize) -> Answer {
+    let (body, goes_on) = match body(buf, ended, max_body_bytes) {
         Ok(None) => return Answer::Partial,
         Ok(Some(found)) => found,
         Err(why) => return Answer::Bad(why),
     };
-    match EndpointList::parse(&body, sites) {
+    match EndpointList::parse(&body, location_names) {
         Ok(list) => Answer::Whole(list, goes_on),
         Err(why) => Answer::Bad(why),
     }
--- a/src/bin/ingress/discovery/tests.rs
+++ b/src/bin/ingress/discovery/tests.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-fn sites() -> Sites {
-    Sites { zones: vec!["a".into(), "b".into()], kinds: vec!["m1".into(), "m2".into()] }
+fn location_names() -> LocationNames {
+    LocationNames { zones: vec!["a".into(), "b".into()], machine_types: vec!["m1".into(), "m2".into()] }
 }
 
 /// Within what a call that failed is to be followed by the next: 6 s, less what an answer takes.
@@ -23,16 +23,17 @@
     let chunked = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunked}");
     for (text, ended) in [(length, false), (chunked, false), (format!("HTTP/1.0 200 OK\r\n\r\n{LIST}"), true)]
     {
-        let Answer::Whole(list, goes_on) = read_answer(text.as_bytes(), ended, &sites(), MOST_BODY) else {
+        let Answer::Whole(list, goes_on) = read_answer(text.as_bytes(), ended, &location_names(), MOST_BODY)
+        else {
             panic!("not read: {text}")
         };
-        assert_eq!((list.index, list.whole, goes_on), (43, false, !ended));
+        assert_eq!((list.index, list.is_snapshot, goes_on), (43, false, !ended));
         let [one, two] = &list.entries[..] else { panic!("not two entries") };
         assert_eq!((one.endpoint.zone, one.endpoint.machine_type, one.endpoint.cell), (1, 1, 3));
         assert_eq!((one.endpoint.started_at, one.endpoint.availability), (7000, Availability::Draining));
         assert_eq!((two.address, two.endpoint.availability), (None, Availability::Gone));
         for cut in 0..text.len() - 1 {
-            let part = read_answer(&text.as_bytes()[..cut], false, &sites(), MOST_BODY);
+            let part = read_answer(&text.as_bytes()[..cut], false, &location_names(), MOST_BODY);
             assert!(matches!(part, Answer::Partial), "cut at {cut}: {text}");
         }
     }
@@ -44,12 +45,17 @@
 fn a_hundred_watches_neither_start_nor_come_again_in_unison() {
     let now: Micros = 1_000_000_000;
     let watch = |seed| {
-        let way = Way { most_body: MOST_BODY, backoff: Backoff::shared(10_000_000, 100), seed, now };
-        Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), way)
+        let options = WatchOptions {
+            max_body_bytes: MOST_BODY,
+            backoff: Backoff::shared_service(10_000_000, 100),
+            seed,
+            now,
+        };
+        Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options)
     };
     let mut watches: Vec<Watch> = (0..100).map(watch).collect();
     let most_at_once = |watches: &[Watch]| {
-        let mut times: Vec<Micros> = watches.iter().map(|w| w.wake_at).collect();
+        let mut times: Vec<Micros> = watches.iter().map(|w| w.next_timer_at).collect();
         times.sort_unstable();
         (0..100).map(|i| times[i..].iter().take_while(|t| **t < times[i] + 100_000).count()).max()
     };
@@ -58,9 +64,9 @@
         w.fail(now, "turned away");
     }
     assert!(most_at_once(&watches) <= Some(25), "second calls in a tenth of a second");
-    let agent = Way { most_body: MOST_BODY, backoff: Backoff::AGENT, seed: 7, now };
-    let agent = Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), agent);
-    assert_eq!(agent.wake_at, now, "an agent of one's own is asked at once");
+    let options = WatchOptions { max_body_bytes: MOST_BODY, backoff: Backoff::LOCAL_AGENT, seed: 7, now };
+    let agent = Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options);
+    assert_eq!(agent.next_timer_at, now, "an agent of one's own is asked at once");
 }
 
 /// A watch and its discovery: a clock and a socket that the test drives.
@@ -75,8 +81,8 @@
 impl Talk {
     fn new(backoff: Backoff) -> Talk {
         let (listener, now) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), 1_000_000_000);
-        let way = Way { most_body: MOST_BODY, backoff, seed: 7, now };
-        let watch = Watch::new(listener.local_addr().unwrap(), sites(), 41, Token(0), way);
+        let options = WatchOptions { max_body_bytes: MOST_BODY, backoff, seed: 7, now };
+        let watch = Watch::new(listener.local_addr().unwrap(), location_names(), 41, Token(0), options);
         let mut talk = Talk { watch, poll: mio::Poll::new().unwrap(), listener, now, lists: Vec::new() };
         talk.wake();
         talk
@@ -84,13 +90,13 @@
 
     /// Lets time pass until the watch has something to do, and has it do that.
     fn wake(&mut self) {
-        self.now = self.now.max(self.watch.wake_at);
-        self.watch.wake(self.now, self.poll.registry());
+        self.now = self.now.max(self.watch.next_timer_at);
+        self.watch.on_timer(self.now, self.poll.registry());
     }
 
     fn ready(&mut self) {
         let lists = &mut self.lists;
-        self.watch.ready(self.now, self.poll.registry(), &mut |list| lists.push(list.index));
+        self.watch.on_ready(self.now, self.poll.registry(), &mut |list| lists.push(list.index));
     }
 
     fn accept(&mut self) -> std::net::TcpStream {
@@ -135,7 +141,9 @@
 /// wait of the call, for 6 s at least. It was noticed 3 s after the wait, and paused for after that.
 #[test]
 fn a_watch_that_falls_silent_is_open_again_before_what_it_missed_counts_as_told() {
-    for backoff in [Backoff::AGENT, Backoff::shared(10_000_000, 6), Backoff::shared(500_000, 300)] {
+    for backoff in
+        [Backoff::LOCAL_AGENT, Backoff::shared_service(10_000_000, 6), Backoff::shared_service(500_000, 300)]
+    {
         let mut talk = Talk::new(backoff);
         let mut silent = talk.accept();
         let wait = talk.call(&mut silent);
@@ -153,7 +161,7 @@
 /// Guards against a new watch that is silent like the one before: it would be waited for as long as the first.
 #[test]
 fn a_second_silence_in_a_row_is_noticed_within_the_time_of_the_first() {
-    let mut talk = Talk::new(Backoff::AGENT);
+    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
     let began = talk.now;
     for _ in 0..2 {
         let mut silent = talk.accept();
@@ -171,7 +179,7 @@
 /// Guards against pauses as long as a grace between calls to an agent, whose news count as told meanwhile.
 #[test]
 fn an_agent_that_stays_away_is_tried_again_within_a_grace() {
-    let mut talk = Talk::new(Backoff::AGENT);
+    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
     for _ in 0..20 {
         drop(talk.accept());
         let failed = talk.now;
@@ -186,7 +194,7 @@
 /// Guards against bytes that came between two calls: they stayed, and began the answer on the next connection.
 #[test]
 fn what_comes_between_two_calls_is_no_part_of_the_next_answer() {
-    let mut talk = Talk::new(Backoff::AGENT);
+    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
     let mut first = talk.accept();
     talk.call(&mut first);
     talk.answer(&mut first, 41, "");
@@ -212,7 +220,10 @@
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "SSH-2.0\r\n",
     ] {
-        assert!(matches!(read_answer(bad.as_bytes(), false, &sites(), MOST_BODY), Answer::Bad(_)), "{bad}");
+        assert!(
+            matches!(read_answer(bad.as_bytes(), false, &location_names(), MOST_BODY), Answer::Bad(_)),
+            "{bad}"
+        );
     }
 }
 
@@ -256,13 +267,13 @@
     const BACK: Micros = T + 8_000_000;
     let start = if late { BACK + 1_000_000 } else { T + 5_000_000 };
     let watch = |n: u64, now| {
-        let way = Way {
-            most_body: MOST_BODY,
-            backoff: Backoff::shared(10_000_000, ingresses),
+        let options = WatchOptions {
+            max_body_bytes: MOST_BODY,
+            backoff: Backoff::shared_service(10_000_000, ingresses),
             seed: seed * 100_000 + n,
             now,
         };
-        Watch::new(([127, 0, 0, 1], 1).into(), sites(), 0, Token(0), way)
+        Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options)
     };
     let mut line = Line { takes: 1_000_000 / capacity, free_at: 0 };
     // Open watches, which all end as discovery goes down.
@@ -272,7 +283,7 @@
     }
     let is_killed = |n: usize| (n as u64) % 10 < killed;
     let mut due: std::collections::BTreeMap<(Micros, usize), ()> =
-        watches.iter().enumerate().map(|(n, w)| ((w.wake_at, n), ())).collect();
+        watches.iter().enumerate().map(|(n, w)| ((w.next_timer_at, n), ())).collect();
     let mut restarted = vec![false; watches.len()];
     let mut had: Vec<Option<Micros>> = vec![None; watches.len()];
     let (mut last_call, mut longest_gap) = (vec![0; watches.len()], 0);
@@ -280,7 +291,7 @@
     while let Some(((now, n), ())) = due.pop_first() {
         if now >= start && is_killed(n) && !std::mem::replace(&mut restarted[n], true) {
             (watches[n], had[n], last_call[n]) = (watch(n as u64 + ingresses, start), None, 0);
-            due.insert((watches[n].wake_at, n), ());
+            due.insert((watches[n].next_timer_at, n), ());
             continue;
         }
         if had[n].is_some() {
@@ -299,7 +310,7 @@
             due.insert((if restarted[n] { Micros::MAX } else { ends.max(start) }, n), ());
         } else {
             w.fail(ends, "turned away");
-            due.insert((w.wake_at, n), ());
+            due.insert((w.next_timer_at, n), ());
         }
     }
     let since = |n: usize| if is_killed(n) { BACK.max(start) } else { BACK };
@@ -333,22 +344,22 @@
 #[test]
 fn a_call_without_a_connection_is_made_again_within_five_seconds() {
     for n in 0..20 {
-        let way = Way {
-            most_body: MOST_BODY,
-            backoff: Backoff::shared(10_000_000, 300),
+        let options = WatchOptions {
+            max_body_bytes: MOST_BODY,
+            backoff: Backoff::shared_service(10_000_000, 300),
             seed: n,
             now: 1_000_000_000,
         };
-        let mut watch = Watch::new(([127, 0, 0, 1], 1).into(), sites(), 41, Token(0), way);
-        let mut called = watch.wake_at;
+        let mut watch = Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 41, Token(0), options);
+        let mut called = watch.next_timer_at;
         for _ in 0..5 {
             // The call is out, and nothing of it could be written.
             (watch.called, watch.out, watch.due) = (Some(called), b"GET".to_vec(), called + 30_000_000);
-            watch.wake_at = watch.due.min(called + watch.retry.backoff.patience);
-            assert!(watch.wake_at <= called + 3_000_000);
-            watch.fail(watch.wake_at, "no answer in time");
-            assert!(watch.wake_at <= called + WITHIN, "{} us", watch.wake_at - called);
-            called = watch.wake_at;
+            watch.next_timer_at = watch.due.min(called + watch.retry.backoff.patience);
+            assert!(watch.next_timer_at <= called + 3_000_000);
+            watch.fail(watch.next_timer_at, "no answer in time");
+            assert!(watch.next_timer_at <= called + WITHIN, "{} us", watch.next_timer_at - called);
+            called = watch.next_timer_at;
         }
     }
 }
@@ -365,7 +376,7 @@
         Some(b"HTTP/1.1 200 OK\r\nContent-"),
     ];
     for (kind, answer) in answers.into_iter().enumerate() {
-        let mut talk = Talk::new(Backoff::shared(10_000_000, 2900));
+        let mut talk = Talk::new(Backoff::shared_service(10_000_000, 2900));
         if answer.is_none() {
             talk.listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
             // the first one refuses from now on
@@ -386,8 +397,8 @@
                     break;
                 }
                 if kind == 4 {
-                    talk.now = talk.now.max(talk.watch.wake_at);
-                    talk.watch.wake(talk.now, talk.poll.registry());
+                    talk.now = talk.now.max(talk.watch.next_timer_at);
+                    talk.watch.on_timer(talk.now, talk.poll.registry());
                     break;
                 }
                 talk.ready();
@@ -418,7 +429,7 @@
 /// none: 4 MiB were the most, some 35,000 backends, whatever the memory.
 #[test]
 fn a_list_may_be_as_long_as_the_memory_has_room_for() {
-    assert_eq!((most_body(32 << 20), most_body(192 << 20)), (4 << 20, 24 << 20));
+    assert_eq!((max_body_bytes(32 << 20), max_body_bytes(192 << 20)), (4 << 20, 24 << 20));
     let list = long_list(60_000);
     let size = list.len();
     assert!((4 << 20..16 << 20).contains(&size), "{size}");
@@ -430,15 +441,15 @@
         (format!("HTTP/1.0 200 OK\r\n\r\n{list}"), true),
     ];
     for (n, (text, ended)) in texts.iter().enumerate() {
-        let Answer::Whole(list, _) = read_answer(text.as_bytes(), *ended, &sites(), 16 << 20) else {
+        let Answer::Whole(list, _) = read_answer(text.as_bytes(), *ended, &location_names(), 16 << 20) else {
             panic!("framing {n} is not read")
         };
-        assert_eq!((list.entries.len(), list.whole), (60_000, true));
+        assert_eq!((list.entries.len(), list.is_snapshot), (60_000, true));
         // All but its last byte: not whole, or no list.
-        let cut = read_answer(&text.as_bytes()[..text.len() - 1], *ended, &sites(), 16 << 20);
+        let cut = read_answer(&text.as_bytes()[..text.len() - 1], *ended, &location_names(), 16 << 20);
         assert!(!matches!(cut, Answer::Whole(..)), "framing {n}");
     }
-    let long = read_answer(texts[0].0.as_bytes(), false, &sites(), MOST_BODY);
+    let long = read_answer(texts[0].0.as_bytes(), false, &location_names(), MOST_BODY);
     assert!(matches!(long, Answer::Bad(_)), "longer than there is memory for");
 }
 
@@ -459,8 +470,8 @@
         format!("[{good}]"),
         String::new(),
     ] {
-        assert!(EndpointList::parse(bad.as_bytes(), &sites()).is_err(), "{bad}");
+        assert!(EndpointList::parse(bad.as_bytes(), &location_names()).is_err(), "{bad}");
     }
     let spaced = good.replace(',', " ,\n  ").replace("{\"index\"", "{ \"more\" : [ {} ], \"index\"");
-    assert_eq!(EndpointList::parse(spaced.as_bytes(), &sites()).map(|r| r.entries.len()), Ok(3));
+    assert_eq!(EndpointList::parse(spaced.as_bytes(), &location_names()).map(|r| r.entries.len()), Ok(3));
 }
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -2,11 +2,11 @@
 //! and owns the open requests and the timers. It decides nothing: no backend, no further attempt, no refusal but
 //! where a limit of the settings leaves no room to ask the module.
 
-use crate::backends::{Backends, Done, Link, Work};
+use crate::backends::{Assignment, Backends, CommandState, Completion, ConnectionId, Readiness};
 use crate::clients::{AcceptOutcome, Accepting, Capacity, ClientEvent, Clients, ReplyHandle};
 use crate::command::Command;
 use crate::config::Config;
-use crate::discovery::{most_body, EndpointList, Watch, Way};
+use crate::discovery::{max_body_bytes, EndpointList, Watch, WatchOptions};
 use crate::peers::Peers;
 use crate::reload::Reload;
 use crate::resp;
@@ -98,9 +98,9 @@
     /// A client's time is over.
     Overdue(RequestId),
     /// A connection should be up, and the command written.
-    Connect(Link),
+    Connect(ConnectionId),
     /// A probe is given up.
-    Probe(Link, BackendId, Micros),
+    Probe(ConnectionId, BackendId, Micros),
     Sweep,
     Accept,
     /// The configuration is to be read again.
@@ -117,7 +117,7 @@
     /// When it is given up.
     until: Micros,
     /// Its connection, while it is out.
-    link: Option<Link>,
+    link: Option<ConnectionId>,
 }
 
 struct Open {
@@ -235,11 +235,12 @@
         let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
         let backoff = match settings.discovery {
             Discovery::Poll => {
-                Backoff::shared(settings.rules.max_poll_interval, u64::from(settings.gateway_count))
+                Backoff::shared_service(settings.rules.max_poll_interval, u64::from(settings.gateway_count))
             }
-            Discovery::Push => Backoff::AGENT,
+            Discovery::Push => Backoff::LOCAL_AGENT,
         };
-        let way = Way { backoff, most_body: most_body(config.memory), seed: config.seed, now };
+        let watch_options =
+            WatchOptions { backoff, max_body_bytes: max_body_bytes(config.memory), seed: config.seed, now };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = EventLoop {
             poll,
@@ -258,7 +259,13 @@
                 Token(FIRST + 2 * key)
             }),
             backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
-            watch: Watch::new(config.discovery, config.sites, config.known.index, DISCOVERY, way),
+            watch: Watch::new(
+                config.discovery,
+                config.location_names,
+                config.cached_endpoints.index,
+                DISCOVERY,
+                watch_options,
+            ),
             reload,
             peers,
             signals,
@@ -275,7 +282,7 @@
             stopping: false,
             closing_since: None,
         };
-        ingress.take_roster(config.known, EndpointUpdate::CachedSnapshot);
+        ingress.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
         ingress.pump();
         crate::log(&format!("listening at {}", config.listen));
         Ok(ingress)
@@ -319,7 +326,7 @@
             return Duration::from_micros(self.tick);
         }
         // Nothing falls due before there is a new clock.
-        let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0).min(self.watch.wake_at);
+        let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0).min(self.watch.next_timer_at);
         Duration::from_micros(timer.max(self.now + self.tick).saturating_sub(self.clock.now()))
     }
 
@@ -356,7 +363,8 @@
                         self.tell_what_is_left((t - FIRST) / 2);
                     }
                     // The true time: a connection rests for less than a tick.
-                    self.backends.ready((t - FIRST) / 2, self.clock.now(), writable, closed);
+                    let readiness = Readiness { writable, closed };
+                    self.backends.on_ready((t - FIRST) / 2, self.clock.now(), readiness);
                     self.pump();
                 }
                 Token(t) => {
@@ -377,11 +385,11 @@
 
     fn discover(&mut self, ready: bool) {
         let (now, registry, mut came) = (self.now, self.poll.registry(), Vec::new());
-        let mut failed = ready && self.watch.ready(now, registry, &mut |roster| came.push(roster));
-        failed |= self.watch.wake(now, registry);
-        for roster in came {
-            let kind = if roster.whole { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
-            self.take_roster(roster, kind);
+        let mut failed = ready && self.watch.on_ready(now, registry, &mut |endpoints| came.push(endpoints));
+        failed |= self.watch.on_timer(now, registry);
+        for endpoints in came {
+            let kind = if endpoints.is_snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
+            self.apply_endpoints(endpoints, kind);
         }
         if failed && self.asks_discovery {
             self.events.push_back(Event::Endpoints(EndpointUpdate::PollFailed, Vec::new()));
@@ -389,10 +397,10 @@
         self.pump();
     }
 
-    fn take_roster(&mut self, roster: EndpointList, kind: EndpointUpdate) {
-        self.backends.update(&roster);
-        if kind != EndpointUpdate::Delta || !roster.entries.is_empty() {
-            let list = roster.entries.iter().map(|e| e.endpoint).collect();
+    fn apply_endpoints(&mut self, endpoints: EndpointList, kind: EndpointUpdate) {
+        self.backends.update_endpoints(&endpoints);
+        if kind != EndpointUpdate::Delta || !endpoints.entries.is_empty() {
+            let list = endpoints.entries.iter().map(|e| e.endpoint).collect();
             self.events.push_back(Event::Endpoints(kind, list));
         }
     }
@@ -424,7 +432,7 @@
     /// Reads the configuration again and moves the watch to where it says, or tries that again later.
     fn reload(&mut self) {
         match self.reload.read(self.now) {
-            Ok(discovery) => self.watch.move_to(discovery, self.now),
+            Ok(discovery) => self.watch.set_address(discovery, self.now),
             Err(Some(at)) => self.timers.push(Reverse((at, Due::Reload))),
             Err(None) => {}
         }
@@ -441,7 +449,10 @@
         let room = |clients: &mut Clients| {
             let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
             let full = clients.len() >= share || all >= budget;
-            if !full || clients.close_oldest_idle(now) || (clients.len() < share && backends.close_oldest()) {
+            if !full
+                || clients.close_oldest_idle(now)
+                || (clients.len() < share && backends.close_longest_idle())
+            {
                 Capacity::Available
             } else if clients.over_limit_count() < MOST_SURPLUS {
                 Capacity::OverLimit
@@ -529,10 +540,13 @@
                 Due::Module(token) => self.events.push_back(Event::Timer(token)),
                 Due::Expire(id, attempt) => self.expire(id, attempt),
                 Due::Overdue(id) => self.overdue(id),
-                Due::Connect(link) => self.backends.connect_overdue(link),
+                Due::Connect(link) => self.backends.on_connect_timeout(link),
                 Due::Probe(link, backend, began) => {
-                    if let Some(sent) = self.backends.abandon(link) {
-                        let outcome = if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
+                    if let Some(command) = self.backends.cancel(link) {
+                        let outcome = match command {
+                            CommandState::Sent => Outcome::TimedOut,
+                            CommandState::Unsent => Outcome::ConnectFailed,
+                        };
                         let took = self.now - began;
                         self.events.push_back(Event::HealthCheckEnded {
                             backend,
@@ -585,26 +599,31 @@
     /// A connection is up, or has room, and nothing of its command is written yet: what that says of the time left was true
     /// when the connection was begun, up to the time-out for connecting ago.
     fn tell_what_is_left(&mut self, key: usize) {
-        let Some(Work::Attempt(id, attempt)) = self.backends.unbegun(key) else { return };
+        let Some(Assignment::Attempt { id, attempt }) = self.backends.not_yet_written(key) else {
+            return;
+        };
         let Some(open) = self.requests.get(&id) else { return };
         let Some(a) = open.attempts.get(usize::from(attempt)) else { return };
         let wait = a.until.saturating_sub(self.clock.now());
-        self.backends.refill(key, |out| open.call.encode(wait, out));
+        self.backends.rewrite_command(key, |out| open.call.encode(wait, out));
     }
 
     /// Gives an attempt up whose time is over. It may have run only if its last byte was written.
     fn expire(&mut self, id: RequestId, attempt: u16) {
-        let outcome = |sent| if sent { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        let outcome = |command| match command {
+            CommandState::Sent => Outcome::TimedOut,
+            CommandState::Unsent => Outcome::ConnectFailed,
+        };
         self.abandon(id, attempt, outcome);
     }
 
-    fn abandon(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(bool) -> Outcome) {
+    fn abandon(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(CommandState) -> Outcome) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
-        let Some(sent) = a.link.and_then(|link| self.backends.abandon(link)) else { return };
+        let Some(command) = a.link.and_then(|link| self.backends.cancel(link)) else { return };
         a.link = None;
         let who = (a.backend, a.began);
-        self.events.push_back(settled(id, attempt, who, outcome(sent), open.over, self.clock.now()));
+        self.events.push_back(settled(id, attempt, who, outcome(command), open.over, self.clock.now()));
         self.forget(id);
     }
 
@@ -622,8 +641,8 @@
     /// Feeds what has come and carries out what is asked, until neither leaves anything.
     fn pump(&mut self) {
         loop {
-            for done in std::mem::take(&mut self.backends.done) {
-                self.finish(done);
+            for completion in self.backends.take_completions() {
+                self.finish(completion);
             }
             let Some(event) = self.events.pop_front() else { return };
             let mut actions = std::mem::take(&mut self.actions);
@@ -634,17 +653,17 @@
     }
 
     /// An attempt or a probe has ended.
-    fn finish(&mut self, done: Done) {
-        let Done { work, backend, outcome, began, report, value } = done;
-        let took = self.clock.now().saturating_sub(began);
-        let (id, attempt) = match work {
-            Work::Attempt(id, attempt) => (id, attempt),
-            Work::Probe => {
+    fn finish(&mut self, completion: Completion) {
+        let Completion { assignment, backend, outcome, started_at, load_report, value } = completion;
+        let took = self.clock.now().saturating_sub(started_at);
+        let (id, attempt) = match assignment {
+            Assignment::Attempt { id, attempt } => (id, attempt),
+            Assignment::HealthCheck => {
                 return self.events.push_back(Event::HealthCheckEnded {
                     backend,
                     outcome,
                     elapsed: took,
-                    load_report: report,
+                    load_report,
                 })
             }
         };
@@ -666,7 +685,7 @@
             elapsed: took,
             metered,
             charged_units: charged,
-            load_report: report,
+            load_report,
         });
         self.forget(id);
     }
@@ -686,8 +705,8 @@
     fn call_back(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| o.over) else { return };
         for (n, a) in (0u16..).zip(&mut open.attempts) {
-            if let Some(link) = a.link.filter(|link| self.backends.unsent(*link)) {
-                self.backends.abandon(link);
+            if let Some(link) = a.link.filter(|link| self.backends.is_unsent(*link)) {
+                self.backends.cancel(link);
                 a.link = None;
                 let who = (a.backend, a.began);
                 self.events.push_back(settled(id, n, who, Outcome::NotSent, true, self.clock.now()));
@@ -732,7 +751,7 @@
             Action::CloseIdleConnections(backend) => self.backends.close_idle(backend),
             // The watch is always on: a real ingress must keep one in any case.
             Action::WatchEndpoints(_) => {}
-            Action::FetchEndpoints => self.watch.fetch_whole(),
+            Action::FetchEndpoints => self.watch.request_snapshot(),
             // There is no counter among the real ingresses: nothing was added.
             Action::IncrementCounter { name, .. } => {
                 let (outcome, total) = (Outcome::ConnectFailed, 0.0);
@@ -767,14 +786,17 @@
             let event = settled(id, attempt, (backend, self.now), outcome, false, self.now);
             return self.events.push_back(event);
         }
-        let (registry, work, wait) = (self.poll.registry(), Work::Attempt(id, attempt), until - self.now);
+        let (registry, assignment, wait) =
+            (self.poll.registry(), Assignment::Attempt { id, attempt }, until - self.now);
         let Some(open) = self.requests.get_mut(&id) else { return };
         // How long an attempt takes is measured to the microsecond: by the turns' clock one that is answered within
         // a tick would take no time at all.
         let began = self.clock.now();
         open.attempts[number].began = began;
-        let begun = self.backends.begin(registry, backend, work, began, |out| open.call.encode(wait, out));
-        if let Some((link, unsent)) = begun {
+        let begun =
+            self.backends.assign(registry, backend, assignment, began, |out| open.call.encode(wait, out));
+        if let Some(assigned) = begun {
+            let (link, unsent) = (assigned.connection, assigned.command == CommandState::Unsent);
             open.attempts[number].link = Some(link);
             self.timers.push(Reverse((until, Due::Expire(id, attempt))));
             if unsent {
@@ -785,13 +807,13 @@
 
     /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
     fn make_room(&mut self, backend: BackendId) -> bool {
-        if !self.backends.must_connect(backend, self.clock.now()) {
+        if !self.backends.needs_connection(backend, self.clock.now()) {
             return true;
         }
         if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
-            return self.backends.close_oldest();
+            return self.backends.close_longest_idle();
         }
-        !self.full() || self.backends.close_oldest() || self.clients.close_oldest_idle(self.now)
+        !self.full() || self.backends.close_longest_idle() || self.clients.close_oldest_idle(self.now)
     }
 
     fn probe(&mut self, backend: BackendId) {
@@ -809,9 +831,10 @@
             resp::write_bulk_string(out, &[b"INFO"]);
             resp::write_bulk_string(out, &[b"load"]);
         };
-        let begun = self.backends.begin(self.poll.registry(), backend, Work::Probe, self.now, fill);
-        if let Some((link, _)) = begun {
-            let due = Due::Probe(link, backend, self.now);
+        let begun =
+            self.backends.assign(self.poll.registry(), backend, Assignment::HealthCheck, self.now, fill);
+        if let Some(assigned) = begun {
+            let due = Due::Probe(assigned.connection, backend, self.now);
             self.timers.push(Reverse((self.now + self.connect_timeout, due)));
         }
     }
