Name the RESP2 codec's parts by their terms and type its errors

The codec named its limits MOST_..., its parsers line, head and element, returned pairs, and gave its reason as a text.

ProtocolError lists the reasons with the same texts; Line and LengthHeader replace pairs; parsing an argument, a bulk string and a null array are functions of their own, shared where the same steps stood twice.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -490,7 +490,7 @@
                 }
                 Err(why) => {
                     let mut text = Vec::new();
-                    resp::write_error(&mut text, &format!("protocol error: {}", why.0));
+                    resp::write_error(&mut text, &format!("protocol error: {why}"));
                     c.answer_now(&text);
                     c.closing = true;
                     at = c.buf.len();
--- a/src/bin/ingress/resp.rs
+++ b/src/bin/ingress/resp.rs
@@ -1,190 +1,289 @@
-//! A strict and bounded RESP2 codec. It looks at what has come so far and says: not whole yet, whole, or
-//! malformed. Lengths are checked as soon as they are announced, so nothing is awaited that would be turned
-//! down anyway, and a body is skipped by its length: looking again at a part costs next to nothing.
+//! A strict, bounded codec for RESP2, the wire format of commands and replies.
 //!
-//! The crate redis-protocol was tried first and does not fit: it takes any two bytes for the end of a bulk
-//! string, waits for bodies of whatever length is announced, and overflows the stack on deep nesting.
+//! Parsing is stateless: each attempt looks at the bytes received so far and finds them incomplete, complete or
+//! malformed. Lengths are checked as soon as they are announced, so that a connection never waits for bytes that
+//! would be rejected anyway, and a body is skipped by its length, so that parsing an incomplete value again is cheap.
+//!
+//! The crate `redis-protocol` does not fit: it accepts any two bytes as the end of a bulk string, waits for bodies
+//! of whatever length is announced, and overflows the stack on deep nesting.
 
 use std::io::Write;
 use std::ops::Range;
+use thiserror::Error;
 
-/// The most bytes that a value may have.
+/// The most bytes of a value.
 pub const MAX_VALUE_LEN: usize = 64 * 1024;
-/// The most arguments of a command and elements of an answer.
-const MOST_ITEMS: usize = 8;
-/// The most bytes of all arguments of a command, or elements of an answer, together.
-const MOST_TOTAL: usize = MAX_VALUE_LEN + 4096;
-/// The most bytes of a line: a length, an error or a status.
-const MOST_LINE: usize = 1024;
+/// The most arguments of a command, and elements of a reply.
+const MAX_ELEMENTS: usize = 8;
+/// The most bytes of all arguments of a command, or of all elements of a reply, together.
+const MAX_TOTAL_LEN: usize = MAX_VALUE_LEN + 4096;
+/// The most bytes of a status or error line.
+const MAX_LINE_LEN: usize = 1024;
 /// The most digits of a length.
-const MOST_DIGITS: usize = 10;
+const MAX_LENGTH_DIGITS: usize = 10;
 
-/// Why bytes are no RESP2 that is taken here.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Malformed(pub &'static str);
+/// What an error line holds besides its message: the `-ERR ` before it and the line's end, rounded up.
+const ERROR_LINE_OVERHEAD: usize = 8;
+
+/// Why bytes are not accepted as RESP2.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ProtocolError {
+    /// A line feed without a carriage return before it.
+    #[error("a line does not end with CR LF")]
+    UnterminatedLine,
+    /// A status, error or length line over its limit.
+    #[error("a line is too long")]
+    LineTooLong,
+    /// A length that is not written in digits.
+    #[error("a length is no number")]
+    InvalidLength,
+    /// A length beyond what this end accepts.
+    #[error("a length is over the limit")]
+    LengthOverLimit,
+    /// A bulk string whose announced length does not lead to its terminator.
+    #[error("a bulk string does not end with CR LF")]
+    UnterminatedBulkString,
+    /// A command that is not an array.
+    #[error("a command is no array")]
+    CommandNotArray,
+    /// A command without a verb.
+    #[error("a command is empty")]
+    EmptyCommand,
+    /// An argument that is not a bulk string.
+    #[error("an argument is no bulk string")]
+    ArgumentNotBulkString,
+    /// A null argument.
+    #[error("an argument is null")]
+    NullArgument,
+    /// A reply that starts with none of the type markers.
+    #[error("an answer begins with no mark of RESP2")]
+    UnknownTypeMarker,
+    /// An array as an element of another array.
+    #[error("an array stands inside an array")]
+    NestedArray,
+}
 
-type Step<T> = Result<Option<T>, Malformed>;
+/// The result of parsing bytes received so far: `None` while they are incomplete.
+pub type Parsed<T> = Result<Option<T>, ProtocolError>;
 
-/// What an element of an answer is.
+/// The type of a reply's element.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ElementKind {
+    /// A status line.
     Simple,
+    /// An error line.
     Error,
+    /// An integer line.
     Integer,
+    /// A bulk string.
     Bulk,
+    /// A null bulk string or null array.
     Null,
 }
 
-/// An element of an answer: its text, and the whole of it with its head and end.
+/// An element of a reply, by its places in the buffer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Element {
+    /// The element's type.
     pub kind: ElementKind,
+    /// The text or body alone.
     pub payload: Range<usize>,
+    /// The whole encoded element, with its header and terminator.
     pub span: Range<usize>,
 }
 
-/// A backend's answer.
+/// A reply of a backend.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Reply {
+    /// One value that is not an array, or a null array.
     Single(Element),
+    /// An array of values.
     Array(Vec<Element>),
 }
 
-/// The line that begins at `at`, without its end, and where the next one begins.
-fn line(buf: &[u8], at: usize, most: usize) -> Step<(Range<usize>, usize)> {
-    let seen = &buf[at..buf.len().min(at + most + 2)];
-    match seen.iter().position(|b| *b == b'\n') {
-        Some(end) if end > 0 && seen[end - 1] == b'\r' => Ok(Some((at..at + end - 1, at + end + 1))),
-        Some(_) => Err(Malformed("a line does not end with CR LF")),
-        None if seen.len() == most + 2 => Err(Malformed("a line is too long")),
+/// A line without its terminator, and where the bytes after it begin.
+struct Line {
+    text: Range<usize>,
+    end: usize,
+}
+
+/// The header of a bulk string or array: its length, `None` for a null, and where the bytes after it begin.
+struct LengthHeader {
+    length: Option<usize>,
+    end: usize,
+}
+
+/// Parses the line of at most `max_len` bytes that begins at `start`.
+fn parse_line(buffer: &[u8], start: usize, max_len: usize) -> Parsed<Line> {
+    let max_len_with_terminator = max_len + 2;
+    let received = &buffer[start..buffer.len().min(start + max_len_with_terminator)];
+    match received.iter().position(|byte| *byte == b'\n') {
+        Some(newline) if newline > 0 && received[newline - 1] == b'\r' => {
+            Ok(Some(Line { text: start..start + newline - 1, end: start + newline + 1 }))
+        }
+        Some(_) => Err(ProtocolError::UnterminatedLine),
+        None if received.len() == max_len_with_terminator => Err(ProtocolError::LineTooLong),
         None => Ok(None),
     }
 }
 
-/// A length of at most `most`; none for the -1 of a null.
-fn length(text: &[u8], most: usize) -> Result<Option<usize>, Malformed> {
-    if text == b"-1" {
+/// Parses the digits of a length of at most `max`; `None` for the -1 of a null.
+fn parse_length(digits: &[u8], max: usize) -> Parsed<usize> {
+    if digits == b"-1" {
         return Ok(None);
     }
-    if text.is_empty() || text.len() > MOST_DIGITS || !text.iter().all(u8::is_ascii_digit) {
-        return Err(Malformed("a length is no number"));
+    if digits.is_empty() || digits.len() > MAX_LENGTH_DIGITS || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(ProtocolError::InvalidLength);
     }
-    let n = text.iter().fold(0usize, |n, d| n.saturating_mul(10).saturating_add(usize::from(d - b'0')));
-    if n > most {
-        return Err(Malformed("a length is over the limit"));
+    let append =
+        |length: usize, digit: &u8| length.saturating_mul(10).saturating_add(usize::from(digit - b'0'));
+    let length = digits.iter().fold(0, append);
+    if length > max {
+        return Err(ProtocolError::LengthOverLimit);
     }
-    Ok(Some(n))
+    Ok(Some(length))
 }
 
-/// A length that stands behind its mark at `at`, and where the next thing begins.
-fn head(buf: &[u8], at: usize, most: usize) -> Step<(Option<usize>, usize)> {
-    let Some((digits, next)) = line(buf, at + 1, MOST_DIGITS)? else { return Ok(None) };
-    Ok(Some((length(&buf[digits], most)?, next)))
+/// Parses the header whose type marker stands at `start`, with a length of at most `max`.
+fn parse_length_header(buffer: &[u8], start: usize, max: usize) -> Parsed<LengthHeader> {
+    let Some(line) = parse_line(buffer, start + 1, MAX_LENGTH_DIGITS)? else { return Ok(None) };
+    Ok(Some(LengthHeader { length: parse_length(&buffer[line.text], max)?, end: line.end }))
 }
 
-/// The end of a bulk string of `n` bytes that begin at `at`.
-fn bulk_end(buf: &[u8], at: usize, n: usize) -> Step<usize> {
-    let end = buf.get(at + n..).unwrap_or(&[]);
-    match end {
-        [b'\r', b'\n', ..] => Ok(Some(at + n + 2)),
+/// Where a bulk string ends whose body is `body`, terminator included.
+fn bulk_string_end(buffer: &[u8], body: &Range<usize>) -> Parsed<usize> {
+    match buffer.get(body.end..).unwrap_or_default() {
+        [b'\r', b'\n', ..] => Ok(Some(body.end + 2)),
         [] | [b'\r'] => Ok(None),
-        _ => Err(Malformed("a bulk string does not end with CR LF")),
+        _ => Err(ProtocolError::UnterminatedBulkString),
     }
 }
 
-/// A command, an array of bulk strings. Fills in where its arguments are and returns its length.
-pub fn parse_command(buf: &[u8], args: &mut Vec<Range<usize>>) -> Step<usize> {
-    args.clear();
-    match buf.first() {
+/// Parses the command at the beginning of `buffer`, an array of bulk strings. Replaces `arguments` by their places
+/// and returns the command's length.
+pub fn parse_command(buffer: &[u8], arguments: &mut Vec<Range<usize>>) -> Parsed<usize> {
+    arguments.clear();
+    match buffer.first() {
         None => return Ok(None),
         Some(b'*') => {}
-        Some(_) => return Err(Malformed("a command is no array")),
+        Some(_) => return Err(ProtocolError::CommandNotArray),
     }
-    let Some((count, mut at)) = head(buf, 0, MOST_ITEMS)? else { return Ok(None) };
-    let Some(count) = count.filter(|n| *n > 0) else { return Err(Malformed("a command is empty")) };
-    let mut left = MOST_TOTAL;
+    let Some(header) = parse_length_header(buffer, 0, MAX_ELEMENTS)? else { return Ok(None) };
+    let count = header.length.filter(|count| *count > 0).ok_or(ProtocolError::EmptyCommand)?;
+    let mut position = header.end;
+    let mut remaining = MAX_TOTAL_LEN;
     for _ in 0..count {
-        match buf.get(at) {
-            None => return Ok(None),
-            Some(b'$') => {}
-            Some(_) => return Err(Malformed("an argument is no bulk string")),
-        }
-        let Some((n, start)) = head(buf, at, MAX_VALUE_LEN.min(left))? else { return Ok(None) };
-        let Some(n) = n else { return Err(Malformed("an argument is null")) };
-        let Some(end) = bulk_end(buf, start, n)? else { return Ok(None) };
-        args.push(start..start + n);
-        left -= n;
-        at = end;
+        let max_len = MAX_VALUE_LEN.min(remaining);
+        let Some(argument) = parse_argument(buffer, position, max_len)? else { return Ok(None) };
+        remaining -= argument.payload.len();
+        position = argument.span.end;
+        arguments.push(argument.payload);
+    }
+    Ok(Some(position))
+}
+
+/// Parses the argument of at most `max_len` bytes that begins at `start`.
+fn parse_argument(buffer: &[u8], start: usize, max_len: usize) -> Parsed<Element> {
+    match buffer.get(start) {
+        None => return Ok(None),
+        Some(b'$') => {}
+        Some(_) => return Err(ProtocolError::ArgumentNotBulkString),
+    }
+    let Some(argument) = parse_bulk_string(buffer, start, max_len)? else { return Ok(None) };
+    match argument.kind {
+        ElementKind::Null => Err(ProtocolError::NullArgument),
+        _ => Ok(Some(argument)),
     }
-    Ok(Some(at))
 }
 
-fn element(buf: &[u8], at: usize, most: usize) -> Step<Element> {
-    let Some(mark) = buf.get(at) else { return Ok(None) };
-    let kind = match mark {
+/// Parses the bulk string of at most `max_len` bytes that begins at `start`; it may be null.
+fn parse_bulk_string(buffer: &[u8], start: usize, max_len: usize) -> Parsed<Element> {
+    let Some(header) = parse_length_header(buffer, start, max_len)? else { return Ok(None) };
+    let Some(length) = header.length else {
+        return Ok(Some(null_element(start, header.end)));
+    };
+    let payload = header.end..header.end + length;
+    let Some(end) = bulk_string_end(buffer, &payload)? else { return Ok(None) };
+    Ok(Some(Element { kind: ElementKind::Bulk, payload, span: start..end }))
+}
+
+/// A null between these places.
+fn null_element(start: usize, end: usize) -> Element {
+    Element { kind: ElementKind::Null, payload: end..end, span: start..end }
+}
+
+/// Parses the reply element that begins at `start`, a bulk string of at most `max_len` bytes or a line.
+fn parse_element(buffer: &[u8], start: usize, max_len: usize) -> Parsed<Element> {
+    let Some(marker) = buffer.get(start) else { return Ok(None) };
+    let kind = match marker {
         b'+' => ElementKind::Simple,
         b'-' => ElementKind::Error,
         b':' => ElementKind::Integer,
-        b'$' | b'*' => ElementKind::Bulk,
-        _ => return Err(Malformed("an answer begins with no mark of RESP2")),
+        b'$' => return parse_bulk_string(buffer, start, max_len),
+        b'*' => return parse_null_array(buffer, start, max_len),
+        _ => return Err(ProtocolError::UnknownTypeMarker),
     };
-    if kind != ElementKind::Bulk {
-        let Some((text, end)) = line(buf, at + 1, MOST_LINE)? else { return Ok(None) };
-        return Ok(Some(Element { kind, payload: text, span: at..end }));
-    }
-    let Some((n, start)) = head(buf, at, most)? else { return Ok(None) };
-    let Some(n) = n else {
-        return Ok(Some(Element { kind: ElementKind::Null, payload: start..start, span: at..start }));
-    };
-    if *mark == b'*' {
-        return Err(Malformed("an array stands inside an array"));
+    let Some(line) = parse_line(buffer, start + 1, MAX_LINE_LEN)? else { return Ok(None) };
+    Ok(Some(Element { kind, payload: line.text, span: start..line.end }))
+}
+
+/// Parses the array that begins at `start` inside another one: only the null array is accepted there.
+fn parse_null_array(buffer: &[u8], start: usize, max_len: usize) -> Parsed<Element> {
+    let Some(header) = parse_length_header(buffer, start, max_len)? else { return Ok(None) };
+    match header.length {
+        None => Ok(Some(null_element(start, header.end))),
+        Some(_) => Err(ProtocolError::NestedArray),
     }
-    let Some(end) = bulk_end(buf, start, n)? else { return Ok(None) };
-    Ok(Some(Element { kind, payload: start..start + n, span: at..end }))
 }
 
-/// An answer and its length.
-pub fn parse_reply(buf: &[u8]) -> Step<(Reply, usize)> {
-    if buf.first() != Some(&b'*') {
-        return Ok(element(buf, 0, MAX_VALUE_LEN)?.map(|e| {
-            let end = e.span.end;
-            (Reply::Single(e), end)
-        }));
+/// Parses the reply at the beginning of `buffer` and returns it with its length.
+pub fn parse_reply(buffer: &[u8]) -> Parsed<(Reply, usize)> {
+    if buffer.first() != Some(&b'*') {
+        let element = parse_element(buffer, 0, MAX_VALUE_LEN)?;
+        return Ok(element.map(single_reply));
     }
-    let Some((count, mut at)) = head(buf, 0, MOST_ITEMS)? else { return Ok(None) };
-    let Some(count) = count else {
-        return Ok(Some((
-            Reply::Single(Element { kind: ElementKind::Null, payload: at..at, span: 0..at }),
-            at,
-        )));
+    let Some(header) = parse_length_header(buffer, 0, MAX_ELEMENTS)? else { return Ok(None) };
+    let Some(count) = header.length else {
+        return Ok(Some(single_reply(null_element(0, header.end))));
     };
-    let (mut list, mut left) = (Vec::with_capacity(count), MOST_TOTAL);
+    let mut elements = Vec::with_capacity(count);
+    let mut position = header.end;
+    let mut remaining = MAX_TOTAL_LEN;
     for _ in 0..count {
-        let Some(e) = element(buf, at, MAX_VALUE_LEN.min(left))? else { return Ok(None) };
-        at = e.span.end;
-        left = left.saturating_sub(e.payload.len());
-        list.push(e);
+        let max_len = MAX_VALUE_LEN.min(remaining);
+        let Some(element) = parse_element(buffer, position, max_len)? else { return Ok(None) };
+        position = element.span.end;
+        remaining = remaining.saturating_sub(element.payload.len());
+        elements.push(element);
     }
-    Ok(Some((Reply::Array(list), at)))
+    Ok(Some((Reply::Array(elements), position)))
+}
+
+/// The reply that consists of one element, with its length.
+fn single_reply(element: Element) -> (Reply, usize) {
+    let length = element.span.end;
+    (Reply::Single(element), length)
 }
 
-/// Appends the head of an array of `n` elements.
-pub fn write_array_header(out: &mut Vec<u8>, n: usize) {
-    // Writing to a Vec cannot fail.
-    let _ = write!(out, "*{n}\r\n");
+/// Appends the header of an array of `count` elements.
+pub fn write_array_header(out: &mut Vec<u8>, count: usize) {
+    let _ = write!(out, "*{count}\r\n"); // Writing to a Vec cannot fail.
 }
 
-/// Appends a bulk string given in parts.
+/// Appends a bulk string that consists of `parts`.
 pub fn write_bulk_string(out: &mut Vec<u8>, parts: &[&[u8]]) {
-    let _ = write!(out, "${}\r\n", parts.iter().map(|p| p.len()).sum::<usize>());
-    parts.iter().for_each(|p| out.extend_from_slice(p));
+    let length: usize = parts.iter().map(|part| part.len()).sum();
+    let _ = write!(out, "${length}\r\n"); // Writing to a Vec cannot fail.
+    parts.iter().for_each(|part| out.extend_from_slice(part));
     out.extend_from_slice(b"\r\n");
 }
 
-/// Appends an error line, less what would break it.
-pub fn write_error(out: &mut Vec<u8>, text: &str) {
+/// Appends an error line. Control characters of the message become spaces and its excess is cut off, since either
+/// would break the line.
+pub fn write_error(out: &mut Vec<u8>, message: &str) {
+    let printable = message.bytes().map(|byte| if byte.is_ascii_control() { b' ' } else { byte });
     out.extend_from_slice(b"-ERR ");
-    out.extend(text.bytes().map(|b| if b.is_ascii_control() { b' ' } else { b }).take(MOST_LINE - 8));
+    out.extend(printable.take(MAX_LINE_LEN - ERROR_LINE_OVERHEAD));
     out.extend_from_slice(b"\r\n");
 }
 
