Split the RESP2 codec into decoding, encoding and errors

Parsing, writing and error types stood in one file.

They are sub-modules of resp now, which keeps the limits; nothing else changes.

--- /dev/null
+++ b/src/bin/ingress/resp/encode.rs
@@ -0,0 +1,29 @@
+//! Writing RESP2 values to a buffer.
+
+use super::MAX_LINE_LEN;
+use std::io::Write;
+
+/// What an error line holds besides its message: the `-ERR ` before it and the line's end, rounded up.
+const ERROR_LINE_OVERHEAD: usize = 8;
+
+/// Appends the header of an array of `count` elements.
+pub fn write_array_header(out: &mut Vec<u8>, count: usize) {
+    let _ = write!(out, "*{count}\r\n"); // Writing to a Vec cannot fail.
+}
+
+/// Appends a bulk string that consists of `parts`.
+pub fn write_bulk_string(out: &mut Vec<u8>, parts: &[&[u8]]) {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
+    let _ = write!(out, "${length}\r\n"); // Writing to a Vec cannot fail.
+    parts.iter().for_each(|part| out.extend_from_slice(part));
+    out.extend_from_slice(b"\r\n");
+}
+
+/// Appends an error line. Control characters of the message become spaces and its excess is cut off, since either
+/// would break the line.
+pub fn write_error(out: &mut Vec<u8>, message: &str) {
+    let printable = message.bytes().map(|byte| if byte.is_ascii_control() { b' ' } else { byte });
+    out.extend_from_slice(b"-ERR ");
+    out.extend(printable.take(MAX_LINE_LEN - ERROR_LINE_OVERHEAD));
+    out.extend_from_slice(b"\r\n");
+}
--- a/src/bin/ingress/resp/tests.rs
+++ b/src/bin/ingress/resp/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of [`super`].
 
+use super::error::Parsed;
 use super::*;
 
 fn argument_texts(buffer: &[u8]) -> Parsed<(Vec<String>, usize)> {
