Give configuration, reload and the start typed errors and standard names

Errors of config.rs, reload.rs, main.rs and EventLoop::start were strings, and the reload told what came of it by a Result with an Option as its error. Names such as known, sockets, MOST, PAUSES, tell and asked left open what they stand for.

ConfigFileError, ConfigError (around SettingsError), EventLoopError and IngressError, each with the texts as they were: main prints the chain of sources. ReloadOutcome and Backlog in place of the Result and a bool. The flattening of nested settings and the errors have files of their own. The log lines of the reload have the form of target, event and keys.

--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -1,142 +1,161 @@
-//! The configuration file, into what the ingress is made from. Whatever is wrong is told by its key.
+//! The configuration file and the environment variables that override it.
+
+mod error;
+mod flatten;
 
 use crate::command::{ClassSchema, CommandSchema};
 use crate::discovery::{EndpointList, LocationNames};
+pub use error::{ConfigError, ConfigFileError};
 use ingress::{Class, Micros, Settings, SettingsReader};
 use serde_json::Value;
 use std::net::SocketAddr;
 
-/// What an ingress is told.
+/// Overrides the address at which clients are served.
+const LISTEN_VARIABLE: &str = "LB_LISTEN";
+/// Overrides the address of discovery.
+pub const DISCOVERY_VARIABLE: &str = "LB_DISCOVERY";
+/// Bytes in a megabyte of `limits.memory_mb`.
+const MEGABYTE: usize = 1 << 20;
+
+/// What an ingress is told at its start.
 pub struct Config {
-    pub listen: SocketAddr,
-    pub discovery: SocketAddr,
+    /// Where clients connect to.
+    pub listen_address: SocketAddr,
+    /// Where the endpoint list is watched.
+    pub discovery_address: SocketAddr,
+    /// The seed of all that is drawn by chance.
     pub seed: u64,
     /// The most file descriptors.
-    pub sockets: usize,
+    pub max_descriptors: usize,
     /// The most bytes of memory.
-    pub memory: usize,
+    pub max_memory: usize,
     /// Where peers' messages come in; none where the settings allow no messages.
     pub peers: Option<PeerAddresses>,
-    /// The endpoint list as cached before the start.
+    /// The endpoint list as last held, perhaps stale.
     pub cached_endpoints: EndpointList,
+    /// What the gateway is given.
     pub settings: Settings,
-    pub vocabulary: CommandSchema,
+    /// What clients' commands are checked against.
+    pub command_schema: CommandSchema,
+    /// The names of zones and machine types in endpoint lists.
     pub location_names: LocationNames,
+    /// How long a connection to a backend may take to come up.
     pub connect_timeout: Micros,
-    pub keepalive: Micros,
+    /// How long a backend keeps an idle connection open.
+    pub keepalive_timeout: Micros,
 }
 
-/// The peers of an ingress.
+/// The addresses of an ingress and its peers.
 pub struct PeerAddresses {
-    pub listen: SocketAddr,
-    /// By their number, this one among them.
-    pub peers: Vec<SocketAddr>,
-    pub all: Option<SocketAddr>,
-}
-
-fn address(text: &str, key: &str) -> Result<SocketAddr, String> {
-    text.parse().map_err(|_| format!("{key} is no address and port: {text}"))
-}
-
-fn text<'a>(object: &'a Value, key: &str) -> Result<&'a str, String> {
-    object.get(key).and_then(Value::as_str).ok_or_else(|| format!("{key} is missing or no text"))
-}
-
-fn whole(object: &Value, list: &str, key: &str) -> Result<usize, String> {
-    let n = object.get(list).and_then(|l| l.get(key)).and_then(Value::as_u64);
-    let n = n.and_then(|n| usize::try_from(n).ok()).filter(|n| *n > 0);
-    n.ok_or_else(|| format!("{list}.{key} is missing or no whole number above 0"))
+    /// Where this ingress receives messages.
+    pub listen_address: SocketAddr,
+    /// All gateways by their index, this one among them.
+    pub by_gateway: Vec<SocketAddr>,
+    /// Where a message to all of them is sent.
+    pub broadcast: Option<SocketAddr>,
 }
 
-/// Flattens nested settings to the paths that the adapter's settings have.
-fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
-    let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
-    let plain = |v: &Value| v.as_str().map_or_else(|| v.to_string(), String::from);
-    match value {
-        Value::Null => {}
-        Value::Object(map) => map.iter().for_each(|(key, v)| flatten(&below(key), v, pairs)),
-        Value::Array(list) => {
-            if list.iter().all(Value::is_object) {
-                pairs.push((below("count"), list.len().to_string()));
-                list.iter().enumerate().for_each(|(i, v)| flatten(&below(&i.to_string()), v, pairs));
-            }
-            if !list.iter().any(Value::is_object) {
-                let joined: Vec<String> = list.iter().map(plain).collect();
-                pairs.push((path.to_string(), joined.join(",")));
-            }
-        }
-        _ => pairs.push((path.to_string(), plain(value))),
-    }
+/// An environment variable, if it is set and not empty.
+pub fn environment_variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|value| !value.is_empty())
 }
 
 impl Config {
-    /// Reads the file at a path; `var` looks up the environment, whose addresses come before the file's.
-    pub fn read(path: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let file =
-            std::fs::read_to_string(path).map_err(|e| format!("LB_CONFIG: cannot read {path}: {e}"))?;
-        Config::parse(&file, var).map_err(|e| format!("{path}: {e}"))
+    /// Reads the file at a path; `variable` looks up the environment, whose addresses override the file's.
+    pub fn read(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigFileError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| ConfigFileError::Unreadable { path: path.to_string(), source })?;
+        Config::parse(&text, variable)
+            .map_err(|source| ConfigFileError::Invalid { path: path.to_string(), source })
     }
 
-    /// Reads the file's text; `var` looks up the environment.
-    pub(crate) fn parse(file: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let json: Value = serde_json::from_str(file).map_err(|e| format!("the file is no JSON: {e}"))?;
-        let place = |name: &str, key: &str| match var(name) {
-            Some(text) => address(&text, name),
-            None => address(text(&json, key)?, key),
-        };
-        let seed = text(&json, "seed")?;
-        let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("seed is no hex number: {seed}"))?;
-        let mut pairs = Vec::new();
-        flatten("", json.get("settings").ok_or("settings is missing")?, &mut pairs);
-        let conf = SettingsReader::new(pairs);
-        let settings = conf.settings().map_err(|e| e.to_string())?;
+    /// Reads the file's text; `variable` looks up the environment.
+    pub(crate) fn parse(
+        text: &str,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigError> {
+        let json: Value = serde_json::from_str(text).map_err(ConfigError::NotJson)?;
+        let seed = parse_seed(&json)?;
+        let nested = json.get("settings").ok_or(ConfigError::Missing("settings"))?;
+        let reader = SettingsReader::new(flatten::flatten(nested));
+        let settings = reader.settings()?;
         if settings.tick == 0 {
-            return Err("setting tick_us is 0".into());
+            return Err(ConfigError::ZeroTick);
         }
-        let names = conf.names("grades").map_err(|e| e.to_string())?;
-        let class = |(name, class): (String, &Class)| ClassSchema { name, idempotency: class.idempotency };
-        let classes = names.into_iter().zip(&settings.classes).map(class).collect();
-        let max_units = conf.number_or("family_info.most_units", f64::MAX).map_err(|e| e.to_string())?;
-        let (plans, gateway_count) =
-            (conf.names("contracts").map_err(|e| e.to_string())?, u64::from(settings.gateway_count));
-        let vocabulary = CommandSchema { classes, plans, max_units, gateway_count };
-        let location_names = LocationNames {
-            zones: conf.list("zones").map_err(|e| e.to_string())?,
-            machine_types: conf.list("skus").map_err(|e| e.to_string())?,
+        let command_schema = parse_command_schema(&reader, &settings)?;
+        let location_names =
+            LocationNames { zones: reader.list("zones")?, machine_types: reader.list("skus")? };
+        let cached_endpoints = parse_cached_endpoints(&json, &location_names)?;
+        let peers = parse_peers(&json, &settings)?;
+        let address = |name: &'static str, key: &'static str| match variable(name) {
+            Some(value) => parse_address(name, &value),
+            None => parse_address(key, text_at(&json, key)?),
         };
-        let known = json.get("known").ok_or("known is missing")?;
-        let cached_endpoints =
-            EndpointList::from_json(known, &location_names).map_err(|e| format!("known: {e}"))?;
-        let peers = if settings.limits.peer_messages { Some(Self::peers(&json)?) } else { None };
-        if peers.as_ref().is_some_and(|p| p.peers.len() != usize::from(settings.gateway_count)) {
-            return Err("peers does not have one address for each of setting n_instances".into());
-        }
         Ok(Config {
-            listen: place("LB_LISTEN", "listen")?,
-            discovery: place("LB_DISCOVERY", "discovery")?,
+            listen_address: address(LISTEN_VARIABLE, "listen")?,
+            discovery_address: address(DISCOVERY_VARIABLE, "discovery")?,
             seed,
-            sockets: whole(&json, "limits", "sockets")?,
-            memory: whole(&json, "limits", "memory_mb")?.saturating_mul(1 << 20),
+            max_descriptors: positive_number(&json, "limits", "sockets")?,
+            max_memory: positive_number(&json, "limits", "memory_mb")?.saturating_mul(MEGABYTE),
             peers,
             cached_endpoints,
-            connect_timeout: conf.micros("limits.connect_timeout_us").map_err(|e| e.to_string())?,
-            keepalive: conf.micros("limits.keepalive_us").map_err(|e| e.to_string())?,
+            connect_timeout: reader.micros("limits.connect_timeout_us")?,
+            keepalive_timeout: reader.micros("limits.keepalive_us")?,
             settings,
-            vocabulary,
+            command_schema,
             location_names,
         })
     }
+}
 
-    fn peers(json: &Value) -> Result<PeerAddresses, String> {
-        let list = json.get("peers").and_then(Value::as_array).ok_or("peers is missing or no list")?;
-        let one = |v: &Value| address(v.as_str().unwrap_or_default(), "peers");
-        let all = json.get("peers_all").filter(|v| !v.is_null());
-        Ok(PeerAddresses {
-            listen: address(text(json, "peer_listen")?, "peer_listen")?,
-            peers: list.iter().map(one).collect::<Result<_, _>>()?,
-            all: all.map(|v| address(v.as_str().unwrap_or_default(), "peers_all")).transpose()?,
-        })
+fn parse_seed(json: &Value) -> Result<u64, ConfigError> {
+    let text = text_at(json, "seed")?;
+    u64::from_str_radix(text, 16).map_err(|_| ConfigError::SeedNotHex(text.to_string()))
+}
+
+fn parse_command_schema(reader: &SettingsReader, settings: &Settings) -> Result<CommandSchema, ConfigError> {
+    let class = |(name, class): (String, &Class)| ClassSchema { name, idempotency: class.idempotency };
+    Ok(CommandSchema {
+        classes: reader.names("grades")?.into_iter().zip(&settings.classes).map(class).collect(),
+        max_units: reader.number_or("family_info.most_units", f64::MAX)?,
+        plans: reader.names("contracts")?,
+        gateway_count: u64::from(settings.gateway_count),
+    })
+}
+
+fn parse_cached_endpoints(json: &Value, location_names: &LocationNames) -> Result<EndpointList, ConfigError> {
+    let list = json.get("known").ok_or(ConfigError::Missing("known"))?;
+    EndpointList::from_json(list, location_names).map_err(ConfigError::CachedEndpoints)
+}
+
+fn parse_peers(json: &Value, settings: &Settings) -> Result<Option<PeerAddresses>, ConfigError> {
+    if !settings.limits.peer_messages {
+        return Ok(None);
+    }
+    let list = json.get("peers").and_then(Value::as_array).ok_or(ConfigError::NotAList("peers"))?;
+    let listen_address = parse_address("peer_listen", text_at(json, "peer_listen")?)?;
+    let address = |key, value: &Value| parse_address(key, value.as_str().unwrap_or_default());
+    let by_gateway = list.iter().map(|value| address("peers", value)).collect::<Result<Vec<_>, _>>()?;
+    let broadcast = json.get("peers_all").filter(|value| !value.is_null());
+    let broadcast = broadcast.map(|value| address("peers_all", value)).transpose()?;
+    if by_gateway.len() != usize::from(settings.gateway_count) {
+        return Err(ConfigError::PeerCount);
     }
+    Ok(Some(PeerAddresses { listen_address, by_gateway, broadcast }))
+}
+
+fn parse_address(key: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::NotAnAddress { key, text: text.to_string() })
+}
+
+fn text_at<'a>(json: &'a Value, key: &'static str) -> Result<&'a str, ConfigError> {
+    json.get(key).and_then(Value::as_str).ok_or(ConfigError::NotText(key))
+}
+
+fn positive_number(json: &Value, object: &'static str, key: &'static str) -> Result<usize, ConfigError> {
+    let number = json.get(object).and_then(|object| object.get(key)).and_then(Value::as_u64);
+    let number = number.and_then(|number| usize::try_from(number).ok()).filter(|number| *number > 0);
+    number.ok_or(ConfigError::NotPositive { object, key })
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/src/bin/ingress/config/error.rs
@@ -0,0 +1,75 @@
+//! Why a configuration was not taken. Every text names the key at fault; the text of a source is not repeated in that
+//! of the error around it.
+
+use ingress::SettingsError;
+use std::io;
+use thiserror::Error;
+
+/// A configuration file that cannot be used.
+#[derive(Debug, Error)]
+pub enum ConfigFileError {
+    /// The file cannot be read.
+    #[error("LB_CONFIG: cannot read {path}")]
+    Unreadable {
+        /// The file's path.
+        path: String,
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The file's content is not a configuration.
+    #[error("{path}")]
+    Invalid {
+        /// The file's path.
+        path: String,
+        /// What is wrong with it.
+        source: ConfigError,
+    },
+}
+
+/// What is wrong with the content of a configuration file.
+#[derive(Debug, Error)]
+pub enum ConfigError {
+    /// The file does not hold JSON.
+    #[error("the file is no JSON")]
+    NotJson(#[source] serde_json::Error),
+    /// A key with an object or a value is not there.
+    #[error("{0} is missing")]
+    Missing(&'static str),
+    /// A list is not there, or something else is.
+    #[error("{0} is missing or no list")]
+    NotAList(&'static str),
+    /// A text is not there, or something else is.
+    #[error("{0} is missing or no text")]
+    NotText(&'static str),
+    /// A positive whole number is not there, or something else is.
+    #[error("{object}.{key} is missing or no whole number above 0")]
+    NotPositive {
+        /// The object that holds it.
+        object: &'static str,
+        /// Its key there.
+        key: &'static str,
+    },
+    /// A value, or an environment variable, is not an IP address with a port.
+    #[error("{key} is no address and port: {text}")]
+    NotAnAddress {
+        /// The key, or the variable's name.
+        key: &'static str,
+        /// What stands there.
+        text: String,
+    },
+    /// The seed is not hexadecimal.
+    #[error("seed is no hex number: {0}")]
+    SeedNotHex(String),
+    /// One of the settings is missing or bad.
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    /// The clock's tick must not be 0.
+    #[error("setting tick_us is 0")]
+    ZeroTick,
+    /// The cached endpoint list cannot be read.
+    #[error("known: {0}")]
+    CachedEndpoints(String),
+    /// The peers' addresses do not match the number of gateways.
+    #[error("peers does not have one address for each of setting n_instances")]
+    PeerCount,
+}
--- a/src/bin/ingress/config/tests.rs
+++ b/src/bin/ingress/config/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
+use crate::error_chain::ErrorChain;
 
 /// A configuration with nothing wrong in it.
 pub const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"7",
@@ -18,7 +19,7 @@
 "membership_mode":"push","weights":"none","reporting":{"how":"none","fields":[]}}}"#;
 
 fn fault(config: &str) -> String {
-    Config::parse(config, |_| None).err().unwrap()
+    ErrorChain(&Config::parse(config, |_| None).err().unwrap()).to_string()
 }
 
 /// Operators look for these texts: they stay as they are, and name the key at fault.
@@ -77,20 +78,20 @@
 #[test]
 fn an_address_of_the_environment_comes_before_that_of_the_file() {
     let variable = |name: &str| (name == "LB_LISTEN").then(|| "127.0.0.1:3".to_string());
-    assert_eq!(Config::parse(CONFIG, variable).ok().unwrap().listen.port(), 3);
+    assert_eq!(Config::parse(CONFIG, variable).ok().unwrap().listen_address.port(), 3);
     let variable = |name: &str| (name == "LB_DISCOVERY").then(|| "there".to_string());
-    let fault = Config::parse(CONFIG, variable).err().unwrap();
+    let fault = ErrorChain(&Config::parse(CONFIG, variable).err().unwrap()).to_string();
     assert_eq!(fault, "LB_DISCOVERY is no address and port: there");
 }
 
 #[test]
 fn a_file_is_told_by_its_path() {
-    let fault = Config::read("/no/such/file", |_| None).err().unwrap();
+    let fault = ErrorChain(&Config::read("/no/such/file", |_| None).err().unwrap()).to_string();
     assert_eq!(fault, "LB_CONFIG: cannot read /no/such/file: No such file or directory (os error 2)");
     let file = std::env::temp_dir().join(format!("ingress-config-{}.json", std::process::id()));
     std::fs::write(&file, CONFIG.replacen("\"tick_us\":4000", "\"tick_us\":0", 1)).unwrap();
     let path = file.to_str().unwrap();
-    let fault = Config::read(path, |_| None).err().unwrap();
+    let fault = ErrorChain(&Config::read(path, |_| None).err().unwrap()).to_string();
     std::fs::remove_file(&file).unwrap();
     assert_eq!(fault, format!("{path}: setting tick_us is 0"));
 }
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -2,14 +2,17 @@
 //! and owns the open requests and the timers. It decides nothing: no backend, no further attempt, no refusal but
 //! where a limit of the settings leaves no room to ask the module.
 
+mod error;
+
 use crate::backends::{Assignment, Backends, CommandState, Completion, ConnectionId, Readiness};
 use crate::clients::{AcceptOutcome, Accepting, Capacity, ClientEvent, Clients, ReplyHandle};
 use crate::command::Command;
 use crate::config::Config;
 use crate::discovery::{max_body_bytes, EndpointList, Watch, WatchOptions};
-use crate::peers::Peers;
-use crate::reload::Reload;
+use crate::peers::{Backlog, PeerSocket};
+use crate::reload::{Reload, ReloadOutcome};
 use crate::resp;
+pub use error::EventLoopError;
 use ingress::backoff::Backoff;
 use ingress::{
     Action, BackendId, Discovery, EndpointUpdate, Event, Gateway, Limits, Micros, Outcome, RequestId,
@@ -155,7 +158,7 @@
     backends: Backends,
     watch: Watch,
     reload: Reload,
-    peers: Option<Peers>,
+    peers: Option<PeerSocket>,
     signals: Signals,
     requests: HashMap<RequestId, Open>,
     /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
@@ -205,26 +208,28 @@
     limits.lines().find_map(|l| l.strip_prefix("Max open files"))?.split_whitespace().next()?.parse().ok()
 }
 
-/// Takes the signals that the loop heeds.
-pub fn signals() -> Result<Signals, String> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("cannot take signals: {e}"))
+/// Sets the handlers of the signals that the event loop handles: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP
+/// reloads the configuration.
+pub fn register_signals() -> Result<Signals, EventLoopError> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EventLoopError::Signals)
 }
 
 impl EventLoop {
     /// Opens the sockets. From here on clients may come; they are served once [`EventLoop::run`] runs.
-    pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, String> {
-        let failed = |what: &str, e: io::Error| format!("{what}: {e}");
-        let poll = Poll::new().map_err(|e| failed("cannot poll", e))?;
+    pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, EventLoopError> {
+        let poll = Poll::new().map_err(EventLoopError::Poll)?;
         let registry = poll.registry();
-        let mut listener = TcpListener::bind(config.listen)
-            .map_err(|e| failed(&format!("listen: cannot listen at {}", config.listen), e))?;
+        let address = config.listen_address;
+        let mut listener =
+            TcpListener::bind(address).map_err(|source| EventLoopError::Listen { address, source })?;
         let registered = registry
             .register(&mut listener, LISTENER, Interest::READABLE)
             .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
-        registered.map_err(|e| failed("cannot poll", e))?;
-        let peers = config.peers.map(|p| {
-            let at = p.listen;
-            Peers::bind(p, registry, PEERS).map_err(|e| failed(&format!("peer_listen: cannot bind {at}"), e))
+        registered.map_err(EventLoopError::Poll)?;
+        let peers = config.peers.map(|addresses| {
+            let address = addresses.listen_address;
+            PeerSocket::bind(addresses, registry, PEERS)
+                .map_err(|source| EventLoopError::BindPeers { address, source })
         });
         let peers = peers.transpose()?;
         let clock = Clock::new();
@@ -232,15 +237,19 @@
         let settings = config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
-        let allowed = config.sockets.min(descriptors_allowed().unwrap_or(usize::MAX));
+        let allowed = config.max_descriptors.min(descriptors_allowed().unwrap_or(usize::MAX));
         let backoff = match settings.discovery {
             Discovery::Poll => {
                 Backoff::shared_service(settings.rules.max_poll_interval, u64::from(settings.gateway_count))
             }
             Discovery::Push => Backoff::LOCAL_AGENT,
         };
-        let watch_options =
-            WatchOptions { backoff, max_body_bytes: max_body_bytes(config.memory), seed: config.seed, now };
+        let watch_options = WatchOptions {
+            backoff,
+            max_body_bytes: max_body_bytes(config.max_memory),
+            seed: config.seed,
+            now,
+        };
         let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
         let mut ingress = EventLoop {
             poll,
@@ -250,17 +259,17 @@
             limits: settings.limits.clone(),
             asks_discovery: settings.discovery == Discovery::Poll,
             connect_timeout: config.connect_timeout,
-            sockets: sockets.ok_or_else(|| format!("limits.sockets is too few: {allowed}"))?,
-            memory: config.memory / MEMORY_SHARE,
+            sockets: sockets.ok_or(EventLoopError::TooFewDescriptors { allowed })?,
+            memory: config.max_memory / MEMORY_SHARE,
             gateway: Gateway::new(settings, config.seed, now),
             events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(listener, config.vocabulary, config.memory / MEMORY_SHARE, |key| {
+            clients: Clients::new(listener, config.command_schema, config.max_memory / MEMORY_SHARE, |key| {
                 Token(FIRST + 2 * key)
             }),
-            backends: Backends::new(config.keepalive, |key| Token(FIRST + 1 + 2 * key)),
+            backends: Backends::new(config.keepalive_timeout, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(
-                config.discovery,
+                config.discovery_address,
                 config.location_names,
                 config.cached_endpoints.index,
                 DISCOVERY,
@@ -284,19 +293,19 @@
         };
         ingress.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
         ingress.pump();
-        crate::log(&format!("listening at {}", config.listen));
+        crate::log(&format!("listening at {}", address));
         Ok(ingress)
     }
 
     /// Runs until told to stop and idle.
-    pub fn run(mut self) -> Result<(), String> {
+    pub fn run(mut self) -> Result<(), EventLoopError> {
         // All that is ready comes in one turn: one that left must not be behind another's answer.
         let mut events = Events::with_capacity(self.sockets + OTHER_SOCKETS + MOST_SURPLUS);
         let mut ready: Vec<(Token, bool, bool)> = Vec::new();
         loop {
             let timeout = self.timeout();
             match self.poll.poll(&mut events, Some(timeout)) {
-                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(format!("cannot poll: {e}")),
+                Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(EventLoopError::Poll(e)),
                 _ => {}
             }
             // What comes within a tick of the last clock is read with that clock. Sleeping for the rest of the tick
@@ -408,8 +417,8 @@
     fn hear_peers(&mut self) {
         let events = &mut self.events;
         if let Some(peers) = &mut self.peers {
-            self.peers_more |=
-                peers.receive(|from, bytes| events.push_back(Event::PeerMessage { from, bytes }));
+            let backlog = peers.receive(|from, bytes| events.push_back(Event::PeerMessage { from, bytes }));
+            self.peers_more |= backlog == Backlog::MayHaveMore;
         }
         self.pump();
     }
@@ -418,7 +427,7 @@
         // All that came since the last look, several of one kind as one.
         let came: Vec<i32> = self.signals.pending().collect();
         if came.contains(&SIGHUP) {
-            self.reload.asked();
+            self.reload.request();
             self.reload();
         }
         if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
@@ -431,10 +440,10 @@
 
     /// Reads the configuration again and moves the watch to where it says, or tries that again later.
     fn reload(&mut self) {
-        match self.reload.read(self.now) {
-            Ok(discovery) => self.watch.set_address(discovery, self.now),
-            Err(Some(at)) => self.timers.push(Reverse((at, Due::Reload))),
-            Err(None) => {}
+        match self.reload.attempt(self.now) {
+            ReloadOutcome::Applied(discovery) => self.watch.set_address(discovery, self.now),
+            ReloadOutcome::RetryAt(at) => self.timers.push(Reverse((at, Due::Reload))),
+            ReloadOutcome::NotDue => {}
         }
     }
 
@@ -744,7 +753,7 @@
             }
             Action::SendToPeer { to, bytes } => {
                 if let Some(peers) = &self.peers {
-                    peers.tell(to, &bytes);
+                    peers.send(to, &bytes);
                 }
             }
             Action::CheckHealth(backend) => self.probe(backend),
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::config::tests::CONFIG;
+use crate::error_chain::ErrorChain;
 use std::io::Read;
 
 /// An ingress in this process, whose turns the test takes.
@@ -18,7 +19,7 @@
     drop(probe);
     let var = |name: &str| (name == "LB_LISTEN").then(|| at.to_string());
     let config = Config::read(&path, var).unwrap();
-    let ingress = EventLoop::start(config, Reload::new(path), signals().unwrap()).unwrap();
+    let ingress = EventLoop::start(config, Reload::new(path), register_signals().unwrap()).unwrap();
     std::fs::remove_file(&file).unwrap();
     let client = std::net::TcpStream::connect(at).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -319,7 +320,7 @@
         ),
     ] {
         let config = Config::parse(&config, |_| None).ok().unwrap();
-        let started = EventLoop::start(config, Reload::new(String::new()), signals().unwrap());
-        assert_eq!(started.err().unwrap(), text);
+        let started = EventLoop::start(config, Reload::new(String::new()), register_signals().unwrap());
+        assert_eq!(ErrorChain(&started.err().unwrap()).to_string(), text);
     }
 }
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -1,37 +1,61 @@
-//! The ingress: clients, backends, discovery and peers on sockets, around the decision module.
+//! The ingress: clients, backends, discovery and peers on sockets, around the policy of a gateway.
 
 mod backends;
 mod clients;
 mod command;
 mod config;
 mod discovery;
+mod error_chain;
 mod event_loop;
 mod peers;
 mod reload;
 mod resp;
 
+use config::{environment_variable, Config, ConfigFileError};
+use error_chain::ErrorChain;
+use event_loop::{EventLoop, EventLoopError};
+use reload::Reload;
 use std::io::Write;
 use std::process::ExitCode;
+use thiserror::Error;
 
-/// Writes a line to the log. An ingress whose log cannot be written goes on.
-pub fn log(text: &str) {
-    let _ = writeln!(std::io::stderr(), "ingress: {text}");
+/// Names the configuration file.
+const CONFIG_VARIABLE: &str = "LB_CONFIG";
+
+/// Why the ingress could not start or had to end.
+#[derive(Debug, Error)]
+enum IngressError {
+    /// No configuration file is named.
+    #[error("{CONFIG_VARIABLE} is not set")]
+    NoConfigFile,
+    /// The configuration file cannot be used.
+    #[error(transparent)]
+    Config(#[from] ConfigFileError),
+    /// The event loop could not start or go on.
+    #[error(transparent)]
+    EventLoop(#[from] EventLoopError),
+}
+
+/// Writes a line to the log, of the form `target: what happened, key=value ...`. An ingress whose log cannot be
+/// written goes on.
+pub fn log(line: &str) {
+    let _ = writeln!(std::io::stderr(), "ingress: {line}");
 }
 
-fn run() -> Result<(), String> {
-    let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
-    let path = var("LB_CONFIG").ok_or("LB_CONFIG is not set")?;
-    // From here on no signal ends the process: one that comes while it starts is taken up by the loop.
-    let signals = event_loop::signals()?;
-    let config = config::Config::read(&path, var)?;
-    event_loop::EventLoop::start(config, reload::Reload::new(path), signals)?.run()
+fn run() -> Result<(), IngressError> {
+    let path = environment_variable(CONFIG_VARIABLE).ok_or(IngressError::NoConfigFile)?;
+    // From here on no signal ends the process: the event loop handles those that come while it starts.
+    let signals = event_loop::register_signals()?;
+    let config = Config::read(&path, environment_variable)?;
+    EventLoop::start(config, Reload::new(path), signals)?.run()?;
+    Ok(())
 }
 
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            log(&message);
+        Err(error) => {
+            log(&ErrorChain(&error).to_string());
             ExitCode::FAILURE
         }
     }
--- a/src/bin/ingress/reload.rs
+++ b/src/bin/ingress/reload.rs
@@ -1,50 +1,72 @@
-//! Reading the configuration anew when told to, while serving. Of what it says only discovery's address is taken
-//! over: all else is fixed from the start on.
+//! Reading the configuration file again on SIGHUP, while serving. Only discovery's address takes effect: all else is
+//! fixed from the start on.
 
-use crate::config::Config;
+use crate::config::{environment_variable, Config, DISCOVERY_VARIABLE};
+use crate::error_chain::ErrorChain;
 use ingress::Micros;
 use std::net::SocketAddr;
 
-/// The first pause before a file that could not be read is read again, and the longest: it may be half written.
-const PAUSES: (Micros, Micros) = (50_000, 2_000_000);
+/// The delay before a file that could not be read is read again: it may be half written.
+const INITIAL_RETRY_DELAY: Micros = 50_000;
+/// The delay doubles with each failure, up to this.
+const MAX_RETRY_DELAY: Micros = 2_000_000;
 
-/// The file, and how reading it goes.
+/// The file to read again, and when.
 pub struct Reload {
     path: String,
-    /// The pause before the next try; none while no reading is due.
-    pause: Option<Micros>,
-    next: Micros,
-    failed: bool,
+    /// The delay after the next failure; none while no reload is pending.
+    retry_delay: Option<Micros>,
+    next_attempt_at: Micros,
+    /// Only the first failure of a reload is logged.
+    failure_logged: bool,
+}
+
+/// What an attempt to reload came to.
+pub enum ReloadOutcome {
+    /// The file was read, and has this address of discovery.
+    Applied(SocketAddr),
+    /// The file could not be used; the next attempt is due at this time.
+    RetryAt(Micros),
+    /// Nothing is due, as when the reload of a later signal has succeeded meanwhile.
+    NotDue,
 }
 
 impl Reload {
-    /// Nothing is to be read yet.
+    /// No reload is pending yet.
     pub fn new(path: String) -> Self {
-        Reload { path, pause: None, next: 0, failed: false }
+        Reload { path, retry_delay: None, next_attempt_at: 0, failure_logged: false }
     }
 
-    /// The file is to be read, now and until that succeeds.
-    pub fn asked(&mut self) {
-        (self.pause, self.next, self.failed) = (Some(PAUSES.0), 0, false);
+    /// Makes a reload due at once; it is tried until it succeeds.
+    pub fn request(&mut self) {
+        self.retry_delay = Some(INITIAL_RETRY_DELAY);
+        self.next_attempt_at = 0;
+        self.failure_logged = false;
     }
 
-    /// Reads the file, whose address of discovery comes before that of the environment. With an error comes the
-    /// time to try again; none where nothing is due, as when a later signal's reading has succeeded meanwhile.
-    pub fn read(&mut self, now: Micros) -> Result<SocketAddr, Option<Micros>> {
-        let Some(pause) = self.pause.filter(|_| now >= self.next) else { return Err(None) };
-        let var = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty() && name != "LB_DISCOVERY");
-        match Config::read(&self.path, var) {
+    /// Reads the file if that is due. Its address of discovery takes precedence over that of the environment.
+    pub fn attempt(&mut self, now: Micros) -> ReloadOutcome {
+        let Some(retry_delay) = self.retry_delay.filter(|_| now >= self.next_attempt_at) else {
+            return ReloadOutcome::NotDue;
+        };
+        let variable = |name: &str| environment_variable(name).filter(|_| name != DISCOVERY_VARIABLE);
+        match Config::read(&self.path, variable) {
             Ok(config) => {
-                crate::log(&format!("reload: discovery at {}", config.discovery));
-                self.pause = None;
-                Ok(config.discovery)
+                crate::log(&format!("reload: configuration read, discovery={}", config.discovery_address));
+                self.retry_delay = None;
+                ReloadOutcome::Applied(config.discovery_address)
             }
-            Err(why) => {
-                if !std::mem::replace(&mut self.failed, true) {
-                    crate::log(&format!("reload: {why}; going on as before, and trying again"));
+            Err(error) => {
+                if !std::mem::replace(&mut self.failure_logged, true) {
+                    let error = ErrorChain(&error);
+                    crate::log(&format!(
+                        "reload: configuration kept, retry_in_ms={} error={error}",
+                        retry_delay / 1000
+                    ));
                 }
-                (self.next, self.pause) = (now + pause, Some((pause * 2).min(PAUSES.1)));
-                Err(Some(self.next))
+                self.next_attempt_at = now + retry_delay;
+                self.retry_delay = Some((retry_delay * 2).min(MAX_RETRY_DELAY));
+                ReloadOutcome::RetryAt(self.next_attempt_at)
             }
         }
     }
