Name the backoff by polls, and give its results and pairs named fields

Backoff's state was a Retry whose methods took an Option and a bool and gave a pair, and its delays and gaps were pairs of microseconds told apart by their place only.

It is a PollSchedule now, which takes the FailedPoll that was pending and gives the NextPoll; delays are RetryDelays, the gap after a failure a range. Draws of random numbers keep their order, so every time stays as it was.

--- a/fleet-experiments/src/discovery.rs
+++ b/fleet-experiments/src/discovery.rs
@@ -3,7 +3,7 @@
 use crate::model::*;
 use crate::report::Report;
 use crate::spec::{whole as amounts_of, Amounts};
-use ingress::backoff::{Backoff, Retry};
+use ingress::backoff::{Backoff, FailedPoll, PollSchedule};
 use ingress::Micros;
 use serde::Deserialize;
 use serde_json::json;
@@ -49,13 +49,13 @@
     let start = back.saturating_sub(2 * S).max(T0);
     let is_killed = |n: u64| n % 10 < killed;
     let mut schedule = Schedule::default();
-    let retry = |n: u64| Retry::new(Backoff::shared_service(10 * S, ingresses), seed << 32 | n);
-    let mut fleet: Vec<Retry> = (0..ingresses).map(retry).collect();
+    let schedule_of = |n: u64| PollSchedule::new(Backoff::shared_service(10 * S, ingresses), seed << 32 | n);
+    let mut fleet: Vec<PollSchedule> = (0..ingresses).map(schedule_of).collect();
     for n in 0..ingresses {
         let at = if is_killed(n) {
-            fleet[n as usize].first(start)
+            fleet[n as usize].first_poll_at(start)
         } else {
-            fleet[n as usize].failed(T0, None, true).1
+            fleet[n as usize].on_failure(T0, None).at
         };
         schedule.put(at, n);
     }
@@ -81,7 +81,8 @@
             outage.in_vain += 1;
             ends = now + LINE;
         }
-        let next = fleet[at].failed(ends, Some(now), true).1;
+        let failed_poll = FailedPoll { started_at: now, request_sent: true };
+        let next = fleet[at].on_failure(ends, Some(failed_poll)).at;
         schedule.put(next, n);
     }
     had.sort_unstable();
--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -1,104 +1,152 @@
-//! When calls to discovery are made, and made again: exponential backoff with jitter, bounded by the rule that a change
-//! counts as told a fixed time after discovery could be reached. No I/O and no clock; times are the caller's.
+//! The schedule of polls of discovery: exponential backoff with jitter, bounded by the rule that a change counts as
+//! delivered a fixed time after discovery could be reached. No I/O and no clock; the caller passes the time.
 
 use crate::Micros;
+use std::ops::RangeInclusive;
 
-/// The longest that discovery lets a call wait.
-const MOST_WAIT: Micros = 60_000_000;
-/// The part of one ingress in the time over which first calls are spread, and the most of that time: a process that
-/// starts counts as told after 6 s like any other, and the answer takes its time.
-const SPREAD_EACH: Micros = 20_000;
-const MOST_SPREAD: Micros = 4_000_000;
-/// The longest time from a call that failed to the next one, drawn between these: a change counts as told 6 s after
-/// discovery had it and could be reached, which may be the moment behind the call, and the rest is for the answer.
-const MOST_BETWEEN: (Micros, Micros) = (4_500_000, 5_000_000);
-
-/// How calls are made, and when those that failed are made again. Times in microseconds.
+/// The longest time for which discovery holds a poll.
+const MAX_POLL_TIMEOUT: Micros = 60_000_000;
+/// The part of one ingress in the time over which first polls are spread, and the most of that time: a process that
+/// starts counts as informed after 6 s like any other, and the response takes its time.
+const SPREAD_PER_INGRESS: Micros = 20_000;
+const MAX_SPREAD: Micros = 4_000_000;
+/// The longest time from a failed poll to the next one, drawn from this range: a change counts as delivered 6 s after
+/// discovery had it and could be reached, which may be the moment after the poll, and the rest is for the response.
+const MAX_POLL_GAP: RangeInclusive<Micros> = 4_500_000..=5_000_000;
+
+/// The delays before a retry, each drawn between half of it and half as much again.
+#[derive(Clone, Copy, Debug)]
+struct RetryDelays {
+    /// Before the first retry; each further one doubles it.
+    initial: Micros,
+    max: Micros,
+}
+
+/// How polls are made, and when those that failed are retried. Times in microseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
-    /// How long one call waits for news.
-    pub wait: Micros,
-    /// How long a connection may take to come up, and the answer to a call that does not wait, until the connection
-    /// counts as dead.
-    pub patience: Micros,
-    /// The first pause behind a failure, and the longest; each is drawn between half of it and half as much again.
-    pauses: (Micros, Micros),
-    /// Over how long the first calls of ingresses that start, or lose their watches, at one moment are spread.
+    /// How long one poll waits for a change.
+    pub poll_timeout: Micros,
+    /// How long a connection may take to be established, and the response to a poll that does not wait, until the
+    /// connection counts as dead.
+    pub response_timeout: Micros,
+    retry_delays: RetryDelays,
+    /// Over how long the first polls of ingresses that start, or lose their watches, at one moment are spread.
     spread: Micros,
 }
 
 impl Backoff {
-    /// Calls to an agent that knows all already. They wait for a short time, since the silence of a call can only
-    /// be told once this is over.
-    /// What it has counts as told whether or not a call is open, so that no pause may last as long as a grace.
-    pub const LOCAL_AGENT: Backoff =
-        Backoff { wait: 2_000_000, patience: 1_000_000, pauses: (50_000, 100_000), spread: 0 };
-
-    /// Calls to a service that all ingresses share, with a line in front of it. It works on calls too that have been
-    /// given up, so a line that is full after a mass restart empties only if those turned away stay away: as long as
-    /// the rule lets them. `must_ask` is the time of the settings within which discovery must be asked.
-    pub fn shared_service(must_ask: Micros, ingresses: u64) -> Backoff {
-        let wait = (2 * must_ask).clamp(Self::LOCAL_AGENT.wait, MOST_WAIT);
-        let pauses = (1_000_000, 8_000_000);
-        let spread = (ingresses * SPREAD_EACH).min(MOST_SPREAD);
-        Backoff { wait, patience: 3_000_000, pauses, spread }
+    /// Polls of an agent on the same host, which knows every change already. They wait for a short time, since a
+    /// silent connection can only be detected once this is over.
+    /// What the agent has counts as delivered whether or not a poll is pending, so no delay may last as long as the
+    /// grace period of a change.
+    pub const LOCAL_AGENT: Backoff = Backoff {
+        poll_timeout: 2_000_000,
+        response_timeout: 1_000_000,
+        retry_delays: RetryDelays { initial: 50_000, max: 100_000 },
+        spread: 0,
+    };
+
+    /// Polls of a service that all ingresses share, with a queue in front of it. It also works on polls that have
+    /// been given up, so a queue that is full after a mass restart empties only if rejected ingresses stay away as
+    /// long as the rule lets them. `max_poll_interval` is the time of the settings within which discovery must be
+    /// polled.
+    pub fn shared_service(max_poll_interval: Micros, ingress_count: u64) -> Backoff {
+        Backoff {
+            poll_timeout: (2 * max_poll_interval).clamp(Self::LOCAL_AGENT.poll_timeout, MAX_POLL_TIMEOUT),
+            response_timeout: 3_000_000,
+            retry_delays: RetryDelays { initial: 1_000_000, max: 8_000_000 },
+            spread: (ingress_count * SPREAD_PER_INGRESS).min(MAX_SPREAD),
+        }
     }
 }
 
-/// The backoff's state at one ingress.
+/// A poll that was pending when it failed.
+#[derive(Clone, Copy, Debug)]
+pub struct FailedPoll {
+    /// When it was started.
+    pub started_at: Micros,
+    /// Whether its request had been written to the last byte.
+    pub request_sent: bool,
+}
+
+/// When to poll again after a failure.
+#[derive(Clone, Copy, Debug)]
+pub struct NextPoll {
+    /// When the next poll is due.
+    pub at: Micros,
+    /// Whether the last poll before the failed one had succeeded.
+    pub is_first_failure: bool,
+}
+
+/// When one ingress polls discovery.
 #[derive(Clone, Debug)]
-pub struct Retry {
-    /// How calls are made.
+pub struct PollSchedule {
+    /// How polls are made.
     pub backoff: Backoff,
-    pause: Micros,
+    next_delay: Micros,
     random: fastrand::Rng,
-    /// A call failed, and nothing good has come since.
-    failing: bool,
+    /// A poll failed, and none has succeeded since.
+    is_failing: bool,
 }
 
-impl Retry {
-    /// A process that starts.
-    pub fn new(backoff: Backoff, seed: u64) -> Retry {
-        Retry { backoff, pause: backoff.pauses.0, random: fastrand::Rng::with_seed(seed), failing: false }
+impl PollSchedule {
+    /// The schedule of a process that starts.
+    pub fn new(backoff: Backoff, seed: u64) -> PollSchedule {
+        PollSchedule {
+            backoff,
+            next_delay: backoff.retry_delays.initial,
+            random: fastrand::Rng::with_seed(seed),
+            is_failing: false,
+        }
     }
 
-    /// When the first call is made by a process that starts now.
-    pub fn first(&mut self, now: Micros) -> Micros {
+    /// When a process that starts now makes its first poll.
+    pub fn first_poll_at(&mut self, now: Micros) -> Micros {
         now + self.random.u64(0..=self.backoff.spread)
     }
 
-    /// How long the next call waits for news.
-    pub fn wait(&mut self) -> Micros {
-        self.jittered(self.backoff.wait).min(MOST_WAIT)
+    /// How long the next poll waits for a change.
+    pub fn next_poll_timeout(&mut self) -> Micros {
+        self.jittered(self.backoff.poll_timeout).min(MAX_POLL_TIMEOUT)
+    }
+
+    /// Records a failure now, of the poll that was pending, if one was, and schedules the next poll.
+    pub fn on_failure(&mut self, now: Micros, pending: Option<FailedPoll>) -> NextPoll {
+        let unobserved_since = self.unobserved_since(now, pending);
+        let latest = unobserved_since + self.random.u64(MAX_POLL_GAP);
+        let is_first_failure = !std::mem::replace(&mut self.is_failing, true);
+        let spread = if is_first_failure { self.random.u64(0..=self.backoff.spread) } else { 0 };
+        let at = (now + self.jittered(self.next_delay) + spread).min(latest).max(now);
+        self.next_delay = (self.next_delay * 2).min(self.backoff.retry_delays.max);
+        NextPoll { at, is_first_failure }
     }
 
-    /// Notes that a call made at `called`, if one was out, has failed now, and whether it was `written`. Tells whether all
-    /// had been well before, and when the next call is made.
-    pub fn failed(&mut self, now: Micros, called: Option<Micros>, written: bool) -> (bool, Micros) {
-        // A watch that was open heard of all until now; a call that failed before it was one was deaf from its beginning.
-        let short = self.failing || !written || called.is_some_and(|t| now <= t + self.backoff.patience);
-        let deaf_since = called.filter(|_| short).unwrap_or(now);
-        let latest = deaf_since + self.random.u64(MOST_BETWEEN.0..=MOST_BETWEEN.1);
-        let first = !std::mem::replace(&mut self.failing, true);
-        let spread = if first { self.random.u64(0..=self.backoff.spread) } else { 0 };
-        let next = (now + self.jittered(self.pause) + spread).min(latest).max(now);
-        self.pause = (self.pause * 2).min(self.backoff.pauses.1);
-        (first, next)
+    /// Since when changes may have been missed. An established watch received every change until now; a poll that
+    /// failed before it was one may have missed them from its start.
+    fn unobserved_since(&self, now: Micros, pending: Option<FailedPoll>) -> Micros {
+        let Some(poll) = pending else { return now };
+        let failed_early = now <= poll.started_at + self.backoff.response_timeout;
+        if self.is_failing || !poll.request_sent || failed_early {
+            poll.started_at
+        } else {
+            now
+        }
     }
 
-    /// Notes a good answer; true if calls had failed before.
-    pub fn answered(&mut self) -> bool {
-        self.pause = self.backoff.pauses.0;
-        std::mem::take(&mut self.failing)
+    /// Records a successful poll. Returns whether polls had failed before.
+    pub fn on_success(&mut self) -> bool {
+        self.next_delay = self.backoff.retry_delays.initial;
+        std::mem::take(&mut self.is_failing)
     }
 
-    /// Forgets how long failures were to be waited out.
+    /// Starts the delays from the first one again.
     pub fn reset(&mut self) {
-        self.pause = self.backoff.pauses.0;
+        self.next_delay = self.backoff.retry_delays.initial;
     }
 
-    /// A time drawn between half of one and half as much again: many ingresses start, fail and come to the end of
-    /// their wait at one moment, and would come again, and fail again, at one moment.
+    /// A time drawn between half of `middle` and half as much again: many ingresses start, fail and reach the end of
+    /// a poll at one moment, and would otherwise retry, and fail again, at one moment.
     fn jittered(&mut self, middle: Micros) -> Micros {
         self.random.u64(middle / 2..=middle * 3 / 2)
     }
--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: the list of backends, and the watch that keeps it fresh over HTTP/1.1. While discovery is silent or
 //! broken the list stays as it was, and the watch is begun anew with growing pauses.
 
-use ingress::backoff::{Backoff, Retry};
+use ingress::backoff::{Backoff, FailedPoll, NextPoll, PollSchedule};
 use ingress::{Availability, BackendId, Endpoint, Micros};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -207,7 +207,7 @@
     /// When the call that is out counts as unanswered.
     due: Micros,
     buf: Vec<u8>,
-    retry: Retry,
+    schedule: PollSchedule,
     max_body_bytes: usize,
     /// When [`Watch::on_timer`] has something to do.
     pub next_timer_at: Micros,
@@ -226,8 +226,8 @@
         options: WatchOptions,
     ) -> Self {
         let WatchOptions { backoff, max_body_bytes, seed, now } = options;
-        let mut retry = Retry::new(backoff, seed);
-        let first = retry.first(now);
+        let mut schedule = PollSchedule::new(backoff, seed);
+        let first = schedule.first_poll_at(now);
         Watch {
             address,
             location_names,
@@ -238,7 +238,7 @@
             called: None,
             due: 0,
             buf: Vec::new(),
-            retry,
+            schedule,
             max_body_bytes,
             next_timer_at: first,
             unanswered: false,
@@ -250,7 +250,7 @@
     pub fn set_address(&mut self, address: SocketAddr, now: Micros) {
         self.index = None;
         self.disconnect();
-        self.retry.reset();
+        self.schedule.reset();
         (self.address, self.next_timer_at) = (address, now);
     }
 
@@ -268,13 +268,15 @@
 
     /// Gives the connection up; the next one comes after a pause. True if all had been well before.
     fn fail(&mut self, now: Micros, why: &str) -> bool {
-        let (first, next) = self.retry.failed(now, self.called, self.out.is_empty());
+        let request_sent = self.out.is_empty();
+        let pending = self.called.map(|started_at| FailedPoll { started_at, request_sent });
+        let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, pending);
         self.disconnect();
-        self.next_timer_at = next;
-        if first {
+        self.next_timer_at = at;
+        if is_first_failure {
             crate::log(&format!("discovery: {why}; serving on with the list as it is"));
         }
-        first
+        is_first_failure
     }
 
     /// Makes the next call, or notices that the last one stays unanswered; true if discovery just failed.
@@ -305,14 +307,14 @@
             }
         }
         let waits = self.index.is_some() && !self.unanswered;
-        let wait = if waits { self.retry.wait() } else { 0 };
+        let wait = if waits { self.schedule.next_poll_timeout() } else { 0 };
         let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
         self.out =
             format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
         self.called = Some(now);
-        self.due = now + if waits { wait + PAST_WAIT } else { self.retry.backoff.patience };
+        self.due = now + if waits { wait + PAST_WAIT } else { self.schedule.backoff.response_timeout };
         // Without a connection it is no watch yet, however long it may wait: the system tries ever more seldom.
-        self.next_timer_at = self.due.min(now + self.retry.backoff.patience);
+        self.next_timer_at = self.due.min(now + self.schedule.backoff.response_timeout);
         self.write(now)
     }
 
@@ -378,7 +380,7 @@
             Answer::Partial => false,
             Answer::Bad(why) => self.fail(now, &why),
             Answer::Whole(list, reusable) => {
-                if self.retry.answered() {
+                if self.schedule.on_success() {
                     crate::log("discovery: back");
                 }
                 (self.index, self.called) = (Some(list.index), None);
--- a/src/bin/ingress/discovery/tests.rs
+++ b/src/bin/ingress/discovery/tests.rs
@@ -355,7 +355,7 @@
         for _ in 0..5 {
             // The call is out, and nothing of it could be written.
             (watch.called, watch.out, watch.due) = (Some(called), b"GET".to_vec(), called + 30_000_000);
-            watch.next_timer_at = watch.due.min(called + watch.retry.backoff.patience);
+            watch.next_timer_at = watch.due.min(called + watch.schedule.backoff.response_timeout);
             assert!(watch.next_timer_at <= called + 3_000_000);
             watch.fail(watch.next_timer_at, "no answer in time");
             assert!(watch.next_timer_at <= called + WITHIN, "{} us", watch.next_timer_at - called);
