Compare the events that the adapter reads as values, not as debug texts

Cause: `events_are_read_from_their_places` searched the debug texts of events, so a rename of a field broke it, and what it did not name (charged units, a health check's backend, the first gateway) went unread.

Change: the test takes events apart and compares every field; the rows of an endpoint list, read by no test of the inner parts, have one.

--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -46,25 +46,35 @@
         let fields = BTreeMap::from([(1, vec!["depth".to_string()])]);
         let record = Record { batch: 1, index: 0, body: &body, tail: &[4, 5, 6] };
         match record.decode(&fields) {
-            Ok(Some(Decoded::Event { instance: 1, event })) => format!("{event:?}"),
+            Ok(Some(Decoded::Event { instance: 1, event })) => event,
             _ => panic!("not an event of instance 1"),
         }
     };
     let body = |code: u8, parts: &[(usize, &[u8])]| {
-        let mut b = [0; EVENT];
-        (b[0], b[1]) = (code, 1);
-        parts.iter().for_each(|(at, bytes)| b[*at..*at + bytes.len()].copy_from_slice(bytes));
-        b
+        let mut record = [0; EVENT];
+        (record[0], record[1]) = (code, 1);
+        parts.iter().for_each(|(at, bytes)| record[*at..*at + bytes.len()].copy_from_slice(bytes));
+        record
     };
-    let float = |x: f32| x.to_le_bytes();
-    let call = body(
+    let float = |value: f32| value.to_le_bytes();
+    let request = body(
         10,
-        &[(3, &[9]), (11, &[2]), (12, &[3]), (14, &[4]), (22, &[5]), (30, &float(2.0)), (34, &float(3.0))],
+        &[
+            (3, &[9]),
+            (11, &[2]),
+            (12, &[3]),
+            (14, &[4]),
+            (22, &[5]),
+            (30, &float(2.0)),
+            (34, &float(3.0)),
+            (38, &float(7.0)),
+        ],
     );
-    let text = read(call);
-    assert!(text.contains("RequestId(9), class: 2, plan: 3, customer: CustomerId(4), deadline: 5"), "{text}");
-    assert!(text.contains("units: 2.0, gateway_set_size: 3.0, gateway_set_start: 0.0"), "{text}");
-    let settled = body(
+    let Event::Request(request) = read(request) else { panic!("not a request") };
+    let Request { id, class, plan, customer, deadline, units, gateway_set_size, gateway_set_start } = request;
+    assert_eq!((id, class, plan, customer, deadline), (RequestId(9), 2, 3, CustomerId(4), 5));
+    assert_eq!((units, gateway_set_size, gateway_set_start), (2.0, 3.0, 7.0));
+    let attempt_ended = body(
         20,
         &[
             (3, &[9]),
@@ -79,25 +89,59 @@
             (31, &float(6.0)),
         ],
     );
-    let text = read(settled);
-    for part in [
-        "attempt: 2",
-        "BackendId(8)",
-        "Ok",
-        "answered: true",
-        "elapsed: 7",
-        "metered: Some(0.5)",
-        "queue_depth: Some(6.0)",
-    ] {
-        assert!(text.contains(part), "{part} in {text}");
-    }
-    assert_eq!(read(body(90, &[(3, &[6])])), "ClientDisconnected(RequestId(6))");
-    assert_eq!(read(body(70, &[(3, &[6])])), "Timer(6)");
-    assert_eq!(read(body(100, &[(3, &[6]), (11, &[2])])), "FirstByte { id: RequestId(6), attempt: 2 }");
-    let peer = body(80, &[(3, &[2]), (5, &[1]), (9, &[2])]);
-    assert_eq!(read(peer), "PeerMessage { from: GatewayId(2), bytes: [5, 6] }");
-    let probed = read(body(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
-    assert!(probed.contains("NotSent") && probed.contains("elapsed: 7"), "{probed}");
-    let counted = read(body(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
-    assert!(counted.contains("name: 5") && counted.contains("38.0"), "{counted}");
+    let Event::AttemptEnded {
+        id,
+        attempt,
+        backend,
+        outcome,
+        answered,
+        elapsed,
+        metered,
+        charged_units,
+        load_report,
+    } = read(attempt_ended)
+    else {
+        panic!("not the end of an attempt")
+    };
+    assert_eq!((id, attempt, backend), (RequestId(9), 2, BackendId(8)));
+    assert_eq!((outcome, answered, elapsed), (Outcome::Ok, true, 7));
+    assert_eq!((metered, charged_units), (Some(0.5), Some(3.0)));
+    assert_eq!(load_report, Some(LoadReport { queue_depth: Some(6.0), ..LoadReport::default() }));
+    assert!(matches!(read(body(90, &[(3, &[6])])), Event::ClientDisconnected(RequestId(6))));
+    assert!(matches!(read(body(70, &[(3, &[6])])), Event::Timer(6)));
+    let first_byte = read(body(100, &[(3, &[6]), (11, &[2])]));
+    assert!(matches!(first_byte, Event::FirstByte { id: RequestId(6), attempt: 2 }));
+    let message = read(body(80, &[(3, &[2]), (5, &[1]), (9, &[2])]));
+    let Event::PeerMessage { from, bytes } = message else { panic!("not a peer's message") };
+    assert_eq!((from, bytes), (GatewayId(2), vec![5, 6]));
+    let health_check = read(body(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
+    let Event::HealthCheckEnded { backend, outcome, elapsed, load_report } = health_check else {
+        panic!("not the end of a health check")
+    };
+    assert_eq!((backend, outcome, elapsed, load_report), (BackendId(8), Outcome::NotSent, 7, None));
+    let counter = read(body(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
+    let Event::CounterUpdated { name, outcome, total } = counter else { panic!("not a counter's update") };
+    assert_eq!((name, outcome, total), (5, Outcome::Ok, 38.0));
+}
+
+/// The rows of an endpoint list lie in the tail, 24 bytes each.
+#[test]
+fn an_endpoint_list_is_read_from_the_tail() {
+    let mut row = [0; 24];
+    row[0] = 7;
+    (row[6], row[7], row[9], row[11]) = (2, 3, 4, 1);
+    row[12..16].copy_from_slice(&1.5f32.to_le_bytes());
+    row[16] = 9;
+    let mut body = [0; EVENT];
+    (body[0], body[1], body[3], body[16]) = (60, 1, 1, 1);
+    let record = Record { batch: 1, index: 0, body: &body, tail: &row };
+    let Ok(Some(Decoded::Event { instance: 1, event: Event::Endpoints(update, endpoints) })) =
+        record.decode(&BTreeMap::new())
+    else {
+        panic!("not an endpoint list of instance 1")
+    };
+    assert_eq!((update, endpoints.len()), (EndpointUpdate::Snapshot, 1));
+    let Endpoint { backend, zone, cell, machine_type, availability, size, started_at } = endpoints[0];
+    assert_eq!((backend, zone, machine_type, cell), (BackendId(7), 2, 3, 4));
+    assert_eq!((availability, size, started_at), (Availability::Ready, 1.5, 9));
 }
