Split the adapter by concern, with typed errors and fields read in their order

Cause: `wire.rs` held frames, events and actions with an offset at each field (`u64_at(b, 14)`) and codes as bare numbers; errors were `String`s (9 results), and `main.rs` kept two maps of what belongs to an instance.

Change: `wire` is split into `batch`, `record`, `reply`, `FieldReader` and `FieldWriter`, which go through the fields in the order of the wire; codes and sizes have names; `Instances` keeps gateway and report fields together; `AdapterError`, `FrameError` and `RecordError` have the texts of before.

--- /dev/null
+++ b/src/bin/simulator-adapter/wire/reply.rs
@@ -0,0 +1,127 @@
+//! Replies: a header with count, length and the batch's number, then the records of actions, then the tail.
+
+use super::field_writer::FieldWriter;
+use super::InstanceId;
+use ingress::{Action, GatewayId};
+
+/// Bytes of a reply's header.
+pub const REPLY_HEADER_SIZE: usize = 12;
+/// Bytes of an action's record.
+pub const ACTION_SIZE: usize = 32;
+/// The receiver of a message to all peers.
+const ALL_PEERS: GatewayId = GatewayId(u16::MAX);
+
+/// The codes of actions.
+mod code {
+    pub const SEND: u8 = 10;
+    pub const REJECT: u8 = 20;
+    pub const FAIL: u8 = 30;
+    pub const CANCEL: u8 = 40;
+    pub const SET_TIMER: u8 = 50;
+    pub const CHECK_HEALTH: u8 = 60;
+    pub const CLOSE_IDLE_CONNECTIONS: u8 = 70;
+    pub const SEND_TO_PEER: u8 = 80;
+    pub const LOG: u8 = 90;
+    pub const WATCH_ENDPOINTS: u8 = 110;
+    pub const FETCH_ENDPOINTS: u8 = 120;
+    pub const INCREMENT_COUNTER: u8 = 130;
+}
+
+/// A reply under construction.
+pub struct Reply {
+    /// The batch's number.
+    batch: u32,
+    /// The records so far.
+    records: Vec<u8>,
+    /// What the records point into, so far.
+    tail: Vec<u8>,
+}
+
+impl Reply {
+    /// A reply to the batch with this number.
+    pub fn new(batch: u32) -> Self {
+        Reply { batch, records: Vec::new(), tail: Vec::new() }
+    }
+
+    /// Adds an instance's actions.
+    pub fn push(&mut self, instance: InstanceId, actions: &[Action]) {
+        for action in actions {
+            let mut record = FieldWriter::<ACTION_SIZE>::new();
+            record.u8(action_code(action)).u16(instance.0);
+            self.write_fields(&mut record, action);
+            self.records.extend_from_slice(&record.finish());
+        }
+    }
+
+    /// Writes what follows an action's code and instance.
+    fn write_fields(&mut self, record: &mut FieldWriter<ACTION_SIZE>, action: &Action) {
+        match action {
+            Action::Send { id, backend, expires_at } => {
+                record.request(*id).u64(*expires_at).backend(*backend);
+            }
+            Action::Reject { id, retry_after } => {
+                record.request(*id).span(*retry_after);
+            }
+            Action::Fail(id) => {
+                record.request(*id);
+            }
+            Action::Cancel { id, attempt } => {
+                record.request(*id).u16(*attempt);
+            }
+            Action::SetTimer { delay, token } => {
+                record.span(*delay).u32(*token);
+            }
+            Action::CheckHealth(backend) | Action::CloseIdleConnections(backend) => {
+                record.backend(*backend);
+            }
+            Action::SendToPeer { to, bytes } => {
+                record.u16(to.unwrap_or(ALL_PEERS).0);
+                self.write_tail(record, bytes);
+            }
+            Action::Log(text) => self.write_tail(record, text.as_bytes()),
+            Action::WatchEndpoints(on) => {
+                record.u8(u8::from(*on));
+            }
+            Action::FetchEndpoints => {}
+            Action::IncrementCounter { name, delta, lifetime } => {
+                record.span(*lifetime).f32(*delta as f32).u64(*name);
+            }
+        }
+    }
+
+    /// Puts bytes into the tail, and where they stand there into the record.
+    fn write_tail(&mut self, record: &mut FieldWriter<ACTION_SIZE>, bytes: &[u8]) {
+        record.u32(self.tail.len() as u32).u32(bytes.len() as u32);
+        self.tail.extend_from_slice(bytes);
+    }
+
+    /// The whole frame.
+    pub fn finish(self) -> Vec<u8> {
+        let size = REPLY_HEADER_SIZE + self.records.len() + self.tail.len();
+        let mut header = FieldWriter::<REPLY_HEADER_SIZE>::new();
+        header.u32((self.records.len() / ACTION_SIZE) as u32).u32(size as u32).u32(self.batch);
+        let mut frame = Vec::with_capacity(size);
+        frame.extend_from_slice(&header.finish());
+        frame.extend_from_slice(&self.records);
+        frame.extend_from_slice(&self.tail);
+        frame
+    }
+}
+
+/// The code that the wire has for an action.
+fn action_code(action: &Action) -> u8 {
+    match action {
+        Action::Send { .. } => code::SEND,
+        Action::Reject { .. } => code::REJECT,
+        Action::Fail(_) => code::FAIL,
+        Action::Cancel { .. } => code::CANCEL,
+        Action::SetTimer { .. } => code::SET_TIMER,
+        Action::CheckHealth(_) => code::CHECK_HEALTH,
+        Action::CloseIdleConnections(_) => code::CLOSE_IDLE_CONNECTIONS,
+        Action::SendToPeer { .. } => code::SEND_TO_PEER,
+        Action::Log(_) => code::LOG,
+        Action::WatchEndpoints(_) => code::WATCH_ENDPOINTS,
+        Action::FetchEndpoints => code::FETCH_ENDPOINTS,
+        Action::IncrementCounter { .. } => code::INCREMENT_COUNTER,
+    }
+}
--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -1,6 +1,13 @@
 //! Tests of [`super`].
 
+use super::field_reader::FieldReader;
+use super::record::RECORD_SIZE;
+use super::reply::{ACTION_SIZE, REPLY_HEADER_SIZE};
 use super::*;
+use ingress::{
+    Action, Availability, BackendId, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId, LoadReport,
+    Outcome, Request, RequestId,
+};
 
 #[test]
 fn every_action_has_its_code_and_its_fields_in_place() {
@@ -26,14 +33,15 @@
     ];
     let mut reply = Reply::new(5);
     let list: Vec<Action> = actions.iter().map(|a| a.1.clone()).collect();
-    reply.push(3, &list);
+    reply.push(InstanceId(3), &list);
     let frame = reply.finish();
-    assert_eq!(u32_at(&frame, 0) as usize, actions.len());
-    assert_eq!(u32_at(&frame, 4) as usize, frame.len());
-    assert_eq!(&frame[REPLY_HEADER + ACTION * actions.len()..], b"\x08\x09\x07abc");
+    let mut header = FieldReader::new(&frame);
+    assert_eq!((header.u32() as usize, header.u32() as usize), (actions.len(), frame.len()));
+    assert_eq!(header.u32(), 5);
+    assert_eq!(&frame[REPLY_HEADER_SIZE + ACTION_SIZE * actions.len()..], b"\x08\x09\x07abc");
     for (n, (code, action, fields)) in actions.iter().enumerate() {
-        let record = &frame[REPLY_HEADER + ACTION * n..][..ACTION];
-        assert_eq!((record[0], u16_at(record, 1)), (*code, 3), "{action:?}");
+        let record = &frame[REPLY_HEADER_SIZE + ACTION_SIZE * n..][..ACTION_SIZE];
+        assert_eq!(record[..3], [*code, 3, 0], "{action:?}");
         for (at, value) in fields {
             assert_eq!(record[*at], *value, "{action:?} at {at}");
         }
@@ -42,16 +50,16 @@
 
 #[test]
 fn events_are_read_from_their_places() {
-    let read = |body: [u8; EVENT]| {
-        let fields = BTreeMap::from([(1, vec!["depth".to_string()])]);
+    let read = |body: [u8; RECORD_SIZE]| {
         let record = Record { batch: 1, index: 0, body: &body, tail: &[4, 5, 6] };
-        match record.decode(&fields) {
-            Ok(Some(Decoded::Event { instance: 1, event })) => event,
-            _ => panic!("not an event of instance 1"),
+        assert_eq!(record.instance(), InstanceId(1));
+        match record.decode(&["depth".to_string()]) {
+            Ok(RecordContent::Event(event)) => event,
+            _ => panic!("not an event"),
         }
     };
     let body = |code: u8, parts: &[(usize, &[u8])]| {
-        let mut record = [0; EVENT];
+        let mut record = [0; RECORD_SIZE];
         (record[0], record[1]) = (code, 1);
         parts.iter().for_each(|(at, bytes)| record[*at..*at + bytes.len()].copy_from_slice(bytes));
         record
@@ -132,13 +140,12 @@
     (row[6], row[7], row[9], row[11]) = (2, 3, 4, 1);
     row[12..16].copy_from_slice(&1.5f32.to_le_bytes());
     row[16] = 9;
-    let mut body = [0; EVENT];
+    let mut body = [0; RECORD_SIZE];
     (body[0], body[1], body[3], body[16]) = (60, 1, 1, 1);
     let record = Record { batch: 1, index: 0, body: &body, tail: &row };
-    let Ok(Some(Decoded::Event { instance: 1, event: Event::Endpoints(update, endpoints) })) =
-        record.decode(&BTreeMap::new())
-    else {
-        panic!("not an endpoint list of instance 1")
+    assert_eq!(record.instance(), InstanceId(1));
+    let Ok(RecordContent::Event(Event::Endpoints(update, endpoints))) = record.decode(&[]) else {
+        panic!("not an endpoint list")
     };
     assert_eq!((update, endpoints.len()), (EndpointUpdate::Snapshot, 1));
     let Endpoint { backend, zone, cell, machine_type, availability, size, started_at } = endpoints[0];
