Rename the event loop's functions, timers and constants by the field's terms

Due, fire, turn, pump, carry_out, last_at, LAST_WORD and STILL_COMING are words of an earlier house style: a reader has to learn them before the file says anything.

Timer, run_due_timers, process_ready, run_policy, execute, poll_discovery; the constants of the graceful shutdown are named by its phases: accepting, draining, replies, exit. Names only; the order of the timers' variants, which settles ties, is kept.

--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -38,40 +38,40 @@
 
 /// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
 /// peers, and some to spare for what is opened before another is closed.
-const OTHER_SOCKETS: usize = 20;
+const RESERVED_DESCRIPTORS: usize = 20;
 /// Clients that are taken in beyond the budget, only to be told so.
-const MOST_SURPLUS: usize = 8;
+const MAX_OVER_LIMIT_CLIENTS: usize = 8;
 /// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
-const MOST_EIGHTHS: usize = 6;
+const MAX_SHARE_EIGHTHS: usize = 6;
 /// The part of the memory that open requests may take, and what clients have half said or not yet read.
-const MEMORY_SHARE: usize = 4;
+const MEMORY_DIVISOR: usize = 4;
 /// How long connections are still accepted once told to stop: new ones come for up to 0.4 s, and from those who have
 /// not heard of it for longer. Then for as long as the latest is no older than this, and how often that is looked at.
-const STILL_ACCEPTING: Micros = 500_000;
-const STILL_COMING: Micros = 300_000;
-const LOOK_AGAIN: Micros = 100_000;
+const MIN_ACCEPTING_TIME: Micros = 500_000;
+const ACCEPTING_QUIET_TIME: Micros = 300_000;
+const ACCEPTING_CHECK_INTERVAL: Micros = 100_000;
 /// Turns' worths of connections that are still accepted when the port is closed: more than a line holds.
-const MOST_LAST_ACCEPTS: usize = 64;
+const MAX_FINAL_ACCEPTS: usize = 64;
 /// How long after that a client that says nothing whole is still waited for.
-const LAST_WAIT: Micros = 1_000_000;
+const DRAINING_IDLE_CLIENT_TIME: Micros = 1_000_000;
 /// How long after it is told to stop the last of its requests have failed, besides their longest deadline or this
 /// much of it: SIGKILL may come 0.7 s after that.
-const LAST_ANSWER: Micros = 400_000;
-const LONGEST_DEADLINE: Micros = 3_000_000;
+const REPLY_MARGIN: Micros = 400_000;
+const MAX_REPLY_DEADLINE: Micros = 3_000_000;
 /// How long behind the last answers it ends whoever still speaks: SIGKILL may come 0.3 s behind them.
-const LAST_WORD: Micros = 150_000;
+const EXIT_MARGIN: Micros = 150_000;
 /// How long an ingress told to stop waits, all in all, for clients to read their answers.
-const LAST_READ: Micros = 2_000_000;
+const MAX_DRAINING_TIME: Micros = 2_000_000;
 /// The longest that a client is waited with: the timers of requests long answered must not pile up for hours.
-const LONGEST_WAIT: Micros = 60_000_000;
+const MAX_CLIENT_TIMEOUT: Micros = 60_000_000;
 /// How long after its end the id of a request is still known: one that is new each time does not come again.
-const ID_KNOWN: Micros = 1_000_000;
+const ENDED_ID_RETENTION: Micros = 1_000_000;
 /// Time between looks at what has been idle for long.
-const SWEEP: Micros = 500_000;
+const SWEEP_INTERVAL: Micros = 500_000;
 /// Time until accepting is tried again after there was no descriptor for it.
-const ACCEPT_AGAIN: Micros = 10_000;
+const ACCEPT_RETRY_DELAY: Micros = 10_000;
 /// What an answer may take on its way to the client, besides two ticks.
-const ON_THE_WAY: Micros = 2_000;
+const REPLY_TRANSIT_TIME: Micros = 2_000;
 
 /// The clock: monotonic, but counted from the same moment as Unix time, since backends' starts are told in that
 /// and peers compare theirs. It is set once; later steps of the system's clock do not reach it.
@@ -93,25 +93,25 @@
 
 /// What falls due at a time.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Due {
+enum Timer {
     /// The module's.
-    Module(u32),
+    Policy(u32),
     /// An attempt is given up.
-    Expire(RequestId, u16),
+    AttemptTimeout(RequestId, u16),
     /// A client's time is over.
-    Overdue(RequestId),
+    ClientDeadline(RequestId),
     /// A connection should be up, and the command written.
-    Connect(ConnectionId),
+    ConnectTimeout(ConnectionId),
     /// A probe is given up.
-    Probe(ConnectionId, BackendId, Micros),
+    HealthCheckTimeout(ConnectionId, BackendId, Micros),
     Sweep,
-    Accept,
+    RetryAccept,
     /// The configuration is to be read again.
     Reload,
     /// The time of accepting while stopping is over.
-    Close,
+    StopAccepting,
     /// The time of answering while stopping is over.
-    Last,
+    ReplyDeadline,
 }
 
 struct Attempt {
@@ -123,7 +123,7 @@
     link: Option<ConnectionId>,
 }
 
-struct Open {
+struct OpenRequest {
     call: Command,
     /// A hash of its id.
     name: u64,
@@ -134,7 +134,7 @@
     over: bool,
 }
 
-impl Open {
+impl OpenRequest {
     fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.link.is_some())
     }
@@ -147,12 +147,12 @@
     now: Micros,
     tick: Micros,
     limits: Limits,
-    asks_discovery: bool,
+    polls_discovery: bool,
     connect_timeout: Micros,
-    sockets: usize,
-    memory: usize,
+    max_connections: usize,
+    max_request_memory: usize,
     gateway: Gateway,
-    events: VecDeque<Event>,
+    pending_events: VecDeque<Event>,
     actions: Vec<Action>,
     clients: Clients,
     backends: Backends,
@@ -160,27 +160,27 @@
     reload: Reload,
     peers: Option<PeerSocket>,
     signals: Signals,
-    requests: HashMap<RequestId, Open>,
+    requests: HashMap<RequestId, OpenRequest>,
     /// Hashes of the ids of the open requests, and of those that ended a short while ago; their keys are drawn
     /// anew at each start.
-    names: HashSet<u64>,
-    ended: VecDeque<(Micros, u64)>,
+    known_id_hashes: HashSet<u64>,
+    ended_ids: VecDeque<(Micros, u64)>,
     hasher: RandomState,
     /// The memory of the open requests.
-    held: usize,
-    timers: BinaryHeap<Reverse<(Micros, Due)>>,
-    accept_more: bool,
-    peers_more: bool,
+    request_memory: usize,
+    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
+    accept_pending: bool,
+    peer_messages_pending: bool,
     /// How long it serves once told to stop.
-    last_answer: Micros,
+    reply_time: Micros,
     /// When it is over with all, once told to stop.
-    last_at: Micros,
+    reply_deadline: Micros,
     /// Told to stop, and when the connections were begun to be closed.
-    stopping: bool,
-    closing_since: Option<Micros>,
+    shutting_down: bool,
+    draining_since: Option<Micros>,
 }
 
-fn settled(
+fn attempt_ended(
     id: RequestId,
     attempt: u16,
     a: (BackendId, Micros),
@@ -203,7 +203,7 @@
 }
 
 /// How many descriptors the system allows this process; none where it does not say.
-fn descriptors_allowed() -> Option<usize> {
+fn system_descriptor_limit() -> Option<usize> {
     let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
     limits.lines().find_map(|l| l.strip_prefix("Max open files"))?.split_whitespace().next()?.parse().ok()
 }
@@ -237,7 +237,7 @@
         let settings = config.settings;
         let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         // The system may allow fewer than the configuration: where no descriptor is left, connecting fails at once.
-        let allowed = config.max_descriptors.min(descriptors_allowed().unwrap_or(usize::MAX));
+        let allowed = config.max_descriptors.min(system_descriptor_limit().unwrap_or(usize::MAX));
         let backoff = match settings.discovery {
             Discovery::Poll => {
                 Backoff::shared_service(settings.rules.max_poll_interval, u64::from(settings.gateway_count))
@@ -250,23 +250,26 @@
             seed: config.seed,
             now,
         };
-        let sockets = allowed.checked_sub(OTHER_SOCKETS + MOST_SURPLUS).filter(|n| *n >= 8);
-        let mut ingress = EventLoop {
+        let sockets = allowed.checked_sub(RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS).filter(|n| *n >= 8);
+        let mut event_loop = EventLoop {
             poll,
             clock,
             now,
             tick: settings.tick,
             limits: settings.limits.clone(),
-            asks_discovery: settings.discovery == Discovery::Poll,
+            polls_discovery: settings.discovery == Discovery::Poll,
             connect_timeout: config.connect_timeout,
-            sockets: sockets.ok_or(EventLoopError::TooFewDescriptors { allowed })?,
-            memory: config.max_memory / MEMORY_SHARE,
+            max_connections: sockets.ok_or(EventLoopError::TooFewDescriptors { allowed })?,
+            max_request_memory: config.max_memory / MEMORY_DIVISOR,
             gateway: Gateway::new(settings, config.seed, now),
-            events: VecDeque::new(),
+            pending_events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(listener, config.command_schema, config.max_memory / MEMORY_SHARE, |key| {
-                Token(FIRST + 2 * key)
-            }),
+            clients: Clients::new(
+                listener,
+                config.command_schema,
+                config.max_memory / MEMORY_DIVISOR,
+                |key| Token(FIRST + 2 * key),
+            ),
             backends: Backends::new(config.keepalive_timeout, |key| Token(FIRST + 1 + 2 * key)),
             watch: Watch::new(
                 config.discovery_address,
@@ -279,28 +282,29 @@
             peers,
             signals,
             requests: HashMap::new(),
-            names: HashSet::new(),
-            ended: VecDeque::new(),
+            known_id_hashes: HashSet::new(),
+            ended_ids: VecDeque::new(),
             hasher: RandomState::new(),
-            held: 0,
-            timers: BinaryHeap::from([Reverse((now + SWEEP, Due::Sweep))]),
-            accept_more: false,
-            peers_more: false,
-            last_answer: longest.min(LONGEST_DEADLINE) + LAST_ANSWER,
-            last_at: Micros::MAX,
-            stopping: false,
-            closing_since: None,
+            request_memory: 0,
+            timers: BinaryHeap::from([Reverse((now + SWEEP_INTERVAL, Timer::Sweep))]),
+            accept_pending: false,
+            peer_messages_pending: false,
+            reply_time: longest.min(MAX_REPLY_DEADLINE) + REPLY_MARGIN,
+            reply_deadline: Micros::MAX,
+            shutting_down: false,
+            draining_since: None,
         };
-        ingress.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
-        ingress.pump();
+        event_loop.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
+        event_loop.run_policy();
         crate::log(&format!("listening at {}", address));
-        Ok(ingress)
+        Ok(event_loop)
     }
 
     /// Runs until told to stop and idle.
     pub fn run(mut self) -> Result<(), EventLoopError> {
         // All that is ready comes in one turn: one that left must not be behind another's answer.
-        let mut events = Events::with_capacity(self.sockets + OTHER_SOCKETS + MOST_SURPLUS);
+        let mut events =
+            Events::with_capacity(self.max_connections + RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS);
         let mut ready: Vec<(Token, bool, bool)> = Vec::new();
         loop {
             let timeout = self.timeout();
@@ -318,8 +322,10 @@
             ready.extend(
                 events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
             );
-            self.turn(&mut ready);
-            if self.stopping && (self.may_exit() || self.now >= self.last_at.saturating_add(LAST_WORD)) {
+            self.process_ready(&mut ready);
+            if self.shutting_down
+                && (self.can_exit() || self.now >= self.reply_deadline.saturating_add(EXIT_MARGIN))
+            {
                 crate::log("stopped");
                 return Ok(());
             }
@@ -327,10 +333,10 @@
     }
 
     fn timeout(&self) -> Duration {
-        if self.accept_more || self.peers_more || self.clients.has_pending_work() {
+        if self.accept_pending || self.peer_messages_pending || self.clients.has_pending_work() {
             return Duration::ZERO;
         }
-        if self.now >= self.last_at {
+        if self.now >= self.reply_deadline {
             // A clock each tick: the very last moments are counted.
             return Duration::from_micros(self.tick);
         }
@@ -341,58 +347,58 @@
 
     /// One turn: all that came is read with one clock. Discovery comes first, so that a drain that has been told
     /// reaches the module before any send; answers come before the timers that would call them missing.
-    fn turn(&mut self, ready: &mut [(Token, bool, bool)]) {
+    fn process_ready(&mut self, ready: &mut [(Token, bool, bool)]) {
         // Before all else: whatever comes in this turn, and whatever is due, begins nothing for a client that has gone.
         for &(token, _, closed) in ready.iter() {
             if closed && token.0 >= FIRST && (token.0 - FIRST) % 2 == 0 {
                 self.clients.on_disconnect((token.0 - FIRST) / 2);
             }
         }
-        self.withdraw_gone();
+        self.report_disconnects();
         ready.sort_unstable_by_key(|r| match r.0 {
             DISCOVERY => 0,
             Token(t) if t >= FIRST && t % 2 == 1 => 1,
             PEERS => 2,
             _ => 3,
         });
-        self.discover(ready.first().is_some_and(|r| r.0 == DISCOVERY));
-        if std::mem::take(&mut self.peers_more) {
-            self.hear_peers();
+        self.poll_discovery(ready.first().is_some_and(|r| r.0 == DISCOVERY));
+        if std::mem::take(&mut self.peer_messages_pending) {
+            self.receive_peer_messages();
         }
         self.clients.resume_reads(self.now);
-        self.take_incoming();
+        self.process_client_events();
         for &(token, writable, closed) in ready.iter() {
             match token {
                 DISCOVERY => {}
-                LISTENER => self.accept_more = true,
-                SIGNALS => self.take_signals(),
-                PEERS => self.hear_peers(),
+                LISTENER => self.accept_pending = true,
+                SIGNALS => self.handle_signals(),
+                PEERS => self.receive_peer_messages(),
                 Token(t) if (t - FIRST) % 2 == 1 => {
                     if writable {
-                        self.tell_what_is_left((t - FIRST) / 2);
+                        self.update_remaining_time((t - FIRST) / 2);
                     }
                     // The true time: a connection rests for less than a tick.
                     let readiness = Readiness { writable, closed };
                     self.backends.on_ready((t - FIRST) / 2, self.clock.now(), readiness);
-                    self.pump();
+                    self.run_policy();
                 }
                 Token(t) => {
                     self.clients.on_ready((t - FIRST) / 2, self.now, writable);
-                    self.take_incoming();
+                    self.process_client_events();
                 }
             }
         }
-        if std::mem::take(&mut self.accept_more) {
+        if std::mem::take(&mut self.accept_pending) {
             self.accept();
         }
-        self.fire();
+        self.run_due_timers();
         self.clients.flush(self.now);
-        self.take_incoming();
+        self.process_client_events();
     }
 
     // ---- What comes in ----
 
-    fn discover(&mut self, ready: bool) {
+    fn poll_discovery(&mut self, ready: bool) {
         let (now, registry, mut came) = (self.now, self.poll.registry(), Vec::new());
         let mut failed = ready && self.watch.on_ready(now, registry, &mut |endpoints| came.push(endpoints));
         failed |= self.watch.on_timer(now, registry);
@@ -400,41 +406,41 @@
             let kind = if endpoints.is_snapshot { EndpointUpdate::Snapshot } else { EndpointUpdate::Delta };
             self.apply_endpoints(endpoints, kind);
         }
-        if failed && self.asks_discovery {
-            self.events.push_back(Event::Endpoints(EndpointUpdate::PollFailed, Vec::new()));
+        if failed && self.polls_discovery {
+            self.pending_events.push_back(Event::Endpoints(EndpointUpdate::PollFailed, Vec::new()));
         }
-        self.pump();
+        self.run_policy();
     }
 
     fn apply_endpoints(&mut self, endpoints: EndpointList, kind: EndpointUpdate) {
         self.backends.update_endpoints(&endpoints);
         if kind != EndpointUpdate::Delta || !endpoints.entries.is_empty() {
             let list = endpoints.entries.iter().map(|e| e.endpoint).collect();
-            self.events.push_back(Event::Endpoints(kind, list));
+            self.pending_events.push_back(Event::Endpoints(kind, list));
         }
     }
 
-    fn hear_peers(&mut self) {
-        let events = &mut self.events;
+    fn receive_peer_messages(&mut self) {
+        let events = &mut self.pending_events;
         if let Some(peers) = &mut self.peers {
             let backlog = peers.receive(|from, bytes| events.push_back(Event::PeerMessage { from, bytes }));
-            self.peers_more |= backlog == Backlog::MayHaveMore;
+            self.peer_messages_pending |= backlog == Backlog::MayHaveMore;
         }
-        self.pump();
+        self.run_policy();
     }
 
-    fn take_signals(&mut self) {
+    fn handle_signals(&mut self) {
         // All that came since the last look, several of one kind as one.
         let came: Vec<i32> = self.signals.pending().collect();
         if came.contains(&SIGHUP) {
             self.reload.request();
             self.reload();
         }
-        if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.stopping, true) {
+        if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.shutting_down, true) {
             crate::log("stopping: answering what has been taken");
-            self.timers.push(Reverse((self.now + STILL_ACCEPTING, Due::Close)));
-            self.last_at = self.now + self.last_answer;
-            self.timers.push(Reverse((self.last_at, Due::Last)));
+            self.timers.push(Reverse((self.now + MIN_ACCEPTING_TIME, Timer::StopAccepting)));
+            self.reply_deadline = self.now + self.reply_time;
+            self.timers.push(Reverse((self.reply_deadline, Timer::ReplyDeadline)));
         }
     }
 
@@ -442,28 +448,28 @@
     fn reload(&mut self) {
         match self.reload.attempt(self.now) {
             ReloadOutcome::Applied(discovery) => self.watch.set_address(discovery, self.now),
-            ReloadOutcome::RetryAt(at) => self.timers.push(Reverse((at, Due::Reload))),
+            ReloadOutcome::RetryAt(at) => self.timers.push(Reverse((at, Timer::Reload))),
             ReloadOutcome::NotDue => {}
         }
     }
 
     /// The descriptors in use, and whether one more may be taken.
-    fn full(&self) -> bool {
-        self.clients.len() + self.backends.len() >= self.sockets
+    fn is_full(&self) -> bool {
+        self.clients.len() + self.backends.len() >= self.max_connections
     }
 
     /// Accepts what waits, a turn's worth of it; false if more may wait.
     fn accept(&mut self) -> bool {
-        let (now, budget, backends) = (self.now, self.sockets, &mut self.backends);
+        let (now, budget, backends) = (self.now, self.max_connections, &mut self.backends);
         let room = |clients: &mut Clients| {
-            let (share, all) = (budget * MOST_EIGHTHS / 8, clients.len() + backends.len());
+            let (share, all) = (budget * MAX_SHARE_EIGHTHS / 8, clients.len() + backends.len());
             let full = clients.len() >= share || all >= budget;
             if !full
                 || clients.close_oldest_idle(now)
                 || (clients.len() < share && backends.close_longest_idle())
             {
                 Capacity::Available
-            } else if clients.over_limit_count() < MOST_SURPLUS {
+            } else if clients.over_limit_count() < MAX_OVER_LIMIT_CLIENTS {
                 Capacity::OverLimit
             } else {
                 Capacity::Exhausted
@@ -472,73 +478,77 @@
         let accepted = self.clients.accept(self.poll.registry(), self.now, room);
         match accepted {
             AcceptOutcome::Drained => {}
-            AcceptOutcome::MorePending => self.accept_more = true,
+            AcceptOutcome::MorePending => self.accept_pending = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
-            AcceptOutcome::NoDescriptor => self.timers.push(Reverse((self.now + ACCEPT_AGAIN, Due::Accept))),
+            AcceptOutcome::NoDescriptor => {
+                self.timers.push(Reverse((self.now + ACCEPT_RETRY_DELAY, Timer::RetryAccept)))
+            }
         }
-        self.take_incoming();
+        self.process_client_events();
         accepted == AcceptOutcome::Drained
     }
 
     /// Tells the module of all whose clients have gone, before it hears of anything that this brings about: a place that
     /// one of them leaves must not go to the next.
-    fn withdraw_gone(&mut self) {
+    fn report_disconnects(&mut self) {
         for incoming in self.clients.pending_events() {
             let ClientEvent::Disconnected(id) = incoming else { continue };
             if let Some(open) = self.requests.get_mut(id).filter(|o| !o.over) {
                 open.over = true;
-                self.events.push_back(Event::ClientDisconnected(*id));
+                self.pending_events.push_back(Event::ClientDisconnected(*id));
             }
         }
     }
 
-    fn take_incoming(&mut self) {
-        self.withdraw_gone();
+    fn process_client_events(&mut self) {
+        self.report_disconnects();
         while let Some(incoming) = self.clients.next_event() {
             match incoming {
                 ClientEvent::Command { id, reply_to: origin, command: call } => {
-                    self.take_call(id, origin, call)
+                    self.open_request(id, origin, call)
                 }
                 ClientEvent::Disconnected(id) => {
-                    self.call_back(id);
-                    self.forget(id);
+                    self.cancel_unsent(id);
+                    self.remove_if_finished(id);
                 }
             }
-            self.pump();
+            self.run_policy();
         }
     }
 
-    fn take_call(&mut self, id: RequestId, origin: ReplyHandle, call: Command) {
+    fn open_request(&mut self, id: RequestId, origin: ReplyHandle, call: Command) {
         // Two with one id could not be told apart by backends and clients, and the first one came in good faith.
         let name = self.hasher.hash_one(call.client_request_id());
-        if self.names.contains(&name) {
+        if self.known_id_hashes.contains(&name) {
             return self.clients.reject(origin, "the id is not new");
         }
         let size = call.memory_size();
-        if self.now >= self.last_at {
+        if self.now >= self.reply_deadline {
             // There is no time left to serve it in, but it is answered: it never ran.
             return self.clients.reply(origin, b"-BUSY\r\n");
         }
-        if self.requests.len() >= self.limits.max_open_requests as usize || self.held + size > self.memory {
+        if self.requests.len() >= self.limits.max_open_requests as usize
+            || self.request_memory + size > self.max_request_memory
+        {
             // Never let in, so trying again is harmless.
             return self.clients.reply(origin, b"-BUSY\r\n");
         }
         // The module's deadline is a little before the client's: the last answer has a way to go.
-        let wait = call.timeout.min(LONGEST_WAIT);
-        let early = (2 * self.tick + ON_THE_WAY).min(wait / 4);
+        let wait = call.timeout.min(MAX_CLIENT_TIMEOUT);
+        let early = (2 * self.tick + REPLY_TRANSIT_TIME).min(wait / 4);
         let mut request = call.request;
         (request.id, request.deadline) = (id, self.now + wait - early);
-        self.timers.push(Reverse((request.deadline + early, Due::Overdue(id))));
-        self.held += size;
+        self.timers.push(Reverse((request.deadline + early, Timer::ClientDeadline(id))));
+        self.request_memory += size;
         let (deadline, attempts) = (request.deadline, Vec::new());
-        self.names.insert(name);
-        self.requests.insert(id, Open { call, name, origin, deadline, attempts, over: false });
-        self.events.push_back(Event::Request(request));
+        self.known_id_hashes.insert(name);
+        self.requests.insert(id, OpenRequest { call, name, origin, deadline, attempts, over: false });
+        self.pending_events.push_back(Event::Request(request));
     }
 
     // ---- Time ----
 
-    fn fire(&mut self) {
+    fn run_due_timers(&mut self) {
         // Those set in this turn come in a later one.
         let mut due = Vec::new();
         while self.timers.peek().is_some_and(|t| t.0 .0 <= self.now) {
@@ -546,18 +556,18 @@
         }
         for one in due {
             match one {
-                Due::Module(token) => self.events.push_back(Event::Timer(token)),
-                Due::Expire(id, attempt) => self.expire(id, attempt),
-                Due::Overdue(id) => self.overdue(id),
-                Due::Connect(link) => self.backends.on_connect_timeout(link),
-                Due::Probe(link, backend, began) => {
+                Timer::Policy(token) => self.pending_events.push_back(Event::Timer(token)),
+                Timer::AttemptTimeout(id, attempt) => self.time_out_attempt(id, attempt),
+                Timer::ClientDeadline(id) => self.fail_unanswered(id),
+                Timer::ConnectTimeout(link) => self.backends.on_connect_timeout(link),
+                Timer::HealthCheckTimeout(link, backend, began) => {
                     if let Some(command) = self.backends.cancel(link) {
                         let outcome = match command {
                             CommandState::Sent => Outcome::TimedOut,
                             CommandState::Unsent => Outcome::ConnectFailed,
                         };
                         let took = self.now - began;
-                        self.events.push_back(Event::HealthCheckEnded {
+                        self.pending_events.push_back(Event::HealthCheckEnded {
                             backend,
                             outcome,
                             elapsed: took,
@@ -565,23 +575,23 @@
                         });
                     }
                 }
-                Due::Sweep => {
+                Timer::Sweep => {
                     self.backends.sweep(self.now);
                     self.clients.close_expired(self.now);
-                    while self.ended.front().is_some_and(|e| e.0 <= self.now) {
-                        self.ended.pop_front().map(|e| self.names.remove(&e.1));
+                    while self.ended_ids.front().is_some_and(|e| e.0 <= self.now) {
+                        self.ended_ids.pop_front().map(|e| self.known_id_hashes.remove(&e.1));
                     }
-                    self.timers.push(Reverse((self.now + SWEEP, Due::Sweep)));
+                    self.timers.push(Reverse((self.now + SWEEP_INTERVAL, Timer::Sweep)));
                 }
-                Due::Accept => drop(self.accept()),
-                Due::Reload => self.reload(),
-                Due::Close => {
+                Timer::RetryAccept => drop(self.accept()),
+                Timer::Reload => self.reload(),
+                Timer::StopAccepting => {
                     // Those that the kernel took in meanwhile are ours as well: with the port, all that still wait
                     // would be reset, and what they had asked for lost.
                     let mut more = !self.accept();
-                    let coming = more || self.now < self.clients.last_accepted_at + STILL_COMING;
-                    let coming = coming && self.now + STILL_ACCEPTING < self.last_at;
-                    for _ in 0..MOST_LAST_ACCEPTS {
+                    let coming = more || self.now < self.clients.last_accepted_at + ACCEPTING_QUIET_TIME;
+                    let coming = coming && self.now + MIN_ACCEPTING_TIME < self.reply_deadline;
+                    for _ in 0..MAX_FINAL_ACCEPTS {
                         if coming || !more {
                             break;
                         }
@@ -590,24 +600,25 @@
                     let accepting = if coming { Accepting::Continue } else { Accepting::Stop };
                     self.clients.drain(self.now, accepting);
                     if coming {
-                        self.timers.push(Reverse((self.now + LOOK_AGAIN, Due::Close)));
+                        self.timers
+                            .push(Reverse((self.now + ACCEPTING_CHECK_INTERVAL, Timer::StopAccepting)));
                     } else {
-                        self.closing_since = Some(self.now);
+                        self.draining_since = Some(self.now);
                     }
-                    self.take_incoming();
+                    self.process_client_events();
                 }
-                Due::Last => {
+                Timer::ReplyDeadline => {
                     let open: Vec<RequestId> = self.requests.keys().copied().collect();
-                    open.into_iter().for_each(|id| self.overdue(id));
+                    open.into_iter().for_each(|id| self.fail_unanswered(id));
                 }
             }
-            self.pump();
+            self.run_policy();
         }
     }
 
     /// A connection is up, or has room, and nothing of its command is written yet: what that says of the time left was true
     /// when the connection was begun, up to the time-out for connecting ago.
-    fn tell_what_is_left(&mut self, key: usize) {
+    fn update_remaining_time(&mut self, key: usize) {
         let Some(Assignment::Attempt { id, attempt }) = self.backends.not_yet_written(key) else {
             return;
         };
@@ -618,57 +629,64 @@
     }
 
     /// Gives an attempt up whose time is over. It may have run only if its last byte was written.
-    fn expire(&mut self, id: RequestId, attempt: u16) {
+    fn time_out_attempt(&mut self, id: RequestId, attempt: u16) {
         let outcome = |command| match command {
             CommandState::Sent => Outcome::TimedOut,
             CommandState::Unsent => Outcome::ConnectFailed,
         };
-        self.abandon(id, attempt, outcome);
+        self.cancel_attempt(id, attempt, outcome);
     }
 
-    fn abandon(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(CommandState) -> Outcome) {
+    fn cancel_attempt(&mut self, id: RequestId, attempt: u16, outcome: impl Fn(CommandState) -> Outcome) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(usize::from(attempt)) else { return };
         let Some(command) = a.link.and_then(|link| self.backends.cancel(link)) else { return };
         a.link = None;
         let who = (a.backend, a.began);
-        self.events.push_back(settled(id, attempt, who, outcome(command), open.over, self.clock.now()));
-        self.forget(id);
+        self.pending_events.push_back(attempt_ended(
+            id,
+            attempt,
+            who,
+            outcome(command),
+            open.over,
+            self.clock.now(),
+        ));
+        self.remove_if_finished(id);
     }
 
     /// A request without its final answer when the client's time is over is failed: the module should never let it
     /// come to this, but no client is left without a word.
-    fn overdue(&mut self, id: RequestId) {
+    fn fail_unanswered(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| !o.over) {
-            self.answer(id, b"-ERR failed\r\n");
-            self.events.push_back(Event::ClientDisconnected(id));
+            self.reply(id, b"-ERR failed\r\n");
+            self.pending_events.push_back(Event::ClientDisconnected(id));
         }
     }
 
     // ---- What the module asks for ----
 
     /// Feeds what has come and carries out what is asked, until neither leaves anything.
-    fn pump(&mut self) {
+    fn run_policy(&mut self) {
         loop {
             for completion in self.backends.take_completions() {
-                self.finish(completion);
+                self.complete(completion);
             }
-            let Some(event) = self.events.pop_front() else { return };
+            let Some(event) = self.pending_events.pop_front() else { return };
             let mut actions = std::mem::take(&mut self.actions);
             self.gateway.handle(self.now, event, &mut actions);
-            actions.drain(..).for_each(|action| self.carry_out(action));
+            actions.drain(..).for_each(|action| self.execute(action));
             self.actions = actions;
         }
     }
 
     /// An attempt or a probe has ended.
-    fn finish(&mut self, completion: Completion) {
+    fn complete(&mut self, completion: Completion) {
         let Completion { assignment, backend, outcome, started_at, load_report, value } = completion;
         let took = self.clock.now().saturating_sub(started_at);
         let (id, attempt) = match assignment {
             Assignment::Attempt { id, attempt } => (id, attempt),
             Assignment::HealthCheck => {
-                return self.events.push_back(Event::HealthCheckEnded {
+                return self.pending_events.push_back(Event::HealthCheckEnded {
                     backend,
                     outcome,
                     elapsed: took,
@@ -681,11 +699,11 @@
             a.link = None;
         }
         if outcome == Outcome::Ok {
-            self.answer(id, &value); // the first one is the final answer
+            self.reply(id, &value); // the first one is the final answer
         }
         let complete = self.requests.get(&id).map_or(true, |o| o.over);
         let (metered, charged) = (None, None);
-        self.events.push_back(Event::AttemptEnded {
+        self.pending_events.push_back(Event::AttemptEnded {
             id,
             attempt,
             backend,
@@ -696,44 +714,51 @@
             charged_units: charged,
             load_report,
         });
-        self.forget(id);
+        self.remove_if_finished(id);
     }
 
     /// Gives the final answer, once.
-    fn answer(&mut self, id: RequestId, text: &[u8]) {
+    fn reply(&mut self, id: RequestId, text: &[u8]) {
         if let Some(open) = self.requests.get_mut(&id).filter(|o| !o.over) {
             open.over = true;
             self.clients.reply(open.origin, text);
         }
-        self.call_back(id);
-        self.forget(id);
+        self.cancel_unsent(id);
+        self.remove_if_finished(id);
     }
 
     /// Ends what is still to be written of a request that is over, whether or not work may be cancelled: nobody waits
     /// for it, and a backend that never got it has nothing to cancel.
-    fn call_back(&mut self, id: RequestId) {
+    fn cancel_unsent(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id).filter(|o| o.over) else { return };
         for (n, a) in (0u16..).zip(&mut open.attempts) {
             if let Some(link) = a.link.filter(|link| self.backends.is_unsent(*link)) {
                 self.backends.cancel(link);
                 a.link = None;
                 let who = (a.backend, a.began);
-                self.events.push_back(settled(id, n, who, Outcome::NotSent, true, self.clock.now()));
+                self.pending_events.push_back(attempt_ended(
+                    id,
+                    n,
+                    who,
+                    Outcome::NotSent,
+                    true,
+                    self.clock.now(),
+                ));
             }
         }
     }
 
     /// Forgets a request that is over and has nothing out any more.
-    fn forget(&mut self, id: RequestId) {
+    fn remove_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(|o| o.over && !o.out()) {
             if let Some(open) = self.requests.remove(&id) {
-                self.held -= open.call.memory_size();
-                self.ended.push_back((self.now + ID_KNOWN, open.name));
+                self.request_memory -= open.call.memory_size();
+                self.ended_ids.push_back((self.now + ENDED_ID_RETENTION, open.name));
             }
         }
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn execute(&mut self, action: Action) {
         match action {
             Action::Send { id, backend, expires_at: expires } => self.send(id, backend, expires),
             Action::Reject { id, retry_after: pause } => {
@@ -744,19 +769,19 @@
                     _ => write!(rest, "-BUSY {}\r\n", pause.div_ceil(1000)),
                 };
                 let left = rest.len();
-                self.answer(id, &text[..40 - left]);
+                self.reply(id, &text[..40 - left]);
             }
-            Action::Fail(id) => self.answer(id, b"-ERR failed\r\n"),
-            Action::Cancel { id, attempt } => self.abandon(id, attempt, |_| Outcome::Cancelled),
+            Action::Fail(id) => self.reply(id, b"-ERR failed\r\n"),
+            Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt, |_| Outcome::Cancelled),
             Action::SetTimer { delay, token } => {
-                self.timers.push(Reverse((self.now.saturating_add(delay), Due::Module(token))));
+                self.timers.push(Reverse((self.now.saturating_add(delay), Timer::Policy(token))));
             }
             Action::SendToPeer { to, bytes } => {
                 if let Some(peers) = &self.peers {
                     peers.send(to, &bytes);
                 }
             }
-            Action::CheckHealth(backend) => self.probe(backend),
+            Action::CheckHealth(backend) => self.check_health(backend),
             Action::CloseIdleConnections(backend) => self.backends.close_idle(backend),
             // The watch is always on: a real ingress must keep one in any case.
             Action::WatchEndpoints(_) => {}
@@ -764,7 +789,7 @@
             // There is no counter among the real ingresses: nothing was added.
             Action::IncrementCounter { name, .. } => {
                 let (outcome, total) = (Outcome::ConnectFailed, 0.0);
-                self.events.push_back(Event::CounterUpdated { name, outcome, total });
+                self.pending_events.push_back(Event::CounterUpdated { name, outcome, total });
             }
             Action::Log(text) => crate::log(&text),
         }
@@ -773,7 +798,7 @@
     fn send(&mut self, id: RequestId, backend: BackendId, expires: Micros) {
         let Some(open) = self.requests.get_mut(&id) else {
             // Ended and forgotten: there is no attempt to count.
-            return self.events.push_back(settled(
+            return self.pending_events.push_back(attempt_ended(
                 id,
                 0,
                 (backend, self.now),
@@ -787,13 +812,14 @@
         let until = if expires == 0 { open.deadline } else { expires.min(open.deadline) };
         open.attempts.push(Attempt { backend, began: self.now, until, link: None });
         if open.over || until <= self.now || number >= self.limits.max_attempts as usize {
-            let event = settled(id, attempt, (backend, self.now), Outcome::NotSent, open.over, self.now);
-            return self.events.push_back(event);
+            let event =
+                attempt_ended(id, attempt, (backend, self.now), Outcome::NotSent, open.over, self.now);
+            return self.pending_events.push_back(event);
         }
-        if !self.make_room(backend) {
+        if !self.reserve_descriptor(backend) {
             let outcome = Outcome::ConnectFailed;
-            let event = settled(id, attempt, (backend, self.now), outcome, false, self.now);
-            return self.events.push_back(event);
+            let event = attempt_ended(id, attempt, (backend, self.now), outcome, false, self.now);
+            return self.pending_events.push_back(event);
         }
         let (registry, assignment, wait) =
             (self.poll.registry(), Assignment::Attempt { id, attempt }, until - self.now);
@@ -807,28 +833,28 @@
         if let Some(assigned) = begun {
             let (link, unsent) = (assigned.connection, assigned.command == CommandState::Unsent);
             open.attempts[number].link = Some(link);
-            self.timers.push(Reverse((until, Due::Expire(id, attempt))));
+            self.timers.push(Reverse((until, Timer::AttemptTimeout(id, attempt))));
             if unsent {
-                self.timers.push(Reverse((self.now + self.connect_timeout, Due::Connect(link))));
+                self.timers.push(Reverse((self.now + self.connect_timeout, Timer::ConnectTimeout(link))));
             }
         }
     }
 
     /// Whether work for a backend has a descriptor, if need be by closing an idle connection.
-    fn make_room(&mut self, backend: BackendId) -> bool {
+    fn reserve_descriptor(&mut self, backend: BackendId) -> bool {
         if !self.backends.needs_connection(backend, self.clock.now()) {
             return true;
         }
-        if self.backends.len() >= self.sockets * MOST_EIGHTHS / 8 {
+        if self.backends.len() >= self.max_connections * MAX_SHARE_EIGHTHS / 8 {
             return self.backends.close_longest_idle();
         }
-        !self.full() || self.backends.close_longest_idle() || self.clients.close_oldest_idle(self.now)
+        !self.is_full() || self.backends.close_longest_idle() || self.clients.close_oldest_idle(self.now)
     }
 
-    fn probe(&mut self, backend: BackendId) {
-        if !self.make_room(backend) {
+    fn check_health(&mut self, backend: BackendId) {
+        if !self.reserve_descriptor(backend) {
             let (outcome, took) = (Outcome::ConnectFailed, 0);
-            return self.events.push_back(Event::HealthCheckEnded {
+            return self.pending_events.push_back(Event::HealthCheckEnded {
                 backend,
                 outcome,
                 elapsed: took,
@@ -843,7 +869,7 @@
         let begun =
             self.backends.assign(self.poll.registry(), backend, Assignment::HealthCheck, self.now, fill);
         if let Some(assigned) = begun {
-            let due = Due::Probe(assigned.connection, backend, self.now);
+            let due = Timer::HealthCheckTimeout(assigned.connection, backend, self.now);
             self.timers.push(Reverse((self.now + self.connect_timeout, due)));
         }
     }
@@ -851,27 +877,27 @@
     // ---- The end ----
 
     /// Whether all that was taken is answered, and nobody is left who might say more.
-    fn may_exit(&mut self) -> bool {
-        if !self.is_done() {
+    fn can_exit(&mut self) -> bool {
+        if !self.is_drained() {
             return false;
         }
         // What clients have said by now was taken, though nobody has read it yet: it is answered before the end.
         self.clients.read_all(self.now);
-        self.take_incoming();
+        self.process_client_events();
         self.clients.flush(self.now);
-        self.take_incoming();
-        self.is_done()
+        self.process_client_events();
+        self.is_drained()
     }
 
-    fn is_done(&self) -> bool {
-        let Some(since) = self.closing_since else { return false };
+    fn is_drained(&self) -> bool {
+        let Some(since) = self.draining_since else { return false };
         if self.requests.values().any(|o| !o.over) || self.clients.has_pending_work() {
             return false;
         }
         let waited = self.now - since;
         // Half a request, or answers that nobody reads, must not keep it until it is killed.
-        let quiet = waited > LAST_WAIT && self.clients.busy_count() == 0;
-        self.clients.len() == 0 || quiet || waited > LAST_READ || self.now >= self.last_at
+        let quiet = waited > DRAINING_IDLE_CLIENT_TIME && self.clients.busy_count() == 0;
+        self.clients.len() == 0 || quiet || waited > MAX_DRAINING_TIME || self.now >= self.reply_deadline
     }
 }
 
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -39,9 +39,9 @@
     while ingress.clients.idle_count() > 0 {
         ingress.clients.read_all(ingress.now);
     }
-    (ingress.stopping, ingress.closing_since) = (true, Some(ingress.now - LAST_READ - 1));
+    (ingress.shutting_down, ingress.draining_since) = (true, Some(ingress.now - MAX_DRAINING_TIME - 1));
     client.write_all(b"NG\r\n").unwrap();
-    ingress.may_exit();
+    ingress.can_exit();
     let mut answer = [0; 7];
     client.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
     client.read_exact(&mut answer).expect("an answer before the end");
@@ -57,11 +57,11 @@
     let mut clients: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
     clients.iter_mut().for_each(|c| c.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
     // Told to stop; the time of accepting has run out by the next turn.
-    (ingress.stopping, ingress.last_at) = (true, ingress.now + STILL_ACCEPTING);
-    ingress.timers.push(Reverse((ingress.now, Due::Close)));
-    while ingress.closing_since.is_none() {
-        ingress.now += LOOK_AGAIN;
-        ingress.turn(&mut []);
+    (ingress.shutting_down, ingress.reply_deadline) = (true, ingress.now + MIN_ACCEPTING_TIME);
+    ingress.timers.push(Reverse((ingress.now, Timer::StopAccepting)));
+    while ingress.draining_since.is_none() {
+        ingress.now += ACCEPTING_CHECK_INTERVAL;
+        ingress.process_ready(&mut []);
     }
     ingress.clients.read_all(ingress.now);
     ingress.clients.flush(ingress.now);
@@ -80,7 +80,8 @@
     while ingress.clients.len() == 0 {
         ingress.accept();
     }
-    (ingress.stopping, ingress.closing_since, ingress.last_at) = (true, Some(ingress.now), ingress.now);
+    (ingress.shutting_down, ingress.draining_since, ingress.reply_deadline) =
+        (true, Some(ingress.now), ingress.now);
     let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
     let mut call = Vec::new();
     resp::write_array_header(&mut call, 4);
@@ -88,7 +89,7 @@
         resp::write_bulk_string(&mut call, &[word.as_bytes()]);
     }
     client.write_all(&call).unwrap();
-    ingress.may_exit();
+    ingress.can_exit();
     let mut answer = [0; 7];
     client.read_exact(&mut answer).unwrap();
     assert_eq!((&answer, ingress.requests.len()), (b"-BUSY\r\n", 0));
@@ -176,7 +177,7 @@
                 return;
             }
             let mut ready = self.gather(|_| true);
-            self.ingress.turn(&mut ready);
+            self.ingress.process_ready(&mut ready);
             self.accept();
         }
         panic!("never: {what}");
@@ -209,7 +210,7 @@
         for _ in 0..turns {
             self.ingress.now += self.ingress.tick;
             let mut ready = self.gather(|_| true);
-            self.ingress.turn(&mut ready);
+            self.ingress.process_ready(&mut ready);
             all += self.commands();
         }
         all
@@ -245,7 +246,7 @@
         }
         let mut ready = stage.gather(|ready| ready.iter().any(|r| r.0 .0 >= FIRST && r.0 .0 % 2 == 1));
         ready.extend(stage.all_left(vec![client], half));
-        stage.ingress.turn(&mut ready);
+        stage.ingress.process_ready(&mut ready);
         assert_eq!((first, stage.goes_on(200)), (1, 0), "cancel {cancel}, half {half}");
     }
 }
@@ -267,7 +268,7 @@
         begun += stage.goes_on(1);
         assert!((1..22).contains(&begun), "{begun} begun");
         let mut ready = stage.all_left(clients, half);
-        stage.ingress.turn(&mut ready);
+        stage.ingress.process_ready(&mut ready);
         assert_eq!(stage.goes_on(200), 0, "cancel {cancel}, half {half}");
     }
 }
@@ -282,7 +283,7 @@
         stage.turns("the client is in", |s| s.ingress.clients.len() > before);
         client.write_all(&Stage::call(1)).unwrap();
         let mut ready = stage.all_left(vec![client], half);
-        stage.ingress.turn(&mut ready);
+        stage.ingress.process_ready(&mut ready);
         assert_eq!(stage.goes_on(50), 0, "half {half}");
     }
 }
@@ -295,7 +296,7 @@
         let (client, first) = stage.begun();
         let mut ready = stage.all_left(vec![client], false);
         stage.ingress.now += 300_000; // past the time after which silence is answered by a second copy
-        stage.ingress.turn(&mut ready);
+        stage.ingress.process_ready(&mut ready);
         assert_eq!((first, stage.goes_on(100)), (1, 0), "cancel {cancel}");
     }
 }
