Split the tests' support module by concern

Moved as they were: wait, address, resp, client, backend, discovery and ingress are modules of their own, and each test file names what it uses. No name is changed.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -7,7 +7,11 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
-use support::*;
+use support::backend::{serve, Backend, Unreached};
+use support::client::{call, leave};
+use support::discovery::{entry, Discovery};
+use support::ingress::Setup;
+use support::wait::until;
 
 /// Settings under which a connection may take its time, so that it is surely still to come up at the crossing.
 fn patient(mut setup: Setup) -> Setup {
--- a/tests/crowded.rs
+++ b/tests/crowded.rs
@@ -5,7 +5,12 @@
 
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
-use support::*;
+use support::backend::{serve, Backend};
+use support::client::call;
+use support::discovery::Discovery;
+use support::ingress::{Ingress, Setup};
+use support::resp::command;
+use support::wait::until;
 
 /// More than there are descriptors.
 const CROWD: usize = 300;
--- a/tests/ingress.rs
+++ b/tests/ingress.rs
@@ -6,7 +6,13 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
-use support::*;
+use support::address::place;
+use support::backend::{serve, served, Act, Backend, Unreached};
+use support::client::{call, call_of, leave, Client};
+use support::discovery::{entry, Discovery};
+use support::ingress::{own_program, Ingress, Setup};
+use support::resp::command;
+use support::wait::{until, LONG};
 
 fn refused(answer: &str) -> bool {
     answer.starts_with("-BUSY")
