Split the ingress program's tests by concern

It is the test target ingress still, now the folder tests/ingress with a module for each concern; tests are moved as they were.

--- /dev/null
+++ b/tests/ingress/main.rs
@@ -0,0 +1,17 @@
+//! The real ingress by its sockets: the built binary between small backends, discovery, peers and clients.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod backend_connections;
+mod client_connections;
+mod discovery;
+mod forwarding;
+mod peers;
+mod protocol_errors;
+mod reload;
+mod requests;
+mod resource_limits;
+mod retry;
+mod shutdown;
+mod startup;
