Split the tests of the decisions by concern, and share their driven gateway

It becomes the test target gateway, the folder tests/gateway with a module for each concern; the driven gateway, the driven fleet and their settings are support::gateway. Tests are moved as they were. Where each went: admission: a_request_with_next_to_no_time_left_..., what_a_stall_outlasted_..., a_request_whose_client_has_left_..., an_end_that_races_..., hostile_input_... retry: an_unsafe_request_* (2), a_keyed_retry_* (3), a_hundred_gateways_do_not_double_the_load_... load_balancing: a_drained_backend_..., a_cold_backend_..., where_backends_are_many_... outlier_detection: waking_from_a_stall_..., silence_to_one_class_..., a_hundred_gateways_learn_... load_shedding: the_ladder_* (2), backends_that_are_left_..., a_full_bound_... rate_quota: a_request_inside_the_quota_..., a_request_under_anothers_plan_..., a_quota_holds_..., a_hundred_gateways_that_start_..., gateways_that_start_together_..., a_customer_that_comes_back_... concurrency_quota: an_open_cap_..., an_attempt_of_a_capped_customer_..., of_capped_customers_..., a_capped_customer_..., questions_on_a_customer_... hard_limit: silence_and_restarts_..., a_busy_gateway_.... gossip: gossip_* (2)

--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,14 @@
+//! The module by events and actions: no bench, no simulator.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod admission;
+mod concurrency_quota;
+mod gossip;
+mod hard_limit;
+mod load_balancing;
+mod load_shedding;
+mod outlier_detection;
+mod rate_quota;
+mod retry;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod client;
 pub mod discovery;
+pub mod gateway;
 pub mod ingress;
 pub mod resp;
 pub mod wait;
