Give clock, timers and sources of the event loop types and files of their own

The loop told sockets apart by the numbers 0 to 4 and by even and odd, in four places, and pushed pairs of time and timer onto a heap.

Source turns a Token into Listener, Signals, Discovery, Peers, Client or Backend and back, with the same numbers; ReadySocket replaces a triple; TimerQueue and Clock have their files. Tests pin the numbers and the order of timers that are due at the same time.

--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -2,7 +2,10 @@
 //! and owns the open requests and the timers. It decides nothing: no backend, no further attempt, no refusal but
 //! where a limit of the settings leaves no room to ask the module.
 
+mod clock;
 mod error;
+mod source;
+mod timer_queue;
 
 use crate::backends::{Assignment, Backends, CommandState, Completion, ConnectionId, Readiness};
 use crate::clients::{AcceptOutcome, Accepting, Capacity, ClientEvent, Clients, ReplyHandle};
@@ -12,29 +15,24 @@
 use crate::peers::{Backlog, PeerSocket};
 use crate::reload::{Reload, ReloadOutcome};
 use crate::resp;
+use clock::Clock;
 pub use error::EventLoopError;
 use ingress::backoff::Backoff;
 use ingress::{
     Action, BackendId, Discovery, EndpointUpdate, Event, Gateway, Limits, Micros, Outcome, RequestId,
 };
 use mio::net::TcpListener;
-use mio::{Events, Interest, Poll, Token};
+use mio::{Events, Interest, Poll};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use std::cmp::Reverse;
+use source::{ReadySocket, Source};
 use std::collections::hash_map::RandomState;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::BuildHasher;
 use std::io;
 use std::io::Write;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-
-const LISTENER: Token = Token(0);
-const SIGNALS: Token = Token(1);
-const DISCOVERY: Token = Token(2);
-const PEERS: Token = Token(3);
-/// From here on, even tokens are clients and odd ones backends.
-const FIRST: usize = 4;
+use std::time::Duration;
+use timer_queue::{Timer, TimerQueue};
 
 /// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery,
 /// peers, and some to spare for what is opened before another is closed.
@@ -73,47 +71,6 @@
 /// What an answer may take on its way to the client, besides two ticks.
 const REPLY_TRANSIT_TIME: Micros = 2_000;
 
-/// The clock: monotonic, but counted from the same moment as Unix time, since backends' starts are told in that
-/// and peers compare theirs. It is set once; later steps of the system's clock do not reach it.
-struct Clock {
-    start: Instant,
-    offset: Micros,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), offset: unix.as_micros() as Micros }
-    }
-
-    fn now(&self) -> Micros {
-        self.offset + self.start.elapsed().as_micros() as Micros
-    }
-}
-
-/// What falls due at a time.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    /// The module's.
-    Policy(u32),
-    /// An attempt is given up.
-    AttemptTimeout(RequestId, u16),
-    /// A client's time is over.
-    ClientDeadline(RequestId),
-    /// A connection should be up, and the command written.
-    ConnectTimeout(ConnectionId),
-    /// A probe is given up.
-    HealthCheckTimeout(ConnectionId, BackendId, Micros),
-    Sweep,
-    RetryAccept,
-    /// The configuration is to be read again.
-    Reload,
-    /// The time of accepting while stopping is over.
-    StopAccepting,
-    /// The time of answering while stopping is over.
-    ReplyDeadline,
-}
-
 struct Attempt {
     backend: BackendId,
     began: Micros,
@@ -168,7 +125,7 @@
     hasher: RandomState,
     /// The memory of the open requests.
     request_memory: usize,
-    timers: BinaryHeap<Reverse<(Micros, Timer)>>,
+    timers: TimerQueue,
     accept_pending: bool,
     peer_messages_pending: bool,
     /// How long it serves once told to stop.
@@ -223,12 +180,12 @@
         let mut listener =
             TcpListener::bind(address).map_err(|source| EventLoopError::Listen { address, source })?;
         let registered = registry
-            .register(&mut listener, LISTENER, Interest::READABLE)
-            .and_then(|()| registry.register(&mut signals, SIGNALS, Interest::READABLE));
+            .register(&mut listener, Source::Listener.into(), Interest::READABLE)
+            .and_then(|()| registry.register(&mut signals, Source::Signals.into(), Interest::READABLE));
         registered.map_err(EventLoopError::Poll)?;
         let peers = config.peers.map(|addresses| {
             let address = addresses.listen_address;
-            PeerSocket::bind(addresses, registry, PEERS)
+            PeerSocket::bind(addresses, registry, Source::Peers.into())
                 .map_err(|source| EventLoopError::BindPeers { address, source })
         });
         let peers = peers.transpose()?;
@@ -268,14 +225,14 @@
                 listener,
                 config.command_schema,
                 config.max_memory / MEMORY_DIVISOR,
-                |key| Token(FIRST + 2 * key),
+                |key| Source::Client(key).into(),
             ),
-            backends: Backends::new(config.keepalive_timeout, |key| Token(FIRST + 1 + 2 * key)),
+            backends: Backends::new(config.keepalive_timeout, |key| Source::Backend(key).into()),
             watch: Watch::new(
                 config.discovery_address,
                 config.location_names,
                 config.cached_endpoints.index,
-                DISCOVERY,
+                Source::Discovery.into(),
                 watch_options,
             ),
             reload,
@@ -286,7 +243,7 @@
             ended_ids: VecDeque::new(),
             hasher: RandomState::new(),
             request_memory: 0,
-            timers: BinaryHeap::from([Reverse((now + SWEEP_INTERVAL, Timer::Sweep))]),
+            timers: TimerQueue::default(),
             accept_pending: false,
             peer_messages_pending: false,
             reply_time: longest.min(MAX_REPLY_DEADLINE) + REPLY_MARGIN,
@@ -294,6 +251,7 @@
             shutting_down: false,
             draining_since: None,
         };
+        event_loop.timers.schedule(now + SWEEP_INTERVAL, Timer::Sweep);
         event_loop.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
         event_loop.run_policy();
         crate::log(&format!("listening at {}", address));
@@ -305,7 +263,7 @@
         // All that is ready comes in one turn: one that left must not be behind another's answer.
         let mut events =
             Events::with_capacity(self.max_connections + RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS);
-        let mut ready: Vec<(Token, bool, bool)> = Vec::new();
+        let mut ready: Vec<ReadySocket> = Vec::new();
         loop {
             let timeout = self.timeout();
             match self.poll.poll(&mut events, Some(timeout)) {
@@ -319,9 +277,7 @@
                 self.now = clock;
             }
             ready.clear();
-            ready.extend(
-                events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
-            );
+            ready.extend(events.iter().map(ReadySocket::from));
             self.process_ready(&mut ready);
             if self.shutting_down
                 && (self.can_exit() || self.now >= self.reply_deadline.saturating_add(EXIT_MARGIN))
@@ -341,52 +297,29 @@
             return Duration::from_micros(self.tick);
         }
         // Nothing falls due before there is a new clock.
-        let timer = self.timers.peek().map_or(Micros::MAX, |t| t.0 .0).min(self.watch.next_timer_at);
+        let timer = self.timers.next_due_at().unwrap_or(Micros::MAX).min(self.watch.next_timer_at);
         Duration::from_micros(timer.max(self.now + self.tick).saturating_sub(self.clock.now()))
     }
 
     /// One turn: all that came is read with one clock. Discovery comes first, so that a drain that has been told
     /// reaches the module before any send; answers come before the timers that would call them missing.
-    fn process_ready(&mut self, ready: &mut [(Token, bool, bool)]) {
+    fn process_ready(&mut self, ready: &mut [ReadySocket]) {
         // Before all else: whatever comes in this turn, and whatever is due, begins nothing for a client that has gone.
-        for &(token, _, closed) in ready.iter() {
-            if closed && token.0 >= FIRST && (token.0 - FIRST) % 2 == 0 {
-                self.clients.on_disconnect((token.0 - FIRST) / 2);
+        for socket in ready.iter().filter(|socket| socket.closed) {
+            if let Source::Client(key) = socket.source() {
+                self.clients.on_disconnect(key);
             }
         }
         self.report_disconnects();
-        ready.sort_unstable_by_key(|r| match r.0 {
-            DISCOVERY => 0,
-            Token(t) if t >= FIRST && t % 2 == 1 => 1,
-            PEERS => 2,
-            _ => 3,
-        });
-        self.poll_discovery(ready.first().is_some_and(|r| r.0 == DISCOVERY));
+        ready.sort_unstable_by_key(ReadySocket::processing_order);
+        self.poll_discovery(ready.first().is_some_and(|socket| socket.source() == Source::Discovery));
         if std::mem::take(&mut self.peer_messages_pending) {
             self.receive_peer_messages();
         }
         self.clients.resume_reads(self.now);
         self.process_client_events();
-        for &(token, writable, closed) in ready.iter() {
-            match token {
-                DISCOVERY => {}
-                LISTENER => self.accept_pending = true,
-                SIGNALS => self.handle_signals(),
-                PEERS => self.receive_peer_messages(),
-                Token(t) if (t - FIRST) % 2 == 1 => {
-                    if writable {
-                        self.update_remaining_time((t - FIRST) / 2);
-                    }
-                    // The true time: a connection rests for less than a tick.
-                    let readiness = Readiness { writable, closed };
-                    self.backends.on_ready((t - FIRST) / 2, self.clock.now(), readiness);
-                    self.run_policy();
-                }
-                Token(t) => {
-                    self.clients.on_ready((t - FIRST) / 2, self.now, writable);
-                    self.process_client_events();
-                }
-            }
+        for socket in ready.iter() {
+            self.process_socket(socket);
         }
         if std::mem::take(&mut self.accept_pending) {
             self.accept();
@@ -396,6 +329,28 @@
         self.process_client_events();
     }
 
+    fn process_socket(&mut self, socket: &ReadySocket) {
+        let &ReadySocket { writable, closed, .. } = socket;
+        match socket.source() {
+            Source::Discovery => {}
+            Source::Listener => self.accept_pending = true,
+            Source::Signals => self.handle_signals(),
+            Source::Peers => self.receive_peer_messages(),
+            Source::Backend(key) => {
+                if writable {
+                    self.update_remaining_time(key);
+                }
+                // The exact time: a connection rests for less than a tick.
+                self.backends.on_ready(key, self.clock.now(), Readiness { writable, closed });
+                self.run_policy();
+            }
+            Source::Client(key) => {
+                self.clients.on_ready(key, self.now, writable);
+                self.process_client_events();
+            }
+        }
+    }
+
     // ---- What comes in ----
 
     fn poll_discovery(&mut self, ready: bool) {
@@ -438,9 +393,9 @@
         }
         if came.iter().any(|s| *s != SIGHUP) && !std::mem::replace(&mut self.shutting_down, true) {
             crate::log("stopping: answering what has been taken");
-            self.timers.push(Reverse((self.now + MIN_ACCEPTING_TIME, Timer::StopAccepting)));
+            self.timers.schedule(self.now + MIN_ACCEPTING_TIME, Timer::StopAccepting);
             self.reply_deadline = self.now + self.reply_time;
-            self.timers.push(Reverse((self.reply_deadline, Timer::ReplyDeadline)));
+            self.timers.schedule(self.reply_deadline, Timer::ReplyDeadline);
         }
     }
 
@@ -448,7 +403,7 @@
     fn reload(&mut self) {
         match self.reload.attempt(self.now) {
             ReloadOutcome::Applied(discovery) => self.watch.set_address(discovery, self.now),
-            ReloadOutcome::RetryAt(at) => self.timers.push(Reverse((at, Timer::Reload))),
+            ReloadOutcome::RetryAt(at) => self.timers.schedule(at, Timer::RetryReload),
             ReloadOutcome::NotDue => {}
         }
     }
@@ -481,7 +436,7 @@
             AcceptOutcome::MorePending => self.accept_pending = true,
             // The poll tells of each arrival once: who waits now must not wait for the next one to come.
             AcceptOutcome::NoDescriptor => {
-                self.timers.push(Reverse((self.now + ACCEPT_RETRY_DELAY, Timer::RetryAccept)))
+                self.timers.schedule(self.now + ACCEPT_RETRY_DELAY, Timer::RetryAccept)
             }
         }
         self.process_client_events();
@@ -538,7 +493,7 @@
         let early = (2 * self.tick + REPLY_TRANSIT_TIME).min(wait / 4);
         let mut request = call.request;
         (request.id, request.deadline) = (id, self.now + wait - early);
-        self.timers.push(Reverse((request.deadline + early, Timer::ClientDeadline(id))));
+        self.timers.schedule(request.deadline + early, Timer::ClientDeadline(id));
         self.request_memory += size;
         let (deadline, attempts) = (request.deadline, Vec::new());
         self.known_id_hashes.insert(name);
@@ -550,17 +505,13 @@
 
     fn run_due_timers(&mut self) {
         // Those set in this turn come in a later one.
-        let mut due = Vec::new();
-        while self.timers.peek().is_some_and(|t| t.0 .0 <= self.now) {
-            due.extend(self.timers.pop().map(|t| t.0 .1));
-        }
-        for one in due {
-            match one {
+        for timer in self.timers.take_due(self.now) {
+            match timer {
                 Timer::Policy(token) => self.pending_events.push_back(Event::Timer(token)),
                 Timer::AttemptTimeout(id, attempt) => self.time_out_attempt(id, attempt),
                 Timer::ClientDeadline(id) => self.fail_unanswered(id),
                 Timer::ConnectTimeout(link) => self.backends.on_connect_timeout(link),
-                Timer::HealthCheckTimeout(link, backend, began) => {
+                Timer::HealthCheckTimeout { connection: link, backend, started_at: began } => {
                     if let Some(command) = self.backends.cancel(link) {
                         let outcome = match command {
                             CommandState::Sent => Outcome::TimedOut,
@@ -581,10 +532,10 @@
                     while self.ended_ids.front().is_some_and(|e| e.0 <= self.now) {
                         self.ended_ids.pop_front().map(|e| self.known_id_hashes.remove(&e.1));
                     }
-                    self.timers.push(Reverse((self.now + SWEEP_INTERVAL, Timer::Sweep)));
+                    self.timers.schedule(self.now + SWEEP_INTERVAL, Timer::Sweep);
                 }
                 Timer::RetryAccept => drop(self.accept()),
-                Timer::Reload => self.reload(),
+                Timer::RetryReload => self.reload(),
                 Timer::StopAccepting => {
                     // Those that the kernel took in meanwhile are ours as well: with the port, all that still wait
                     // would be reset, and what they had asked for lost.
@@ -600,8 +551,7 @@
                     let accepting = if coming { Accepting::Continue } else { Accepting::Stop };
                     self.clients.drain(self.now, accepting);
                     if coming {
-                        self.timers
-                            .push(Reverse((self.now + ACCEPTING_CHECK_INTERVAL, Timer::StopAccepting)));
+                        self.timers.schedule(self.now + ACCEPTING_CHECK_INTERVAL, Timer::StopAccepting);
                     } else {
                         self.draining_since = Some(self.now);
                     }
@@ -774,7 +724,7 @@
             Action::Fail(id) => self.reply(id, b"-ERR failed\r\n"),
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt, |_| Outcome::Cancelled),
             Action::SetTimer { delay, token } => {
-                self.timers.push(Reverse((self.now.saturating_add(delay), Timer::Policy(token))));
+                self.timers.schedule(self.now.saturating_add(delay), Timer::Policy(token));
             }
             Action::SendToPeer { to, bytes } => {
                 if let Some(peers) = &self.peers {
@@ -833,9 +783,9 @@
         if let Some(assigned) = begun {
             let (link, unsent) = (assigned.connection, assigned.command == CommandState::Unsent);
             open.attempts[number].link = Some(link);
-            self.timers.push(Reverse((until, Timer::AttemptTimeout(id, attempt))));
+            self.timers.schedule(until, Timer::AttemptTimeout(id, attempt));
             if unsent {
-                self.timers.push(Reverse((self.now + self.connect_timeout, Timer::ConnectTimeout(link))));
+                self.timers.schedule(self.now + self.connect_timeout, Timer::ConnectTimeout(link));
             }
         }
     }
@@ -869,8 +819,9 @@
         let begun =
             self.backends.assign(self.poll.registry(), backend, Assignment::HealthCheck, self.now, fill);
         if let Some(assigned) = begun {
-            let due = Timer::HealthCheckTimeout(assigned.connection, backend, self.now);
-            self.timers.push(Reverse((self.now + self.connect_timeout, due)));
+            let due =
+                Timer::HealthCheckTimeout { connection: assigned.connection, backend, started_at: self.now };
+            self.timers.schedule(self.now + self.connect_timeout, due);
         }
     }
 
--- /dev/null
+++ b/src/bin/ingress/event_loop/source.rs
@@ -0,0 +1,91 @@
+//! The sockets by the tokens that the poll knows them by.
+
+use mio::event::Event;
+use mio::Token;
+
+/// The first token of a connection; from here on, even tokens are clients and odd ones backends.
+const FIRST_CONNECTION: usize = 4;
+
+/// What a token stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The socket at which clients connect.
+    Listener,
+    /// The signals to the process.
+    Signals,
+    /// The connection to discovery.
+    Discovery,
+    /// The socket for messages of peers.
+    Peers,
+    /// The connection of a client, by its key there.
+    Client(usize),
+    /// A connection to a backend, by its key there.
+    Backend(usize),
+}
+
+impl From<Source> for Token {
+    fn from(source: Source) -> Token {
+        match source {
+            Source::Listener => Token(0),
+            Source::Signals => Token(1),
+            Source::Discovery => Token(2),
+            Source::Peers => Token(3),
+            Source::Client(key) => Token(FIRST_CONNECTION + 2 * key),
+            Source::Backend(key) => Token(FIRST_CONNECTION + 2 * key + 1),
+        }
+    }
+}
+
+impl From<Token> for Source {
+    fn from(token: Token) -> Source {
+        match token.0 {
+            0 => Source::Listener,
+            1 => Source::Signals,
+            2 => Source::Discovery,
+            3 => Source::Peers,
+            number if (number - FIRST_CONNECTION) % 2 == 0 => Source::Client((number - FIRST_CONNECTION) / 2),
+            number => Source::Backend((number - FIRST_CONNECTION) / 2),
+        }
+    }
+}
+
+/// A socket that the poll has found ready.
+#[derive(Clone, Copy, Debug)]
+pub struct ReadySocket {
+    token: Token,
+    /// There is room to write.
+    pub writable: bool,
+    /// The other side has ended its sending, or the connection has failed.
+    pub closed: bool,
+}
+
+impl ReadySocket {
+    /// The socket.
+    pub fn source(&self) -> Source {
+        self.token.into()
+    }
+
+    /// Its place in the order in which sockets are handled: what discovery tells before any request is sent, replies
+    /// of backends before what clients send.
+    pub fn processing_order(&self) -> u8 {
+        match self.source() {
+            Source::Discovery => 0,
+            Source::Backend(_) => 1,
+            Source::Peers => 2,
+            Source::Listener | Source::Signals | Source::Client(_) => 3,
+        }
+    }
+}
+
+impl From<&Event> for ReadySocket {
+    fn from(event: &Event) -> ReadySocket {
+        ReadySocket {
+            token: event.token(),
+            writable: event.is_writable(),
+            closed: event.is_read_closed() || event.is_error(),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -58,7 +58,7 @@
     clients.iter_mut().for_each(|c| c.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
     // Told to stop; the time of accepting has run out by the next turn.
     (ingress.shutting_down, ingress.reply_deadline) = (true, ingress.now + MIN_ACCEPTING_TIME);
-    ingress.timers.push(Reverse((ingress.now, Timer::StopAccepting)));
+    ingress.timers.schedule(ingress.now, Timer::StopAccepting);
     while ingress.draining_since.is_none() {
         ingress.now += ACCEPTING_CHECK_INTERVAL;
         ingress.process_ready(&mut []);
@@ -156,13 +156,11 @@
     }
 
     /// What is ready at once, with no turn taken.
-    fn gather(&mut self, until: impl Fn(&[(Token, bool, bool)]) -> bool) -> Vec<(Token, bool, bool)> {
+    fn gather(&mut self, until: impl Fn(&[ReadySocket]) -> bool) -> Vec<ReadySocket> {
         let (mut events, mut ready) = (Events::with_capacity(1024), Vec::new());
         for _ in 0..10_000 {
             self.ingress.poll.poll(&mut events, Some(Duration::from_millis(1))).unwrap();
-            ready.extend(
-                events.iter().map(|e| (e.token(), e.is_writable(), e.is_read_closed() || e.is_error())),
-            );
+            ready.extend(events.iter().map(ReadySocket::from));
             if until(&ready) {
                 return ready;
             }
@@ -217,7 +215,7 @@
     }
 
     /// Lets clients end, and gathers that all of them have: told at once, in the same turn.
-    fn all_left(&mut self, clients: Vec<std::net::TcpStream>, half: bool) -> Vec<(Token, bool, bool)> {
+    fn all_left(&mut self, clients: Vec<std::net::TcpStream>, half: bool) -> Vec<ReadySocket> {
         let n = clients.len();
         if half {
             clients.iter().for_each(|c| c.shutdown(std::net::Shutdown::Write).unwrap());
@@ -225,7 +223,8 @@
         } else {
             drop(clients);
         }
-        self.gather(|ready| ready.iter().filter(|r| r.2 && r.0 .0 >= FIRST && r.0 .0 % 2 == 0).count() >= n)
+        let gone = |socket: &&ReadySocket| socket.closed && matches!(socket.source(), Source::Client(_));
+        self.gather(|ready| ready.iter().filter(gone).count() >= n)
     }
 
     /// Half-closed clients stay to the end of the test.
@@ -244,7 +243,8 @@
         for link in stage.links.iter_mut().flatten() {
             link.write_all(b"-BUSY\r\n").unwrap();
         }
-        let mut ready = stage.gather(|ready| ready.iter().any(|r| r.0 .0 >= FIRST && r.0 .0 % 2 == 1));
+        let replied = |socket: &ReadySocket| matches!(socket.source(), Source::Backend(_));
+        let mut ready = stage.gather(|ready| ready.iter().any(replied));
         ready.extend(stage.all_left(vec![client], half));
         stage.ingress.process_ready(&mut ready);
         assert_eq!((first, stage.goes_on(200)), (1, 0), "cancel {cancel}, half {half}");
--- /dev/null
+++ b/src/bin/ingress/event_loop/timer_queue/tests.rs
@@ -0,0 +1,27 @@
+//! Tests of [`super`].
+
+use super::*;
+
+/// The order decides which of two things happens first: it must not change with the names.
+#[test]
+fn timers_due_at_once_run_in_the_order_of_their_variants() {
+    let mut timers = TimerQueue::default();
+    timers.schedule(5, Timer::ReplyDeadline);
+    timers.schedule(5, Timer::Sweep);
+    timers.schedule(5, Timer::ClientDeadline(RequestId(1)));
+    timers.schedule(5, Timer::AttemptTimeout(RequestId(2), 0));
+    timers.schedule(5, Timer::Policy(9));
+    timers.schedule(4, Timer::StopAccepting);
+    timers.schedule(6, Timer::Policy(1));
+    assert_eq!(timers.next_due_at(), Some(4));
+    let due = timers.take_due(5);
+    let expected = [
+        Timer::StopAccepting,
+        Timer::Policy(9),
+        Timer::AttemptTimeout(RequestId(2), 0),
+        Timer::ClientDeadline(RequestId(1)),
+        Timer::Sweep,
+        Timer::ReplyDeadline,
+    ];
+    assert_eq!((due.as_slice(), timers.next_due_at()), (expected.as_slice(), Some(6)));
+}
