Name the parts of CALL commands by their terms and type their errors

Parsing a command was one function of 80 lines with single letters and errors as texts.

The tests of the program pass.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -474,7 +474,7 @@
                         }
                         Some(Err(why)) => {
                             let mut text = Vec::new();
-                            resp::write_error(&mut text, &why);
+                            resp::write_error(&mut text, &why.to_string());
                             c.answer_now(&text);
                             c.strike();
                         }
--- a/src/bin/ingress/command/tests.rs
+++ b/src/bin/ingress/command/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use ingress::IdempotencyScope;
 
-fn words() -> CommandSchema {
+fn schema() -> CommandSchema {
     let keyed = Idempotency::Keyed { scope: IdempotencyScope::Cell, window: 3_000_000 };
     let classes = vec![
         ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent },
@@ -14,37 +14,40 @@
     CommandSchema { classes, plans, max_units: 4.0, gateway_count: 4 }
 }
 
-fn read(parts: &[&str]) -> Result<Command, String> {
-    let (mut buf, mut args) = (Vec::new(), Vec::new());
-    resp::write_array_header(&mut buf, parts.len());
-    parts.iter().for_each(|p| resp::write_bulk_string(&mut buf, &[p.as_bytes()]));
-    resp::parse_command(&buf, &mut args).unwrap().unwrap();
-    Command::parse(&buf, &args, &words()).unwrap()
+fn parse(parts: &[&str]) -> Result<Command, CommandError> {
+    let (mut buffer, mut arguments) = (Vec::new(), Vec::new());
+    resp::write_array_header(&mut buffer, parts.len());
+    parts.iter().for_each(|part| resp::write_bulk_string(&mut buffer, &[part.as_bytes()]));
+    resp::parse_command(&buffer, &mut arguments).unwrap().unwrap();
+    Command::parse(&buffer, &arguments, &schema()).unwrap()
 }
 
 #[test]
-fn a_call_goes_on_as_it_came_but_for_its_wait() {
+fn a_command_is_forwarded_unchanged_but_for_its_timeout() {
     let options = "c=save,t=business,d=480,k=5c0f,r=1,units=2,spread=3,first=1,new=x";
-    let call = read(&["CALL.POST", "00000000b4d65521", "9b1f", options, "BO\r\nDY"]).unwrap();
-    let r = call.request;
-    assert_eq!((r.class, r.plan, r.customer.0, call.timeout), (1, 1, 0xb4d6_5521, 480_000));
-    assert_eq!(call.client_request_id(), b"9b1f");
-    assert_eq!((r.units, r.gateway_set_size, r.gateway_set_start), (2.0, 3.0, 1.0));
+    let command = parse(&["CALL.POST", "00000000b4d65521", "9b1f", options, "BO\r\nDY"]).unwrap();
+    let request = command.request;
+    assert_eq!(
+        (request.class, request.plan, request.customer.0, command.timeout),
+        (1, 1, 0xb4d6_5521, 480_000)
+    );
+    assert_eq!(command.client_request_id(), b"9b1f");
+    assert_eq!((request.units, request.gateway_set_size, request.gateway_set_start), (2.0, 3.0, 1.0));
     let mut out = Vec::new();
-    call.encode(123_999, &mut out);
-    let want = options.replace("480", "123");
-    let want = format!(
-        "*5\r\n$9\r\nCALL.POST\r\n$16\r\n00000000b4d65521\r\n$4\r\n9b1f\r\n${}\r\n{want}\r\n$6\r\nBO\r\nDY\r\n",
-        want.len()
+    command.encode(123_999, &mut out);
+    let options = options.replace("480", "123");
+    let expected = format!(
+        "*5\r\n$9\r\nCALL.POST\r\n$16\r\n00000000b4d65521\r\n$4\r\n9b1f\r\n${}\r\n{options}\r\n$6\r\nBO\r\nDY\r\n",
+        options.len()
     );
-    assert_eq!(String::from_utf8(out).unwrap(), want);
+    assert_eq!(String::from_utf8(out).unwrap(), expected);
 }
 
 #[test]
-fn what_is_missing_or_bad_is_named() {
-    let good = "c=quote,t=starter,d=480,units=2,spread=3,first=1";
-    assert!(read(&["CALL.GET", "00000000b4d65521", "9b1f", good]).is_ok());
-    for (from, to, want) in [
+fn an_error_names_what_is_missing_or_invalid() {
+    let valid = "c=quote,t=starter,d=480,units=2,spread=3,first=1";
+    assert!(parse(&["CALL.GET", "00000000b4d65521", "9b1f", valid]).is_ok());
+    for (from, to, expected) in [
         ("c=quote", "c=other", "class"),
         ("c=quote", "c=save", "CALL.GET"),
         ("t=starter", "t=gold", "plan"),
@@ -64,13 +67,18 @@
         (",first=1", ",first", "'='"),
         ("units=2", "units=2,units=3", "twice"),
     ] {
-        let err = read(&["CALL.GET", "00000000b4d65521", "9b1f", &good.replace(from, to)]).unwrap_err();
-        assert!(err.contains(want), "{to}: {err}");
+        let error = parse(&["CALL.GET", "00000000b4d65521", "9b1f", &valid.replace(from, to)])
+            .unwrap_err()
+            .to_string();
+        assert!(error.contains(expected), "{to}: {error}");
     }
-    assert!(read(&["CALL.GET", "0000000fb4d65521", "9b1f", good]).is_err(), "a customer of 2^33 or more");
-    assert!(read(&["CALL.GET", "b4d65521", "9b1f", good]).is_err(), "a short customer");
-    assert!(read(&["CALL.GET", "00000000b4d65521", "", good]).is_err(), "an empty id");
-    assert!(read(&["CALL.GET", "00000000b4d65521", "9b1f", good, "BODY"]).is_err());
-    let save = good.replace("quote", "save");
-    assert!(read(&["CALL.POST", "00000000b4d65521", "9b1f", &save, "BODY"]).unwrap_err().contains('k'));
+    assert!(parse(&["CALL.GET", "0000000fb4d65521", "9b1f", valid]).is_err(), "a customer of 2^33 or more");
+    assert!(parse(&["CALL.GET", "b4d65521", "9b1f", valid]).is_err(), "a short customer");
+    assert!(parse(&["CALL.GET", "00000000b4d65521", "", valid]).is_err(), "an empty id");
+    assert!(parse(&["CALL.GET", "00000000b4d65521", "9b1f", valid, "BODY"]).is_err());
+    let save = valid.replace("quote", "save");
+    assert!(parse(&["CALL.POST", "00000000b4d65521", "9b1f", &save, "BODY"])
+        .unwrap_err()
+        .to_string()
+        .contains('k'));
 }
