Split commands into options, template and errors

The schema, the parsing of options, the encoding for backends and the errors stood in one file.

They are sub-modules of command now; nothing else changes.

--- /dev/null
+++ b/src/bin/ingress/command/template.rs
@@ -0,0 +1,67 @@
+//! A command's encoded bytes, to be sent again with another timeout.
+
+use crate::resp;
+use ingress::Micros;
+use std::ops::Range;
+
+/// What an encoded command is expected to take besides its options and body, and besides a body's bytes.
+const EXPECTED_OVERHEAD: usize = 96;
+const EXPECTED_BODY_OVERHEAD: usize = 16;
+/// How many arguments come before the options.
+const ARGUMENTS_BEFORE_OPTIONS: usize = 3;
+
+/// An encoded command without the two things that change with its timeout: the options' length and the timeout.
+#[derive(Debug)]
+pub struct CommandTemplate {
+    /// Where the request's id is.
+    request_id: Range<usize>,
+    bytes: Vec<u8>,
+    /// Where the options begin.
+    options_start: usize,
+    /// Where the timeout belongs.
+    timeout_position: usize,
+    /// Where the options end.
+    options_end: usize,
+}
+
+impl CommandTemplate {
+    /// Encodes the arguments of a command, whose options have the timeout's value at `timeout`.
+    pub fn new(arguments: &[&[u8]], timeout: Range<usize>) -> Self {
+        let (before_options, rest) = arguments.split_at(ARGUMENTS_BEFORE_OPTIONS);
+        let (options, bodies) = (rest[0], &rest[1..]);
+        let body_size = bodies.first().map_or(0, |body| body.len() + EXPECTED_BODY_OVERHEAD);
+        let mut bytes = Vec::with_capacity(EXPECTED_OVERHEAD + options.len() + body_size);
+        resp::write_array_header(&mut bytes, arguments.len());
+        before_options.iter().for_each(|argument| resp::write_bulk_string(&mut bytes, &[argument]));
+        let options_start = bytes.len();
+        let id_end = options_start - b"\r\n".len();
+        let id_len = before_options.last().map_or(0, |id| id.len());
+        bytes.extend_from_slice(&options[..timeout.start]);
+        let timeout_position = bytes.len();
+        bytes.extend_from_slice(&options[timeout.end..]);
+        let options_end = bytes.len();
+        bodies.iter().for_each(|body| resp::write_bulk_string(&mut bytes, &[body]));
+        let request_id = id_end - id_len..id_end;
+        CommandTemplate { request_id, bytes, options_start, timeout_position, options_end }
+    }
+
+    /// The id that the client gave the request.
+    pub fn request_id(&self) -> &[u8] {
+        &self.bytes[self.request_id.clone()]
+    }
+
+    /// Appends the command with this timeout.
+    pub fn encode(&self, timeout: Micros, out: &mut Vec<u8>) {
+        let timeout_ms = (timeout / 1000).max(1).to_string();
+        let before_timeout = &self.bytes[self.options_start..self.timeout_position];
+        let after_timeout = &self.bytes[self.timeout_position..self.options_end];
+        out.extend_from_slice(&self.bytes[..self.options_start]);
+        resp::write_bulk_string(out, &[before_timeout, timeout_ms.as_bytes(), after_timeout]);
+        out.extend_from_slice(&self.bytes[self.options_end..]);
+    }
+
+    /// How many bytes are allocated for it.
+    pub fn allocated(&self) -> usize {
+        self.bytes.capacity()
+    }
+}
--- a/src/bin/ingress/command/tests.rs
+++ b/src/bin/ingress/command/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of [`super`].
 
 use super::*;
+use crate::resp;
 use ingress::IdempotencyScope;
 
 fn schema() -> CommandSchema {
