Split the decisions and the records by concern

Cause: `src/control.rs` held seven concerns in 670 lines, with its constants in one block at the top, and `src/state.rs` every record.

Change: `src/policy/` has a file for each concern (gateway, admission, load_shedding, load_balancing, outlier_detection, retry, quota), each with its own constants, whose names and comments use the field's terms; the deploy file lists them. `src/state/` has a file for each record, with the endpoint index.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,13 +46,14 @@
 
 mod action;
 pub mod backoff;
-mod control;
+
 mod endpoint;
-mod endpoints;
+
 mod event;
 mod gossip;
 mod identifiers;
-mod quota;
+mod policy;
+
 mod settings;
 mod state;
 mod time;
--- a/src/quota.rs
+++ b/src/policy/quota.rs
@@ -4,20 +4,27 @@
 
 /// How long a home's word stands where it cannot be had anew. Past that a customer is let in: most are inside
 /// their quota, and a large fleet whose messages are lost would else refuse them all.
-const WORD_LIFE: Micros = 2_000_000;
+const GRANT_LIFETIME: Micros = 2_000_000;
 /// Share of what a home takes in that questions on one capped customer may be: past it they are thinned out.
-const ASKING: f64 = 0.25;
-const UNHEARD: Micros = 350_000; // besides a period: how long a peer's use is under way (loss, chance)
-const POOLED: f64 = 0.5; // part of a ceiling that lies with two gateways, who hand it out on demand
-const TOGETHER: u32 = 1500; // gateways that start within so many milliseconds of each other start a fleet
-pub(crate) const RATE_TAU: f64 = 2.0; // memory of use in seconds: longer than pauses, shorter than shifts
-pub(crate) const AGING: Micros = 10_000_000; // unseen so long, a customer is green; forgotten once full
-const MOST_CLAIMS: u8 = 8; // requests under another plan or set that a customer's record bears
-const GIFT_LIFE: Micros = 250_000; // ceiling units that come later than this after the asking lapse
+const MAX_GRANT_REQUEST_SHARE: f64 = 0.25;
+/// Besides a report interval: how long a peer's usage is under way, with losses.
+const REPORT_PROPAGATION_TIME: Micros = 350_000;
+/// Part of a hard limit that lies with two gateways, who hand it out on demand.
+const POOLED_HARD_LIMIT: f64 = 0.5;
+/// Gateways that start within so many milliseconds of each other start a fleet.
+const FLEET_START_WINDOW_MS: u32 = 1500;
+/// Memory of usage in seconds: longer than pauses, shorter than shifts.
+pub(crate) const USAGE_RATE_TIME_CONSTANT: f64 = 2.0;
+/// A customer unseen for so long counts as new to load shedding; it is forgotten once its buckets are full.
+pub(crate) const CUSTOMER_IDLE_TIME: Micros = 10_000_000;
+/// Requests under another plan or set of gateways that a customer's record bears.
+const MAX_IDENTITY_CONFIDENCE: u8 = 8;
+/// Hard limit units that come later than this after the request for them lapse.
+const HARD_LIMIT_GRANT_LIFETIME: Micros = 250_000;
 
 impl Customer {
     /// The part of the use that is this gateway's own, with a floor for those that begin.
-    fn own_share(&self, plan: &Plan) -> f64 {
+    pub(crate) fn own_share(&self, plan: &Plan) -> f64 {
         let floor = if self.is_quota_owner || self.granted_at > 0 { 0.1 } else { 1.0 };
         let own = self.own_rate.max(plan.rate / self.gateway_set_size.max(1.0) * floor);
         own / (own + self.remote_rate).max(1e-9)
@@ -25,8 +32,6 @@
 }
 
 impl Gateway {
-    // ---- Stores ----
-
     /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most
     /// say: one that comes with the settings of another changes nothing, nor does the first for good.
     pub(crate) fn record_identity(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
@@ -34,7 +39,7 @@
         match self.customers.get_mut(&id) {
             None => drop(self.customers.insert(id, new)),
             Some(c) if (c.plan, c.gateway_set_start, c.gateway_set_size) == (new.plan, first, set) => {
-                c.identity_confidence = (c.identity_confidence + 1).min(MOST_CLAIMS);
+                c.identity_confidence = (c.identity_confidence + 1).min(MAX_IDENTITY_CONFIDENCE);
             }
             Some(c) if c.identity_confidence > 0 => c.identity_confidence -= 1,
             Some(c) => {
@@ -69,19 +74,20 @@
         c.is_quota_owner = c.quota_owners.contains(&me);
         // Half of the ceiling lies with two, who hand it out; each has some for when they are not heard.
         let pools = c.hard_limit_owners.iter().filter(|p| **p == me).count() as f64;
-        c.hard_limit_fraction = (1.0 - POOLED) / c.gateway_set_size + pools * POOLED / 2.0;
+        c.hard_limit_fraction =
+            (1.0 - POOLED_HARD_LIMIT) / c.gateway_set_size + pools * POOLED_HARD_LIMIT / 2.0;
         // It counts from nothing at this start: what went before is not known here.
         c.hard_limit_tokens =
             (plan.hard_limit_rate * life as f64 / SECOND).min(plan.hard_limit_burst) * c.hard_limit_fraction;
     }
 
     /// Fills a customer's stores up to now.
-    fn refill(&mut self, id: CustomerId) -> Option<&mut Customer> {
+    pub(crate) fn refill(&mut self, id: CustomerId) -> Option<&mut Customer> {
         let now = self.now;
         let c = self.customers.get_mut(&id)?;
         let plan = &self.settings.plans[c.plan];
         let span = (now - c.refilled_at) as f64 / SECOND;
-        let keep = decay(c.refilled_at, now, RATE_TAU);
+        let keep = decay(c.refilled_at, now, USAGE_RATE_TIME_CONSTANT);
         c.own_rate *= keep;
         let mut filling = plan.rate;
         if c.is_quota_owner {
@@ -104,9 +110,12 @@
         let plan = &self.settings.plans[c.plan];
         // A home in a large fleet is asked first: it knows of all. Elsewhere there is only its latest word.
         let few = self.report_interval > 0;
-        let unheard =
-            if few { c.remote_rate * (self.report_interval + UNHEARD) as f64 / SECOND } else { 0.0 };
-        let recent = |at: Micros| self.now - at.min(self.now) < WORD_LIFE;
+        let unheard = if few {
+            c.remote_rate * (self.report_interval + REPORT_PROPAGATION_TIME) as f64 / SECOND
+        } else {
+            0.0
+        };
+        let recent = |at: Micros| self.now - at.min(self.now) < GRANT_LIFETIME;
         let told = few || c.is_quota_owner || recent(c.granted_at);
         // A home that talks, but not on this, is overrun by a customer with more than it may have out.
         let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.last_heard_at));
@@ -142,11 +151,11 @@
         self.random_state = self.random_state.wrapping_add(1);
         let c = &self.customers[&req.customer];
         let capped = self.report_interval == 0 && self.settings.plans[c.plan].concurrency_quota > 0;
-        let told = !c.is_quota_owner && self.now - c.granted_at.min(self.now) < WORD_LIFE;
+        let told = !c.is_quota_owner && self.now - c.granted_at.min(self.now) < GRANT_LIFETIME;
         capped
             && told
             && hash(self.random_state) * c.remote_rate
-                > ASKING * self.settings.limits.peer_messages_per_second
+                > MAX_GRANT_REQUEST_SHARE * self.settings.limits.peer_messages_per_second
     }
 
     /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
@@ -160,11 +169,9 @@
         c.hard_limit_tokens =
             (c.hard_limit_tokens - units + granted).min(plan.hard_limit_burst * c.hard_limit_fraction);
         c.total_units += units;
-        c.own_rate = (c.own_rate + units / RATE_TAU).max(0.0);
+        c.own_rate = (c.own_rate + units / USAGE_RATE_TIME_CONSTANT).max(0.0);
     }
 
-    // ---- Peers: use told to homes, their word, hints ----
-
     /// Puts a customer on the way to its homes.
     pub(crate) fn queue_usage_report(&mut self, id: CustomerId, ask: bool, actions: &mut Vec<Action>) {
         let Some(c) = self.customers.get(&id).filter(|_| self.settings.limits.peer_messages) else { return };
@@ -187,43 +194,24 @@
     /// Sends a peer what waits for it, as much as a message holds.
     pub(crate) fn flush_outbox(&mut self, to: u16, actions: &mut Vec<Action>) {
         let Some(p) = self.peers.get_mut(&to) else { return };
-        // Round from where the last message ended: else the last ids go untold when more change than fit.
-        let round =
-            p.outbox.range(p.last_sent..).chain(p.outbox.range(..p.last_sent)).take(MAX_USAGE_REPORTS);
-        let list: Vec<(CustomerId, OutboxEntry)> = round.map(|(c, o)| (*c, *o)).collect();
-        p.last_sent = list.last().map_or(p.last_sent, |(id, _)| CustomerId(id.0 + 1));
-        p.outbox.extend(list.iter().map(|(id, entry)| {
-            let retransmissions = entry.retransmissions - 1;
-            (*id, OutboxEntry { retransmissions, requests_grant: false })
-        }));
-        p.outbox.retain(|_, entry| entry.retransmissions > 0);
+        let batch = p.next_batch();
         if p.outbox.is_empty() {
             self.peers_with_outbox.remove(&to);
         }
         let (mut uses, now, me) = (Vec::new(), self.now, self.settings.own_id.0);
-        for (customer, entry) in list {
-            let ask = entry.requests_grant;
+        for (customer, entry) in batch {
+            let plan = self.customers.get(&customer).map(|c| &self.settings.plans[c.plan]);
+            let burst = plan.map_or(0.0, |plan| plan.burst);
             let Some(c) = self.refill(customer) else { continue };
-            let known = c.is_quota_owner || now - c.granted_at.min(now) < AGING / 10;
-            // One of the two is asked for ceiling units, by lot: two gifts would waste one.
-            let at = c.hard_limit_owners[usize::from(hash(now ^ customer.0) < 0.5)];
-            let short = ask && c.needs_hard_limit_grant && (at == to || c.hard_limit_owners.contains(&me));
-            let (first, width, units) = (c.gateway_set_start, c.gateway_set_size as u16, c.requested_units);
-            let (total, open, plan, level) =
-                (wrap_total(c.total_units), c.in_flight.min(127) as u8, c.plan, c.tokens);
-            let full = (level / self.settings.plans[plan].burst.max(1e-9) * 254.0).clamp(0.0, 254.0) as u8;
-            let (plan, level) = (plan.min(MAX_PLAN) as u8, if known { full } else { 255 });
+            let known = c.is_quota_owner || now - c.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
+            // One of the two is asked for hard limit units, by lot: two grants would waste one.
+            let chosen = c.hard_limit_owners[usize::from(hash(now ^ customer.0) < 0.5)];
+            let asked = chosen == to || c.hard_limit_owners.contains(&me);
+            let report = c.usage_report(customer, known.then_some(burst));
             uses.push(UsageReport {
-                customer,
-                plan,
-                total_units: total,
-                in_flight: open,
-                tokens_level: level,
-                gateway_set_start: first,
-                gateway_set_size: width,
-                requests_grant: ask,
-                requested_units: units,
-                needs_hard_limit_grant: short,
+                requests_grant: entry.requests_grant,
+                needs_hard_limit_grant: entry.requests_grant && c.needs_hard_limit_grant && asked,
+                ..report
             });
         }
         self.send_message(to, Body::UsageReports(uses), actions);
@@ -251,13 +239,13 @@
                 again.push(*id);
             }
             // Their counts go on: once forgotten, all that one let through would pass for new.
-            c.usage_by_gateway.retain(|_, h| few || now - h.reported_at <= 2 * AGING);
+            c.usage_by_gateway.retain(|_, h| few || now - h.reported_at <= 2 * CUSTOMER_IDLE_TIME);
             // Kept until both stores are full for sure: a customer met anew starts with full ones.
             // Without a rate this is 0 / 0, a NaN, which the cast turns into 0.
             let full = (p.burst / p.rate).max(p.hard_limit_burst / p.hard_limit_rate).clamp(0.0, 1e6);
             c.in_flight > 0
                 || !c.awaiting_grant.is_empty()
-                || now - c.last_seen_at <= 2 * AGING.max((full * SECOND) as Micros)
+                || now - c.last_seen_at <= 2 * CUSTOMER_IDLE_TIME.max((full * SECOND) as Micros)
         });
         again.into_iter().for_each(|id| self.queue_usage_report(id, false, actions));
     }
@@ -280,7 +268,8 @@
                 if let Some(h) = c.usage_by_gateway.remove(&from.0) {
                     c.remote_in_flight -= u32::from(h.in_flight).min(c.remote_in_flight);
                 }
-                if again && c.quota_owners.contains(&from.0) && now - c.last_seen_at < AGING / 5 {
+                if again && c.quota_owners.contains(&from.0) && now - c.last_seen_at < CUSTOMER_IDLE_TIME / 5
+                {
                     let entry = OutboxEntry { retransmissions: 1, requests_grant: false };
                     peer.outbox.insert(*id, entry); // a home that starts knows nothing: it is told once
                     self.peers_with_outbox.insert(from.0);
@@ -324,11 +313,11 @@
 
     /// Where all turn out to have started with this one, stores were full then: what was held back of each,
     /// lest a restart fill it anew, is given out once. One always past its quota would never get it.
-    fn release_withheld_tokens(&mut self, mine: u32) {
+    pub(crate) fn release_withheld_tokens(&mut self, mine: u32) {
         let all = self.peers.len() as u64 + 1 == self.fleet_size;
         if all
             && self.usage_known_since.is_some()
-            && self.peers.values().all(|p| p.incarnation.abs_diff(mine) <= TOGETHER)
+            && self.peers.values().all(|p| p.incarnation.abs_diff(mine) <= FLEET_START_WINDOW_MS)
         {
             self.usage_known_since = None;
             self.customers
@@ -338,10 +327,10 @@
     }
 
     /// A gateway told its use of a customer; the answer if it asked.
-    fn on_usage_report(&mut self, from: u16, younger: bool, u: UsageReport) -> Option<QuotaGrant> {
+    pub(crate) fn on_usage_report(&mut self, from: u16, younger: bool, u: UsageReport) -> Option<QuotaGrant> {
         let (now, life) = (self.now, self.seconds_of_known_usage());
         // Later one may have forgotten.
-        let young = self.usage_known_since.is_none() && now - self.started_at < AGING;
+        let young = self.usage_known_since.is_none() && now - self.started_at < CUSTOMER_IDLE_TIME;
         let plan = self.settings.plans.get(usize::from(u.plan))?;
         let few = self.report_interval > 0;
         let (burst, cap, told) =
@@ -378,10 +367,12 @@
         // What went on beyond the quota takes nothing: a home that is asked first owes nothing for it.
         let least = if few { -burst } else { c.tokens.min(0.0) };
         c.tokens = (c.tokens + h.granted_units - delta).clamp(least, burst);
-        h.rate = (h.rate * decay(h.reported_at, now, RATE_TAU) + delta / RATE_TAU).max(0.0);
+        h.rate = (h.rate * decay(h.reported_at, now, USAGE_RATE_TIME_CONSTANT)
+            + delta / USAGE_RATE_TIME_CONSTANT)
+            .max(0.0);
         // Of a capped customer in a large fleet it is told how often it is asked for.
         let asked = if few || cap == 0 { delta } else { f64::from(u8::from(u.requests_grant)) };
-        c.remote_rate = (c.remote_rate + asked / RATE_TAU).max(0.0);
+        c.remote_rate = (c.remote_rate + asked / USAGE_RATE_TIME_CONSTANT).max(0.0);
         let others = c.in_flight + c.remote_in_flight.saturating_sub(u32::from(h.in_flight));
         // Where there is room it is taken as used at once: others ask before the asker's next message comes.
         let free = u.requests_grant
@@ -415,7 +406,7 @@
     }
 
     /// A home's word on a customer: the store is what it says, less what it cannot have heard.
-    fn on_quota_grant(&mut self, from: u16, n: QuotaGrant, actions: &mut Vec<Action>) {
+    pub(crate) fn on_quota_grant(&mut self, from: u16, n: QuotaGrant, actions: &mut Vec<Action>) {
         let (now, me) = (self.now, self.settings.own_id.0);
         let Some(plan) = self.customers.get(&n.customer).map(|c| &self.settings.plans[c.plan]) else {
             return;
@@ -432,7 +423,7 @@
         }
         c.owners_answered.push(from);
         // A gift is for the request that waits: late ones lapse, or a full store would hold more than full.
-        if now - c.grant_requested_at < GIFT_LIFE {
+        if now - c.grant_requested_at < HARD_LIMIT_GRANT_LIFETIME {
             c.hard_limit_grant += n.hard_limit_grant;
         }
         let all = c
--- a/src/endpoints.rs
+++ b/src/state/endpoint_index.rs
@@ -8,18 +8,18 @@
 
 /// Backends in the order of a key each, kept in parts: a change moves the entries of one part only.
 #[derive(Default)]
-pub struct Order {
+pub struct EndpointIndex {
     parts: Vec<Vec<(u64, BackendId)>>,
     len: usize,
 }
 
-impl Order {
+impl EndpointIndex {
     /// All of a list at once.
-    pub fn of(mut all: Vec<(u64, BackendId)>) -> Order {
+    pub fn of(mut all: Vec<(u64, BackendId)>) -> EndpointIndex {
         all.sort_unstable();
         all.dedup();
         let parts = all.chunks(MOST_IN_PART / 2).map(<[_]>::to_vec).collect();
-        Order { parts, len: all.len() }
+        EndpointIndex { parts, len: all.len() }
     }
 
     /// How many there are.
--- a/src/endpoints/tests.rs
+++ b/src/state/endpoint_index/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// What an order holds, by its places.
-fn all(order: &Order) -> Vec<BackendId> {
+fn all(order: &EndpointIndex) -> Vec<BackendId> {
     (0..order.len()).map(|n| order.get(n).expect("one at each place")).collect()
 }
 
@@ -16,7 +16,7 @@
         let key = |n: u64| n.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 52; // few keys: many are alike
         let mut plain: std::collections::BTreeSet<(u64, BackendId)> =
             (0..size).map(|n| (key(n), BackendId(n))).collect();
-        let mut order = Order::of(plain.iter().copied().collect());
+        let mut order = EndpointIndex::of(plain.iter().copied().collect());
         for step in 0..4_000 {
             let n = random.u64(0..size.max(1) * 2);
             // Mostly in, then mostly out, down to none.
@@ -41,7 +41,7 @@
 /// Guards against work that grows with the list: a change touches the entries of one part.
 #[test]
 fn no_part_grows_with_the_list() {
-    let mut order = Order::default();
+    let mut order = EndpointIndex::default();
     for n in 0..50_000u64 {
         order.insert(n.wrapping_mul(0x9E37_79B9_7F4A_7C15), BackendId(n));
     }
