--- a/src/bin/ingress/config/error.rs
+++ b/src/bin/ingress/config/error.rs
@@ -1,6 +1,7 @@
 //! Why a configuration was not taken. Every text names the key at fault; the text of a source is not repeated in that
 //! of the error around it.
 
+use crate::discovery::EndpointListError;
 use ingress::SettingsError;
 use std::io;
 use thiserror::Error;
@@ -67,8 +68,8 @@
     #[error("setting tick_us is 0")]
     ZeroTick,
     /// The cached endpoint list cannot be read.
-    #[error("known: {0}")]
-    CachedEndpoints(String),
+    #[error("known")]
+    CachedEndpoints(#[source] EndpointListError),
     /// The peers' addresses do not match the number of gateways.
     #[error("peers does not have one address for each of setting n_instances")]
     PeerCount,
--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -1,7 +1,7 @@
-//! Discovery: the list of backends, and the watch that keeps it fresh over HTTP/1.1. While discovery is silent or
-//! broken the list stays as it was, and the watch is begun anew with growing pauses.
+//! Discovery: the endpoint list, and the watch that keeps it up to date by long polling over HTTP/1.1.
 
 mod endpoint_list;
+mod error;
 mod http;
 mod location_names;
 mod poll;
@@ -10,6 +10,7 @@
 #[cfg(test)]
 pub use endpoint_list::EndpointEntry;
 pub use endpoint_list::EndpointList;
+pub use error::{EndpointListError, HttpError, PollError};
 pub use http::max_body_bytes;
 pub use location_names::LocationNames;
 pub use watch::{Watch, WatchOptions};
--- a/src/bin/ingress/discovery/endpoint_list.rs
+++ b/src/bin/ingress/discovery/endpoint_list.rs
@@ -1,146 +1,165 @@
 //! The endpoint list as discovery gives it, in JSON.
 
-use super::LocationNames;
-use ingress::{Availability, BackendId, Endpoint};
+use super::{EndpointListError, LocationNames};
+use ingress::{Availability, BackendId, Endpoint, Micros};
 use serde::de::{self, DeserializeSeed, IgnoredAny, MapAccess, SeqAccess, Visitor};
 use serde_json::Value;
 use std::borrow::Cow;
 use std::fmt;
 use std::net::SocketAddr;
 
-/// A line of the list, with the address that the backend has for this ingress.
+/// The parameters of the 64-bit FNV-1a hash.
+const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x100_0000_01b3;
+/// Start times are in milliseconds.
+const MICROS_PER_MILLI: Micros = 1000;
+
+/// An entry of the list, with the backend's address as this ingress reaches it.
 pub struct EndpointEntry {
+    /// What the gateway is told of the backend.
     pub endpoint: Endpoint,
+    /// Where to connect to; none only for a backend that is gone.
     pub address: Option<SocketAddr>,
 }
 
-/// A list as discovery tells it.
+/// A list as discovery gives it.
 pub struct EndpointList {
+    /// The list's version, from which the next poll continues.
     pub index: u64,
-    /// The whole list, not only what changed.
+    /// Whether the list is whole, not only what changed.
     pub is_snapshot: bool,
+    /// The backends, in discovery's order.
     pub entries: Vec<EndpointEntry>,
 }
 
-/// A backend's name as an id that is the same at every ingress: peers speak of backends by it (FNV-1a).
-fn backend_id(name: &str) -> BackendId {
-    BackendId(
-        name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)),
-    )
-}
-
 impl EndpointList {
-    /// Reads a list in discovery's form.
-    pub fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointList, String> {
-        let index = json.get("index").and_then(Value::as_u64).ok_or("index is missing or no whole number")?;
-        let is_snapshot =
-            json.get("snapshot").and_then(Value::as_bool).ok_or("snapshot is missing or no flag")?;
-        let list =
-            json.get("endpoints").and_then(Value::as_array).ok_or("endpoints is missing or no list")?;
-        let entries =
-            list.iter().map(|e| EndpointEntry::from_json(e, location_names)).collect::<Result<_, _>>()?;
+    /// Reads a list from a JSON value.
+    pub fn from_json(
+        json: &Value,
+        location_names: &LocationNames,
+    ) -> Result<EndpointList, EndpointListError> {
+        let index = json.get("index").and_then(Value::as_u64).ok_or(EndpointListError::Index)?;
+        let is_snapshot = json.get("snapshot").and_then(Value::as_bool).ok_or(EndpointListError::Snapshot)?;
+        let list = json.get("endpoints").and_then(Value::as_array).ok_or(EndpointListError::Endpoints)?;
+        let entry = |json| EndpointEntry::from_json(json, location_names);
+        let entries = list.iter().map(entry).collect::<Result<_, _>>()?;
         Ok(EndpointList { index, is_snapshot, entries })
     }
+
+    /// Reads a list from the body of a response, an entry at a time: a tree of all of it would take many times its
+    /// bytes.
+    pub fn from_bytes(body: &[u8], location_names: &LocationNames) -> serde_json::Result<EndpointList> {
+        let mut deserializer = serde_json::Deserializer::from_slice(body);
+        let list = de::Deserializer::deserialize_map(&mut deserializer, ListVisitor { location_names })?;
+        deserializer.end()?;
+        Ok(list)
+    }
 }
 
-/// Reads a list as it stands in an answer, an entry at a time: a tree of the whole of it would take many times its bytes.
-struct ListReader<'a>(&'a LocationNames);
+/// Builds an [`EndpointList`] from a JSON object.
+struct ListVisitor<'a> {
+    location_names: &'a LocationNames,
+}
 
-impl<'de> Visitor<'de> for ListReader<'_> {
+impl<'de> Visitor<'de> for ListVisitor<'_> {
     type Value = EndpointList;
 
-    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str("a list of backends")
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("a list of backends")
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<EndpointList, A::Error> {
         let (mut index, mut is_snapshot, mut entries) = (None, None, None);
+        let entries_seed = || EntriesVisitor { location_names: self.location_names };
         while let Some(key) = map.next_key::<Cow<str>>()? {
             match &*key {
                 "index" => index = map.next_value::<Value>()?.as_u64(),
                 "snapshot" => is_snapshot = map.next_value::<Value>()?.as_bool(),
-                "endpoints" => entries = Some(map.next_value_seed(EntriesReader(self.0))?),
+                "endpoints" => entries = Some(map.next_value_seed(entries_seed())?),
                 _ => drop(map.next_value::<IgnoredAny>()?),
             }
         }
-        let missing = |what| de::Error::custom(what);
         Ok(EndpointList {
-            index: index.ok_or_else(|| missing("index is missing or no whole number"))?,
-            is_snapshot: is_snapshot.ok_or_else(|| missing("snapshot is missing or no flag"))?,
-            entries: entries.ok_or_else(|| missing("endpoints is missing or no list"))?,
+            index: index.ok_or(EndpointListError::Index).map_err(de::Error::custom)?,
+            is_snapshot: is_snapshot.ok_or(EndpointListError::Snapshot).map_err(de::Error::custom)?,
+            entries: entries.ok_or(EndpointListError::Endpoints).map_err(de::Error::custom)?,
         })
     }
 }
 
-struct EntriesReader<'a>(&'a LocationNames);
+/// Builds the entries of an [`EndpointList`] from a JSON array.
+struct EntriesVisitor<'a> {
+    location_names: &'a LocationNames,
+}
 
-impl<'de> DeserializeSeed<'de> for EntriesReader<'_> {
+impl<'de> DeserializeSeed<'de> for EntriesVisitor<'_> {
     type Value = Vec<EndpointEntry>;
 
-    fn deserialize<D: de::Deserializer<'de>>(self, json: D) -> Result<Vec<EndpointEntry>, D::Error> {
-        json.deserialize_seq(self)
+    fn deserialize<D: de::Deserializer<'de>>(self, deserializer: D) -> Result<Self::Value, D::Error> {
+        deserializer.deserialize_seq(self)
     }
 }
 
-impl<'de> Visitor<'de> for EntriesReader<'_> {
+impl<'de> Visitor<'de> for EntriesVisitor<'_> {
     type Value = Vec<EndpointEntry>;
 
-    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        f.write_str("endpoints as a list")
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("endpoints as a list")
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Vec<EndpointEntry>, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(self, mut sequence: A) -> Result<Self::Value, A::Error> {
         let mut entries = Vec::new();
-        while let Some(json) = seq.next_element::<Value>()? {
-            entries.push(EndpointEntry::from_json(&json, self.0).map_err(de::Error::custom)?);
+        while let Some(json) = sequence.next_element::<Value>()? {
+            let entry = EndpointEntry::from_json(&json, self.location_names);
+            entries.push(entry.map_err(de::Error::custom)?);
         }
         Ok(entries)
     }
 }
 
-impl EndpointList {
-    /// Reads a list from the bytes of an answer.
-    pub fn parse(body: &[u8], location_names: &LocationNames) -> Result<EndpointList, String> {
-        let mut json = serde_json::Deserializer::from_slice(body);
-        let list = de::Deserializer::deserialize_map(&mut json, ListReader(location_names));
-        let list = list.and_then(|list| json.end().map(|()| list));
-        list.map_err(|e| format!("an answer is no list: {e}"))
-    }
-}
-
 impl EndpointEntry {
-    fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointEntry, String> {
-        let text = |key: &str| json.get(key).and_then(Value::as_str);
-        let name = text("name").ok_or("endpoints has an entry without a name")?;
-        let bad = |key: &str| format!("endpoints: {key} of {name} is missing or bad");
-        let availability = match text("status").ok_or_else(|| bad("status"))? {
-            "up" => Availability::Ready,
-            "removed" => Availability::Gone,
-            _ => Availability::Draining, // a word of the future can hardly mean that it wants work
-        };
+    fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointEntry, EndpointListError> {
+        let text = |field: &str| json.get(field).and_then(Value::as_str);
+        let name = text("name").ok_or(EndpointListError::Unnamed)?;
+        let bad = |field| EndpointListError::Field { field, backend: name.to_string() };
+        let availability = availability(text("status").ok_or_else(|| bad("status"))?);
         let address = match text("address").map(str::parse) {
             Some(Ok(address)) => Some(address),
             None if availability == Availability::Gone => None,
             _ => return Err(bad("address")),
         };
-        let place = |list: &[String], key: &str| {
-            text(key).and_then(|t| list.iter().position(|n| n == t)).unwrap_or(usize::MAX)
-        };
-        let since = json.get("since_ms").map_or(Some(0), Value::as_u64).ok_or_else(|| bad("since_ms"))?;
+        let since_ms = json.get("since_ms").map_or(Some(0), Value::as_u64);
+        let since_ms = since_ms.ok_or_else(|| bad("since_ms"))?;
         let group = json.get("group").and_then(Value::as_u64).unwrap_or(0);
         let endpoint = Endpoint {
             backend: backend_id(name),
-            zone: u8::try_from(place(&location_names.zones, "zone")).unwrap_or(u8::MAX),
+            zone: location_names.zone(text("zone")),
             cell: u16::try_from(group).map_err(|_| bad("group"))?,
-            machine_type: u16::try_from(place(&location_names.machine_types, "type")).unwrap_or(u16::MAX),
+            machine_type: location_names.machine_type(text("type")),
             availability,
             size: json.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-            // The host's clock counts from the same moment as Unix time: only the unit is another.
-            started_at: since.saturating_mul(1000),
+            // The event loop's clock counts from the Unix epoch too; only the unit differs.
+            started_at: since_ms.saturating_mul(MICROS_PER_MILLI),
         };
         Ok(EndpointEntry { endpoint, address })
     }
 }
 
+/// The meaning of a backend's `status`.
+fn availability(status: &str) -> Availability {
+    match status {
+        "up" => Availability::Ready,
+        "removed" => Availability::Gone,
+        // A status introduced later can hardly mean that the backend wants work.
+        _ => Availability::Draining,
+    }
+}
+
+/// The id of a backend: a hash of its name, so that it is the same at every ingress and peers can refer to it.
+fn backend_id(name: &str) -> BackendId {
+    let hash_byte = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    BackendId(name.bytes().fold(FNV_OFFSET_BASIS, hash_byte))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/bin/ingress/discovery/endpoint_list/tests.rs
+++ b/src/bin/ingress/discovery/endpoint_list/tests.rs
@@ -20,8 +20,8 @@
         format!("[{good}]"),
         String::new(),
     ] {
-        assert!(EndpointList::parse(bad.as_bytes(), &location_names()).is_err(), "{bad}");
+        assert!(EndpointList::from_bytes(bad.as_bytes(), &location_names()).is_err(), "{bad}");
     }
     let spaced = good.replace(',', " ,\n  ").replace("{\"index\"", "{ \"more\" : [ {} ], \"index\"");
-    assert_eq!(EndpointList::parse(spaced.as_bytes(), &location_names()).map(|r| r.entries.len()), Ok(3));
+    assert_eq!(EndpointList::from_bytes(spaced.as_bytes(), &location_names()).unwrap().entries.len(), 3);
 }
--- a/src/bin/ingress/discovery/http.rs
+++ b/src/bin/ingress/discovery/http.rs
@@ -1,77 +1,152 @@
 //! HTTP/1.1 responses: where the body is, and whether it is complete.
 
+use super::HttpError;
 use std::borrow::Cow;
 
-/// The most bytes of an answer's head.
-pub const MOST_HEAD: usize = 16 * 1024;
-/// The most bytes of an answer's body, as a part of the memory, and in any case: with the room that its buffer grows into
-/// and with what is made from it a list takes several times as much.
-const BODY_SHARE: usize = 8;
-const LEAST_MOST_BODY: usize = 4 << 20;
-/// From this size on a body in chunks is only put together once its end may have come, not at each read.
-const LONG_BODY: usize = 64 * 1024;
-/// The most headers of an answer.
-const MOST_HEADERS: usize = 64;
+/// The most bytes of a response's head.
+pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The most headers of a response.
+const MAX_HEADERS: usize = 64;
+/// A response's body may take this part of the memory: with the room that its buffer grows into, and with what is
+/// made from it, an endpoint list takes several times its bytes.
+const MEMORY_PER_BODY: usize = 8;
+/// The limit of a response's body where the memory is small.
+const MIN_BODY_LIMIT: usize = 4 << 20;
+/// A chunked body longer than this is decoded only once its end may have come, not at each read.
+const LONG_CHUNKED_BODY: usize = 64 * 1024;
+/// What ends a chunk.
+const CHUNK_TERMINATOR_LEN: usize = 2;
 
-/// The most bytes that a list may have at an ingress with so much memory.
+/// The most bytes of a response's body at an ingress with so much memory.
 pub fn max_body_bytes(memory: usize) -> usize {
-    (memory / BODY_SHARE).max(LEAST_MOST_BODY)
+    (memory / MEMORY_PER_BODY).max(MIN_BODY_LIMIT)
 }
 
-/// The body of an answer, and whether the connection goes on.
-pub type Body<'a> = (Cow<'a, [u8]>, bool);
+/// Whether more bytes may come from a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamState {
+    /// The peer may send more.
+    Open,
+    /// The peer has closed its end.
+    Ended,
+}
+
+/// Whether a connection can serve another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Persistence {
+    /// It stays open.
+    KeepAlive,
+    /// It is to be closed.
+    Close,
+}
 
-/// Finds the body of an answer; none if it is not whole.
-pub fn body(buf: &[u8], ended: bool, most: usize) -> Result<Option<Body<'_>>, String> {
-    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(buf).map_err(|e| format!("an answer is no HTTP: {e}"))? {
-        httparse::Status::Complete(start) => start,
-        httparse::Status::Partial if buf.len() > MOST_HEAD => {
-            return Err("an answer's head is too long".into())
+/// The body of a complete response.
+#[derive(Debug)]
+pub struct Body<'a> {
+    /// The body with its framing removed.
+    pub bytes: Cow<'a, [u8]>,
+    /// What becomes of the connection.
+    pub persistence: Persistence,
+}
+
+/// How the end of a body is found.
+enum Framing {
+    /// The body consists of chunks.
+    Chunked,
+    /// The body has so many bytes.
+    ContentLength(usize),
+    /// The body ends with the connection.
+    UntilClosed,
+}
+
+/// The head of a response.
+struct Head {
+    /// The head's length.
+    len: usize,
+    framing: Framing,
+    persistence: Persistence,
+}
+
+/// Finds the body in the bytes received so far; none if the response is incomplete.
+pub fn parse_response(
+    received: &[u8],
+    stream: StreamState,
+    max_body_bytes: usize,
+) -> Result<Option<Body<'_>>, HttpError> {
+    let Some(head) = parse_head(received, max_body_bytes)? else { return Ok(None) };
+    let rest = &received[head.len..];
+    match head.framing {
+        Framing::Chunked => {
+            let may_be_whole = stream == StreamState::Ended || rest.ends_with(b"\r\n\r\n");
+            if rest.len() > LONG_CHUNKED_BODY && !may_be_whole {
+                return Ok(None);
+            }
+            let bytes = decode_chunks(rest, max_body_bytes)?.map(Cow::Owned);
+            Ok(bytes.map(|bytes| Body { bytes, persistence: head.persistence }))
+        }
+        Framing::ContentLength(length) => {
+            // Bytes behind the body belong to no request, so the connection is not used again.
+            let persistence = if rest.len() == length { head.persistence } else { Persistence::Close };
+            Ok(rest.get(..length).map(|bytes| Body { bytes: Cow::Borrowed(bytes), persistence }))
+        }
+        Framing::UntilClosed => {
+            let whole = Body { bytes: Cow::Borrowed(rest), persistence: Persistence::Close };
+            Ok(Some(whole).filter(|_| stream == StreamState::Ended))
         }
-        httparse::Status::Partial => return Ok(None),
-    };
-    if head.code != Some(200) {
-        return Err(format!("it answers with status {}", head.code.unwrap_or(0)));
     }
-    let header = |name: &str| {
-        let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        found.map(|h| String::from_utf8_lossy(h.value).trim().to_ascii_lowercase())
+}
+
+/// Parses the head of a response; none if it is incomplete.
+fn parse_head(received: &[u8], max_body_bytes: usize) -> Result<Option<Head>, HttpError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let len = match response.parse(received).map_err(HttpError::Malformed)? {
+        httparse::Status::Complete(len) => len,
+        httparse::Status::Partial if received.len() > MAX_HEAD_BYTES => return Err(HttpError::HeadTooLong),
+        httparse::Status::Partial => return Ok(None),
     };
-    let goes_on = head.version == Some(1) && header("connection").map_or(true, |c| c != "close");
-    let rest = &buf[start..];
-    if header("transfer-encoding").is_some_and(|t| t.contains("chunked")) {
-        if rest.len() > LONG_BODY && !ended && !rest.ends_with(b"\r\n\r\n") {
-            return Ok(None);
-        }
-        return Ok(chunks(rest, most)?.map(|body| (Cow::Owned(body), goes_on)));
+    if response.code != Some(200) {
+        return Err(HttpError::Status(response.code.unwrap_or(0)));
     }
-    match header("content-length") {
-        Some(text) => {
-            let n = text.parse::<usize>().ok().filter(|n| *n <= most);
-            let n = n.ok_or_else(|| format!("an answer's length is {text}"))?;
-            Ok(rest.get(..n).map(|body| (Cow::Borrowed(body), goes_on && rest.len() == n)))
-        }
-        None => Ok(ended.then_some((Cow::Borrowed(rest), false))),
+    let framing = parse_framing(response.headers, max_body_bytes)?;
+    let is_closed = header(response.headers, "connection").is_some_and(|value| value == "close");
+    let keeps_alive = response.version == Some(1) && !is_closed;
+    let persistence = if keeps_alive { Persistence::KeepAlive } else { Persistence::Close };
+    Ok(Some(Head { len, framing, persistence }))
+}
+
+fn parse_framing(headers: &[httparse::Header], max_body_bytes: usize) -> Result<Framing, HttpError> {
+    if header(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+        return Ok(Framing::Chunked);
     }
+    let Some(text) = header(headers, "content-length") else { return Ok(Framing::UntilClosed) };
+    let length = text.parse::<usize>().ok().filter(|length| *length <= max_body_bytes);
+    length.map(Framing::ContentLength).ok_or(HttpError::ContentLength(text))
+}
+
+/// The value of a header in lower case.
+fn header(headers: &[httparse::Header], name: &str) -> Option<String> {
+    let found = headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+    found.map(|header| String::from_utf8_lossy(header.value).trim().to_ascii_lowercase())
 }
 
-/// A body in chunks; none if it is not whole.
-fn chunks(mut rest: &[u8], most: usize) -> Result<Option<Vec<u8>>, String> {
+/// Decodes a chunked body; none if it is incomplete.
+fn decode_chunks(mut rest: &[u8], max_body_bytes: usize) -> Result<Option<Vec<u8>>, HttpError> {
     let mut body = Vec::new();
     loop {
         let (start, size) = match httparse::parse_chunk_size(rest) {
-            Ok(httparse::Status::Complete((start, size))) => (start, size),
+            Ok(httparse::Status::Complete(found)) => found,
             Ok(httparse::Status::Partial) => return Ok(None),
-            Err(_) => return Err("an answer's chunk is no chunk".into()),
+            Err(_) => return Err(HttpError::MalformedChunk),
         };
-        let size = usize::try_from(size).ok().filter(|n| *n <= most).ok_or("an answer is too long")?;
-        let Some(chunk) = rest.get(start..start + size + 2) else { return Ok(None) };
+        let size = usize::try_from(size).ok().filter(|size| *size <= max_body_bytes);
+        let size = size.ok_or(HttpError::TooLong)?;
+        let end = start + size + CHUNK_TERMINATOR_LEN;
+        let Some(chunk) = rest.get(start..end) else { return Ok(None) };
         if size == 0 {
             return Ok(Some(body));
         }
         body.extend_from_slice(&chunk[..size]);
-        rest = &rest[start + size + 2..];
+        rest = &rest[end..];
     }
 }
--- a/src/bin/ingress/discovery/poll.rs
+++ b/src/bin/ingress/discovery/poll.rs
@@ -1,29 +1,55 @@
-//! The response to one poll of discovery.
+//! One poll of discovery: its request, and the endpoint list in its response.
 
-use super::http::body;
-use super::{EndpointList, LocationNames};
+use super::http::{self, Persistence, StreamState};
+use super::{EndpointList, LocationNames, PollError};
+use ingress::Micros;
+use std::net::SocketAddr;
 
-/// What a connection to discovery came to.
-pub enum Answer {
-    /// Not whole yet.
-    Partial,
-    /// A list, and whether the connection can be used again.
-    Whole(EndpointList, bool),
-    /// Not to be used.
-    Bad(String),
+/// Microseconds in a millisecond, the unit of the request's timeout.
+const MICROS_PER_MILLI: Micros = 1000;
+
+/// What a poll asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PollRequest {
+    /// The whole list, at once.
+    Snapshot,
+    /// What has changed since a version of the list, as soon as there is something, or nothing after a time.
+    Changes { since: u64, timeout: Micros },
 }
 
-pub fn read_answer(buf: &[u8], ended: bool, location_names: &LocationNames, max_body_bytes: usize) -> Answer {
-    let (body, goes_on) = match body(buf, ended, max_body_bytes) {
-        Ok(None) => return Answer::Partial,
-        Ok(Some(found)) => found,
-        Err(why) => return Answer::Bad(why),
-    };
-    match EndpointList::parse(&body, location_names) {
-        Ok(list) => Answer::Whole(list, goes_on),
-        Err(why) => Answer::Bad(why),
+impl PollRequest {
+    /// The request's bytes.
+    pub fn encode(self, host: SocketAddr) -> Vec<u8> {
+        let query = match self {
+            PollRequest::Snapshot => String::new(),
+            PollRequest::Changes { since, timeout } => {
+                format!("?since={since}&timeout_ms={}", timeout / MICROS_PER_MILLI)
+            }
+        };
+        format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}\r\n\r\n").into_bytes()
     }
 }
 
+/// A complete response to a poll.
+pub struct PollResponse {
+    /// The list in it.
+    pub endpoints: EndpointList,
+    /// What becomes of the connection.
+    pub persistence: Persistence,
+}
+
+/// Parses the bytes received in response to a poll; none if they are incomplete.
+pub fn parse_response(
+    received: &[u8],
+    stream: StreamState,
+    location_names: &LocationNames,
+    max_body_bytes: usize,
+) -> Result<Option<PollResponse>, PollError> {
+    let Some(body) = http::parse_response(received, stream, max_body_bytes)? else { return Ok(None) };
+    let endpoints =
+        EndpointList::from_bytes(&body.bytes, location_names).map_err(PollError::NotAnEndpointList)?;
+    Ok(Some(PollResponse { endpoints, persistence: body.persistence }))
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/bin/ingress/discovery/tests.rs
+++ b/src/bin/ingress/discovery/tests.rs
@@ -2,11 +2,13 @@
 
 use super::LocationNames;
 
+/// Two zones and two machine types.
 pub fn location_names() -> LocationNames {
     LocationNames { zones: vec!["a".into(), "b".into()], machine_types: vec!["m1".into(), "m2".into()] }
 }
 
-pub const MOST_BODY: usize = 4 << 20;
+/// The limit of a response's body on small machines.
+pub const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// A whole list of so many backends.
 pub fn long_list(backends: usize) -> String {
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -1,8 +1,10 @@
-//! The watch: one poll after another, over one connection as long as it lasts.
+//! The watch: one poll after another, over one connection as long as it lasts. While discovery is silent or broken the
+//! endpoint list stays as it was, and polls are retried with growing delays.
 
-use super::http::MOST_HEAD;
-use super::poll::{read_answer, Answer};
-use super::{EndpointList, LocationNames};
+use super::http::{Persistence, StreamState, MAX_HEAD_BYTES};
+use super::poll::{parse_response, PollRequest, PollResponse};
+use super::{EndpointList, HttpError, LocationNames, PollError};
+use crate::error_chain::ErrorChain;
 use ingress::backoff::{Backoff, FailedPoll, NextPoll, PollSchedule};
 use ingress::Micros;
 use mio::net::TcpStream;
@@ -10,47 +12,54 @@
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-/// How a watch begins: its backoff, the most bytes of an answer's body, the seed of its jitter, and the time.
+/// How much longer than its timeout a poll may stay unanswered. What it missed counts as delivered 2 s after the
+/// timeout: by then the next poll has to be answered.
+const RESPONSE_GRACE: Micros = 750_000;
+/// The delay after an empty response that came at once: a watch counts as unbroken if polled within 200 ms.
+const EMPTY_RESPONSE_DELAY: Micros = 50_000;
+/// A response that came faster than this did not wait for changes.
+const IMMEDIATE_RESPONSE: Micros = 20_000;
+/// Bytes read at once.
+const READ_CHUNK: usize = 16 * 1024;
+
+/// How a watch polls.
 pub struct WatchOptions {
+    /// The times of its polls.
     pub backoff: Backoff,
+    /// The most bytes of a response's body.
     pub max_body_bytes: usize,
+    /// The seed of the jitter.
     pub seed: u64,
+    /// The time of its start.
     pub now: Micros,
 }
 
-/// How much longer than its wait a call may stay unanswered. What it missed counts as told 2 s after the wait is over:
-/// by then the watch has to be open again, and to have answered.
-const PAST_WAIT: Micros = 750_000;
-/// The pause after an answer with no news that came at once: a watch goes on if called within 200 ms.
-const NO_NEWS: Micros = 50_000;
-/// An answer that came faster than this did not wait.
-const AT_ONCE: Micros = 20_000;
-
 /// The watch.
 pub struct Watch {
     address: SocketAddr,
     location_names: LocationNames,
     token: Token,
     stream: Option<TcpStream>,
-    /// The version of the list held; none asks for the whole list.
+    /// The version of the list held; none asks for a snapshot.
     index: Option<u64>,
-    /// What is still to be written of a call, and when it was made; none while no call is out.
-    out: Vec<u8>,
-    called: Option<Micros>,
-    /// When the call that is out counts as unanswered.
-    due: Micros,
-    buf: Vec<u8>,
+    /// What is still to be written of a request.
+    outgoing: Vec<u8>,
+    received: Vec<u8>,
+    /// When the pending poll was started; none while no poll is pending.
+    poll_started_at: Option<Micros>,
+    /// When the last poll counts as unanswered, once its request is written.
+    response_due_at: Micros,
     schedule: PollSchedule,
     max_body_bytes: usize,
     /// When [`Watch::on_timer`] has something to do.
     pub next_timer_at: Micros,
-    /// The last call stayed unanswered: the next one does not wait for news, so that what was missed comes at once,
-    /// and a second silence shows soon.
-    unanswered: bool,
+    /// The last poll stayed unanswered: the next one does not wait for changes, so that what was missed comes at once,
+    /// and a second silence is detected soon.
+    last_poll_timed_out: bool,
 }
 
 impl Watch {
-    /// A watch for what is newer than the list held.
+    /// A watch for what is newer than version `index` of the list.
     pub fn new(
         address: SocketAddr,
         location_names: LocationNames,
@@ -58,178 +67,224 @@
         token: Token,
         options: WatchOptions,
     ) -> Self {
-        let WatchOptions { backoff, max_body_bytes, seed, now } = options;
-        let mut schedule = PollSchedule::new(backoff, seed);
-        let first = schedule.first_poll_at(now);
+        let mut schedule = PollSchedule::new(options.backoff, options.seed);
+        let next_timer_at = schedule.first_poll_at(options.now);
         Watch {
             address,
             location_names,
             token,
             stream: None,
             index: Some(index),
-            out: Vec::new(),
-            called: None,
-            due: 0,
-            buf: Vec::new(),
+            outgoing: Vec::new(),
+            received: Vec::new(),
+            poll_started_at: None,
+            response_due_at: 0,
             schedule,
-            max_body_bytes,
-            next_timer_at: first,
-            unanswered: false,
+            max_body_bytes: options.max_body_bytes,
+            next_timer_at,
+            last_poll_timed_out: false,
         }
     }
 
-    /// Goes on at another address: it is asked for its whole list at once, whatever the old one still owed and
-    /// however long a failure was to be waited out.
+    /// Continues at another address: it is asked for a snapshot at once, whatever is pending at the old one and
+    /// however long the delay after a failure was to be.
     pub fn set_address(&mut self, address: SocketAddr, now: Micros) {
         self.index = None;
         self.disconnect();
         self.schedule.reset();
-        (self.address, self.next_timer_at) = (address, now);
+        self.address = address;
+        self.next_timer_at = now;
     }
 
-    /// Asks for the whole list with the next call.
+    /// Makes the next poll ask for the whole list.
     pub fn request_snapshot(&mut self) {
         self.index = None;
     }
 
-    /// Closes the connection, with all that is under way on it: nothing of it belongs to the next one.
+    /// Closes the connection, with all that is pending on it: nothing of it belongs to the next one.
     fn disconnect(&mut self) {
-        (self.stream, self.called) = (None, None);
-        self.buf.clear();
-        self.out.clear();
+        self.stream = None;
+        self.poll_started_at = None;
+        self.received.clear();
+        self.outgoing.clear();
     }
 
-    /// Gives the connection up; the next one comes after a pause. True if all had been well before.
-    fn fail(&mut self, now: Micros, why: &str) -> bool {
-        let request_sent = self.out.is_empty();
-        let pending = self.called.map(|started_at| FailedPoll { started_at, request_sent });
+    /// Gives the connection up and schedules the next poll. Returns whether this is the first failure in a row.
+    fn fail(&mut self, now: Micros, error: &PollError) -> bool {
+        let request_sent = self.outgoing.is_empty();
+        let pending = self.poll_started_at.map(|started_at| FailedPoll { started_at, request_sent });
         let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, pending);
         self.disconnect();
         self.next_timer_at = at;
         if is_first_failure {
-            crate::log(&format!("discovery: {why}; serving on with the list as it is"));
+            let (retry_in_ms, error) = (at.saturating_sub(now) / 1000, ErrorChain(error));
+            crate::log(&format!("discovery: poll failed, retry_in_ms={retry_in_ms} error={error}"));
         }
         is_first_failure
     }
 
-    /// Makes the next call, or notices that the last one stays unanswered; true if discovery just failed.
+    /// Starts the next poll, or detects that the pending one stays unanswered, if that is due. Returns whether polls
+    /// have just begun to fail.
     pub fn on_timer(&mut self, now: Micros, registry: &Registry) -> bool {
         if now < self.next_timer_at {
             return false;
         }
-        if self.called.is_some() {
-            // A watch that fell silent is opened anew at once: the clock of what it missed runs. Silences hardly
-            // come in unison, since waits are drawn; a call of the new watch that stays unanswered is paused for.
-            let again = !std::mem::replace(&mut self.unanswered, true);
-            let failed = self.fail(now, "no answer in time");
-            if !again {
-                return failed;
-            }
+        if self.poll_started_at.is_some() {
+            return self.on_response_timeout(now, registry);
+        }
+        self.start_poll(now, registry)
+    }
+
+    /// The first time in a row, the next poll is started at once: changes that were missed meanwhile soon count as
+    /// delivered. Ingresses hardly do so in unison, since poll timeouts are drawn.
+    fn on_response_timeout(&mut self, now: Micros, registry: &Registry) -> bool {
+        let is_first_timeout = !std::mem::replace(&mut self.last_poll_timed_out, true);
+        let just_failed = self.fail(now, &PollError::TimedOut);
+        if is_first_timeout {
             self.next_timer_at = now;
-            self.on_timer(now, registry);
-            return failed;
+            self.start_poll(now, registry);
         }
+        just_failed
+    }
+
+    fn start_poll(&mut self, now: Micros, registry: &Registry) -> bool {
         if self.stream.is_none() {
-            let connected = TcpStream::connect(self.address).and_then(|mut stream| {
-                registry.register(&mut stream, self.token, Interest::READABLE | Interest::WRITABLE)?;
-                Ok(stream)
-            });
-            match connected {
+            match self.connect(registry) {
                 Ok(stream) => self.stream = Some(stream),
-                Err(e) => return self.fail(now, &format!("cannot connect: {e}")),
+                Err(error) => return self.fail(now, &PollError::Connect(error)),
             }
         }
-        let waits = self.index.is_some() && !self.unanswered;
-        let wait = if waits { self.schedule.next_poll_timeout() } else { 0 };
-        let since = self.index.map_or(String::new(), |i| format!("?since={i}&timeout_ms={}", wait / 1000));
-        self.out =
-            format!("GET /v1/endpoints{since} HTTP/1.1\r\nHost: {}\r\n\r\n", self.address).into_bytes();
-        self.called = Some(now);
-        self.due = now + if waits { wait + PAST_WAIT } else { self.schedule.backoff.response_timeout };
-        // Without a connection it is no watch yet, however long it may wait: the system tries ever more seldom.
-        self.next_timer_at = self.due.min(now + self.schedule.backoff.response_timeout);
+        let response_timeout = self.schedule.backoff.response_timeout;
+        let (request, response_due_in) = match self.index {
+            Some(since) if !self.last_poll_timed_out => {
+                let timeout = self.schedule.next_poll_timeout();
+                (PollRequest::Changes { since, timeout }, timeout + RESPONSE_GRACE)
+            }
+            Some(since) => (PollRequest::Changes { since, timeout: 0 }, response_timeout),
+            None => (PollRequest::Snapshot, response_timeout),
+        };
+        self.outgoing = request.encode(self.address);
+        self.poll_started_at = Some(now);
+        self.response_due_at = now + response_due_in;
+        // Until the request is written this is not a watch: a connection that does not come up must not be waited for as
+        // long as a change, since the system retries it ever more seldom.
+        self.next_timer_at = self.response_due_at.min(now + response_timeout);
         self.write(now)
     }
 
+    fn connect(&self, registry: &Registry) -> io::Result<TcpStream> {
+        let mut stream = TcpStream::connect(self.address)?;
+        registry.register(&mut stream, self.token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(stream)
+    }
+
     fn write(&mut self, now: Micros) -> bool {
         let Some(stream) = &mut self.stream else { return false };
-        while !self.out.is_empty() {
-            match stream.write(&self.out) {
-                Ok(n) => {
-                    self.out.drain(..n);
-                    if self.out.is_empty() {
-                        self.next_timer_at = self.due; // now it waits for the answer
+        while !self.outgoing.is_empty() {
+            match stream.write(&self.outgoing) {
+                Ok(written) => {
+                    self.outgoing.drain(..written);
+                    if self.outgoing.is_empty() {
+                        self.next_timer_at = self.response_due_at;
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 // Not connected yet, or no room: the socket will show as writable.
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    break
-                }
-                Err(e) => return self.fail(now, &format!("cannot ask: {e}")),
+                Err(error) if is_not_ready(&error) => break,
+                Err(error) => return self.fail(now, &PollError::Send(error)),
             }
         }
         false
     }
 
-    /// Takes in what the socket has. Gives lists as they come; true if discovery just failed.
+    /// Reads all that has come.
+    fn read(&mut self, stream: &mut TcpStream) -> Result<StreamState, PollError> {
+        let mut chunk = [0; READ_CHUNK];
+        loop {
+            match stream.read(&mut chunk) {
+                Ok(0) => return Ok(StreamState::Ended),
+                Ok(count) => self.received.extend_from_slice(&chunk[..count]),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if is_not_ready(&error) => return Ok(StreamState::Open),
+                Err(error) => return Err(PollError::Receive(error)),
+            }
+            if self.received.len() > MAX_HEAD_BYTES + self.max_body_bytes {
+                return Err(HttpError::TooLong.into());
+            }
+        }
+    }
+
+    /// Does what the connection is ready for, and passes a list that came to `on_endpoints`. Returns whether polls have
+    /// just begun to fail.
     pub fn on_ready(
         &mut self,
         now: Micros,
         registry: &Registry,
-        take: &mut impl FnMut(EndpointList),
+        on_endpoints: &mut impl FnMut(EndpointList),
     ) -> bool {
         if self.write(now) {
             return true;
         }
-        let mut chunk = [0; 16 * 1024];
-        // An answer that ends with its connection can only be judged with the end known.
-        let ended = loop {
-            let Some(stream) = &mut self.stream else { return false };
-            match stream.read(&mut chunk) {
-                Ok(0) => break true,
-                Ok(n) => self.buf.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    break false
-                }
-                Err(e) => return self.fail(now, &e.to_string()),
-            }
-            if self.buf.len() > MOST_HEAD + self.max_body_bytes {
-                return self.fail(now, "an answer is too long");
-            }
+        // A response without a length can only be judged once the end of the stream is known.
+        let Some(mut stream) = self.stream.take() else { return false };
+        let read = self.read(&mut stream);
+        self.stream = Some(stream);
+        let stream_state = match read {
+            Ok(stream_state) => stream_state,
+            Err(error) => return self.fail(now, &error),
         };
-        let Some(called) = self.called else {
-            // Between two calls nothing is due but the end of the connection. What came all the same is nobody's
-            // answer, and must not pass for that of the next call.
-            if ended || !self.buf.is_empty() {
-                self.disconnect();
-                self.next_timer_at = now;
-            }
+        let Some(started_at) = self.poll_started_at else {
+            self.on_unsolicited(now, stream_state);
             return false;
         };
-        match read_answer(&self.buf, ended, &self.location_names, self.max_body_bytes) {
-            Answer::Partial if ended => self.fail(now, "the connection ended"),
-            Answer::Partial => false,
-            Answer::Bad(why) => self.fail(now, &why),
-            Answer::Whole(list, reusable) => {
-                if self.schedule.on_success() {
-                    crate::log("discovery: back");
-                }
-                (self.index, self.called) = (Some(list.index), None);
-                self.unanswered = false;
-                self.buf = Vec::new(); // a whole list may have been long
-                if ended || !reusable {
-                    self.stream = None;
-                }
-                // One that answers at once with nothing must not be asked without end.
-                let idle = list.entries.is_empty() && now < called + AT_ONCE;
-                self.next_timer_at = if idle { now + NO_NEWS } else { now };
-                take(list);
+        match parse_response(&self.received, stream_state, &self.location_names, self.max_body_bytes) {
+            Err(error) => self.fail(now, &error),
+            Ok(None) if stream_state == StreamState::Ended => self.fail(now, &PollError::ConnectionEnded),
+            Ok(None) => false,
+            Ok(Some(response)) => {
+                self.complete_poll(now, started_at, stream_state, &response);
+                on_endpoints(response.endpoints);
                 self.on_timer(now, registry)
             }
         }
     }
+
+    /// Between two polls nothing is expected but the end of the connection. Bytes that come all the same must not be
+    /// taken for the response to the next poll.
+    fn on_unsolicited(&mut self, now: Micros, stream_state: StreamState) {
+        if stream_state == StreamState::Ended || !self.received.is_empty() {
+            self.disconnect();
+            self.next_timer_at = now;
+        }
+    }
+
+    fn complete_poll(
+        &mut self,
+        now: Micros,
+        started_at: Micros,
+        stream_state: StreamState,
+        response: &PollResponse,
+    ) {
+        if self.schedule.on_success() {
+            crate::log(&format!("discovery: poll succeeded again, index={}", response.endpoints.index));
+        }
+        self.index = Some(response.endpoints.index);
+        self.poll_started_at = None;
+        self.last_poll_timed_out = false;
+        self.received = Vec::new(); // frees the memory of a snapshot, which may be long
+        if stream_state == StreamState::Ended || response.persistence == Persistence::Close {
+            self.stream = None;
+        }
+        // A discovery that answers at once with nothing must not be polled without pause.
+        let was_immediate = now < started_at + IMMEDIATE_RESPONSE;
+        let is_empty = response.endpoints.entries.is_empty();
+        self.next_timer_at = if is_empty && was_immediate { now + EMPTY_RESPONSE_DELAY } else { now };
+    }
+}
+
+/// Whether a socket is not connected yet, or has nothing to read or no room to write.
+fn is_not_ready(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
 }
 
 #[cfg(test)]
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -1,19 +1,24 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::discovery::tests::{location_names, MOST_BODY};
+use crate::discovery::tests::{location_names, MAX_BODY_BYTES};
 
-/// Within what a call that failed is to be followed by the next: 6 s, less what an answer takes.
-const WITHIN: Micros = 5_000_000;
+/// How soon a failed poll is to be followed by the next: 6 s, less what a response takes.
+const MAX_RETRY_GAP: Micros = 5_000_000;
 
-/// Guards against a hundred ingresses that call a shared discovery in unison: it served forty of their calls in
-/// two seconds, and at pauses of a second at most the rest kept its line full for the whole of the day.
+/// The failure of a poll that discovery rejects.
+fn rejected() -> PollError {
+    HttpError::Status(503).into()
+}
+
+/// Guards against a hundred ingresses that poll a shared discovery in unison: it served forty of their polls in
+/// two seconds, and with delays of a second at most the rest kept its queue full for the whole of the day.
 #[test]
-fn a_hundred_watches_neither_start_nor_come_again_in_unison() {
+fn a_hundred_watches_neither_start_nor_retry_in_unison() {
     let now: Micros = 1_000_000_000;
     let watch = |seed| {
         let options = WatchOptions {
-            max_body_bytes: MOST_BODY,
+            max_body_bytes: MAX_BODY_BYTES,
             backoff: Backoff::shared_service(10_000_000, 100),
             seed,
             now,
@@ -22,22 +27,25 @@
     };
     let mut watches: Vec<Watch> = (0..100).map(watch).collect();
     let most_at_once = |watches: &[Watch]| {
-        let mut times: Vec<Micros> = watches.iter().map(|w| w.next_timer_at).collect();
+        let mut times: Vec<Micros> = watches.iter().map(|watch| watch.next_timer_at).collect();
         times.sort_unstable();
-        (0..100).map(|i| times[i..].iter().take_while(|t| **t < times[i] + 100_000).count()).max()
+        (0..100)
+            .map(|first| times[first..].iter().take_while(|at| **at < times[first] + 100_000).count())
+            .max()
     };
-    assert!(most_at_once(&watches) <= Some(20), "first calls in a tenth of a second");
-    for w in &mut watches {
-        w.fail(now, "turned away");
+    assert!(most_at_once(&watches) <= Some(20), "first polls in a tenth of a second");
+    for watch in &mut watches {
+        watch.fail(now, &rejected());
     }
-    assert!(most_at_once(&watches) <= Some(25), "second calls in a tenth of a second");
-    let options = WatchOptions { max_body_bytes: MOST_BODY, backoff: Backoff::LOCAL_AGENT, seed: 7, now };
+    assert!(most_at_once(&watches) <= Some(25), "second polls in a tenth of a second");
+    let options =
+        WatchOptions { max_body_bytes: MAX_BODY_BYTES, backoff: Backoff::LOCAL_AGENT, seed: 7, now };
     let agent = Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options);
-    assert_eq!(agent.next_timer_at, now, "an agent of one's own is asked at once");
+    assert_eq!(agent.next_timer_at, now, "an agent on the same host is polled at once");
 }
 
 /// A watch and its discovery: a clock and a socket that the test drives.
-struct Talk {
+struct WatchRig {
     watch: Watch,
     poll: mio::Poll,
     listener: std::net::TcpListener,
@@ -45,23 +53,23 @@
     lists: Vec<u64>,
 }
 
-impl Talk {
-    fn new(backoff: Backoff) -> Talk {
+impl WatchRig {
+    fn new(backoff: Backoff) -> WatchRig {
         let (listener, now) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), 1_000_000_000);
-        let options = WatchOptions { max_body_bytes: MOST_BODY, backoff, seed: 7, now };
+        let options = WatchOptions { max_body_bytes: MAX_BODY_BYTES, backoff, seed: 7, now };
         let watch = Watch::new(listener.local_addr().unwrap(), location_names(), 41, Token(0), options);
-        let mut talk = Talk { watch, poll: mio::Poll::new().unwrap(), listener, now, lists: Vec::new() };
-        talk.wake();
-        talk
+        let mut rig = WatchRig { watch, poll: mio::Poll::new().unwrap(), listener, now, lists: Vec::new() };
+        rig.run_timer();
+        rig
     }
 
     /// Lets time pass until the watch has something to do, and has it do that.
-    fn wake(&mut self) {
+    fn run_timer(&mut self) {
         self.now = self.now.max(self.watch.next_timer_at);
         self.watch.on_timer(self.now, self.poll.registry());
     }
 
-    fn ready(&mut self) {
+    fn run_ready(&mut self) {
         let lists = &mut self.lists;
         self.watch.on_ready(self.now, self.poll.registry(), &mut |list| lists.push(list.index));
     }
@@ -72,270 +80,311 @@
         stream
     }
 
-    /// The next call on a connection, and how long it may wait.
-    fn call(&mut self, stream: &mut std::net::TcpStream) -> Micros {
+    /// Reads the next poll from a connection. Returns its timeout.
+    fn read_poll(&mut self, stream: &mut std::net::TcpStream) -> Micros {
         let (mut head, mut byte) = (String::new(), [0]);
         for _ in 0..100_000 {
             if head.ends_with("\r\n\r\n") {
-                let wait = head.split("timeout_ms=").nth(1).and_then(|t| t.split(' ').next());
-                return wait.map_or(0, |t| t.parse::<Micros>().unwrap() * 1000);
+                let timeout_ms = head.split("timeout_ms=").nth(1).and_then(|text| text.split(' ').next());
+                return timeout_ms.map_or(0, |text| text.parse::<Micros>().unwrap() * 1000);
             }
             match stream.read(&mut byte) {
                 Ok(1) => head.push(char::from(byte[0])),
-                _ => self.ready(),
+                _ => self.run_ready(),
             }
         }
-        panic!("no call: {head:?}");
+        panic!("no poll: {head:?}");
     }
 
-    /// Answers a call with an empty list of a version, and sees to it that the watch has read that.
-    fn answer(&mut self, stream: &mut std::net::TcpStream, index: u64, behind: &str) {
+    /// Responds to a poll with an empty list of a version, and waits until the watch has read that.
+    fn respond(&mut self, stream: &mut std::net::TcpStream, index: u64) {
         let list = format!("{{\"index\":{index},\"snapshot\":false,\"endpoints\":[]}}");
-        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}{behind}", list.len());
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
         stream.write_all(text.as_bytes()).unwrap();
         let before = self.lists.len();
         for _ in 0..1_000_000 {
             if self.lists.len() > before {
                 return;
             }
-            self.ready();
+            self.run_ready();
         }
-        panic!("the answer was not taken");
+        panic!("the response was not read");
     }
 }
 
-/// Guards against a silence that is noticed, or ended, later than what was missed counts as told: 2 s after the
-/// wait of the call, for 6 s at least. It was noticed 3 s after the wait, and paused for after that.
+/// Guards against a silence that is detected, or ended, later than what was missed counts as delivered: 2 s after the
+/// poll's timeout, for 6 s at least. It was detected 3 s after the timeout, and a delay came after that.
 #[test]
-fn a_watch_that_falls_silent_is_open_again_before_what_it_missed_counts_as_told() {
+fn a_watch_that_falls_silent_is_open_again_before_what_it_missed_counts_as_delivered() {
     for backoff in
         [Backoff::LOCAL_AGENT, Backoff::shared_service(10_000_000, 6), Backoff::shared_service(500_000, 300)]
     {
-        let mut talk = Talk::new(backoff);
-        let mut silent = talk.accept();
-        let wait = talk.call(&mut silent);
-        let told = talk.now + (wait + 2_000_000).max(6_000_000);
-        talk.wake(); // the silence is noticed
-        let mut again = talk.accept();
-        assert_eq!(talk.call(&mut again), 0, "what was missed is asked for, not waited for");
-        assert!(talk.now + 1_000_000 <= told, "{} us are left", told.saturating_sub(talk.now));
-        talk.answer(&mut again, 42, "");
-        talk.wake();
-        assert!(talk.call(&mut again) > 0, "from then on news are waited for");
+        let mut rig = WatchRig::new(backoff);
+        let mut silent = rig.accept();
+        let timeout = rig.read_poll(&mut silent);
+        let delivered_at = rig.now + (timeout + 2_000_000).max(6_000_000);
+        rig.run_timer(); // the silence is detected
+        let mut retried = rig.accept();
+        assert_eq!(rig.read_poll(&mut retried), 0, "what was missed is asked for at once");
+        assert!(rig.now + 1_000_000 <= delivered_at, "{} us are left", delivered_at.saturating_sub(rig.now));
+        rig.respond(&mut retried, 42);
+        rig.run_timer();
+        assert!(rig.read_poll(&mut retried) > 0, "from then on the watch waits for changes");
     }
 }
 
 /// Guards against a new watch that is silent like the one before: it would be waited for as long as the first.
 #[test]
-fn a_second_silence_in_a_row_is_noticed_within_the_time_of_the_first() {
-    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
-    let began = talk.now;
+fn a_second_silence_in_a_row_is_detected_within_the_time_of_the_first() {
+    let mut rig = WatchRig::new(Backoff::LOCAL_AGENT);
+    let started_at = rig.now;
     for _ in 0..2 {
-        let mut silent = talk.accept();
-        talk.call(&mut silent);
-        talk.wake();
-        if talk.watch.called.is_none() {
-            talk.wake(); // a pause
+        let mut silent = rig.accept();
+        rig.read_poll(&mut silent);
+        rig.run_timer();
+        if rig.watch.poll_started_at.is_none() {
+            rig.run_timer(); // the delay before the retry
         }
     }
-    let mut third = talk.accept();
-    talk.call(&mut third);
-    assert!(talk.now < began + 6_000_000 - 500_000, "after {} us", talk.now - began);
+    let mut third = rig.accept();
+    rig.read_poll(&mut third);
+    assert!(rig.now < started_at + 6_000_000 - 500_000, "after {} us", rig.now - started_at);
 }
 
-/// Guards against pauses as long as a grace between calls to an agent, whose news count as told meanwhile.
+/// Guards against delays as long as a grace period between polls of an agent, whose changes count as delivered meanwhile.
 #[test]
-fn an_agent_that_stays_away_is_tried_again_within_a_grace() {
-    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
+fn an_agent_that_stays_away_is_retried_within_a_grace_period() {
+    let mut rig = WatchRig::new(Backoff::LOCAL_AGENT);
     for _ in 0..20 {
-        drop(talk.accept());
-        let failed = talk.now;
-        while talk.watch.stream.is_some() {
-            talk.ready();
+        drop(rig.accept());
+        let failed_at = rig.now;
+        while rig.watch.stream.is_some() {
+            rig.run_ready();
         }
-        talk.wake();
-        assert!(talk.now <= failed + 150_000, "a pause of {} us", talk.now - failed);
+        rig.run_timer();
+        assert!(rig.now <= failed_at + 150_000, "a delay of {} us", rig.now - failed_at);
     }
 }
 
-/// Guards against bytes that came between two calls: they stayed, and began the answer on the next connection.
+/// Guards against bytes that came between two polls: they stayed, and began the response on the next connection.
 #[test]
-fn what_comes_between_two_calls_is_no_part_of_the_next_answer() {
-    let mut talk = Talk::new(Backoff::LOCAL_AGENT);
-    let mut first = talk.accept();
-    talk.call(&mut first);
-    talk.answer(&mut first, 41, "");
-    assert!(talk.watch.called.is_none(), "no news came at once: the next call comes a moment later");
+fn what_comes_between_two_polls_is_no_part_of_the_next_response() {
+    let mut rig = WatchRig::new(Backoff::LOCAL_AGENT);
+    let mut first = rig.accept();
+    rig.read_poll(&mut first);
+    rig.respond(&mut first, 41);
+    assert!(
+        rig.watch.poll_started_at.is_none(),
+        "an empty response came at once: the next poll comes a moment later"
+    );
     first.write_all(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap();
-    while talk.watch.stream.is_some() {
-        talk.ready();
+    while rig.watch.stream.is_some() {
+        rig.run_ready();
     }
-    talk.wake();
-    let mut second = talk.accept();
-    talk.call(&mut second);
-    talk.answer(&mut second, 43, "");
-    assert_eq!(talk.lists, [41, 43]);
+    rig.run_timer();
+    let mut second = rig.accept();
+    rig.read_poll(&mut second);
+    rig.respond(&mut second, 43);
+    assert_eq!(rig.lists, [41, 43]);
 }
 
-/// A discovery that all ingresses share, with a line in front of it: so many calls a second, each turned away that is
-/// not begun after two seconds in the line, though it is worked on all the same.
-struct Line {
-    /// What a call takes, and when the last one in the line is through.
-    takes: Micros,
+/// A discovery that all ingresses share, with a queue in front of it: it serves so many polls a second, and rejects each that
+/// is not begun after two seconds in the queue, though it is worked on all the same.
+struct SharedDiscovery {
+    /// What a poll takes, and when the last one in the queue is served.
+    service_time: Micros,
     free_at: Micros,
 }
 
-impl Line {
-    const PATIENCE: Micros = 2_000_000;
+/// How a poll of [`SharedDiscovery`] ended.
+struct PollEnd {
+    at: Micros,
+    is_answered: bool,
+}
+
+impl SharedDiscovery {
+    const MAX_QUEUEING: Micros = 2_000_000;
 
-    /// When a call ends, and whether with an answer.
-    fn call(&mut self, now: Micros) -> (Micros, bool) {
-        let begins = self.free_at.max(now);
-        self.free_at = begins + self.takes;
-        if begins > now + Self::PATIENCE {
-            return (now + Self::PATIENCE, false);
+    fn poll(&mut self, now: Micros) -> PollEnd {
+        let begins_at = self.free_at.max(now);
+        self.free_at = begins_at + self.service_time;
+        if begins_at > now + Self::MAX_QUEUEING {
+            return PollEnd { at: now + Self::MAX_QUEUEING, is_answered: false };
         }
-        (self.free_at, true)
+        PollEnd { at: self.free_at, is_answered: true }
     }
 }
 
-/// What happened to a fleet while its discovery was down, and behind that.
+/// What happened to a fleet while its discovery was down, and after that.
 #[derive(Debug)]
 struct Outage {
-    /// The longest that an ingress without an answer went without a call, once discovery could be reached.
+    /// The longest that an ingress without a response went without a poll, once discovery could be reached.
     longest_gap: Micros,
-    /// When nineteen in twenty had their answer, from the return on (those that started later: from their start on).
-    most: Micros,
-    /// The calls that reached it, from the return on.
-    calls: usize,
+    /// When nineteen in twenty had their response, from the return on (those that started later: from their start on).
+    p95: Micros,
+    /// The polls that reached it, from the return on.
+    polls: usize,
 }
 
-/// A fleet whose discovery is down for 8 s: it turns all calls away at once. `killed` of ten ingresses start anew 5 s into
-/// that or, with `late`, a second behind the return.
-fn outage(ingresses: u64, capacity: u64, killed: u64, late: bool, seed: u64) -> Outage {
-    const T: Micros = 1_000_000_000;
-    const BACK: Micros = T + 8_000_000;
-    let start = if late { BACK + 1_000_000 } else { T + 5_000_000 };
-    let watch = |n: u64, now| {
+/// When those ingresses start anew that are killed during an outage.
+#[derive(Clone, Copy)]
+enum Restart {
+    /// 3 s before discovery returns.
+    BeforeReturn,
+    /// A second after discovery has returned.
+    AfterReturn,
+}
+
+const DOWN_AT: Micros = 1_000_000_000;
+const RETURN_AT: Micros = DOWN_AT + 8_000_000;
+
+impl Restart {
+    fn at(self) -> Micros {
+        match self {
+            Restart::BeforeReturn => DOWN_AT + 5_000_000,
+            Restart::AfterReturn => RETURN_AT + 1_000_000,
+        }
+    }
+}
+
+/// A fleet whose discovery is down for 8 s: it rejects all polls at once. `killed` of ten ingresses start anew.
+fn outage(ingresses: u64, polls_per_second: u64, killed: u64, restart: Restart, seed: u64) -> Outage {
+    let restart_at = restart.at();
+    let watch = |number: u64, now| {
         let options = WatchOptions {
-            max_body_bytes: MOST_BODY,
+            max_body_bytes: MAX_BODY_BYTES,
             backoff: Backoff::shared_service(10_000_000, ingresses),
-            seed: seed * 100_000 + n,
+            seed: seed * 100_000 + number,
             now,
         };
         Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options)
     };
-    let mut line = Line { takes: 1_000_000 / capacity, free_at: 0 };
+    let mut discovery = SharedDiscovery { service_time: 1_000_000 / polls_per_second, free_at: 0 };
     // Open watches, which all end as discovery goes down.
-    let mut watches: Vec<Watch> = (0..ingresses).map(|n| watch(n, T)).collect();
-    for w in &mut watches {
-        w.fail(T, "the watch ended");
+    let mut watches: Vec<Watch> = (0..ingresses).map(|number| watch(number, DOWN_AT)).collect();
+    for watch in &mut watches {
+        watch.fail(DOWN_AT, &PollError::ConnectionEnded);
     }
-    let is_killed = |n: usize| (n as u64) % 10 < killed;
-    let mut due: std::collections::BTreeMap<(Micros, usize), ()> =
-        watches.iter().enumerate().map(|(n, w)| ((w.next_timer_at, n), ())).collect();
+    let is_killed = |number: usize| (number as u64) % 10 < killed;
+    let mut due: std::collections::BTreeSet<(Micros, usize)> =
+        watches.iter().enumerate().map(|(number, watch)| (watch.next_timer_at, number)).collect();
     let mut restarted = vec![false; watches.len()];
-    let mut had: Vec<Option<Micros>> = vec![None; watches.len()];
-    let (mut last_call, mut longest_gap) = (vec![0; watches.len()], 0);
+    let mut answered_at: Vec<Option<Micros>> = vec![None; watches.len()];
+    let (mut last_poll, mut longest_gap) = (vec![0; watches.len()], 0);
     let mut arrivals = Vec::new();
-    while let Some(((now, n), ())) = due.pop_first() {
-        if now >= start && is_killed(n) && !std::mem::replace(&mut restarted[n], true) {
-            (watches[n], had[n], last_call[n]) = (watch(n as u64 + ingresses, start), None, 0);
-            due.insert((watches[n].next_timer_at, n), ());
+    while let Some((now, number)) = due.pop_first() {
+        if now >= restart_at && is_killed(number) && !std::mem::replace(&mut restarted[number], true) {
+            watches[number] = watch(number as u64 + ingresses, restart_at);
+            (answered_at[number], last_poll[number]) = (None, 0);
+            due.insert((watches[number].next_timer_at, number));
             continue;
         }
-        if had[n].is_some() {
-            continue; // the watch waits for news again
+        if answered_at[number].is_some() {
+            continue; // the watch waits for changes again
         }
-        let w = &mut watches[n];
-        let since = if restarted[n] { BACK.max(start) } else { BACK };
-        longest_gap = longest_gap.max(now.saturating_sub(since.max(last_call[n])));
-        last_call[n] = now;
+        let watch = &mut watches[number];
+        let since = if restarted[number] { RETURN_AT.max(restart_at) } else { RETURN_AT };
+        longest_gap = longest_gap.max(now.saturating_sub(since.max(last_poll[number])));
+        last_poll[number] = now;
         arrivals.push(now);
-        let (ends, answered) = if now < BACK { (now, false) } else { line.call(now) };
-        w.called = Some(now);
-        if answered {
-            had[n] = Some(ends);
-            // Killed ones call again at their start.
-            due.insert((if restarted[n] { Micros::MAX } else { ends.max(start) }, n), ());
+        let end = if now < RETURN_AT { PollEnd { at: now, is_answered: false } } else { discovery.poll(now) };
+        watch.poll_started_at = Some(now);
+        if end.is_answered {
+            answered_at[number] = Some(end.at);
+            // Killed ones poll again at their start.
+            due.insert((if restarted[number] { Micros::MAX } else { end.at.max(restart_at) }, number));
         } else {
-            w.fail(ends, "turned away");
-            due.insert((w.next_timer_at, n), ());
+            watch.fail(end.at, &rejected());
+            due.insert((watch.next_timer_at, number));
         }
     }
-    let since = |n: usize| if is_killed(n) { BACK.max(start) } else { BACK };
-    let mut times: Vec<Micros> =
-        had.iter().enumerate().map(|(n, t)| t.expect("all got an answer").saturating_sub(since(n))).collect();
+    let since = |number: usize| if is_killed(number) { RETURN_AT.max(restart_at) } else { RETURN_AT };
+    let answered_after = |(number, at): (usize, &Option<Micros>)| {
+        at.expect("all got a response").saturating_sub(since(number))
+    };
+    let mut times: Vec<Micros> = answered_at.iter().enumerate().map(answered_after).collect();
     times.sort_unstable();
-    let most = times[times.len() * 19 / 20 - 1];
-    Outage { longest_gap, most, calls: arrivals.iter().filter(|t| **t >= BACK).count() }
+    let p95 = times[times.len() * 19 / 20 - 1];
+    Outage { longest_gap, p95, polls: arrivals.iter().filter(|at| **at >= RETURN_AT).count() }
 }
 
-/// Guards against an ingress that stays away from a discovery that is back: it was called again up to 12 s after a call
-/// that failed, and at 2,900 ingresses first called 58 s after a start, where a change counts as told after 6 s. And
-/// against the opposite: calls that keep the line full, so that nobody is answered (20 calls a second were served for a
-/// hundred ingresses, and calls every second or so kept that line full for a whole day).
+/// Guards against an ingress that stays away from a discovery that is back: it was polled again up to 12 s after a failed
+/// poll, and at 2,900 ingresses first polled 58 s after a start, where a change counts as delivered after 6 s. And
+/// against the opposite: polls that keep the queue full, so that nobody is answered (20 polls a second were served for a
+/// hundred ingresses, and polls every second or so kept that queue full for a whole day).
 #[test]
-fn a_discovery_that_is_back_is_called_within_five_seconds_and_not_overrun() {
-    for (ingresses, capacity) in [(100, 22), (300, 66), (2900, 640)] {
-        for (late, seed) in [(false, 1), (true, 2), (false, 3), (true, 4)] {
-            let o = outage(ingresses, capacity, 7, late, seed);
-            let n = ingresses as usize;
-            assert!(o.longest_gap <= WITHIN, "{ingresses}: {o:?}");
-            assert!(o.most <= 6_000_000, "nineteen in twenty have the list in time, {ingresses}: {o:?}");
-            // Each once, those killed behind the return once more, and few in vain.
-            let needed = if late { n + n * 7 / 10 } else { n };
-            assert!(o.calls <= needed * 6 / 5, "{ingresses}: {o:?}");
+fn a_discovery_that_is_back_is_polled_within_five_seconds_and_not_overloaded() {
+    for (ingresses, polls_per_second) in [(100, 22), (300, 66), (2900, 640)] {
+        let restarts =
+            [Restart::BeforeReturn, Restart::AfterReturn, Restart::BeforeReturn, Restart::AfterReturn];
+        for (seed, restart) in (1..).zip(restarts) {
+            let outage = outage(ingresses, polls_per_second, 7, restart, seed);
+            let count = ingresses as usize;
+            assert!(outage.longest_gap <= MAX_RETRY_GAP, "{ingresses}: {outage:?}");
+            assert!(outage.p95 <= 6_000_000, "nineteen in twenty are in time, {ingresses}: {outage:?}");
+            // Each once, those killed after the return once more, and few in vain.
+            let needed = match restart {
+                Restart::BeforeReturn => count,
+                Restart::AfterReturn => count + count * 7 / 10,
+            };
+            assert!(outage.polls <= needed * 6 / 5, "{ingresses}: {outage:?}");
         }
     }
 }
 
-/// Guards against a connection that does not come up, because discovery is cut off, and is waited for as long as news.
+/// Guards against a connection that does not come up, because discovery is cut off, and is waited for as long as changes.
 #[test]
-fn a_call_without_a_connection_is_made_again_within_five_seconds() {
-    for n in 0..20 {
+fn a_poll_without_a_connection_is_retried_within_five_seconds() {
+    for seed in 0..20 {
         let options = WatchOptions {
-            max_body_bytes: MOST_BODY,
+            max_body_bytes: MAX_BODY_BYTES,
             backoff: Backoff::shared_service(10_000_000, 300),
-            seed: n,
+            seed,
             now: 1_000_000_000,
         };
         let mut watch = Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 41, Token(0), options);
-        let mut called = watch.next_timer_at;
+        let mut started_at = watch.next_timer_at;
         for _ in 0..5 {
-            // The call is out, and nothing of it could be written.
-            (watch.called, watch.out, watch.due) = (Some(called), b"GET".to_vec(), called + 30_000_000);
-            watch.next_timer_at = watch.due.min(called + watch.schedule.backoff.response_timeout);
-            assert!(watch.next_timer_at <= called + 3_000_000);
-            watch.fail(watch.next_timer_at, "no answer in time");
-            assert!(watch.next_timer_at <= called + WITHIN, "{} us", watch.next_timer_at - called);
-            called = watch.next_timer_at;
+            // The poll is pending, and nothing of it could be written.
+            watch.poll_started_at = Some(started_at);
+            watch.outgoing = b"GET".to_vec();
+            watch.response_due_at = started_at + 30_000_000;
+            watch.next_timer_at =
+                watch.response_due_at.min(started_at + watch.schedule.backoff.response_timeout);
+            assert!(watch.next_timer_at <= started_at + 3_000_000);
+            watch.fail(watch.next_timer_at, &PollError::TimedOut);
+            assert!(
+                watch.next_timer_at <= started_at + MAX_RETRY_GAP,
+                "{} us",
+                watch.next_timer_at - started_at
+            );
+            started_at = watch.next_timer_at;
         }
     }
 }
 
-/// Guards against a pause behind some kind of failure that is longer than the rest of the 6 s: refused, ended without an
-/// answer, turned away, answered with no list, and never answered at all.
+/// Guards against a delay after some kind of failure that is longer than the rest of the 6 s: refused, ended without a
+/// response, rejected, answered with no list, and never answered in full.
 #[test]
-fn however_calls_fail_the_next_one_comes_within_five_seconds() {
-    let answers: [Option<&[u8]>; 5] = [
+fn however_polls_fail_the_next_one_comes_within_five_seconds() {
+    let responses: [Option<&[u8]>; 5] = [
         None,
         Some(b""),
         Some(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
         Some(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
         Some(b"HTTP/1.1 200 OK\r\nContent-"),
     ];
-    for (kind, answer) in answers.into_iter().enumerate() {
-        let mut talk = Talk::new(Backoff::shared_service(10_000_000, 2900));
-        if answer.is_none() {
-            talk.listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    for (kind, response) in responses.into_iter().enumerate() {
+        let mut rig = WatchRig::new(Backoff::shared_service(10_000_000, 2900));
+        if response.is_none() {
+            rig.listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
             // the first one refuses from now on
         }
-        let mut last = talk.now;
+        let mut last = rig.now;
         for round in 0..12 {
-            let mut peer = answer.map(|_| talk.accept());
-            if let (Some(peer), Some(text)) = (&mut peer, answer) {
-                talk.call(peer);
+            let mut peer = response.map(|_| rig.accept());
+            if let (Some(peer), Some(text)) = (&mut peer, response) {
+                rig.read_poll(peer);
                 peer.write_all(text).unwrap();
             }
             if kind == 1 {
@@ -343,23 +392,23 @@
             }
             // Until it has failed: by what came, or by its time.
             for _ in 0..1_000_000 {
-                if talk.watch.stream.is_none() {
+                if rig.watch.stream.is_none() {
                     break;
                 }
                 if kind == 4 {
-                    talk.now = talk.now.max(talk.watch.next_timer_at);
-                    talk.watch.on_timer(talk.now, talk.poll.registry());
+                    rig.now = rig.now.max(rig.watch.next_timer_at);
+                    rig.watch.on_timer(rig.now, rig.poll.registry());
                     break;
                 }
-                talk.ready();
+                rig.run_ready();
             }
-            if talk.watch.called.is_none() {
-                talk.wake();
+            if rig.watch.poll_started_at.is_none() {
+                rig.run_timer();
             }
-            // A call that waited longer than a failed one may was a watch: what it misses has a time of its own.
-            let open = kind == 4 && round == 0;
-            assert!(open || talk.now <= last + WITHIN, "kind {kind}: {} us", talk.now - last);
-            last = talk.now;
+            // A poll that waited longer than a failed one may was a watch: what it misses has a time of its own.
+            let was_watch = kind == 4 && round == 0;
+            assert!(was_watch || rig.now <= last + MAX_RETRY_GAP, "kind {kind}: {} us", rig.now - last);
+            last = rig.now;
         }
     }
 }
