Move the bytes of discovery's connection out of the watch

The watch held a socket, a buffer for each direction and the loops that read and write, beside the state of its polls.

discovery/connection.rs owns socket and buffers; the watch keeps an Option of it, so that closing a connection drops what was pending on it. A test that set the buffer by hand opens a connection that nobody accepts, and is else the same.

--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery: the endpoint list, and the watch that keeps it up to date by long polling over HTTP/1.1.
 
+mod connection;
 mod endpoint_list;
 mod error;
 mod http;
--- /dev/null
+++ b/src/bin/ingress/discovery/connection.rs
@@ -0,0 +1,99 @@
+//! The bytes of a connection to discovery, in both directions.
+
+use super::http::{StreamState, MAX_HEAD_BYTES};
+use super::{HttpError, PollError};
+use mio::net::TcpStream;
+use mio::{Interest, Registry, Token};
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+
+/// Bytes read at once.
+const READ_CHUNK: usize = 16 * 1024;
+
+/// A connection to discovery, which carries one request at a time.
+pub struct Connection {
+    stream: TcpStream,
+    /// What is still to be written of a request.
+    outgoing: Vec<u8>,
+    /// What has come of a response.
+    received: Vec<u8>,
+}
+
+/// What a call of [`Connection::flush`] came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flush {
+    /// It wrote the last byte of a request.
+    Completed,
+    /// Something is still to be written, or there was nothing to write.
+    NotCompleted,
+}
+
+impl Connection {
+    /// Begins to connect.
+    pub fn open(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<Connection> {
+        let mut stream = TcpStream::connect(address)?;
+        registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE)?;
+        Ok(Connection { stream, outgoing: Vec::new(), received: Vec::new() })
+    }
+
+    /// Sets the request that [`Connection::flush`] writes.
+    pub fn set_request(&mut self, request: Vec<u8>) {
+        self.outgoing = request;
+    }
+
+    /// Whether the request is written to its last byte.
+    pub fn is_request_sent(&self) -> bool {
+        self.outgoing.is_empty()
+    }
+
+    /// What has been received since [`Connection::clear_received`].
+    pub fn received(&self) -> &[u8] {
+        &self.received
+    }
+
+    /// Drops what has been received, and its memory: a snapshot may be long.
+    pub fn clear_received(&mut self) {
+        self.received = Vec::new();
+    }
+
+    /// Writes as much of the request as the socket takes.
+    pub fn flush(&mut self) -> io::Result<Flush> {
+        while !self.outgoing.is_empty() {
+            match self.stream.write(&self.outgoing) {
+                Ok(written) => {
+                    self.outgoing.drain(..written);
+                    if self.outgoing.is_empty() {
+                        return Ok(Flush::Completed);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // Not connected yet, or no room: the socket will show as writable.
+                Err(error) if is_not_ready(&error) => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(Flush::NotCompleted)
+    }
+
+    /// Reads all that has come.
+    pub fn receive(&mut self, max_body_bytes: usize) -> Result<StreamState, PollError> {
+        let mut chunk = [0; READ_CHUNK];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Ok(StreamState::Ended),
+                Ok(count) => self.received.extend_from_slice(&chunk[..count]),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if is_not_ready(&error) => return Ok(StreamState::Open),
+                Err(error) => return Err(PollError::Receive(error)),
+            }
+            if self.received.len() > MAX_HEAD_BYTES + max_body_bytes {
+                return Err(HttpError::TooLong.into());
+            }
+        }
+    }
+}
+
+/// Whether a socket is not connected yet, or has nothing to read or no room to write.
+fn is_not_ready(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
+}
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -1,15 +1,14 @@
 //! The watch: one poll after another, over one connection as long as it lasts. While discovery is silent or broken the
 //! endpoint list stays as it was, and polls are retried with growing delays.
 
-use super::http::{Persistence, StreamState, MAX_HEAD_BYTES};
+use super::connection::{Connection, Flush};
+use super::http::{Persistence, StreamState};
 use super::poll::{parse_response, PollRequest, PollResponse};
-use super::{EndpointList, HttpError, LocationNames, PollError};
+use super::{EndpointList, LocationNames, PollError};
 use crate::error_chain::ErrorChain;
 use ingress::backoff::{Backoff, FailedPoll, NextPoll, PollSchedule};
 use ingress::Micros;
-use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
-use std::io::{self, Read, Write};
+use mio::{Registry, Token};
 use std::net::SocketAddr;
 
 /// How much longer than its timeout a poll may stay unanswered. What it missed counts as delivered 2 s after the
@@ -19,8 +18,6 @@
 const EMPTY_RESPONSE_DELAY: Micros = 50_000;
 /// A response that came faster than this did not wait for changes.
 const IMMEDIATE_RESPONSE: Micros = 20_000;
-/// Bytes read at once.
-const READ_CHUNK: usize = 16 * 1024;
 
 /// How a watch polls.
 pub struct WatchOptions {
@@ -39,12 +36,9 @@
     address: SocketAddr,
     location_names: LocationNames,
     token: Token,
-    stream: Option<TcpStream>,
+    connection: Option<Connection>,
     /// The version of the list held; none asks for a snapshot.
     index: Option<u64>,
-    /// What is still to be written of a request.
-    outgoing: Vec<u8>,
-    received: Vec<u8>,
     /// When the pending poll was started; none while no poll is pending.
     poll_started_at: Option<Micros>,
     /// When the last poll counts as unanswered, once its request is written.
@@ -73,10 +67,8 @@
             address,
             location_names,
             token,
-            stream: None,
+            connection: None,
             index: Some(index),
-            outgoing: Vec::new(),
-            received: Vec::new(),
             poll_started_at: None,
             response_due_at: 0,
             schedule,
@@ -103,15 +95,13 @@
 
     /// Closes the connection, with all that is pending on it: nothing of it belongs to the next one.
     fn disconnect(&mut self) {
-        self.stream = None;
+        self.connection = None;
         self.poll_started_at = None;
-        self.received.clear();
-        self.outgoing.clear();
     }
 
     /// Gives the connection up and schedules the next poll. Returns whether this is the first failure in a row.
     fn fail(&mut self, now: Micros, error: &PollError) -> bool {
-        let request_sent = self.outgoing.is_empty();
+        let request_sent = self.connection.as_ref().map_or(true, Connection::is_request_sent);
         let pending = self.poll_started_at.map(|started_at| FailedPoll { started_at, request_sent });
         let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, pending);
         self.disconnect();
@@ -148,9 +138,9 @@
     }
 
     fn start_poll(&mut self, now: Micros, registry: &Registry) -> bool {
-        if self.stream.is_none() {
-            match self.connect(registry) {
-                Ok(stream) => self.stream = Some(stream),
+        if self.connection.is_none() {
+            match Connection::open(self.address, registry, self.token) {
+                Ok(connection) => self.connection = Some(connection),
                 Err(error) => return self.fail(now, &PollError::Connect(error)),
             }
         }
@@ -163,57 +153,27 @@
             Some(since) => (PollRequest::Changes { since, timeout: 0 }, response_timeout),
             None => (PollRequest::Snapshot, response_timeout),
         };
-        self.outgoing = request.encode(self.address);
+        if let Some(connection) = &mut self.connection {
+            connection.set_request(request.encode(self.address));
+        }
         self.poll_started_at = Some(now);
         self.response_due_at = now + response_due_in;
         // Until the request is written this is not a watch: a connection that does not come up must not be waited for as
         // long as a change, since the system retries it ever more seldom.
         self.next_timer_at = self.response_due_at.min(now + response_timeout);
-        self.write(now)
-    }
-
-    fn connect(&self, registry: &Registry) -> io::Result<TcpStream> {
-        let mut stream = TcpStream::connect(self.address)?;
-        registry.register(&mut stream, self.token, Interest::READABLE | Interest::WRITABLE)?;
-        Ok(stream)
+        self.flush(now)
     }
 
-    fn write(&mut self, now: Micros) -> bool {
-        let Some(stream) = &mut self.stream else { return false };
-        while !self.outgoing.is_empty() {
-            match stream.write(&self.outgoing) {
-                Ok(written) => {
-                    self.outgoing.drain(..written);
-                    if self.outgoing.is_empty() {
-                        self.next_timer_at = self.response_due_at;
-                    }
-                }
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                // Not connected yet, or no room: the socket will show as writable.
-                Err(error) if is_not_ready(&error) => break,
-                Err(error) => return self.fail(now, &PollError::Send(error)),
-            }
+    /// Writes as much of the request as possible. Returns whether polls have just begun to fail.
+    fn flush(&mut self, now: Micros) -> bool {
+        match self.connection.as_mut().map(Connection::flush) {
+            Some(Ok(Flush::Completed)) => self.next_timer_at = self.response_due_at,
+            Some(Ok(Flush::NotCompleted)) | None => {}
+            Some(Err(error)) => return self.fail(now, &PollError::Send(error)),
         }
         false
     }
 
-    /// Reads all that has come.
-    fn read(&mut self, stream: &mut TcpStream) -> Result<StreamState, PollError> {
-        let mut chunk = [0; READ_CHUNK];
-        loop {
-            match stream.read(&mut chunk) {
-                Ok(0) => return Ok(StreamState::Ended),
-                Ok(count) => self.received.extend_from_slice(&chunk[..count]),
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if is_not_ready(&error) => return Ok(StreamState::Open),
-                Err(error) => return Err(PollError::Receive(error)),
-            }
-            if self.received.len() > MAX_HEAD_BYTES + self.max_body_bytes {
-                return Err(HttpError::TooLong.into());
-            }
-        }
-    }
-
     /// Does what the connection is ready for, and passes a list that came to `on_endpoints`. Returns whether polls have
     /// just begun to fail.
     pub fn on_ready(
@@ -222,22 +182,26 @@
         registry: &Registry,
         on_endpoints: &mut impl FnMut(EndpointList),
     ) -> bool {
-        if self.write(now) {
+        if self.flush(now) {
             return true;
         }
+        let Some(connection) = &mut self.connection else { return false };
         // A response without a length can only be judged once the end of the stream is known.
-        let Some(mut stream) = self.stream.take() else { return false };
-        let read = self.read(&mut stream);
-        self.stream = Some(stream);
-        let stream_state = match read {
+        let stream_state = match connection.receive(self.max_body_bytes) {
             Ok(stream_state) => stream_state,
             Err(error) => return self.fail(now, &error),
         };
+        let received = connection.received();
         let Some(started_at) = self.poll_started_at else {
-            self.on_unsolicited(now, stream_state);
+            // Nothing is expected between two polls but the end of the connection. Bytes that come all the same must
+            // not be taken for the response to the next poll.
+            if stream_state == StreamState::Ended || !received.is_empty() {
+                self.disconnect();
+                self.next_timer_at = now;
+            }
             return false;
         };
-        match parse_response(&self.received, stream_state, &self.location_names, self.max_body_bytes) {
+        match parse_response(received, stream_state, &self.location_names, self.max_body_bytes) {
             Err(error) => self.fail(now, &error),
             Ok(None) if stream_state == StreamState::Ended => self.fail(now, &PollError::ConnectionEnded),
             Ok(None) => false,
@@ -249,15 +213,6 @@
         }
     }
 
-    /// Between two polls nothing is expected but the end of the connection. Bytes that come all the same must not be
-    /// taken for the response to the next poll.
-    fn on_unsolicited(&mut self, now: Micros, stream_state: StreamState) {
-        if stream_state == StreamState::Ended || !self.received.is_empty() {
-            self.disconnect();
-            self.next_timer_at = now;
-        }
-    }
-
     fn complete_poll(
         &mut self,
         now: Micros,
@@ -271,9 +226,10 @@
         self.index = Some(response.endpoints.index);
         self.poll_started_at = None;
         self.last_poll_timed_out = false;
-        self.received = Vec::new(); // frees the memory of a snapshot, which may be long
         if stream_state == StreamState::Ended || response.persistence == Persistence::Close {
-            self.stream = None;
+            self.connection = None;
+        } else if let Some(connection) = &mut self.connection {
+            connection.clear_received();
         }
         // A discovery that answers at once with nothing must not be polled without pause.
         let was_immediate = now < started_at + IMMEDIATE_RESPONSE;
@@ -282,10 +238,5 @@
     }
 }
 
-/// Whether a socket is not connected yet, or has nothing to read or no room to write.
-fn is_not_ready(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 use crate::discovery::tests::{location_names, MAX_BODY_BYTES};
+use crate::discovery::HttpError;
+use std::io::{Read, Write};
 
 /// How soon a failed poll is to be followed by the next: 6 s, less what a response takes.
 const MAX_RETRY_GAP: Micros = 5_000_000;
@@ -158,7 +160,7 @@
     for _ in 0..20 {
         drop(rig.accept());
         let failed_at = rig.now;
-        while rig.watch.stream.is_some() {
+        while rig.watch.connection.is_some() {
             rig.run_ready();
         }
         rig.run_timer();
@@ -178,7 +180,7 @@
         "an empty response came at once: the next poll comes a moment later"
     );
     first.write_all(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap();
-    while rig.watch.stream.is_some() {
+    while rig.watch.connection.is_some() {
         rig.run_ready();
     }
     rig.run_timer();
@@ -335,6 +337,9 @@
 /// Guards against a connection that does not come up, because discovery is cut off, and is waited for as long as changes.
 #[test]
 fn a_poll_without_a_connection_is_retried_within_five_seconds() {
+    let poll = mio::Poll::new().unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let unread = listener.local_addr().unwrap();
     for seed in 0..20 {
         let options = WatchOptions {
             max_body_bytes: MAX_BODY_BYTES,
@@ -347,7 +352,9 @@
         for _ in 0..5 {
             // The poll is pending, and nothing of it could be written.
             watch.poll_started_at = Some(started_at);
-            watch.outgoing = b"GET".to_vec();
+            let mut connection = Connection::open(unread, poll.registry(), Token(0)).unwrap();
+            connection.set_request(b"GET".to_vec());
+            watch.connection = Some(connection);
             watch.response_due_at = started_at + 30_000_000;
             watch.next_timer_at =
                 watch.response_due_at.min(started_at + watch.schedule.backoff.response_timeout);
@@ -392,7 +399,7 @@
             }
             // Until it has failed: by what came, or by its time.
             for _ in 0..1_000_000 {
-                if rig.watch.stream.is_none() {
+                if rig.watch.connection.is_none() {
                     break;
                 }
                 if kind == 4 {
