--- a/tests/crowded.rs
+++ b/tests/crowded.rs
@@ -5,12 +5,12 @@
 
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, TcpStream};
-use support::backend::{serve, Backend};
-use support::client::call;
-use support::discovery::Discovery;
-use support::ingress::{Ingress, Setup};
-use support::resp::command;
-use support::wait::until;
+use support::backend::{reply_with_value, Backend};
+use support::client::encode_request;
+use support::discovery::DiscoveryServer;
+use support::ingress::{IngressProcess, IngressSetup};
+use support::resp::encode_command;
+use support::wait::wait_until;
 
 /// More than there are descriptors.
 const CROWD: usize = 300;
@@ -20,19 +20,19 @@
 struct Crowd(Vec<(TcpStream, bool)>);
 
 impl Crowd {
-    fn come(ingress: &Ingress) -> Crowd {
+    fn come(ingress: &IngressProcess) -> Crowd {
         let client = |_| {
             let mut client = ingress.client();
-            client.send(&command(&["PING"]));
-            client.0.set_nonblocking(true).unwrap();
-            (client.0, false)
+            client.send(&encode_command(&["PING"]));
+            client.stream.set_nonblocking(true).unwrap();
+            (client.stream, false)
         };
         Crowd((0..CROWD).map(client).collect())
     }
 
     /// Waits until each was answered, or closed to make room for others.
     fn settle(&mut self) {
-        until("all are answered or closed", || {
+        wait_until("all are answered or closed", || {
             for (stream, done) in &mut self.0 {
                 *done |= !matches!(stream.read(&mut [0; 16]), Err(e) if e.kind() == ErrorKind::WouldBlock);
             }
@@ -41,7 +41,7 @@
     }
 
     /// How many of them are still connected, by what the ingress holds open.
-    fn held(ingress: &Ingress) -> usize {
+    fn held(ingress: &IngressProcess) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count()
     }
 }
@@ -49,49 +49,49 @@
 /// An ingress between such a crowd and a discovery that is down, at its start already or from then on.
 fn crowded(mode: &str, by_system: bool, down_at_start: bool) {
     let what = format!("{mode}, limit of the system: {by_system}, down at the start: {down_at_start}");
-    let (good, other) = (Backend::start(serve), Backend::start(serve));
-    let (discovery, moved) = (Discovery::start(), Discovery::start());
-    let mut setup = Setup::of(&[]);
-    setup.discovery = Some(discovery.at);
+    let (good, other) = (Backend::start(reply_with_value), Backend::start(reply_with_value));
+    let (discovery, moved) = (DiscoveryServer::start(), DiscoveryServer::start());
+    let mut setup = IngressSetup::with_backends(&[]);
+    setup.discovery = Some(discovery.address);
     setup.settings = setup.settings.replace("\"push\"", &format!("\"{mode}\""));
     if by_system {
-        setup.ulimit = Some(SOCKETS);
+        setup.system_descriptor_limit = Some(SOCKETS);
     } else {
-        setup.sockets = SOCKETS;
+        setup.socket_limit = SOCKETS;
     }
-    discovery.down(down_at_start);
+    discovery.set_down(down_at_start);
     let ingress = setup.start();
     let mut crowd = Crowd::come(&ingress);
-    discovery.down(true);
+    discovery.set_down(true);
     crowd.settle();
     let held = Crowd::held(&ingress);
     assert!((SOCKETS / 2..=SOCKETS).contains(&held), "{held} descriptors; {what}");
     // Down for as long as it takes until it is back, it is told of a change meanwhile.
-    let before = discovery.calls.load(std::sync::atomic::Ordering::SeqCst);
-    discovery.change(good.entry("s-0", "up"));
-    discovery.down(false);
-    until(&format!("discovery is called again; {what}"), || {
-        discovery.calls.load(std::sync::atomic::Ordering::SeqCst) > before
+    let before = discovery.polls.load(std::sync::atomic::Ordering::SeqCst);
+    discovery.publish(good.endpoint_json("s-0", "up"));
+    discovery.set_down(false);
+    wait_until(&format!("discovery is called again; {what}"), || {
+        discovery.polls.load(std::sync::atomic::Ordering::SeqCst) > before
     });
     // One more client comes; its request needs a connection to a backend that nobody was connected to.
     let mut client = ingress.client();
     let mut answer = String::new();
     for n in 0..100 {
-        answer = client.ask(&call("quote", &format!("r{n}"), 900));
+        answer = client.round_trip(&encode_request("quote", &format!("r{n}"), 900));
         if answer.starts_with("value") {
             break; // until then the list may still be on its way
         }
     }
     assert!(answer.starts_with("value"), "{answer}; {what}");
     // A new configuration moves discovery, which knows of another backend only.
-    moved.change(other.entry("s-1", "up"));
-    setup.discovery = Some(moved.at);
-    ingress.configure(&setup.config(ingress.at));
+    moved.publish(other.endpoint_json("s-1", "up"));
+    setup.discovery = Some(moved.address);
+    ingress.write_config(&setup.config_json(ingress.address));
     ingress.signal("HUP");
     let mut n = 0;
-    until(&format!("a backend from there is used; {what}"), || {
+    wait_until(&format!("a backend from there is used; {what}"), || {
         n += 1;
-        client.ask(&call("quote", &format!("m{n}"), 900));
+        client.round_trip(&encode_request("quote", &format!("m{n}"), 900));
         other.count() > 0
     });
     crowd.0.iter().for_each(|c| drop(c.0.shutdown(Shutdown::Both)));
--- a/tests/ingress/backend_connections.rs
+++ b/tests/ingress/backend_connections.rs
@@ -1,10 +1,10 @@
 //! The pool of connections to a backend.
 
-use crate::requests::new_id;
-use crate::support::backend::{serve, served, Act, Backend};
-use crate::support::client::call;
-use crate::support::ingress::Setup;
-use crate::support::wait::until;
+use crate::requests::new_request_id;
+use crate::support::backend::{reply_with_value, value_reply, Backend, BackendReply};
+use crate::support::client::encode_request;
+use crate::support::ingress::IngressSetup;
+use crate::support::wait::wait_until;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -14,14 +14,17 @@
 #[test]
 fn what_comes_behind_an_answer_serves_nobody() {
     let backend = Backend::start(|args| {
-        let mut twice = served(args);
-        twice.extend_from_slice(&served(args));
-        Act::Parts(twice.len() / 2, twice)
+        let mut twice = value_reply(args);
+        twice.extend_from_slice(&value_reply(args));
+        BackendReply::InTwoParts(twice.len() / 2, twice)
     });
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..200 {
-        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
+        assert_eq!(
+            client.round_trip(&encode_request("refer", &format!("r{n}"), 2000)),
+            format!("value of r{n}")
+        );
         thread::sleep(Duration::from_micros(n * 20));
     }
 }
@@ -29,14 +32,19 @@
 /// Guards against keeping connections that the backend has ended: what is written to one may have run.
 #[test]
 fn connections_that_a_backend_ended_are_not_used_again() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..5 {
-        assert_eq!(client.ask(&call("refer", &format!("r{n}"), 2000)), format!("value of r{n}"));
-        backend.seen.hang_up.store(true, Ordering::SeqCst);
-        until("the backend hangs up", || backend.seen.ended.load(Ordering::SeqCst) == n + 1);
-        backend.seen.hang_up.store(false, Ordering::SeqCst);
+        assert_eq!(
+            client.round_trip(&encode_request("refer", &format!("r{n}"), 2000)),
+            format!("value of r{n}")
+        );
+        backend.record.close_when_idle.store(true, Ordering::SeqCst);
+        wait_until("the backend hangs up", || {
+            backend.record.connections_closed.load(Ordering::SeqCst) == n + 1
+        });
+        backend.record.close_when_idle.store(false, Ordering::SeqCst);
         thread::sleep(Duration::from_millis(30));
     }
     assert_eq!(backend.count(), 5);
@@ -46,30 +54,33 @@
 /// a request that must not run twice fails with each. They are found out by how long they were idle.
 #[test]
 fn connections_that_die_of_idleness_are_found_out() {
-    let backend = Backend::start(serve);
-    backend.seen.stale_ms.store(130, Ordering::SeqCst);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    backend.record.reset_after_idle_ms.store(130, Ordering::SeqCst);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     let mut ask = |pause| {
         thread::sleep(Duration::from_millis(pause));
-        let id = new_id();
-        client.ask(&call("refer", &id, 2000)) == format!("value of {id}")
+        let id = new_request_id();
+        client.round_trip(&encode_request("refer", &id, 2000)) == format!("value of {id}")
     };
     let served = (0..30).filter(|_| ask(260)).count();
     assert!(served >= 22, "{served} of 30 served");
     assert!((0..10).all(|_| ask(260)), "found out by now");
     // Those that were idle for less are used on.
-    let before = backend.seen.opened.load(Ordering::SeqCst);
+    let before = backend.record.connections_opened.load(Ordering::SeqCst);
     assert!((0..10).filter(|_| ask(50)).count() >= 7);
-    assert!(backend.seen.opened.load(Ordering::SeqCst) <= before + 7, "each request has a new one");
+    assert!(
+        backend.record.connections_opened.load(Ordering::SeqCst) <= before + 7,
+        "each request has a new one"
+    );
 }
 
 #[test]
 fn idle_connections_are_closed_before_the_backend_does() {
-    let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
     setup.settings = setup.settings.replace("15000000", "1000000");
     let ingress = setup.start();
-    assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
-    until("it is closed", || backend.seen.ended.load(Ordering::SeqCst) == 1);
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
+    wait_until("it is closed", || backend.record.connections_closed.load(Ordering::SeqCst) == 1);
 }
--- a/tests/ingress/client_connections.rs
+++ b/tests/ingress/client_connections.rs
@@ -1,89 +1,97 @@
 //! Connections of clients: pipelining, disconnects and timeouts.
 
-use crate::support::backend::{serve, served, Act, Backend};
-use crate::support::client::{call, leave};
-use crate::support::ingress::Setup;
-use crate::support::resp::command;
-use crate::support::wait::until;
+use crate::support::backend::{reply_with_value, value_reply, Backend, BackendReply};
+use crate::support::client::encode_request;
+use crate::support::ingress::IngressSetup;
+use crate::support::resp::encode_command;
+use crate::support::wait::wait_until;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
 #[test]
 fn a_request_whose_client_has_gone_is_called_off() {
-    let slow = Backend::start(|args| Act::Later(Duration::from_millis(300), served(args)));
-    let ingress = Setup::of(&[&slow]).start();
+    let slow = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(300), value_reply(args)));
+    let ingress = IngressSetup::with_backends(&[&slow]).start();
     let mut client = ingress.client();
-    client.send(&call("refer", "r1", 5000));
-    until("it is sent", || slow.count() == 1);
-    leave(client);
-    until("it is called off", || slow.seen.ended.load(Ordering::SeqCst) == 1);
-    assert_eq!(ingress.client().ask(&call("refer", "r2", 5000)), "value of r2");
+    client.send(&encode_request("refer", "r1", 5000));
+    wait_until("it is sent", || slow.count() == 1);
+    client.disconnect();
+    wait_until("it is called off", || slow.record.connections_closed.load(Ordering::SeqCst) == 1);
+    assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 5000)), "value of r2");
 }
 
 #[test]
 fn pipelined_requests_are_answered_in_their_order() {
     let backend = Backend::start(|args| match &args[2][..1] {
-        "s" => Act::Later(Duration::from_millis(150), served(args)),
-        _ => serve(args),
+        "s" => BackendReply::Delayed(Duration::from_millis(150), value_reply(args)),
+        _ => reply_with_value(args),
     });
-    let ingress = Setup::of(&[&backend]).start();
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let bad = command(&["GET", "x"]);
-    client.send(&[call("save", "s1", 2000), call("quote", "q2", 900), bad, command(&["PING"])].concat());
-    let answers: Vec<String> = (0..4).map(|_| client.answer()).collect();
+    let bad = encode_command(&["GET", "x"]);
+    client.send(
+        &[
+            encode_request("save", "s1", 2000),
+            encode_request("quote", "q2", 900),
+            bad,
+            encode_command(&["PING"]),
+        ]
+        .concat(),
+    );
+    let answers: Vec<String> = (0..4).map(|_| client.read_reply()).collect();
     assert_eq!(answers, ["value of s1", "value of q2", "-ERR unknown command", "+PONG"]);
     // More than one connection's line holds: nothing is lost, nothing is out of order.
     let pings = 2000;
-    client.send(&command(&["PING"]).repeat(pings));
-    client.send(&call("quote", "q3", 900));
-    (0..pings).for_each(|_| assert_eq!(client.answer(), "+PONG"));
-    assert_eq!(client.answer(), "value of q3");
+    client.send(&encode_command(&["PING"]).repeat(pings));
+    client.send(&encode_request("quote", "q3", 900));
+    (0..pings).for_each(|_| assert_eq!(client.read_reply(), "+PONG"));
+    assert_eq!(client.read_reply(), "value of q3");
 }
 
 /// Guards against a line that stops for good once it is full: requests then wait in the kernel, untold of.
 #[test]
 fn a_long_line_of_requests_is_read_to_its_end() {
-    let slow = Backend::start(|args| Act::Later(Duration::from_millis(5), served(args)));
-    let ingress = Setup::of(&[&slow]).start();
+    let slow = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(5), value_reply(args)));
+    let ingress = IngressSetup::with_backends(&[&slow]).start();
     let mut client = ingress.client();
-    let requests: Vec<u8> = (0..600).flat_map(|n| call("save", &format!("s{n}"), 3000)).collect();
+    let requests: Vec<u8> = (0..600).flat_map(|n| encode_request("save", &format!("s{n}"), 3000)).collect();
     client.send(&requests);
     for n in 0..600 {
-        let answer = client.answer();
+        let answer = client.read_reply();
         assert!(answer == format!("value of s{n}") || answer.starts_with('-'), "{n}: {answer:?}");
     }
-    assert_eq!(client.ask(&command(&["PING"])), "+PONG");
+    assert_eq!(client.round_trip(&encode_command(&["PING"])), "+PONG");
 }
 
 #[test]
 fn a_request_that_comes_byte_by_byte_is_served() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    for byte in call("save", "s1", 2500) {
+    for byte in encode_request("save", "s1", 2500) {
         client.send(&[byte]);
         thread::sleep(Duration::from_micros(200));
     }
-    assert_eq!(client.answer(), "value of s1");
+    assert_eq!(client.read_reply(), "value of s1");
 }
 
 /// Guards against descriptors held by clients that say nothing, or never the whole of a command: each is owed an
 /// error or a close within 3 s. One that has spoken may stay.
 #[test]
 fn clients_that_say_nothing_whole_are_ended() {
-    let ingress = Setup::of(&[]).start();
+    let ingress = IngressSetup::with_backends(&[]).start();
     let (mut usual, mut silent, mut half) = (ingress.client(), ingress.client(), ingress.client());
     let start = Instant::now();
-    assert_eq!(usual.ask(&command(&["PING"])), "+PONG");
+    assert_eq!(usual.round_trip(&encode_command(&["PING"])), "+PONG");
     half.send(b"*4\r\n$8\r\nCALL");
-    assert!(half.answer().starts_with("-ERR"));
-    assert!(half.ended() && silent.ended());
+    assert!(half.read_reply().starts_with("-ERR"));
+    assert!(half.is_disconnected() && silent.is_disconnected());
     assert!(start.elapsed() < Duration::from_secs(5), "it took {:?}", start.elapsed());
-    assert_eq!(usual.ask(&command(&["PING"])), "+PONG");
+    assert_eq!(usual.round_trip(&encode_command(&["PING"])), "+PONG");
     // Half a command is timed from its first byte, not from the last command.
-    let ping = command(&["PING"]);
+    let ping = encode_command(&["PING"]);
     usual.send(&ping[..5]);
     thread::sleep(Duration::from_millis(1200));
-    assert_eq!(usual.ask(&ping[5..]), "+PONG");
+    assert_eq!(usual.round_trip(&ping[5..]), "+PONG");
 }
--- a/tests/ingress/forwarding.rs
+++ b/tests/ingress/forwarding.rs
@@ -1,28 +1,28 @@
 //! How requests and answers are forwarded, and when requests are rejected.
 
-use crate::requests::refused;
-use crate::support::backend::{serve, Act, Backend};
-use crate::support::client::{call, call_of};
-use crate::support::ingress::Setup;
-use crate::support::resp::command;
+use crate::requests::is_rejected;
+use crate::support::backend::{reply_with_value, Backend, BackendReply};
+use crate::support::client::{encode_request, encode_request_of};
+use crate::support::ingress::IngressSetup;
+use crate::support::resp::encode_command;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
 #[test]
 fn a_request_goes_on_as_it_came_and_the_value_comes_back_as_it_was_given() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let asked = command(&[
+    let asked = encode_command(&[
         "CALL.POST",
         "00000000b4d65521",
         "9b1f03aa5c7e2d41",
         "c=save,t=starter,d=2480,k=5c0f6e1a,r=1,units=2,spread=1,first=0,new=x",
         "BO\r\nDY",
     ]);
-    assert_eq!(client.ask(&asked), "value of 9b1f03aa5c7e2d41");
-    let seen = backend.seen.commands.lock().unwrap().clone();
+    assert_eq!(client.round_trip(&asked), "value of 9b1f03aa5c7e2d41");
+    let seen = backend.record.commands.lock().unwrap().clone();
     let [args] = &seen[..] else { panic!("one attempt: {seen:?}") };
     assert_eq!(
         (&args[..3].join(" "), &args[4]),
@@ -37,26 +37,33 @@
 
 #[test]
 fn one_connection_serves_requests_one_after_the_other() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     for n in 0..20 {
-        assert_eq!(client.ask(&call("quote", &format!("q{n}"), 900)), format!("value of q{n}"));
+        assert_eq!(
+            client.round_trip(&encode_request("quote", &format!("q{n}"), 900)),
+            format!("value of q{n}")
+        );
         thread::sleep(Duration::from_millis(40)); // a connection rests for a moment behind an answer
     }
-    assert_eq!(backend.seen.opened.load(Ordering::SeqCst), 1, "the newest idle connection is used again");
+    assert_eq!(
+        backend.record.connections_opened.load(Ordering::SeqCst),
+        1,
+        "the newest idle connection is used again"
+    );
 }
 
 #[test]
 fn beyond_the_quota_a_request_is_refused_at_once_and_told_when_to_come_back() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     let mut refusals = Vec::new();
     for n in 0..12 {
         let start = Instant::now();
-        let answer = client.ask(&call_of(4711, "quote", &format!("q{n}"), 900));
-        if refused(&answer) {
+        let answer = client.round_trip(&encode_request_of(4711, "quote", &format!("q{n}"), 900));
+        if is_rejected(&answer) {
             refusals.push((answer, start.elapsed()));
         }
     }
@@ -73,8 +80,8 @@
 fn a_value_is_kept_though_its_report_is_noise() {
     for load in ["$3\r\n=,=\r\n", "$9\r\nutil=-1e9\r\n", "$8\r\nutil=nan\r\n", ":7\r\n", "+x\r\n"] {
         let answer = format!("*3\r\n$2\r\nok\r\n$-1\r\n{load}");
-        let backend = Backend::start(move |_| Act::Say(answer.clone().into_bytes()));
-        let ingress = Setup::of(&[&backend]).start();
-        assert_eq!(ingress.client().ask(&call("refer", "r1", 2000)), "ok", "{load:?}");
+        let backend = Backend::start(move |_| BackendReply::Bytes(answer.clone().into_bytes()));
+        let ingress = IngressSetup::with_backends(&[&backend]).start();
+        assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "ok", "{load:?}");
     }
 }
--- a/tests/ingress/protocol_errors.rs
+++ b/tests/ingress/protocol_errors.rs
@@ -1,19 +1,19 @@
 //! Commands that are malformed, out of range or too large.
 
-use crate::requests::new_id;
-use crate::support::backend::{serve, served, Act, Backend};
-use crate::support::client::{call, call_of};
-use crate::support::ingress::Setup;
-use crate::support::resp::command;
-use crate::support::wait::until;
+use crate::requests::new_request_id;
+use crate::support::backend::{reply_with_value, value_reply, Backend, BackendReply};
+use crate::support::client::{encode_request, encode_request_of};
+use crate::support::ingress::IngressSetup;
+use crate::support::resp::encode_command;
+use crate::support::wait::wait_until;
 use std::time::Duration;
 
 #[test]
 fn a_bad_request_gets_an_error_and_the_connection_goes_on() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let good = String::from_utf8(call("quote", "q1", 900)).unwrap();
+    let good = String::from_utf8(encode_request("quote", "q1", 900)).unwrap();
     for (from, to) in [
         ("c=quote", "c=quota"),
         ("t=starter", "t=stopper"),
@@ -22,21 +22,21 @@
         ("first=0", "fifth=0"),
         ("CALL.GET", "CALL.PUT"),
     ] {
-        let answer = client.ask(good.replace(from, to).as_bytes());
+        let answer = client.round_trip(good.replace(from, to).as_bytes());
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
-    assert_eq!(client.ask(&call("quote", "q2", 900)), "value of q2");
+    assert_eq!(client.round_trip(&encode_request("quote", "q2", 900)), "value of q2");
     assert_eq!(backend.count(), 1, "nothing bad reaches a backend");
 }
 
 /// Guards against requests that the module would keep in a usual customer's record, and a backend turn away.
 #[test]
 fn what_is_out_of_range_reaches_no_backend() {
-    let backend = Backend::start(serve);
-    let mut setup = Setup::of(&[&backend]);
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
     setup.settings = setup.settings.replace("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
     let ingress = setup.start();
-    let good = String::from_utf8(call_of(4711, "quote", "q1", 900)).unwrap();
+    let good = String::from_utf8(encode_request_of(4711, "quote", "q1", 900)).unwrap();
     for (from, to) in [
         ("units=1", "units=0"),
         ("units=1", "units=9"),
@@ -44,72 +44,72 @@
         ("spread=1", "spread=2"),
         ("first=0", "first=1"),
     ] {
-        let answer = ingress.client().ask(good.replace(from, to).as_bytes());
+        let answer = ingress.client().round_trip(good.replace(from, to).as_bytes());
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
-    assert_eq!(ingress.client().ask(good.as_bytes()), "value of q1");
+    assert_eq!(ingress.client().round_trip(good.as_bytes()), "value of q1");
     assert_eq!(backend.count(), 1);
 }
 
 /// Guards against a second request under an id that is open: backends would take it for a copy of the first.
 #[test]
 fn an_id_that_is_open_already_is_an_error_and_does_not_disturb_the_first() {
-    let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(400), value_reply(args)));
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut first = ingress.client();
-    first.send(&call("refer", "r1", 4000));
-    until("it is sent", || backend.count() == 1);
+    first.send(&encode_request("refer", "r1", 4000));
+    wait_until("it is sent", || backend.count() == 1);
     for id in ["r1", "r1"] {
-        let answer = ingress.client().ask(&call("refer", id, 4000));
+        let answer = ingress.client().round_trip(&encode_request("refer", id, 4000));
         assert!(answer.starts_with("-ERR"), "{answer}");
     }
-    assert_eq!(first.answer(), "value of r1");
+    assert_eq!(first.read_reply(), "value of r1");
     // It may come late by a moment only.
-    assert!(ingress.client().ask(&call("refer", "r1", 4000)).starts_with("-ERR"));
-    assert_eq!(ingress.client().ask(&call("refer", "r2", 4000)), "value of r2");
+    assert!(ingress.client().round_trip(&encode_request("refer", "r1", 4000)).starts_with("-ERR"));
+    assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 4000)), "value of r2");
     assert_eq!(backend.count(), 2);
 }
 
 /// Guards against a client that sends bad commands for as long as its connection stands.
 #[test]
 fn after_some_bad_commands_the_connection_is_closed() {
-    let backend = Backend::start(serve);
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    client.send(&[call("quote", "q1", 900), command(&["GET", "x"]).repeat(300)].concat());
-    assert_eq!(client.answer(), "value of q1");
-    let errors = (0..300).take_while(|_| client.answer().starts_with("-ERR")).count();
+    client.send(&[encode_request("quote", "q1", 900), encode_command(&["GET", "x"]).repeat(300)].concat());
+    assert_eq!(client.read_reply(), "value of q1");
+    let errors = (0..300).take_while(|_| client.read_reply().starts_with("-ERR")).count();
     assert!((1..20).contains(&errors), "{errors} errors");
-    assert_eq!(ingress.client().ask(&call("quote", "q2", 900)), "value of q2");
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q2", 900)), "value of q2");
 }
 
 /// Guards against an error that a reset takes away: the client is still sending when the connection is given up.
 #[test]
 fn a_huge_value_is_told_so_while_it_is_still_sent() {
-    let ingress = Setup::of(&[]).start();
+    let ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.send(b"*1\r\n$60000000\r\n");
     for _ in 0..60 {
         client.send(&[b'x'; 1_000_000]);
     }
-    assert!(client.answer().starts_with("-ERR protocol error"));
-    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+    assert!(client.read_reply().starts_with("-ERR protocol error"));
+    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
 }
 
 #[test]
 fn malformed_input_gets_an_error_and_a_close_behind_what_was_asked_before() {
-    let backend = Backend::start(|args| Act::Later(Duration::from_millis(100), served(args)));
-    let ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(100), value_reply(args)));
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
     for bad in
         ["PING\r\n", "*1\r\n$70000\r\n", "*2000000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx", "\0\0\0"]
     {
-        let (mut client, id) = (ingress.client(), new_id());
-        client.send(&call("quote", &id, 900));
+        let (mut client, id) = (ingress.client(), new_request_id());
+        client.send(&encode_request("quote", &id, 900));
         // What follows is more than the kernel would forgive at a close with unread bytes.
         client.send(&[bad.as_bytes(), &[b'x'; 40_000]].concat());
-        assert_eq!(client.answer(), format!("value of {id}"), "{bad:?}");
-        assert!(client.answer().starts_with("-ERR protocol error"), "{bad:?}");
-        assert!(client.ended(), "{bad:?}");
+        assert_eq!(client.read_reply(), format!("value of {id}"), "{bad:?}");
+        assert!(client.read_reply().starts_with("-ERR protocol error"), "{bad:?}");
+        assert!(client.is_disconnected(), "{bad:?}");
     }
-    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
 }
--- a/tests/ingress/shutdown.rs
+++ b/tests/ingress/shutdown.rs
@@ -1,39 +1,42 @@
 //! Graceful shutdown on SIGTERM.
 
-use crate::requests::new_id;
-use crate::support::backend::{serve, served, Act, Backend};
-use crate::support::client::{call, Client};
-use crate::support::ingress::Setup;
-use crate::support::resp::command;
-use crate::support::wait::until;
+use crate::requests::new_request_id;
+use crate::support::backend::{reply_with_value, value_reply, Backend, BackendReply};
+use crate::support::client::{encode_request, Client};
+use crate::support::ingress::IngressSetup;
+use crate::support::resp::encode_command;
+use crate::support::wait::wait_until;
 use std::thread;
 use std::time::{Duration, Instant};
 
 #[test]
 fn told_to_stop_it_serves_all_that_was_taken_and_those_who_still_come() {
-    let backend = Backend::start(|args| Act::Later(Duration::from_millis(400), served(args)));
-    let mut ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(400), value_reply(args)));
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start();
     let idle = ingress.client();
     let mut taken: Vec<Client> = (0..8).map(|_| ingress.client()).collect();
     for (n, client) in taken.iter_mut().enumerate().take(4) {
-        client.send(&call("refer", &format!("r{n}"), 2500));
+        client.send(&encode_request("refer", &format!("r{n}"), 2500));
     }
-    until("they are with the backend", || backend.count() == 4);
+    wait_until("they are with the backend", || backend.count() == 4);
     let start = Instant::now();
     ingress.signal("TERM");
     for (n, client) in taken.iter_mut().enumerate().skip(4) {
-        client.send(&call("refer", &format!("r{n}"), 2500));
+        client.send(&encode_request("refer", &format!("r{n}"), 2500));
     }
     thread::sleep(Duration::from_millis(200));
     let mut late = ingress.client();
-    assert_eq!(late.ask(&command(&["PING"])), "+PONG");
-    late.send(&call("refer", "late", 2500));
+    assert_eq!(late.round_trip(&encode_command(&["PING"])), "+PONG");
+    late.send(&encode_request("refer", "late", 2500));
     for (n, client) in taken.iter_mut().enumerate() {
-        assert_eq!(client.answer(), format!("value of r{n}"));
+        assert_eq!(client.read_reply(), format!("value of r{n}"));
     }
-    assert_eq!(late.answer(), "value of late");
-    assert!(late.ended() && Client(idle.0).ended(), "connections are closed between requests");
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(late.read_reply(), "value of late");
+    assert!(
+        late.is_disconnected() && Client { stream: idle.stream }.is_disconnected(),
+        "connections are closed between requests"
+    );
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
     assert!(start.elapsed() < Duration::from_secs(3), "SIGKILL may come 3.7 s after SIGTERM");
     assert!(!ingress.log().contains("panicked"));
 }
@@ -41,32 +44,37 @@
 /// Guards against a port that is closed while clients still come, who have not heard that it stops: each was refused.
 #[test]
 fn told_to_stop_it_accepts_for_as_long_as_clients_come() {
-    let backend = Backend::start(serve);
-    let mut ingress = Setup::of(&[&backend]).start();
+    let backend = Backend::start(reply_with_value);
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start();
     ingress.signal("TERM");
     let start = Instant::now();
     while start.elapsed() < Duration::from_millis(1800) {
-        let id = new_id();
+        let id = new_request_id();
         let mut client = ingress.client();
-        assert_eq!(client.ask(&call("quote", &id, 900)), format!("value of {id}"), "{:?}", start.elapsed());
+        assert_eq!(
+            client.round_trip(&encode_request("quote", &id, 900)),
+            format!("value of {id}"),
+            "{:?}",
+            start.elapsed()
+        );
         thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
 
 /// Guards against a request that is still out when SIGKILL comes, 0.7 s after the longest deadline but no later
 /// than 3.7 s: by then it has failed, or it is lost.
 #[test]
 fn what_is_still_out_when_the_time_to_stop_is_over_has_failed() {
-    let silent = Backend::start(|_| Act::Silent);
-    let mut ingress = Setup::of(&[&silent]).start();
+    let silent = Backend::start(|_| BackendReply::Nothing);
+    let mut ingress = IngressSetup::with_backends(&[&silent]).start();
     let mut client = ingress.client();
-    client.send(&call("refer", "r1", 7900));
-    until("it is sent", || silent.count() == 1);
+    client.send(&encode_request("refer", "r1", 7900));
+    wait_until("it is sent", || silent.count() == 1);
     let start = Instant::now();
     ingress.signal("TERM");
-    assert_eq!(client.answer(), "-ERR failed");
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(client.read_reply(), "-ERR failed");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
     let took = start.elapsed();
     assert!(took > Duration::from_secs(3), "it gave up after {took:?}");
     assert!(took < Duration::from_millis(6000), "it took {took:?}");
@@ -75,22 +83,22 @@
 /// A client that never ends its request must not keep a stopping ingress.
 #[test]
 fn half_a_request_does_not_hold_up_the_end() {
-    let mut ingress = Setup::of(&[]).start();
+    let mut ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.send(b"*4\r\n$8\r\nCALL");
-    assert_eq!(ingress.client().ask(&command(&["PING"])), "+PONG");
+    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
     ingress.signal("TERM");
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
 
 /// Guards against waiting for a client that asks and never reads, until the ingress is killed with others' answers.
 #[test]
 fn answers_that_nobody_reads_do_not_hold_up_the_end() {
-    let mut ingress = Setup::of(&[]).start();
+    let mut ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
-    client.0.set_nonblocking(true).unwrap();
-    let (pings, mut stuck) = (command(&["PING"]).repeat(10_000), None);
-    until("both directions are full", || match std::io::Write::write(&mut client.0, &pings) {
+    client.stream.set_nonblocking(true).unwrap();
+    let (pings, mut stuck) = (encode_command(&["PING"]).repeat(10_000), None);
+    wait_until("both directions are full", || match std::io::Write::write(&mut client.stream, &pings) {
         Ok(_) => {
             stuck = None;
             false
@@ -99,6 +107,6 @@
     });
     ingress.signal("TERM");
     let start = Instant::now();
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
     assert!(start.elapsed() < Duration::from_millis(3500), "SIGKILL may come 3.7 s after SIGTERM");
 }
--- a/tests/ingress/startup.rs
+++ b/tests/ingress/startup.rs
@@ -1,39 +1,39 @@
 //! Starting the program, and errors in its configuration.
 
-use crate::support::address::place;
-use crate::support::backend::{serve, Backend};
-use crate::support::client::call;
-use crate::support::ingress::{own_program, Ingress, Setup};
+use crate::support::address::unused_address;
+use crate::support::backend::{reply_with_value, Backend};
+use crate::support::client::encode_request;
+use crate::support::ingress::{built_program, IngressProcess, IngressSetup};
 
 /// The command in deploy/balancer.toml; `.ci/run` hands it in.
 #[test]
 #[ignore = "wants the command in INGRESS_RUN"]
 fn the_deploy_command_starts() {
     let command = std::env::var("INGRESS_RUN").expect("INGRESS_RUN is the command");
-    let backend = Backend::start(serve);
-    let mut ingress = Setup::of(&[&backend]).start_with(&command);
-    assert_eq!(ingress.client().ask(&call("quote", "q1", 900)), "value of q1");
+    let backend = Backend::start(reply_with_value);
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start_with(&command);
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
     ingress.signal("TERM");
-    assert_eq!(ingress.exit().code(), Some(0));
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
 
 #[test]
 fn a_bad_configuration_is_told_by_its_key() {
-    let at = place();
-    let good = Setup::of(&[]).config(at);
+    let at = unused_address();
+    let good = IngressSetup::with_backends(&[]).config_json(at);
     for (from, to, key) in [
         ("\"quota_rate\":1.5", "\"quota_rate\":\"much\"", "contracts.0.quota_rate"),
         ("\"tick_us\":4000,", "", "tick_us"),
         ("\"seed\":\"8c", "\"seed\":\"x", "seed"),
-        ("\"sockets\":1024", "\"sockets\":3", "limits.sockets"),
-        ("\"memory_mb\":192", "\"memory_mb\":-1", "limits.memory_mb"),
+        ("\"sockets\":1024", "\"sockets\":3", "limits.socket_limit"),
+        ("\"memory_mb\":192", "\"memory_mb\":-1", "limits.memory_limit_mb"),
         ("\"listen\":\"", "\"listen\":\"x", "listen"),
         ("\"known\":{\"index\":1,", "\"known\":{", "known"),
         ("\"peers\":false", "\"peers\":true", "peers"),
         ("{", "", "JSON"),
     ] {
-        let mut ingress = Ingress::run(&good.replacen(from, to, 1), at, &own_program());
-        assert_eq!(ingress.exit().code(), Some(1), "{key}");
+        let mut ingress = IngressProcess::spawn(&good.replacen(from, to, 1), at, &built_program());
+        assert_eq!(ingress.wait_for_exit().code(), Some(1), "{key}");
         let log = ingress.log();
         assert!(log.contains(key) && log.lines().count() == 1, "{key}: {log}");
     }
--- a/tests/support/address.rs
+++ b/tests/support/address.rs
@@ -3,11 +3,15 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU32, Ordering};
 
-/// A free port at an address that only this test has.
-pub fn place() -> SocketAddr {
+/// An unused port at a loopback address that no other test has.
+pub fn unused_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
-    let (pid, n) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let ip =
-        std::net::Ipv4Addr::new(127, 1 + (pid % 250) as u8, (pid / 250 % 250) as u8, (n % 250) as u8 + 1);
+    let (pid, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let ip = std::net::Ipv4Addr::new(
+        127,
+        1 + (pid % 250) as u8,
+        (pid / 250 % 250) as u8,
+        (number % 250) as u8 + 1,
+    );
     TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
 }
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -1,6 +1,6 @@
 //! Backends that answer as a test tells them.
 
-use super::discovery::entry;
+use super::discovery::endpoint_json;
 use super::resp::read_value;
 use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -9,72 +9,76 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// What a backend does with a command.
-pub enum Act {
-    Say(Vec<u8>),
-    Later(Duration, Vec<u8>),
+/// What a backend sends for a command.
+pub enum BackendReply {
+    Bytes(Vec<u8>),
+    Delayed(Duration, Vec<u8>),
     /// The first so many bytes, and a moment later the rest.
-    Parts(usize, Vec<u8>),
-    Silent,
-    /// Ends the connection.
-    Hang,
+    InTwoParts(usize, Vec<u8>),
+    Nothing,
+    /// Closes the connection.
+    Disconnect,
 }
 
-/// What a backend that works answers: the request's id as the value.
-pub fn serve(args: &[String]) -> Act {
-    Act::Say(served(args))
+/// The reply of a backend that works: the request's id as the value.
+pub fn reply_with_value(args: &[String]) -> BackendReply {
+    BackendReply::Bytes(value_reply(args))
 }
 
-pub fn served(args: &[String]) -> Vec<u8> {
+pub fn value_reply(args: &[String]) -> Vec<u8> {
     let value = format!("value of {}", args[2]);
     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$9\r\nutil=0.25\r\n", value.len()).into_bytes()
 }
 
 #[derive(Default)]
-pub struct Seen {
+pub struct BackendRecord {
     pub commands: Mutex<Vec<Vec<String>>>,
-    pub opened: AtomicUsize,
-    pub ended: AtomicUsize,
-    /// Closes all connections that have nothing to do.
-    pub hang_up: AtomicBool,
+    pub connections_opened: AtomicUsize,
+    pub connections_closed: AtomicUsize,
+    /// Closes all idle connections.
+    pub close_when_idle: AtomicBool,
     /// Resets a connection at a request that comes after it was idle for so many milliseconds; 0 for never.
-    pub stale_ms: AtomicU64,
+    pub reset_after_idle_ms: AtomicU64,
 }
 
 pub struct Backend {
-    pub at: SocketAddr,
-    pub seen: Arc<Seen>,
+    pub address: SocketAddr,
+    pub record: Arc<BackendRecord>,
 }
 
 impl Backend {
-    pub fn start(act: impl Fn(&[String]) -> Act + Send + Sync + 'static) -> Backend {
-        Backend::on(TcpListener::bind("127.0.0.1:0").unwrap(), act)
+    pub fn start(reply: impl Fn(&[String]) -> BackendReply + Send + Sync + 'static) -> Backend {
+        Backend::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
     }
 
-    pub fn on(listener: TcpListener, act: impl Fn(&[String]) -> Act + Send + Sync + 'static) -> Backend {
-        let (at, seen, act) = (listener.local_addr().unwrap(), Arc::new(Seen::default()), Arc::new(act));
-        let shared = seen.clone();
+    pub fn on(
+        listener: TcpListener,
+        reply: impl Fn(&[String]) -> BackendReply + Send + Sync + 'static,
+    ) -> Backend {
+        let (address, record, reply) =
+            (listener.local_addr().unwrap(), Arc::new(BackendRecord::default()), Arc::new(reply));
+        let shared = record.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (seen, act) = (shared.clone(), act.clone());
-                seen.opened.fetch_add(1, Ordering::SeqCst);
+                let (record, reply) = (shared.clone(), reply.clone());
+                record.connections_opened.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
-                    Self::talk(stream, &seen, &*act);
-                    seen.ended.fetch_add(1, Ordering::SeqCst);
+                    Self::talk(stream, &record, &*reply);
+                    record.connections_closed.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Backend { at, seen }
+        Backend { address, record }
     }
 
-    fn talk(mut stream: TcpStream, seen: &Seen, act: &dyn Fn(&[String]) -> Act) {
+    fn talk(mut stream: TcpStream, record: &BackendRecord, reply: &dyn Fn(&[String]) -> BackendReply) {
         let _ = stream.set_nodelay(true);
-        let mut answered: Option<Instant> = None;
+        let mut replied_at: Option<Instant> = None;
         loop {
             stream.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
             match stream.peek(&mut [0]) {
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    if seen.hang_up.load(Ordering::SeqCst) {
+                    if record.close_when_idle.load(Ordering::SeqCst) {
                         return;
                     }
                     continue;
@@ -83,68 +87,70 @@
                 _ => return,
             }
             stream.set_read_timeout(None).unwrap();
-            let stale = Duration::from_millis(seen.stale_ms.load(Ordering::SeqCst));
-            if !stale.is_zero() && answered.is_some_and(|at| at.elapsed() > stale) {
+            let limit = Duration::from_millis(record.reset_after_idle_ms.load(Ordering::SeqCst));
+            if !limit.is_zero() && replied_at.is_some_and(|instant| instant.elapsed() > limit) {
                 return;
             }
             let Some(args) = read_value(&mut stream) else { return };
-            seen.commands.lock().unwrap().push(args.clone());
-            let said = match act(&args) {
-                Act::Say(bytes) => stream.write_all(&bytes),
-                Act::Later(pause, bytes) => {
+            record.commands.lock().unwrap().push(args.clone());
+            let written = match reply(&args) {
+                BackendReply::Bytes(bytes) => stream.write_all(&bytes),
+                BackendReply::Delayed(pause, bytes) => {
                     thread::sleep(pause);
                     stream.write_all(&bytes)
                 }
-                Act::Parts(at, bytes) => stream.write_all(&bytes[..at]).and_then(|()| {
-                    thread::sleep(Duration::from_micros(300));
-                    stream.write_all(&bytes[at..])
-                }),
-                Act::Silent => Ok(()),
-                Act::Hang => return,
+                BackendReply::InTwoParts(first_len, bytes) => {
+                    stream.write_all(&bytes[..first_len]).and_then(|()| {
+                        thread::sleep(Duration::from_micros(300));
+                        stream.write_all(&bytes[first_len..])
+                    })
+                }
+                BackendReply::Nothing => Ok(()),
+                BackendReply::Disconnect => return,
             };
-            if said.is_err() {
+            if written.is_err() {
                 return;
             }
-            answered = Some(Instant::now());
+            replied_at = Some(Instant::now());
         }
     }
 
     pub fn count(&self) -> usize {
-        self.seen.commands.lock().unwrap().len()
+        self.record.commands.lock().unwrap().len()
     }
 
-    pub fn entry(&self, name: &str, status: &str) -> String {
-        entry(name, self.at, status)
+    pub fn endpoint_json(&self, name: &str, status: &str) -> String {
+        endpoint_json(name, self.address, status)
     }
 }
 
-/// A backend to which no connection comes up until it is opened: its line is full, and the kernel drops what comes.
-pub struct Unreached {
-    pub at: SocketAddr,
+/// A backend to which no connection comes up until [`accept_connections`](Self::accept_connections): its accept queue is full, and the kernel drops what comes.
+pub struct UnreachableBackend {
+    pub address: SocketAddr,
     socket: socket2::Socket,
-    line: Vec<socket2::Socket>,
+    backlog: Vec<socket2::Socket>,
 }
 
-impl Unreached {
-    pub fn new() -> Unreached {
+impl UnreachableBackend {
+    pub fn new() -> UnreachableBackend {
         let stream = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         let socket = stream();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
-        let at = socket.local_addr().unwrap().as_socket().unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
         let connect = |_| {
             let one = stream();
             one.set_nonblocking(true).unwrap();
-            let _ = one.connect(&at.into());
+            let _ = one.connect(&address.into());
             one
         };
-        let line = (0..4).map(connect).collect();
-        Unreached { at, socket, line }
+        let backlog = (0..4).map(connect).collect();
+        UnreachableBackend { address, socket, backlog }
     }
 
     /// From now on connections come up, in the order in which they were begun.
-    pub fn open(self) -> Backend {
-        drop(self.line);
-        Backend::on(self.socket.into(), serve)
+    pub fn accept_connections(self) -> Backend {
+        drop(self.backlog);
+        Backend::on(self.socket.into(), reply_with_value)
     }
 }
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -1,6 +1,6 @@
 //! A stand-in for discovery, and the endpoint list as it sends that.
 
-use super::wait::until;
+use super::wait::wait_until;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -8,60 +8,64 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub fn entry(name: &str, at: SocketAddr, status: &str) -> String {
+/// An entry of the endpoint list.
+pub fn endpoint_json(name: &str, address: SocketAddr, status: &str) -> String {
     format!(
-        r#"{{"name":"{name}","address":"{at}","zone":"hall-a","type":"std-3c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+        r#"{{"name":"{name}","address":"{address}","zone":"hall-a","type":"std-3c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
     )
 }
 
-pub fn list(index: u64, whole: bool, entries: &[String]) -> String {
-    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, entries.join(","))
+/// An endpoint list: a snapshot, or the entries that changed.
+pub fn endpoint_list_json(index: u64, is_snapshot: bool, entries: &[String]) -> String {
+    format!(r#"{{"index":{index},"snapshot":{is_snapshot},"endpoints":[{}]}}"#, entries.join(","))
 }
 
 #[derive(Default)]
-struct Told {
-    /// What was told, in order; the index is the place in it plus 2.
+struct PublishedEndpoints {
+    /// The entries in the order of their publication; each one's index is its place here plus 2.
     changes: Vec<String>,
-    /// The index that the latest call was for.
-    since: u64,
+    /// The index that the latest poll asked for changes since.
+    polled_since: u64,
 }
 
-/// Answers watches from a list that begins at index 1; silent or gone as told.
-pub struct Discovery {
-    pub at: SocketAddr,
-    told: Arc<Mutex<Told>>,
+/// A stand-in for discovery. It answers polls from a list that begins at index 1, unless it is silent or down.
+pub struct DiscoveryServer {
+    pub address: SocketAddr,
+    published: Arc<Mutex<PublishedEndpoints>>,
     silent: Arc<AtomicBool>,
-    /// Ends connections and takes no new ones.
+    /// Closes all connections without an answer.
     down: Arc<AtomicBool>,
-    pub calls: Arc<AtomicUsize>,
+    pub polls: Arc<AtomicUsize>,
 }
 
-impl Discovery {
-    pub fn start() -> Discovery {
+impl DiscoveryServer {
+    pub fn start() -> DiscoveryServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let d = Discovery {
-            at: listener.local_addr().unwrap(),
-            told: Arc::default(),
+        let server = DiscoveryServer {
+            address: listener.local_addr().unwrap(),
+            published: Arc::default(),
             silent: Arc::default(),
             down: Arc::default(),
-            calls: Arc::default(),
+            polls: Arc::default(),
         };
-        let (told, silent, down, calls) = (d.told.clone(), d.silent.clone(), d.down.clone(), d.calls.clone());
+        let (published, silent, down, polls) =
+            (server.published.clone(), server.silent.clone(), server.down.clone(), server.polls.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (told, silent, down, calls) = (told.clone(), silent.clone(), down.clone(), calls.clone());
-                thread::spawn(move || Self::talk(stream, &told, &silent, &down, &calls));
+                let (published, silent, down, polls) =
+                    (published.clone(), silent.clone(), down.clone(), polls.clone());
+                thread::spawn(move || Self::talk(stream, &published, &silent, &down, &polls));
             }
         });
-        d
+        server
     }
 
     fn talk(
         mut stream: TcpStream,
-        told: &Mutex<Told>,
+        published: &Mutex<PublishedEndpoints>,
         silent: &AtomicBool,
         down: &AtomicBool,
-        calls: &AtomicUsize,
+        polls: &AtomicUsize,
     ) {
         let mut head = Vec::new();
         loop {
@@ -77,55 +81,57 @@
                 let rest = text.split(name).nth(1).unwrap_or("0");
                 rest.chars().take_while(char::is_ascii_digit).collect::<String>().parse::<u64>().unwrap()
             };
-            let whole = text.starts_with("GET /v1/endpoints ");
-            assert!(whole || text.starts_with("GET /v1/endpoints?since="), "{text}");
+            let is_snapshot = text.starts_with("GET /v1/endpoints ");
+            assert!(is_snapshot || text.starts_with("GET /v1/endpoints?since="), "{text}");
             let (since, end) =
                 (number("since="), Instant::now() + Duration::from_millis(number("timeout_ms=")));
-            calls.fetch_add(1, Ordering::SeqCst);
-            told.lock().unwrap().since = since;
+            polls.fetch_add(1, Ordering::SeqCst);
+            published.lock().unwrap().polled_since = since;
             let body = loop {
                 if down.load(Ordering::SeqCst) {
                     return;
                 }
-                let told = told.lock().unwrap();
-                let news = told.changes.len() as u64 + 1;
+                let published = published.lock().unwrap();
+                let latest = published.changes.len() as u64 + 1;
                 if !silent.load(Ordering::SeqCst) {
-                    if whole {
-                        break list(news, true, &told.changes);
-                    } else if news > since {
-                        break list(news, false, &told.changes[since as usize - 1..]);
+                    if is_snapshot {
+                        break endpoint_list_json(latest, true, &published.changes);
+                    } else if latest > since {
+                        break endpoint_list_json(latest, false, &published.changes[since as usize - 1..]);
                     } else if Instant::now() > end {
-                        break list(since, false, &[]);
+                        break endpoint_list_json(since, false, &[]);
                     }
                 }
-                drop(told);
+                drop(published);
                 thread::sleep(Duration::from_millis(5));
             };
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(response.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    /// Changes an entry, and waits until the ingress has been told and asks for what is newer.
-    pub fn tell(&self, entry: String) {
-        let index = self.change(entry);
-        until("the ingress asks for newer", || self.told.lock().unwrap().since == index);
+    /// Changes an entry, and waits until the ingress polls for what is newer.
+    pub fn publish_and_wait(&self, entry: String) {
+        let index = self.publish(entry);
+        wait_until("the ingress polls for newer changes", || {
+            self.published.lock().unwrap().polled_since == index
+        });
     }
 
-    /// Changes an entry, whether or not the ingress hears of it.
-    pub fn change(&self, entry: String) -> u64 {
-        let mut told = self.told.lock().unwrap();
-        told.changes.push(entry);
-        told.changes.len() as u64 + 1
+    /// Changes an entry and returns its index, whether or not the ingress polls.
+    pub fn publish(&self, entry: String) -> u64 {
+        let mut published = self.published.lock().unwrap();
+        published.changes.push(entry);
+        published.changes.len() as u64 + 1
     }
 
-    pub fn silence(&self, on: bool) {
-        self.silent.store(on, Ordering::SeqCst);
+    pub fn set_silent(&self, enabled: bool) {
+        self.silent.store(enabled, Ordering::SeqCst);
     }
 
-    pub fn down(&self, on: bool) {
-        self.down.store(on, Ordering::SeqCst);
+    pub fn set_down(&self, enabled: bool) {
+        self.down.store(enabled, Ordering::SeqCst);
     }
 }
--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -1,17 +1,17 @@
 //! The ingress as a process, and its configuration.
 
-use super::address::place;
+use super::address::unused_address;
 use super::backend::Backend;
 use super::client::Client;
-use super::discovery::list;
-use super::resp::command;
-use super::wait::until;
+use super::discovery::endpoint_list_json;
+use super::resp::encode_command;
+use super::wait::wait_until;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-/// The settings of a site in small; words in it can be replaced.
+/// The settings of a small deployment; tests replace words in it.
 pub const SETTINGS: &str = r#"{
  "n_instances":1,"slot_no":0,"zone":0,"tick_us":4000,"zones":["hall-a","hall-b"],"skus":["std-3c","small-2c"],
  "grades":[
@@ -32,77 +32,85 @@
   "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
  "membership_mode":"push","weights":"nominal","reporting":{"how":"answers","fields":["load_share"]}}"#;
 
-pub struct Setup {
-    pub known: Vec<String>,
+/// How an ingress is started: the parts of its configuration that tests change.
+pub struct IngressSetup {
+    pub known_endpoints: Vec<String>,
     pub discovery: Option<SocketAddr>,
-    pub sockets: usize,
-    pub memory_mb: usize,
-    /// A limit of the system's own, in place of the one that the configuration tells.
-    pub ulimit: Option<usize>,
+    pub socket_limit: usize,
+    pub memory_limit_mb: usize,
+    /// A limit set by the system, below the one in the configuration.
+    pub system_descriptor_limit: Option<usize>,
     pub settings: String,
-    /// More keys of the configuration.
-    pub more: String,
+    /// More keys of the configuration, as JSON.
+    pub extra_keys: String,
 }
 
-impl Setup {
-    pub fn of(backends: &[&Backend]) -> Setup {
-        let known = backends.iter().enumerate().map(|(n, b)| b.entry(&format!("s-{n}"), "up")).collect();
+impl IngressSetup {
+    /// An ingress that knows these backends, and no discovery.
+    pub fn with_backends(backends: &[&Backend]) -> IngressSetup {
+        let known_endpoints =
+            backends.iter().enumerate().map(|(n, b)| b.endpoint_json(&format!("s-{n}"), "up")).collect();
         let settings = SETTINGS.replace("PEERS", "false");
-        Setup {
-            known,
+        IngressSetup {
+            known_endpoints,
             discovery: None,
-            sockets: 1024,
-            memory_mb: 192,
-            ulimit: None,
+            socket_limit: 1024,
+            memory_limit_mb: 192,
+            system_descriptor_limit: None,
             settings,
-            more: String::new(),
+            extra_keys: String::new(),
         }
     }
 
-    pub fn config(&self, at: SocketAddr) -> String {
+    /// The configuration of an ingress that listens on this address.
+    pub fn config_json(&self, address: SocketAddr) -> String {
         let discovery = self.discovery.unwrap_or_else(|| "127.0.0.1:1".parse().unwrap());
         format!(
-            r#"{{"name":"n0","listen":"{at}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},{}
  "known":{},"settings":{}}}"#,
-            self.memory_mb,
-            self.sockets,
-            self.more,
-            list(1, true, &self.known),
+            self.memory_limit_mb,
+            self.socket_limit,
+            self.extra_keys,
+            endpoint_list_json(1, true, &self.known_endpoints),
             self.settings
         )
     }
 
-    pub fn start(&self) -> Ingress {
-        let limit = self.ulimit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
-        self.start_with(&(limit + &own_program()))
+    /// Starts the program as it was built for the tests, and waits until it is ready.
+    pub fn start(&self) -> IngressProcess {
+        let limit = self.system_descriptor_limit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        self.start_with(&(limit + &built_program()))
     }
 
-    /// Starts an ingress by a shell command.
-    pub fn start_with(&self, program: &str) -> Ingress {
-        let at = place();
-        let ingress = Ingress::run(&self.config(at), at, program);
-        until("the ingress is ready", || {
-            TcpStream::connect(at).is_ok_and(|stream| Client(stream).ask(&command(&["PING"])) == "+PONG")
+    /// Starts an ingress by a shell command, and waits until it is ready.
+    pub fn start_with(&self, program: &str) -> IngressProcess {
+        let address = unused_address();
+        let ingress = IngressProcess::spawn(&self.config_json(address), address, program);
+        wait_until("the ingress is ready", || {
+            TcpStream::connect(address)
+                .is_ok_and(|stream| Client { stream }.round_trip(&encode_command(&["PING"])) == "+PONG")
         });
         ingress
     }
 }
 
 /// The shell command for the program as it was built for the tests.
-pub fn own_program() -> String {
+pub fn built_program() -> String {
     format!("exec '{}'", env!("CARGO_BIN_EXE_ingress"))
 }
 
-pub struct Ingress {
-    pub at: SocketAddr,
+/// A running ingress; dropping it kills the process.
+pub struct IngressProcess {
+    pub address: SocketAddr,
     pub child: Child,
-    file: PathBuf,
+    config_file: PathBuf,
 }
 
-impl Ingress {
-    pub fn run(config: &str, at: SocketAddr, program: &str) -> Ingress {
-        let file = std::env::temp_dir().join(format!("ingress-{}-{at}.json", std::process::id()));
+impl IngressProcess {
+    /// Starts an ingress by a shell command, without waiting for it.
+    pub fn spawn(config: &str, address: SocketAddr, program: &str) -> IngressProcess {
+        let file = std::env::temp_dir().join(format!("ingress-{}-{address}.json", std::process::id()));
         std::fs::write(&file, config).unwrap();
         let mut command = Command::new("/bin/sh");
         command.args(["-c", program]).env("LB_CONFIG", &file);
@@ -110,25 +118,27 @@
             command.env_remove(name);
         }
         let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
-        Ingress { at, child, file }
+        IngressProcess { address, child, config_file: file }
     }
 
+    /// Connects a client.
     pub fn client(&self) -> Client {
-        Client::connect(self.at)
+        Client::connect(self.address)
     }
 
-    /// Sees to it that the ingress has taken in all that was sent to it before: it answers what comes behind that.
-    pub fn caught_up(&self) {
-        assert_eq!(self.client().ask(&command(&["PING"])), "+PONG");
+    /// Waits until the ingress has read all that was sent to it before: it answers a later PING.
+    pub fn wait_until_input_is_processed(&self) {
+        assert_eq!(self.client().round_trip(&encode_command(&["PING"])), "+PONG");
     }
 
     /// Replaces the file of the configuration.
-    pub fn configure(&self, config: &str) {
-        let new = self.file.with_extension("new");
+    pub fn write_config(&self, config: &str) {
+        let new = self.config_file.with_extension("new");
         std::fs::write(&new, config).unwrap();
-        std::fs::rename(&new, &self.file).unwrap();
+        std::fs::rename(&new, &self.config_file).unwrap();
     }
 
+    /// Sends the process a signal.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("/bin/sh")
@@ -138,9 +148,10 @@
             .success());
     }
 
-    pub fn exit(&mut self) -> ExitStatus {
+    /// Waits until the process has ended.
+    pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
-        until("the ingress ends", || {
+        wait_until("the ingress ends", || {
             status = self.child.try_wait().unwrap();
             status.is_some()
         });
@@ -155,17 +166,17 @@
     }
 
     /// Processor time used so far, in hundredths of a second.
-    pub fn cpu(&self) -> u64 {
+    pub fn cpu_centiseconds(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
         let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
         fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
     }
 }
 
-impl Drop for Ingress {
+impl Drop for IngressProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.config_file);
     }
 }
--- a/tests/support/resp.rs
+++ b/tests/support/resp.rs
@@ -2,9 +2,10 @@
 
 use std::io::Read;
 
-pub fn command(parts: &[&str]) -> Vec<u8> {
+/// A command, as an array of bulk strings.
+pub fn encode_command(parts: &[&str]) -> Vec<u8> {
     let mut out = format!("*{}\r\n", parts.len());
-    parts.iter().for_each(|p| out += &format!("${}\r\n{p}\r\n", p.len()));
+    parts.iter().for_each(|part| out += &format!("${}\r\n{part}\r\n", part.len()));
     out.into_bytes()
 }
 
@@ -18,11 +19,13 @@
     }
     let text = String::from_utf8_lossy(&line[..line.len() - 2]).into_owned();
     match (&text[..1], text[1..].parse::<i64>()) {
-        ("*", Ok(n)) => (0..n).map(|_| read_value(stream)).collect::<Option<Vec<_>>>().map(|v| v.concat()),
-        ("$", Ok(n)) if n >= 0 => {
-            let mut body = vec![0; n as usize + 2];
+        ("*", Ok(count)) => {
+            (0..count).map(|_| read_value(stream)).collect::<Option<Vec<_>>>().map(|values| values.concat())
+        }
+        ("$", Ok(length)) if length >= 0 => {
+            let mut body = vec![0; length as usize + 2];
             stream.read_exact(&mut body).ok()?;
-            Some(vec![String::from_utf8_lossy(&body[..n as usize]).into_owned()])
+            Some(vec![String::from_utf8_lossy(&body[..length as usize]).into_owned()])
         }
         _ => Some(vec![text]),
     }
--- a/tests/support/wait.rs
+++ b/tests/support/wait.rs
@@ -3,13 +3,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long anything that must come is waited for.
-pub const LONG: Duration = Duration::from_secs(20);
+/// How long a test waits for anything.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
-pub fn until(what: &str, mut ready: impl FnMut() -> bool) {
+/// Polls a condition until it holds; panics at the limit.
+pub fn wait_until(what: &str, mut ready: impl FnMut() -> bool) {
     let start = Instant::now();
     while !ready() {
-        assert!(start.elapsed() < LONG, "waited in vain: {what}");
+        assert!(start.elapsed() < WAIT_LIMIT, "timed out waiting until {what}");
         thread::sleep(Duration::from_millis(5));
     }
 }
