--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -32,10 +32,10 @@
         let open = RequestState { request: req, arrived_at: self.now, ..RequestState::default() };
         let (now, may_wait) = (self.now, self.can_be_queued(&open, self.now));
         let (quota, ceiling) = self.wait_for_tokens(&req);
-        let c = &self.customers[&req.customer];
+        let c = &self.quota.customers[&req.customer];
         // A no may rest on older news than a yes: else a red customer's retries ask without end.
         let red = quota.is_some() && self.settings.plans[plan].concurrency_quota == 0;
-        let yes = if self.report_interval > 0 { GRANT_FRESHNESS } else { 0 }; // a yes was for another request
+        let yes = if self.quota.report_interval > 0 { GRANT_FRESHNESS } else { 0 }; // a yes was for another request
         let known =
             c.is_quota_owner || now - c.granted_at.min(now) < if red { REJECTION_FRESHNESS } else { yes };
         let short =
@@ -50,9 +50,9 @@
         // The room is not known here: held until the homes' word comes, or for as long as that may take.
         self.requests.insert(req.id, RequestState { awaiting_grant: true, ..open });
         // In a large fleet the question is put twice: one lost on the way must not let a red customer in.
-        let again = if self.report_interval > 0 { 1 } else { 2 };
+        let again = if self.quota.report_interval > 0 { 1 } else { 2 };
         self.request_timers.push(Reverse((now + self.grant_wait(&req, now) / again, req.id)));
-        let Some(c) = self.customers.get_mut(&req.customer) else { return };
+        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
         c.awaiting_grant.push(req.id);
         if c.awaiting_grant.len() == 1 || now - c.grant_requested_at > GRANT_FRESHNESS || short {
             c.grant_requested_at = now;
@@ -83,7 +83,7 @@
             self.requests.entry(id).and_modify(|o| o.awaiting_grant = held);
             return;
         }
-        self.stop_awaiting_grant(req.customer, id, held && (wait.is_some() || full));
+        self.quota.stop_awaiting_grant(req.customer, id, held && (wait.is_some() || full));
         if wait.is_some() || full {
             // Red, or no place and none soon.
             let pause = wait.map_or(Micros::MAX, |w| (w * SECOND) as Micros);
@@ -91,19 +91,20 @@
             self.requests.remove(&id);
             self.reject(id, pause, actions);
             let counted = self
+                .quota
                 .customers
                 .get_mut(&req.customer)
                 .is_some_and(|c| std::mem::take(&mut c.charged_by_owner));
-            if held && (counted || self.report_interval > 0) {
+            if held && (counted || self.quota.report_interval > 0) {
                 self.queue_usage_report(req.customer, false, actions); // a home may have counted it
             }
             return;
         }
         self.rejection_rate -= 0.05 * self.rejection_rate;
         self.charge(&req, 1.0);
-        self.stop_awaiting_grant(req.customer, id, held);
-        let few = self.report_interval > 0;
-        let Some(c) = self.customers.get_mut(&req.customer) else { return };
+        self.quota.stop_awaiting_grant(req.customer, id, held);
+        let few = self.quota.report_interval > 0;
+        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
         if !(std::mem::take(&mut c.charged_by_owner) && held) || few {
             let ask = !held && !c.is_quota_owner && few;
             self.queue_usage_report(req.customer, ask, actions);
@@ -115,7 +116,7 @@
 
     /// Notes the customer; true if it was unseen within the ageing time.
     pub(crate) fn observe_customer(&mut self, req: &mut Request) -> bool {
-        let (now, life) = (self.now, self.seconds_of_known_usage());
+        let (now, life) = (self.now, self.quota.seconds_of_known_usage(self.now));
         let plan = &self.settings.plans[usize::from(req.plan)];
         let most = self.settings.gateway_count.max(1) as f64;
         let sane = req.gateway_set_size.is_finite() && (0.0..most).contains(&req.gateway_set_start);
@@ -127,7 +128,7 @@
         // A customer unseen here: its share, or one request, and what has filled since this start.
         let known = ((plan.burst / width).max(req.units) + plan.rate * life).min(plan.burst);
         // In a large fleet a start says little: most customers have all but full stores, and one home counts.
-        let level = if self.report_interval > 0 { known } else { plan.burst };
+        let level = if self.quota.report_interval > 0 { known } else { plan.burst };
         let (others, owed) = (plan.rate * (1.0 - 1.0 / width), plan.burst - level);
         let plan = usize::from(req.plan);
         let new = Customer {
@@ -139,7 +140,7 @@
             ..Customer::default()
         };
         self.record_identity(req.customer, first as u16, width as u16, new);
-        let Some(c) = self.customers.get_mut(&req.customer) else { return true };
+        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return true };
         let unseen = c.last_seen_at == 0 || now - c.last_seen_at > CUSTOMER_IDLE_TIME;
         // A request is judged by its customer's plan, whatever it says itself.
         (c.last_seen_at, req.plan) = (now, c.plan as u16);
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -22,15 +22,15 @@
         // Most of what a receiver takes in, over all senders; no faster than 20 a second: bytes cost.
         let period = 1.5 * (shares as f64 - 1.0) / settings.limits.peer_messages_per_second.max(1.0);
         let few = period <= MAX_SHARED_REPORT_INTERVAL;
+        let report_interval = if few { ((period * SECOND) as Micros).max(50_000) } else { 0 };
         Gateway {
             random_state: seed,
             now,
             started_at: now,
-            usage_known_since: Some(now),
             latency_baselines: usual,
             retry_tokens: retry_burst(shares),
             concurrency_per_backend: INITIAL_CONCURRENCY,
-            report_interval: if few { ((period * SECOND) as Micros).max(50_000) } else { 0 },
+            quota: QuotaTable { usage_known_since: Some(now), report_interval, ..QuotaTable::default() },
             fleet_size: shares,
             settings,
             ..Gateway::default()
@@ -82,9 +82,7 @@
         }
         self.update_shedding_stage(actions);
         self.dispatch(actions);
-        let ready = |p: &u16| self.peers.get(p).is_some_and(|p| p.next_send_at <= now);
-        let ready: Vec<u16> = self.peers_with_outbox.iter().copied().filter(ready).collect();
-        ready.into_iter().for_each(|p| self.flush_outbox(p, actions));
+        self.peers.ready_to_send(now).into_iter().for_each(|p| self.flush_outbox(p, actions));
         self.sweep(actions);
         if self.settings.discovery == Discovery::Poll && now >= self.next_poll_at {
             self.next_poll_at = now + (self.settings.rules.max_poll_interval / 2).max(1);
@@ -142,7 +140,7 @@
         let (customer, units) = (o.request.customer, o.request.units);
         let more = charged.filter(|_| self.settings.postpaid).map_or(0.0, |u| u - units);
         let mut news = more != 0.0;
-        if let Some(c) = self.customers.get_mut(&customer) {
+        if let Some(c) = self.quota.customers.get_mut(&customer) {
             (c.in_flight, c.tokens, c.total_units) =
                 (c.in_flight.saturating_sub(1), c.tokens - more, c.total_units + more);
             news |= self.settings.plans[c.plan].concurrency_quota > 0;
@@ -190,7 +188,7 @@
             let (req, unsent, held) = (o.request, o.attempts.is_empty(), o.awaiting_grant);
             self.requests.remove(&id);
             if held {
-                self.stop_awaiting_grant(req.customer, id, true);
+                self.quota.stop_awaiting_grant(req.customer, id, true);
             } else if unsent {
                 self.charge(&req, -1.0);
                 self.queue_usage_report(req.customer, false, actions);
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -112,7 +112,7 @@
         if o.attempts.is_empty() {
             self.retry_tokens = (self.retry_tokens + RETRY_RATIO).min(retry_burst(self.fleet_size));
         }
-        self.customers.entry(o.request.customer).and_modify(|c| c.in_flight += 1);
+        self.quota.customers.entry(o.request.customer).and_modify(|c| c.in_flight += 1);
         let patience =
             o.useful_duration(self.settings.classes[usize::from(o.request.class)].latency_objective);
         self.request_timers.push(Reverse((now + (patience * SILENCE_SHARE) as Micros, id)));
@@ -138,7 +138,7 @@
             &self.settings.classes[usize::from(o.request.class)],
             &self.settings.plans[usize::from(o.request.plan)],
         );
-        let idle = self.report_interval == 0
+        let idle = self.quota.report_interval == 0
             && plan.concurrency_quota > 0
             && class.late_weight == 0.0
             && class.latency_objective_stretch == 0.0;
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -53,19 +53,23 @@
             // What is heard of a class seldom asked for would come too late for it: it counts for all.
             b.health.iter_mut().for_each(|h| h.record(now, took.is_none(), PEER_OBSERVATION_WEIGHT));
         }
-        if own && self.report_interval == 0 && class <= MAX_CLASS {
+        if own && self.quota.report_interval == 0 && class <= MAX_CLASS {
             let sample = LatencySample {
                 backend_tag: backend_tag(bid.0),
                 class: class as u8,
                 relative_latency: took.map(|t| t / aim),
             };
             // Bad ones go first: they are few, and all should know what a sick backend did to one.
-            let bad =
-                self.latency_samples.iter().filter(|queued| queued.sample.relative_latency.is_none()).count();
+            let bad = self
+                .peers
+                .latency_samples
+                .iter()
+                .filter(|queued| queued.sample.relative_latency.is_none())
+                .count();
             let place = if took.is_none() { 0 } else { bad };
             let times = if took.is_none() { FAILURE_RETRANSMISSIONS } else { SUCCESS_RETRANSMISSIONS };
-            self.latency_samples.insert(place, QueuedSample { retransmissions: times, sample });
-            self.latency_samples.truncate(MAX_SAMPLES);
+            self.peers.latency_samples.insert(place, QueuedSample { retransmissions: times, sample });
+            self.peers.latency_samples.truncate(MAX_SAMPLES);
         }
         let Some(took) = took.filter(|_| now != self.resumed_at) else { return };
         let u = &mut self.latency_baselines[class];
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -36,8 +36,8 @@
     /// say: one that comes with the settings of another changes nothing, nor does the first for good.
     pub(crate) fn record_identity(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
         let set = f64::from(width.clamp(1, self.settings.gateway_count));
-        match self.customers.get_mut(&id) {
-            None => drop(self.customers.insert(id, new)),
+        match self.quota.customers.get_mut(&id) {
+            None => drop(self.quota.customers.insert(id, new)),
             Some(c) if (c.plan, c.gateway_set_start, c.gateway_set_size) == (new.plan, first, set) => {
                 c.identity_confidence = (c.identity_confidence + 1).min(MAX_IDENTITY_CONFIDENCE);
             }
@@ -54,12 +54,12 @@
     /// Fixes, for good, a customer's homes and the part of its ceiling here: not to be given out twice.
     pub(crate) fn assign_owners(&mut self, id: CustomerId, first: u16, width: u16) {
         let (few, me, all, life) = (
-            self.report_interval > 0,
+            self.quota.report_interval > 0,
             self.settings.own_id.0,
             self.settings.gateway_count,
             self.now - self.started_at,
         );
-        let Some(c) = self.customers.get_mut(&id).filter(|c| c.quota_owners.is_empty()) else { return };
+        let Some(c) = self.quota.customers.get_mut(&id).filter(|c| c.quota_owners.is_empty()) else { return };
         let (plan, set) = (&self.settings.plans[c.plan], u64::from(width.clamp(1, all)));
         let at = |n: u64| ((u64::from(first) + n % set) % u64::from(all)) as u16;
         let one = (hash(id.0) * set as f64) as u64;
@@ -84,7 +84,7 @@
     /// Fills a customer's stores up to now.
     pub(crate) fn refill(&mut self, id: CustomerId) -> Option<&mut Customer> {
         let now = self.now;
-        let c = self.customers.get_mut(&id)?;
+        let c = self.quota.customers.get_mut(&id)?;
         let plan = &self.settings.plans[c.plan];
         let span = (now - c.refilled_at) as f64 / SECOND;
         let keep = decay(c.refilled_at, now, USAGE_RATE_TIME_CONSTANT);
@@ -106,19 +106,19 @@
     /// Seconds until the quota, and the ceiling, may have room; none where there is room now.
     pub(crate) fn wait_for_tokens(&mut self, req: &Request) -> (Option<f64>, Option<f64>) {
         self.refill(req.customer);
-        let c = &self.customers[&req.customer];
+        let c = &self.quota.customers[&req.customer];
         let plan = &self.settings.plans[c.plan];
         // A home in a large fleet is asked first: it knows of all. Elsewhere there is only its latest word.
-        let few = self.report_interval > 0;
+        let few = self.quota.report_interval > 0;
         let unheard = if few {
-            c.remote_rate * (self.report_interval + REPORT_PROPAGATION_TIME) as f64 / SECOND
+            c.remote_rate * (self.quota.report_interval + REPORT_PROPAGATION_TIME) as f64 / SECOND
         } else {
             0.0
         };
         let recent = |at: Micros| self.now - at.min(self.now) < GRANT_LIFETIME;
         let told = few || c.is_quota_owner || recent(c.granted_at);
         // A home that talks, but not on this, is overrun by a customer with more than it may have out.
-        let talks = |h: &u16| self.peers.get(h).is_some_and(|p| recent(p.last_heard_at));
+        let talks = |h: &u16| self.peers.by_gateway.get(h).is_some_and(|p| recent(p.last_heard_at));
         // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the
         // fewer the more it costs to be wrong.
         let lot = hash(req.id.0 ^ self.started_at << 24) * (1.0 + plan.over_quota_cost) > 1.0;
@@ -149,8 +149,8 @@
     /// attempts and the words on others as well. Some are still put, by lot.
     pub(crate) fn skips_grant_request(&mut self, req: &Request) -> bool {
         self.random_state = self.random_state.wrapping_add(1);
-        let c = &self.customers[&req.customer];
-        let capped = self.report_interval == 0 && self.settings.plans[c.plan].concurrency_quota > 0;
+        let c = &self.quota.customers[&req.customer];
+        let capped = self.quota.report_interval == 0 && self.settings.plans[c.plan].concurrency_quota > 0;
         let told = !c.is_quota_owner && self.now - c.granted_at.min(self.now) < GRANT_LIFETIME;
         capped
             && told
@@ -160,7 +160,7 @@
 
     /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
     pub(crate) fn charge(&mut self, req: &Request, sign: f64) {
-        let Some(c) = self.customers.get_mut(&req.customer) else { return };
+        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
         let plan = &self.settings.plans[c.plan];
         let units = req.units * sign;
         c.tokens = (c.tokens - units).clamp(-plan.burst, plan.burst);
@@ -174,18 +174,16 @@
 
     /// Puts a customer on the way to its homes.
     pub(crate) fn queue_usage_report(&mut self, id: CustomerId, ask: bool, actions: &mut Vec<Action>) {
-        let Some(c) = self.customers.get(&id).filter(|_| self.settings.limits.peer_messages) else { return };
+        let Some(c) = self.quota.customers.get(&id).filter(|_| self.settings.limits.peer_messages) else {
+            return;
+        };
         let (me, pools) = (self.settings.own_id.0, c.hard_limit_owners);
         for home in c.quota_owners.clone().into_iter().filter(|h| *h != me) {
-            let p = self.peers.entry(home).or_default();
             // Told twice: a lost end would hold a place for long. In a large fleet it costs another's word.
-            let times = if self.report_interval > 0 { 2 } else { 1 };
-            let entry = p.outbox.entry(id).or_default();
+            let times = if self.quota.report_interval > 0 { 2 } else { 1 };
             let ask = ask && pools.contains(&home); // in a small fleet there are homes besides
-            entry.retransmissions = times;
-            entry.requests_grant |= ask;
-            self.peers_with_outbox.insert(home);
-            if ask && (p.next_send_at <= self.now || self.report_interval > 0) {
+            self.peers.queue(home, id, OutboxEntry { retransmissions: times, requests_grant: ask });
+            if ask && (self.peers.entry(home).next_send_at <= self.now || self.quota.report_interval > 0) {
                 self.flush_outbox(home, actions);
             }
         }
@@ -193,14 +191,10 @@
 
     /// Sends a peer what waits for it, as much as a message holds.
     pub(crate) fn flush_outbox(&mut self, to: u16, actions: &mut Vec<Action>) {
-        let Some(p) = self.peers.get_mut(&to) else { return };
-        let batch = p.next_batch();
-        if p.outbox.is_empty() {
-            self.peers_with_outbox.remove(&to);
-        }
+        let Some(batch) = self.peers.next_batch(to) else { return };
         let (mut uses, now, me) = (Vec::new(), self.now, self.settings.own_id.0);
         for (customer, entry) in batch {
-            let plan = self.customers.get(&customer).map(|c| &self.settings.plans[c.plan]);
+            let plan = self.quota.customers.get(&customer).map(|c| &self.settings.plans[c.plan]);
             let burst = plan.map_or(0.0, |plan| plan.burst);
             let Some(c) = self.refill(customer) else { continue };
             let known = c.is_quota_owner || now - c.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
@@ -220,12 +214,12 @@
     /// What is done once a second: what is long out is told again, what is old is forgotten.
     pub(crate) fn sweep(&mut self, actions: &mut Vec<Action>) {
         let (now, plans, few, mut again) =
-            (self.now, &self.settings.plans, self.report_interval > 0, Vec::new());
-        if now < self.next_sweep_at {
+            (self.now, &self.settings.plans, self.quota.report_interval > 0, Vec::new());
+        if now < self.quota.next_sweep_at {
             return;
         }
-        self.next_sweep_at = now + SECOND as Micros;
-        self.customers.retain(|id, c| {
+        self.quota.next_sweep_at = now + SECOND as Micros;
+        self.quota.customers.retain(|id, c| {
             let p = &plans[c.plan];
             if p.concurrency_quota > 0 && c.is_quota_owner {
                 // Attempts of a peer that fell silent hold no place for ever.
@@ -256,26 +250,27 @@
         if from == self.settings.own_id || from.0 >= self.settings.gateway_count {
             return;
         }
-        let peer = self.peers.entry(from.0).or_default();
+        let peer = self.peers.entry(from.0);
         if peer.incarnation != m.incarnation {
             if m.incarnation < peer.incarnation {
                 return; // from before its restart
             }
             // In a large fleet every peer is unknown to begin with.
-            let again = self.report_interval > 0 || peer.incarnation > 0;
+            let again = self.quota.report_interval > 0 || peer.incarnation > 0;
             (peer.incarnation, peer.last_sequence) = (m.incarnation, m.sequence.wrapping_sub(1));
-            for (id, c) in &mut self.customers {
+            let mut untold = Vec::new(); // a home that starts knows nothing: it is told once
+            for (id, c) in &mut self.quota.customers {
                 if let Some(h) = c.usage_by_gateway.remove(&from.0) {
                     c.remote_in_flight -= u32::from(h.in_flight).min(c.remote_in_flight);
                 }
                 if again && c.quota_owners.contains(&from.0) && now - c.last_seen_at < CUSTOMER_IDLE_TIME / 5
                 {
-                    let entry = OutboxEntry { retransmissions: 1, requests_grant: false };
-                    peer.outbox.insert(*id, entry); // a home that starts knows nothing: it is told once
-                    self.peers_with_outbox.insert(from.0);
+                    untold.push(*id);
                 }
             }
+            untold.into_iter().for_each(|id| self.peers.queue_single_report(from.0, id));
         }
+        let peer = self.peers.entry(from.0);
         if m.sequence.wrapping_sub(peer.last_sequence) as i16 <= 0 {
             return; // a repeat, or overtaken
         }
@@ -314,13 +309,14 @@
     /// Where all turn out to have started with this one, stores were full then: what was held back of each,
     /// lest a restart fill it anew, is given out once. One always past its quota would never get it.
     pub(crate) fn release_withheld_tokens(&mut self, mine: u32) {
-        let all = self.peers.len() as u64 + 1 == self.fleet_size;
+        let all = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
         if all
-            && self.usage_known_since.is_some()
-            && self.peers.values().all(|p| p.incarnation.abs_diff(mine) <= FLEET_START_WINDOW_MS)
+            && self.quota.usage_known_since.is_some()
+            && self.peers.by_gateway.values().all(|p| p.incarnation.abs_diff(mine) <= FLEET_START_WINDOW_MS)
         {
-            self.usage_known_since = None;
-            self.customers
+            self.quota.usage_known_since = None;
+            self.quota
+                .customers
                 .values_mut()
                 .for_each(|c| c.tokens += std::mem::take(&mut c.withheld_tokens).max(0.0));
         }
@@ -328,11 +324,11 @@
 
     /// A gateway told its use of a customer; the answer if it asked.
     pub(crate) fn on_usage_report(&mut self, from: u16, younger: bool, u: UsageReport) -> Option<QuotaGrant> {
-        let (now, life) = (self.now, self.seconds_of_known_usage());
+        let (now, life) = (self.now, self.quota.seconds_of_known_usage(self.now));
         // Later one may have forgotten.
-        let young = self.usage_known_since.is_none() && now - self.started_at < CUSTOMER_IDLE_TIME;
+        let young = self.quota.usage_known_since.is_none() && now - self.started_at < CUSTOMER_IDLE_TIME;
         let plan = self.settings.plans.get(usize::from(u.plan))?;
-        let few = self.report_interval > 0;
+        let few = self.quota.report_interval > 0;
         let (burst, cap, told) =
             (plan.burst, plan.concurrency_quota, f64::from(u.tokens_level) / 254.0 * plan.burst);
         let unknown = if few { (plan.rate * life).min(burst) } else { burst };
@@ -408,7 +404,7 @@
     /// A home's word on a customer: the store is what it says, less what it cannot have heard.
     pub(crate) fn on_quota_grant(&mut self, from: u16, n: QuotaGrant, actions: &mut Vec<Action>) {
         let (now, me) = (self.now, self.settings.own_id.0);
-        let Some(plan) = self.customers.get(&n.customer).map(|c| &self.settings.plans[c.plan]) else {
+        let Some(plan) = self.quota.customers.get(&n.customer).map(|c| &self.settings.plans[c.plan]) else {
             return;
         };
         let (rated, cap) = (plan.burst > 0.0, plan.concurrency_quota);
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,8 @@
 mod customer;
 mod endpoint_index;
 mod peer;
+mod peer_table;
+mod quota_table;
 mod request;
 
 use crate::gossip::{incarnation_of, Body, Message};
@@ -14,9 +16,11 @@
 pub use customer::*;
 use endpoint_index::EndpointIndex;
 pub use peer::*;
+pub use peer_table::PeerTable;
+pub use quota_table::QuotaTable;
 pub use request::*;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
 /// One gateway's decisions. Feed it events, do what it asks.
 #[derive(Default)]
@@ -31,11 +35,8 @@
     pub(crate) requests: BTreeMap<RequestId, RequestState>,
     pub(crate) queue: VecDeque<RequestId>,
     pub(crate) request_timers: BinaryHeap<Reverse<(Micros, RequestId)>>,
-    pub(crate) customers: BTreeMap<CustomerId, Customer>,
-    pub(crate) peers: BTreeMap<u16, Peer>,
-    /// Peers with something in their outbox.
-    pub(crate) peers_with_outbox: BTreeSet<u16>,
-    pub(crate) latency_samples: VecDeque<QueuedSample>,
+    pub(crate) quota: QuotaTable,
+    pub(crate) peers: PeerTable,
     pub(crate) backends: BTreeMap<BackendId, Backend>,
     pub(crate) backends_by_tag: BTreeMap<u32, BackendId>,
     /// The ready ones, in an order of this gateway's own.
@@ -57,41 +58,19 @@
     pub(crate) retry_tokens: f64,
     pub(crate) send_rate: f64,
     pub(crate) send_rate_updated_at: Micros,
-    /// Since when all use of customers is known: this start; none where all gateways started with this one.
-    pub(crate) usage_known_since: Option<Micros>,
-    /// Report period with all gateways as homes; nought in a fleet too large for that.
-    pub(crate) report_interval: Micros,
-    pub(crate) next_sweep_at: Micros,
     pub(crate) next_poll_at: Micros,
     pub(crate) fleet_size: u64,
 }
 
 impl Gateway {
-    /// A request is held no longer; what was granted for the last one lapses with it.
-    pub(crate) fn stop_awaiting_grant(&mut self, customer: CustomerId, id: RequestId, held: bool) {
-        if let Some(c) = self.customers.get_mut(&customer).filter(|_| held) {
-            c.awaiting_grant.retain(|h| *h != id);
-            if c.awaiting_grant.is_empty() {
-                c.hard_limit_grant = 0.0;
-            }
-        }
-    }
-
     /// Sends a peer a message, with the latest samples.
     pub(crate) fn send_message(&mut self, to: u16, body: Body, actions: &mut Vec<Action>) {
-        let samples = self.latency_samples.iter().map(|queued| queued.sample).collect();
-        self.latency_samples.iter_mut().for_each(|queued| queued.retransmissions -= 1);
-        self.latency_samples.retain(|queued| queued.retransmissions > 0);
-        let (now, p) = (self.now, self.peers.entry(to).or_default());
-        p.sent_messages = p.sent_messages.wrapping_add(1);
-        p.next_send_at = now + self.report_interval;
-        let bytes = Message {
-            incarnation: incarnation_of(self.started_at),
-            sequence: p.sent_messages,
-            samples,
-            body,
-        }
-        .encode();
+        let samples = self.peers.take_samples();
+        let peer = self.peers.entry(to);
+        peer.sent_messages = peer.sent_messages.wrapping_add(1);
+        peer.next_send_at = self.now + self.quota.report_interval;
+        let (incarnation, sequence) = (incarnation_of(self.started_at), peer.sent_messages);
+        let bytes = Message { incarnation, sequence, samples, body }.encode();
         actions.push(Action::SendToPeer { to: Some(GatewayId(to)), bytes });
     }
 
@@ -102,9 +81,4 @@
             request.streaming = true;
         }
     }
-
-    /// Seconds for which all usage has been known here.
-    pub(crate) fn seconds_of_known_usage(&self) -> f64 {
-        self.usage_known_since.map_or(f64::MAX, |t| (self.now - t) as f64 / SECOND)
-    }
 }
--- /dev/null
+++ b/src/state/quota_table.rs
@@ -0,0 +1,33 @@
+//! The customers that a gateway knows, and since when it knows what they use.
+
+use super::{Customer, SECOND};
+use crate::{CustomerId, Micros, RequestId};
+use std::collections::BTreeMap;
+
+/// The quotas of all customers, as far as one gateway knows them.
+#[derive(Default)]
+pub struct QuotaTable {
+    pub customers: BTreeMap<CustomerId, Customer>,
+    /// Since when all usage of customers is known: this start; none where all gateways started with this one.
+    pub usage_known_since: Option<Micros>,
+    /// Time between usage reports where every gateway of a customer owns its quota; 0 in a fleet too large for that.
+    pub report_interval: Micros,
+    pub next_sweep_at: Micros,
+}
+
+impl QuotaTable {
+    /// Seconds for which all usage has been known here.
+    pub fn seconds_of_known_usage(&self, now: Micros) -> f64 {
+        self.usage_known_since.map_or(f64::MAX, |since| (now - since) as f64 / SECOND)
+    }
+
+    /// A request no longer awaits a grant, if it did; what was granted of the hard limit lapses with the last one.
+    pub fn stop_awaiting_grant(&mut self, customer: CustomerId, id: RequestId, awaited: bool) {
+        if let Some(customer) = self.customers.get_mut(&customer).filter(|_| awaited) {
+            customer.awaiting_grant.retain(|waiting| *waiting != id);
+            if customer.awaiting_grant.is_empty() {
+                customer.hard_limit_grant = 0.0;
+            }
+        }
+    }
+}
