Give requests, shutdown and descriptors of the event loop types of their own

EventLoop had 35 fields: the open requests lay over seven of them, the graceful shutdown over five, and the budget of descriptors was worked out in four places.

RequestTable, Shutdown with its phases Running, Accepting and Draining, and DescriptorBudget own their state. The order in which the loop does things, its constants and all texts to clients are as they were.

--- /dev/null
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -0,0 +1,85 @@
+//! Who may use how many of the process's file descriptors.
+
+use super::EventLoopError;
+use crate::backends::Backends;
+use crate::clients::{Capacity, Clients};
+use ingress::Micros;
+
+/// Descriptors that are neither clients nor backends: standard streams, poll, listener, signals, discovery, peers, and
+/// some to spare for what is opened before another is closed.
+const RESERVED_DESCRIPTORS: usize = 20;
+/// Clients that are accepted beyond the budget, only to be told so.
+const MAX_OVER_LIMIT_CLIENTS: usize = 8;
+/// The fewest connections that an ingress can serve with.
+const MIN_CONNECTIONS: usize = 8;
+/// The most of the budget that the clients, or the backends, may have to themselves, in eighths.
+const MAX_SHARE_EIGHTHS: usize = 6;
+
+/// How many connections clients and backends may have.
+pub struct DescriptorBudget {
+    max_connections: usize,
+}
+
+/// How many descriptors the system allows this process; none where it does not say.
+fn system_limit() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits.lines().find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+impl DescriptorBudget {
+    /// Takes what the configuration allows, or the system if that is less: where no descriptor is left, connecting
+    /// fails at once.
+    pub fn new(configured: usize) -> Result<Self, EventLoopError> {
+        let allowed = configured.min(system_limit().unwrap_or(usize::MAX));
+        let max_connections = allowed.checked_sub(RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS);
+        let max_connections = max_connections.filter(|connections| *connections >= MIN_CONNECTIONS);
+        let max_connections = max_connections.ok_or(EventLoopError::TooFewDescriptors { allowed })?;
+        Ok(DescriptorBudget { max_connections })
+    }
+
+    /// The most sockets that can be ready at once.
+    pub fn max_sockets(&self) -> usize {
+        self.max_connections + RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS
+    }
+
+    /// The most connections of either clients or backends.
+    fn max_share(&self) -> usize {
+        self.max_connections * MAX_SHARE_EIGHTHS / 8
+    }
+
+    fn is_exhausted(&self, clients: &Clients, backends: &Backends) -> bool {
+        clients.len() + backends.len() >= self.max_connections
+    }
+
+    /// Whether one more client can be accepted, if need be by closing an idle connection.
+    pub fn capacity_for_client(
+        &self,
+        clients: &mut Clients,
+        backends: &mut Backends,
+        now: Micros,
+    ) -> Capacity {
+        let max_share = self.max_share();
+        let is_full = clients.len() >= max_share || self.is_exhausted(clients, backends);
+        if !is_full
+            || clients.close_oldest_idle(now)
+            || (clients.len() < max_share && backends.close_longest_idle())
+        {
+            Capacity::Available
+        } else if clients.over_limit_count() < MAX_OVER_LIMIT_CLIENTS {
+            Capacity::OverLimit
+        } else {
+            Capacity::Exhausted
+        }
+    }
+
+    /// Whether one more connection to a backend can be opened, if need be after closing an idle connection.
+    pub fn reserve_for_backend(&self, clients: &mut Clients, backends: &mut Backends, now: Micros) -> bool {
+        if backends.len() >= self.max_share() {
+            return backends.close_longest_idle();
+        }
+        !self.is_exhausted(clients, backends)
+            || backends.close_longest_idle()
+            || clients.close_oldest_idle(now)
+    }
+}
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of [`super`].
 
+use super::shutdown::{Phase, MAX_DRAINING_TIME};
 use super::*;
 use crate::config::tests::CONFIG;
 use crate::error_chain::ErrorChain;
@@ -39,7 +40,8 @@
     while ingress.clients.idle_count() > 0 {
         ingress.clients.read_all(ingress.now);
     }
-    (ingress.shutting_down, ingress.draining_since) = (true, Some(ingress.now - MAX_DRAINING_TIME - 1));
+    let since = ingress.now - MAX_DRAINING_TIME - 1;
+    ingress.shutdown.phase = Phase::Draining { reply_deadline: Micros::MAX, since };
     client.write_all(b"NG\r\n").unwrap();
     ingress.can_exit();
     let mut answer = [0; 7];
@@ -57,9 +59,9 @@
     let mut clients: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
     clients.iter_mut().for_each(|c| c.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
     // Told to stop; the time of accepting has run out by the next turn.
-    (ingress.shutting_down, ingress.reply_deadline) = (true, ingress.now + MIN_ACCEPTING_TIME);
+    ingress.shutdown.phase = Phase::Accepting { reply_deadline: ingress.now + MIN_ACCEPTING_TIME };
     ingress.timers.schedule(ingress.now, Timer::StopAccepting);
-    while ingress.draining_since.is_none() {
+    while !ingress.shutdown.is_draining() {
         ingress.now += ACCEPTING_CHECK_INTERVAL;
         ingress.process_ready(&mut []);
     }
@@ -80,8 +82,7 @@
     while ingress.clients.len() == 0 {
         ingress.accept();
     }
-    (ingress.shutting_down, ingress.draining_since, ingress.reply_deadline) =
-        (true, Some(ingress.now), ingress.now);
+    ingress.shutdown.phase = Phase::Draining { reply_deadline: ingress.now, since: ingress.now };
     let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
     let mut call = Vec::new();
     resp::write_array_header(&mut call, 4);
