Split the backends' connections into pool, exchange, connection, reply and idle reuse

backends.rs held in 580 lines the record of stale connections, the meaning of replies, pools, and reading and writing.

Each is a sub-module now; backends.rs only names what the event loop uses. Code is moved, not changed.

--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -1,9 +1,11 @@
 //! Tests of [`super`].
 
+use super::pool::REST;
 use super::*;
-use crate::discovery::EndpointEntry;
-use ingress::Endpoint;
-use mio::Poll;
+use crate::discovery::{EndpointEntry, EndpointList};
+use ingress::{BackendId, Endpoint, Micros, Outcome, RequestId};
+use mio::{Poll, Token};
+use std::io::Write;
 use std::net::TcpListener;
 
 const ID: BackendId = BackendId(7);
