Name the backends' connections and exchanges by the field's terms, in short functions

Conn, Staleness, judge, end and rested, fields such as since, heard, out and buf, triples of outcome, value and report, and a time that was Micros::MAX where no time was meant had to be decoded by the reader.

Connection, IdleReuseTracker, ExchangeResult, acquire and release, complete and fail stand for them; a connection does its single reads and writes, and the loops over them are in exchange.rs. Sums, conditions and their order are as they were. Tests keep what they assert.

--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -1,5 +1,6 @@
-//! Connections to backends: a pool for each, attempts and probes, and how these end. A connection carries one
-//! request at a time, for calling an attempt off means closing its connection.
+//! Connections to backends: a pool for each backend, attempts and health checks, and how these end.
+//!
+//! A connection carries one command at a time, since cancelling an attempt means closing its connection.
 
 mod assignment;
 mod connection;
--- a/src/bin/ingress/backends/assignment.rs
+++ b/src/bin/ingress/backends/assignment.rs
@@ -1,8 +1,8 @@
-//! What connections are given to do, and how it ends.
+//! What a connection is used for, and how that ends.
 
 use ingress::{BackendId, LoadReport, Micros, Outcome, RequestId};
 
-/// What a connection is busy with.
+/// What a connection is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Assignment {
     /// An attempt of a request, the first one with number 0.
@@ -23,33 +23,40 @@
 /// What the poll reported about a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Readiness {
+    /// There may be room to write.
     pub writable: bool,
     /// The backend has closed its end, or the connection has an error.
     pub closed: bool,
 }
 
+/// Identifies a connection for as long as it lives: keys are used again, serial numbers are not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId {
+    pub(super) key: usize,
+    pub(super) serial: u64,
+}
+
 /// A connection that has been given an assignment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AssignedConnection {
+    /// The connection.
     pub connection: ConnectionId,
     /// How much of the command could be written at once.
     pub command: CommandState,
 }
 
-/// A connection, for as long as it lives: places in the slab are used again, serial numbers are not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnectionId {
-    pub(super) key: usize,
-    pub(super) serial: u64,
-}
-
-/// How an attempt or a probe ended.
+/// How an attempt or a health check ended.
 pub struct Completion {
+    /// What the connection was used for.
     pub assignment: Assignment,
+    /// The backend it was connected to.
     pub backend: BackendId,
+    /// How it ended.
     pub outcome: Outcome,
+    /// When the connection was given the assignment.
     pub started_at: Micros,
+    /// The load that the backend reported.
     pub load_report: Option<LoadReport>,
-    /// With [`Outcome::Ok`]: the value's bytes as they came.
+    /// With [`Outcome::Ok`]: the value as encoded by the backend.
     pub value: Vec<u8>,
 }
--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -1,48 +1,138 @@
-//! A connection to a backend.
+//! One connection to a backend: its state, and single reads and writes.
 
 use super::{Assignment, CommandState};
 use ingress::{BackendId, Micros, Outcome};
 use mio::net::TcpStream;
+use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
-pub struct Conn {
-    pub(super) stream: TcpStream,
-    pub(super) serial: u64,
-    pub(super) backend: BackendId,
-    pub(super) address: SocketAddr,
-    pub(super) connected: bool,
-    pub(super) assignment: Option<Assignment>,
-    /// When its work began, or when it fell idle.
-    pub(super) since: Micros,
-    /// How long it was idle before; none on its first use.
-    pub(super) idled: Option<Micros>,
-    /// When its answer began to come.
-    pub(super) heard: Micros,
-    pub(super) out: Vec<u8>,
-    pub(super) written: usize,
-    pub(super) buf: Vec<u8>,
+/// A connection to a backend.
+pub struct Connection {
+    pub stream: TcpStream,
+    /// Tells connections apart that have the same key one after another.
+    pub serial: u64,
+    pub backend: BackendId,
+    /// The address it was opened to, which the backend may have left.
+    pub address: SocketAddr,
+    /// Whether it is established.
+    pub is_connected: bool,
+    /// What it is used for; none while it is idle.
+    pub assignment: Option<Assignment>,
+    /// When it was given its assignment, or when it fell idle.
+    pub state_since: Micros,
+    /// How long it was idle before its assignment; none at its first one.
+    pub idle_before: Option<Micros>,
+    /// When the first byte of the reply came.
+    pub reply_started_at: Micros,
+    /// The command, and how many of its bytes are written.
+    pub command: Vec<u8>,
+    pub written: usize,
+    /// What has come of the reply.
+    pub received: Vec<u8>,
 }
 
-impl Conn {
-    /// Whether the backend may have begun: the command's last byte is written.
-    pub(super) fn sent(&self) -> bool {
-        self.written == self.out.len()
+/// What a single read came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadStep {
+    /// Bytes came, fewer than there was room for: that was all for now.
+    Drained,
+    /// Bytes came, and more may be waiting.
+    MoreLikely,
+    /// A signal came in between.
+    Interrupted,
+    /// Nothing is there yet.
+    Blocked,
+    /// The connection has ended.
+    Ended,
+}
+
+impl Connection {
+    /// A connection that is being established, with no assignment.
+    pub fn new(stream: TcpStream, serial: u64, backend: BackendId, address: SocketAddr, now: Micros) -> Self {
+        Connection {
+            stream,
+            serial,
+            backend,
+            address,
+            is_connected: false,
+            assignment: None,
+            state_since: now,
+            idle_before: None,
+            reply_started_at: 0,
+            command: Vec::new(),
+            written: 0,
+            received: Vec::new(),
+        }
     }
 
-    pub(super) fn command_state(&self) -> CommandState {
-        if self.sent() {
+    /// How much of the command is written.
+    pub fn command_state(&self) -> CommandState {
+        if self.written == self.command.len() {
             CommandState::Sent
         } else {
             CommandState::Unsent
         }
     }
 
-    /// What the end of the connection means for the work on it.
-    pub(super) fn broken(&self) -> Outcome {
-        if self.sent() {
-            Outcome::Reset
-        } else {
-            Outcome::ConnectFailed
+    /// Whether it has an assignment whose command has not been begun to be written.
+    pub fn is_not_yet_written(&self) -> bool {
+        self.written == 0 && self.assignment.is_some()
+    }
+
+    /// What the end of the connection means for its assignment.
+    pub fn failure_outcome(&self) -> Outcome {
+        match self.command_state() {
+            CommandState::Sent => Outcome::Reset,
+            CommandState::Unsent => Outcome::ConnectFailed,
+        }
+    }
+
+    /// Writes as much of the command as the socket takes.
+    pub fn write_command(&mut self) -> io::Result<()> {
+        while self.written < self.command.len() {
+            match self.stream.write(&self.command[self.written..]) {
+                Ok(count) => {
+                    self.written += count;
+                    self.is_connected = true;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                // The socket will show as writable.
+                Err(error) if is_not_ready(&error) => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads once, by way of `buffer`.
+    pub fn read_once(&mut self, buffer: &mut [u8], now: Micros) -> ReadStep {
+        match self.stream.read(buffer) {
+            Ok(0) => ReadStep::Ended,
+            Ok(count) => {
+                if self.received.is_empty() {
+                    self.reply_started_at = now;
+                }
+                self.received.extend_from_slice(&buffer[..count]);
+                if count < buffer.len() {
+                    ReadStep::Drained
+                } else {
+                    ReadStep::MoreLikely
+                }
+            }
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => ReadStep::Interrupted,
+            Err(error) if is_not_ready(&error) => ReadStep::Blocked,
+            Err(_) => ReadStep::Ended,
         }
     }
+
+    /// Whether an idle connection is open with nothing unread: bytes that nobody asked for, or its end, may have come.
+    pub fn is_quiet(&mut self) -> bool {
+        let read = self.stream.read(&mut [0]);
+        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Whether a socket is not connected yet, or has nothing to read or no room to write.
+fn is_not_ready(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
 }
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -1,219 +1,212 @@
-//! A command and its reply on a connection.
+//! Exchanges: a command and its reply on a connection, from the assignment to its completion.
 
-use super::pool::CHUNK;
-use super::reply::judge;
+use super::connection::{Connection, ReadStep};
+use super::idle_reuse::IdleReuse;
+use super::reply::{self, ExchangeResult};
 use super::{AssignedConnection, Assignment, Backends, CommandState, Completion, ConnectionId, Readiness};
 use crate::resp;
-use ingress::{BackendId, LoadReport, Micros, Outcome};
+use ingress::{BackendId, Micros, Outcome};
 use mio::Registry;
-use std::io::{self, Read, Write};
 
-/// Reads from one connection in a turn: more than the longest answer needs.
-const READS_A_TURN: usize = 8;
+/// Reads from one connection in a turn: more than the longest reply needs.
+const MAX_READS_PER_TURN: usize = 8;
+/// A failure this soon after the assignment says that the connection was dead already.
+const IMMEDIATE_FAILURE: Micros = 10_000;
 
-/// A reset that comes this soon after a request says that the connection was dead already.
-const AT_ONCE: Micros = 10_000;
+/// Whether a connection can still be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Usability {
+    Usable,
+    Unusable,
+}
 
 impl Backends {
-    /// Begins an attempt or a probe with what `fill` writes. What fails at once is among
-    /// the completions, and gives none.
+    /// Begins an attempt or a health check with the command that `encode` appends. Returns none if it has failed, which is
+    /// among the completions.
     pub fn assign(
         &mut self,
         registry: &Registry,
         backend: BackendId,
         assignment: Assignment,
         now: Micros,
-        fill: impl FnOnce(&mut Vec<u8>),
+        encode: impl FnOnce(&mut Vec<u8>),
     ) -> Option<AssignedConnection> {
-        let Some(key) = self.connection(registry, backend, now) else {
-            let (outcome, load_report, value) = (Outcome::ConnectFailed, None, Vec::new());
-            self.completions.push(Completion {
-                assignment,
-                backend,
-                outcome,
-                started_at: now,
-                load_report,
-                value,
-            });
+        let Some(key) = self.acquire(registry, backend, now) else {
+            let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
+            self.push_completion(assignment, backend, now, result);
             return None;
         };
-        let conn = &mut self.conns[key];
-        (conn.assignment, conn.since, conn.written) = (Some(assignment), now, 0);
-        conn.out.clear();
-        fill(&mut conn.out);
-        let connection = ConnectionId { key, serial: conn.serial };
+        let connection = &mut self.connections[key];
+        connection.assignment = Some(assignment);
+        connection.state_since = now;
+        connection.written = 0;
+        connection.command.clear();
+        encode(&mut connection.command);
+        let id = ConnectionId { key, serial: connection.serial };
         self.write(key);
-        self.conns.get(key).map(|conn| AssignedConnection { connection, command: conn.command_state() })
+        let command = self.connections.get(key)?.command_state();
+        Some(AssignedConnection { connection: id, command })
     }
 
-    /// The work on a connection of whose command nothing is written yet.
+    /// The assignment of a connection of whose command nothing is written yet.
     pub fn not_yet_written(&self, key: usize) -> Option<Assignment> {
-        self.conns.get(key).filter(|c| c.written == 0).and_then(|c| c.assignment)
+        self.connections
+            .get(key)
+            .filter(|connection| connection.written == 0)
+            .and_then(|connection| connection.assignment)
     }
 
-    /// Replaces a command of which nothing is written yet.
-    pub fn rewrite_command(&mut self, key: usize, fill: impl FnOnce(&mut Vec<u8>)) {
-        if let Some(conn) = self.conns.get_mut(key).filter(|c| c.written == 0 && c.assignment.is_some()) {
-            conn.out.clear();
-            fill(&mut conn.out);
+    /// Replaces a command of which nothing is written yet by what `encode` appends.
+    pub fn rewrite_command(&mut self, key: usize, encode: impl FnOnce(&mut Vec<u8>)) {
+        let connection = self.connections.get_mut(key);
+        if let Some(connection) = connection.filter(|connection| connection.is_not_yet_written()) {
+            connection.command.clear();
+            encode(&mut connection.command);
         }
     }
 
-    /// Whether the command on a connection is not written to its last byte, so that it has not begun for sure.
-    pub fn is_unsent(&self, link: ConnectionId) -> bool {
-        self.conns.get(link.key).is_some_and(|c| c.serial == link.serial && !c.sent())
+    /// The connection meant, if it still lives.
+    fn connection(&self, id: ConnectionId) -> Option<&Connection> {
+        self.connections.get(id.key).filter(|connection| connection.serial == id.serial)
     }
 
-    /// Closes a connection, if it is still the one meant, and gives how much of its command was written. There
-    /// is no completion: what was assigned to it is the caller's to account for.
-    pub fn cancel(&mut self, connection: ConnectionId) -> Option<CommandState> {
-        let meant = self.conns.get(connection.key).filter(|c| c.serial == connection.serial);
-        let command = meant?.command_state();
-        self.remove(connection.key);
-        Some(command)
-    }
-
-    /// Ends a connection that has not come up, or not taken the whole command, in time: what begins later than the
-    /// module counts on might begin behind the window of its key.
-    pub fn on_connect_timeout(&mut self, link: ConnectionId) {
-        if self.is_unsent(link) {
-            self.end(link.key, Outcome::ConnectFailed, Vec::new(), None, Micros::MAX);
-            self.remove(link.key);
-        }
+    /// Whether a connection lives whose command is not written to its last byte, so that the backend cannot have begun to
+    /// execute it.
+    pub fn is_unsent(&self, id: ConnectionId) -> bool {
+        self.connection(id).is_some_and(|connection| connection.command_state() == CommandState::Unsent)
     }
 
-    /// Notes how a connection's work ended.
-    pub(super) fn end(
-        &mut self,
-        key: usize,
-        outcome: Outcome,
-        value: Vec<u8>,
-        load_report: Option<LoadReport>,
-        now: Micros,
-    ) {
-        let conn = &mut self.conns[key];
-        if let Some(assignment) = conn.assignment {
-            let broken = matches!(outcome, Outcome::Reset | Outcome::ConnectFailed);
-            let dead = broken && conn.buf.is_empty() && now <= conn.since + AT_ONCE;
-            if let Some(idle) = conn.idled.filter(|_| dead || !broken) {
-                self.staleness.note(idle, dead);
-            }
-            let (backend, started_at) = (conn.backend, conn.since);
-            self.completions.push(Completion {
-                assignment,
-                backend,
-                outcome,
-                started_at,
-                load_report,
-                value,
-            });
-        }
+    /// Closes a connection, if it still lives, and returns how much of its command was written. There is no completion:
+    /// the assignment is the caller's to account for.
+    pub fn cancel(&mut self, id: ConnectionId) -> Option<CommandState> {
+        let command = self.connection(id)?.command_state();
+        self.remove(id.key);
+        Some(command)
     }
 
-    pub(super) fn write(&mut self, key: usize) {
-        let conn = &mut self.conns[key];
-        while conn.written < conn.out.len() {
-            match conn.stream.write(&conn.out[conn.written..]) {
-                Ok(n) => {
-                    conn.written += n;
-                    conn.connected = true;
-                }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                // Not up yet, or no room: the socket will show as writable.
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    return
-                }
-                Err(_) => {
-                    // It may have said why before it broke: turned away with too many connections, say.
-                    let (serial, since) = (conn.serial, conn.since);
-                    self.read(key, since, true);
-                    if self.conns.get(key).is_some_and(|c| c.serial == serial) {
-                        self.end(key, Outcome::ConnectFailed, Vec::new(), None, since);
-                        self.remove(key);
-                    }
-                    return;
-                }
-            }
+    /// Ends an exchange whose connection is not established, or whose command is not written, in time: a command that
+    /// begins later than the gateway counts on might begin after the window of its idempotency key.
+    pub fn on_connect_timeout(&mut self, id: ConnectionId) {
+        if self.is_unsent(id) {
+            self.complete(id.key, ExchangeResult::without_reply(Outcome::ConnectFailed), None);
+            self.remove(id.key);
         }
     }
 
     /// Does what a connection is ready for. If it falls idle, that is at `now`.
     pub fn on_ready(&mut self, key: usize, now: Micros, readiness: Readiness) {
-        let Readiness { writable, closed } = readiness;
-        let Some(conn) = self.conns.get_mut(key) else { return };
-        if writable && !conn.connected && conn.stream.peer_addr().is_ok() {
-            conn.connected = true;
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        if readiness.writable && !connection.is_connected && connection.stream.peer_addr().is_ok() {
+            connection.is_connected = true;
         }
-        if writable && !conn.sent() {
+        if readiness.writable && connection.command_state() == CommandState::Unsent {
             self.write(key);
         }
-        if self.conns.contains(key) {
-            self.read(key, now, closed);
+        if self.connections.contains(key) {
+            self.read(key, now, readiness.closed);
         }
     }
 
-    pub(super) fn read(&mut self, key: usize, now: Micros, closed: bool) {
-        for _ in 0..READS_A_TURN {
-            let conn = &mut self.conns[key];
-            match conn.stream.read(&mut self.chunk) {
-                Ok(n) if n > 0 => {
-                    if conn.buf.is_empty() {
-                        conn.heard = now;
-                    }
-                    conn.buf.extend_from_slice(&self.chunk[..n]);
-                    if !self.take_answer(key, now) {
+    fn write(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        if connection.write_command().is_ok() {
+            return;
+        }
+        // The backend may have said why before the connection broke, for instance that it has too many.
+        let id = ConnectionId { key, serial: connection.serial };
+        let assigned_at = connection.state_since;
+        self.read(key, assigned_at, true);
+        if self.connection(id).is_some() {
+            let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
+            self.complete(key, result, Some(assigned_at));
+            self.remove(key);
+        }
+    }
+
+    /// Reads what has come; `closed` tells that the end of the connection is to be found behind it.
+    fn read(&mut self, key: usize, now: Micros, closed: bool) {
+        for _ in 0..MAX_READS_PER_TURN {
+            let step = self.connections[key].read_once(&mut self.read_buffer, now);
+            match step {
+                ReadStep::Interrupted => {}
+                ReadStep::Blocked => return,
+                ReadStep::Ended => return self.fail(key, now),
+                ReadStep::Drained | ReadStep::MoreLikely => {
+                    if self.process_received(key, now) == Usability::Unusable {
                         return self.remove(key);
                     }
-                    // Less than there was room for: that was all, and more will be told.
-                    if n < CHUNK && !closed {
+                    // The poll tells of more.
+                    if step == ReadStep::Drained && !closed {
                         return;
                     }
                 }
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected) => {
-                    return
-                }
-                Ok(_) | Err(_) => {
-                    let outcome = conn.broken();
-                    self.end(key, outcome, Vec::new(), None, now);
-                    return self.remove(key);
-                }
             }
         }
-        // No answer is that long, and a backend that sends without end is not waited for.
-        let outcome = self.conns[key].broken();
-        self.end(key, outcome, Vec::new(), None, now);
+        // No reply is that long, and a backend that sends without end is not waited for.
+        self.fail(key, now);
+    }
+
+    /// Completes the exchange if the reply is complete or malformed.
+    fn process_received(&mut self, key: usize, now: Micros) -> Usability {
+        let connection = &self.connections[key];
+        // Without an assignment nobody asked for what has come.
+        let Some(assignment) = connection.assignment else { return Usability::Unusable };
+        let parsed = match resp::parse_reply(&connection.received) {
+            Ok(None) => return Usability::Usable,
+            Ok(Some(parsed)) => Some(parsed),
+            Err(_) => None,
+        };
+        let is_sent = connection.command_state() == CommandState::Sent;
+        let result = parsed
+            .as_ref()
+            .and_then(|(reply, _)| reply::interpret(&connection.received, reply, assignment))
+            // A reply to part of a command can only be a rejection.
+            .filter(|result| is_sent || result.outcome == Outcome::Rejected);
+        let has_nothing_behind = parsed.is_some_and(|(_, length)| length == connection.received.len());
+        let is_clean = result.is_some() && is_sent && has_nothing_behind;
+        let failure = connection.failure_outcome();
+        let result = result.unwrap_or_else(|| ExchangeResult::without_reply(failure));
+        self.complete(key, result, Some(now));
+        if is_clean && self.release(key, now) {
+            Usability::Usable
+        } else {
+            Usability::Unusable
+        }
+    }
+
+    /// Ends a connection that broke, and the exchange on it.
+    pub(super) fn fail(&mut self, key: usize, now: Micros) {
+        let outcome = self.connections[key].failure_outcome();
+        self.complete(key, ExchangeResult::without_reply(outcome), Some(now));
         self.remove(key);
     }
 
-    /// Looks whether the answer is whole; false if the connection is of no more use.
-    pub(super) fn take_answer(&mut self, key: usize, now: Micros) -> bool {
-        let conn = &mut self.conns[key];
-        let Some(assignment) = conn.assignment else { return false }; // nobody asked for anything
-        let (reply, end) = match resp::parse_reply(&conn.buf) {
-            Ok(None) => return true,
-            Ok(Some(found)) => found,
-            Err(_) => {
-                let outcome = conn.broken();
-                self.end(key, outcome, Vec::new(), None, now);
-                return false;
+    /// Records how a connection's exchange ended, if it has one. Without `ended_at` a failure does not say that the
+    /// connection was dead before.
+    pub(super) fn complete(&mut self, key: usize, result: ExchangeResult, ended_at: Option<Micros>) {
+        let connection = &self.connections[key];
+        let Some(assignment) = connection.assignment else { return };
+        let (backend, started_at) = (connection.backend, connection.state_since);
+        if let Some(idle_time) = connection.idle_before {
+            let failed = matches!(result.outcome, Outcome::Reset | Outcome::ConnectFailed);
+            let was_immediate = ended_at.is_some_and(|at| at <= started_at + IMMEDIATE_FAILURE);
+            if !failed {
+                self.idle_reuse.record(idle_time, IdleReuse::Alive);
+            } else if connection.received.is_empty() && was_immediate {
+                self.idle_reuse.record(idle_time, IdleReuse::Stale);
             }
-        };
-        let judged = judge(&conn.buf, &reply, assignment);
-        // An answer to half a command can only say that it was not let in.
-        let judged = judged.filter(|j| conn.sent() || j.0 == Outcome::Rejected);
-        let broken = conn.broken();
-        let clean = judged.is_some() && conn.sent() && end == conn.buf.len();
-        let (outcome, value, report) = judged.unwrap_or((broken, Vec::new(), None));
-        self.end(key, outcome, value, report, now);
-        let conn = &mut self.conns[key];
-        let pool = self.pools.get_mut(&conn.backend).filter(|p| p.address == Some(conn.address));
-        let Some(pool) = pool.filter(|_| clean) else { return false };
-        (conn.assignment, conn.since) = (None, now);
-        conn.buf.clear();
-        conn.buf.shrink_to(CHUNK);
-        conn.out.shrink_to(CHUNK);
-        pool.idle.push(key);
-        true
+        }
+        self.push_completion(assignment, backend, started_at, result);
+    }
+
+    fn push_completion(
+        &mut self,
+        assignment: Assignment,
+        backend: BackendId,
+        started_at: Micros,
+        result: ExchangeResult,
+    ) {
+        let ExchangeResult { outcome, value, load_report } = result;
+        self.completions.push(Completion { assignment, backend, outcome, started_at, load_report, value });
     }
 }
--- a/src/bin/ingress/backends/idle_reuse.rs
+++ b/src/bin/ingress/backends/idle_reuse.rs
@@ -1,35 +1,69 @@
-//! How connections fare that are used again.
+//! How long a connection may be idle and still be used again, learned from how such uses end.
 
 use ingress::Micros;
 
-/// The share of uses that may end like that after some time of idleness, and how many say anything.
-const STALE_SHARE: f64 = 0.2;
-const STALE_LEAST: f64 = 3.0;
-/// What is left of that record from one sweep to the next: half in some ten seconds.
-const STALE_KEEP: f64 = 0.97;
+/// The fraction of uses after some idle time that may find the connection stale.
+const MAX_STALE_FRACTION: f64 = 0.2;
+/// The fewest uses after some idle time from which a fraction is taken.
+const MIN_USES: f64 = 3.0;
+/// What a sweep leaves of the counts: half of them in some ten seconds.
+const RETAINED_PER_SWEEP: f64 = 0.97;
+/// Classes of idle time, each twice as long as the one before; the first one ends at 2 ms.
+const BUCKET_COUNT: usize = 16;
+const MICROS_PER_MILLI: Micros = 1000;
 
-/// How connections fare that are used again, by how long they were idle: on some networks one that is idle for a
-/// fraction of a second is dead, and says so only under the next request, which may have run then.
+/// How the use of an idle connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdleReuse {
+    /// The connection worked.
+    Alive,
+    /// It was reset at once.
+    Stale,
+}
+
+/// The uses after one class of idle times, with older ones decayed.
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    uses: f64,
+    stale_uses: f64,
+}
+
+impl Bucket {
+    fn is_stale(&self) -> bool {
+        self.uses >= MIN_USES && self.stale_uses > self.uses * MAX_STALE_FRACTION
+    }
+}
+
+/// Counts how uses of idle connections end, by the idle time before: on some networks a connection that is idle for a
+/// fraction of a second is dead, and shows it only once the next command is written, which may have been executed.
 #[derive(Default)]
-pub struct Staleness {
-    /// Uses, and how many were reset at once; the place is the logarithm of the idle milliseconds.
-    uses: [(f64, f64); 16],
+pub struct IdleReuseTracker {
+    /// By the binary logarithm of the idle milliseconds.
+    buckets: [Bucket; BUCKET_COUNT],
 }
 
-impl Staleness {
-    pub(super) fn note(&mut self, idle: Micros, dead: bool) {
-        let place = (idle / 1000).max(1).ilog2() as usize;
-        let (all, bad) = &mut self.uses[place.min(15)];
-        (*all, *bad) = (*all + 1.0, *bad + f64::from(u8::from(dead)));
+impl IdleReuseTracker {
+    /// Records the use of a connection that had been idle for `idle_time`.
+    pub fn record(&mut self, idle_time: Micros, reuse: IdleReuse) {
+        let index = (idle_time / MICROS_PER_MILLI).max(1).ilog2() as usize;
+        let bucket = &mut self.buckets[index.min(BUCKET_COUNT - 1)];
+        bucket.uses += 1.0;
+        if reuse == IdleReuse::Stale {
+            bucket.stale_uses += 1.0;
+        }
     }
 
     /// How long a connection may be idle and still be used.
-    pub(super) fn limit(&self) -> Micros {
-        let stale = |u: &(f64, f64)| u.0 >= STALE_LEAST && u.1 > u.0 * STALE_SHARE;
-        self.uses.iter().position(stale).map_or(Micros::MAX, |place| 1000 << place)
+    pub fn max_idle_time(&self) -> Micros {
+        let shortest_stale = self.buckets.iter().position(Bucket::is_stale);
+        shortest_stale.map_or(Micros::MAX, |index| MICROS_PER_MILLI << index)
     }
 
-    pub(super) fn fade(&mut self) {
-        self.uses.iter_mut().for_each(|u| (u.0, u.1) = (u.0 * STALE_KEEP, u.1 * STALE_KEEP));
+    /// Lets the past count for less; called at each sweep.
+    pub fn decay(&mut self) {
+        for bucket in &mut self.buckets {
+            bucket.uses *= RETAINED_PER_SWEEP;
+            bucket.stale_uses *= RETAINED_PER_SWEEP;
+        }
     }
 }
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -1,59 +1,62 @@
-//! The connections to all backends.
+//! The pools of connections, one for each backend: where to connect to, which connections are idle, and when these are
+//! used again or closed.
 
-use super::connection::Conn;
-use super::idle_reuse::Staleness;
+use super::connection::Connection;
+use super::idle_reuse::IdleReuseTracker;
+use super::reply::ExchangeResult;
 use super::Completion;
-use crate::discovery::EndpointList;
+use crate::discovery::{EndpointEntry, EndpointList};
 use ingress::{Availability, BackendId, Micros, Outcome};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
 use std::collections::{HashMap, HashSet};
-use std::io::{self, Read};
 use std::net::SocketAddr;
 
-/// Bytes read at once.
-pub const CHUNK: usize = 32 * 1024;
-
-/// How long a connection rests behind an answer: noise or a second copy that comes behind it must show before the next
-/// request could be served with it, since answers bear no id. They come up to some milliseconds late.
-pub const REST: Micros = 20_000;
-/// How long the rest of an answer may take to come once it has begun.
-const PATIENCE: Micros = 500_000;
+/// Bytes read at once, and the capacity that an idle connection's buffers may keep.
+pub const BUFFER_SIZE: usize = 32 * 1024;
+/// How long a connection stays idle after a reply at the least: stray bytes or a duplicate reply must arrive before the
+/// next command, which could be served with them, since replies bear no id. They come up to some milliseconds late.
+pub const MIN_IDLE_TIME: Micros = 20_000;
+/// How long the rest of a reply may take to come once it has begun.
+const MAX_REPLY_DURATION: Micros = 500_000;
 
+/// The connections to one backend that are idle.
 #[derive(Default)]
 pub struct Pool {
-    pub(super) address: Option<SocketAddr>,
-    /// The connections with no work, the newest last.
-    pub(super) idle: Vec<usize>,
+    /// Where to connect to.
+    pub address: Option<SocketAddr>,
+    /// Keys of the idle connections, the newest last.
+    pub idle: Vec<usize>,
 }
 
-/// All backends, as far as sockets go.
+/// The connections to all backends.
 pub struct Backends {
-    pub(super) conns: Slab<Conn>,
+    pub(super) connections: Slab<Connection>,
     pub(super) pools: HashMap<BackendId, Pool>,
-    pub(super) serial: u64,
-    pub(super) chunk: Vec<u8>,
+    last_serial: u64,
+    pub(super) read_buffer: Vec<u8>,
     /// Idle connections are closed after this, before the backend does.
-    pub(super) idle_for: Micros,
-    pub(super) staleness: Staleness,
-    pub(super) tokens: fn(usize) -> Token,
-    /// What has ended since [`Backends::take_completions`] was last called, in order.
+    max_idle_time: Micros,
+    pub(super) idle_reuse: IdleReuseTracker,
+    /// The poll's token of the connection with a key.
+    token: fn(usize) -> Token,
     pub(super) completions: Vec<Completion>,
 }
 
 impl Backends {
-    /// No backend yet. `tokens` names the connections to the poll.
-    pub fn new(keepalive: Micros, tokens: fn(usize) -> Token) -> Self {
+    /// No backend yet. Backends close connections that have been idle for `keepalive_timeout`; `token` gives the
+    /// poll's token of the connection with a key.
+    pub fn new(keepalive_timeout: Micros, token: fn(usize) -> Token) -> Self {
         Backends {
-            conns: Slab::new(),
+            connections: Slab::new(),
             pools: HashMap::new(),
-            serial: 0,
-            chunk: vec![0; CHUNK],
-            // Where both ends close at the same moment a request may be written to a dead connection.
-            idle_for: keepalive / 5 * 4,
-            staleness: Staleness::default(),
-            tokens,
+            last_serial: 0,
+            read_buffer: vec![0; BUFFER_SIZE],
+            // Where both ends close at the same moment a command may be written to a dead connection.
+            max_idle_time: keepalive_timeout / 5 * 4,
+            idle_reuse: IdleReuseTracker::default(),
+            token,
             completions: Vec::new(),
         }
     }
@@ -65,149 +68,180 @@
 
     /// How many connections there are.
     pub fn len(&self) -> usize {
-        self.conns.len()
+        self.connections.len()
     }
 
-    /// Takes over the addresses of a list.
+    /// Takes over the addresses of an endpoint list.
     pub fn update_endpoints(&mut self, endpoints: &EndpointList) {
-        let (mut absent, mut left) = (Vec::new(), HashSet::new());
-        if endpoints.is_snapshot {
-            let listed: HashSet<BackendId> = endpoints.entries.iter().map(|e| e.endpoint.backend).collect();
-            absent.extend(self.pools.keys().filter(|id| !listed.contains(id)));
-        }
-        for e in &endpoints.entries {
-            let id = e.endpoint.backend;
-            if e.endpoint.availability == Availability::Gone {
-                absent.push(id);
+        let mut removed = self.missing_backends(endpoints);
+        let mut closed_to_new_work = HashSet::new();
+        for entry in &endpoints.entries {
+            let backend = entry.endpoint.backend;
+            if entry.endpoint.availability == Availability::Gone {
+                removed.push(backend);
                 continue;
             }
-            let moved = self.pools.get(&id).is_some_and(|p| p.address != e.address);
-            // What is idle at a place that it left, or that drains, is of no more use.
-            if moved || e.endpoint.availability == Availability::Draining {
-                self.close_idle(id);
-                left.insert(id);
+            if self.has_moved(entry) || entry.endpoint.availability == Availability::Draining {
+                self.close_idle(backend);
+                closed_to_new_work.insert(backend);
             }
-            self.pools.entry(id).or_default().address = e.address;
+            self.pools.entry(backend).or_default().address = entry.address;
+        }
+        for backend in removed {
+            self.close_idle(backend);
+            self.pools.remove(&backend);
+            closed_to_new_work.insert(backend);
         }
-        for id in absent {
-            self.close_idle(id);
-            self.pools.remove(&id);
-            left.insert(id);
+        self.cancel_unsent(&closed_to_new_work);
+    }
+
+    /// The backends that a snapshot no longer has.
+    fn missing_backends(&self, endpoints: &EndpointList) -> Vec<BackendId> {
+        if !endpoints.is_snapshot {
+            return Vec::new();
         }
-        self.call_back(&left);
+        let listed: HashSet<BackendId> =
+            endpoints.entries.iter().map(|entry| entry.endpoint.backend).collect();
+        self.pools.keys().filter(|backend| !listed.contains(backend)).copied().collect()
     }
 
-    /// Ends work of which nothing is written yet, since its connection is still to come up, at backends that want
-    /// nothing new: it would begin once they may get nothing any more, and perhaps at whoever has the address then.
-    pub(super) fn call_back(&mut self, left: &HashSet<BackendId>) {
-        let unbegun = |c: &Conn| c.assignment.is_some() && c.written == 0 && left.contains(&c.backend);
-        let late: Vec<usize> = self.conns.iter().filter(|(_, c)| unbegun(c)).map(|(key, _)| key).collect();
-        for key in late {
-            self.end(key, Outcome::NotSent, Vec::new(), None, Micros::MAX);
+    fn has_moved(&self, entry: &EndpointEntry) -> bool {
+        self.pools.get(&entry.endpoint.backend).is_some_and(|pool| pool.address != entry.address)
+    }
+
+    /// Ends assignments of which nothing is written yet, since their connections are still being established, at
+    /// backends that are closed to new work: they would begin later, and perhaps at another backend that has the address
+    /// then.
+    fn cancel_unsent(&mut self, closed_to_new_work: &HashSet<BackendId>) {
+        let is_unsent = |connection: &Connection| {
+            connection.is_not_yet_written() && closed_to_new_work.contains(&connection.backend)
+        };
+        for key in self.keys_where(is_unsent) {
+            self.complete(key, ExchangeResult::without_reply(Outcome::NotSent), None);
             self.remove(key);
         }
     }
 
-    /// Whether work for a backend would need a new connection. `now` is the true time.
+    fn keys_where(&self, condition: impl Fn(&Connection) -> bool) -> Vec<usize> {
+        self.connections.iter().filter(|(_, connection)| condition(connection)).map(|(key, _)| key).collect()
+    }
+
+    /// Whether an assignment for a backend would need a new connection. `now` is the time to the microsecond, not that of
+    /// the tick.
     pub fn needs_connection(&self, backend: BackendId, now: Micros) -> bool {
-        self.pools.get(&backend).is_some_and(|p| self.newest_rested(p, now).is_none())
+        self.pools.get(&backend).is_some_and(|pool| self.newest_reusable(pool, now).is_none())
+    }
+
+    /// The place in a pool of the newest idle connection that may be used.
+    fn newest_reusable(&self, pool: &Pool, now: Micros) -> Option<usize> {
+        let reusable = MIN_IDLE_TIME..self.idle_reuse.max_idle_time().min(self.max_idle_time);
+        let idle_time = |key: usize| now.saturating_sub(self.connections[key].state_since);
+        pool.idle.iter().rposition(|key| reusable.contains(&idle_time(*key)))
     }
 
-    pub(super) fn newest_rested(&self, pool: &Pool, now: Micros) -> Option<usize> {
-        let most = self.staleness.limit().min(self.idle_for);
-        let idle = |key: usize| now.saturating_sub(self.conns[key].since);
-        pool.idle.iter().rposition(|key| (REST..most).contains(&idle(*key)))
+    /// The key of an idle connection to a backend, which leaves the pool, or of a new one.
+    pub(super) fn acquire(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
+        self.take_idle(backend, now).or_else(|| self.connect(registry, backend, now))
     }
 
-    /// Takes the newest idle connection to a backend that has rested and has nothing unread.
-    pub(super) fn rested(&mut self, backend: BackendId, now: Micros) -> Option<usize> {
+    /// Takes the newest idle connection to a backend that may be used, and closes those that turn out to be unusable.
+    fn take_idle(&mut self, backend: BackendId, now: Micros) -> Option<usize> {
         loop {
-            let at = self.newest_rested(self.pools.get(&backend)?, now)?;
-            let key = self.pools.get_mut(&backend)?.idle.remove(at);
-            // Nobody asked for what is there, or the backend has closed. Its descriptor serves the next one.
-            match self.conns[key].stream.read(&mut [0]) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    let conn = &mut self.conns[key];
-                    conn.idled = Some(now.saturating_sub(conn.since));
-                    return Some(key);
-                }
-                _ => drop(self.conns.remove(key)),
+            let position = self.newest_reusable(self.pools.get(&backend)?, now)?;
+            let key = self.pools.get_mut(&backend)?.idle.remove(position);
+            let connection = &mut self.connections[key];
+            if connection.is_quiet() {
+                connection.idle_before = Some(now.saturating_sub(connection.state_since));
+                return Some(key);
             }
+            // Its descriptor serves the next one.
+            self.connections.remove(key);
         }
     }
 
-    /// An idle connection to a backend, or a new one.
-    pub(super) fn connection(
-        &mut self,
-        registry: &Registry,
-        backend: BackendId,
-        now: Micros,
-    ) -> Option<usize> {
-        if let Some(key) = self.rested(backend, now) {
-            return Some(key);
-        }
+    /// Begins to connect to a backend.
+    fn connect(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
         let address = self.pools.get(&backend)?.address?;
         let mut stream = TcpStream::connect(address).ok()?;
-        let place = self.conns.vacant_entry();
-        registry
-            .register(&mut stream, (self.tokens)(place.key()), Interest::READABLE | Interest::WRITABLE)
-            .ok()?;
+        let slot = self.connections.vacant_entry();
+        let key = slot.key();
+        let interest = Interest::READABLE | Interest::WRITABLE;
+        registry.register(&mut stream, (self.token)(key), interest).ok()?;
         // Without it the second of two small writes would wait for the first one's acknowledgement.
         let _ = stream.set_nodelay(true);
-        self.serial += 1;
-        let key = place.key();
-        place.insert(Conn {
-            stream,
-            serial: self.serial,
-            backend,
-            address,
-            connected: false,
-            assignment: None,
-            since: now,
-            idled: None,
-            heard: 0,
-            out: Vec::new(),
-            written: 0,
-            buf: Vec::new(),
-        });
+        self.last_serial += 1;
+        slot.insert(Connection::new(stream, self.last_serial, backend, address, now));
         Some(key)
     }
 
+    /// Puts a connection whose exchange is over into its backend's pool. Returns false if the backend has left the
+    /// connection's address.
+    pub(super) fn release(&mut self, key: usize, now: Micros) -> bool {
+        let connection = &mut self.connections[key];
+        let Some(pool) = self.pools.get_mut(&connection.backend) else { return false };
+        if pool.address != Some(connection.address) {
+            return false;
+        }
+        connection.assignment = None;
+        connection.state_since = now;
+        connection.received.clear();
+        connection.received.shrink_to(BUFFER_SIZE);
+        connection.command.shrink_to(BUFFER_SIZE);
+        pool.idle.push(key);
+        true
+    }
+
+    /// Closes a connection.
     pub(super) fn remove(&mut self, key: usize) {
-        let conn = self.conns.remove(key); // dropped, it is closed, and so out of the poll
-        if let Some(pool) = self.pools.get_mut(&conn.backend).filter(|_| conn.assignment.is_none()) {
-            pool.idle.retain(|k| *k != key);
+        let connection = self.connections.remove(key); // dropping it closes and deregisters it
+        if connection.assignment.is_none() {
+            if let Some(pool) = self.pools.get_mut(&connection.backend) {
+                pool.idle.retain(|idle_key| *idle_key != key);
+            }
         }
     }
 
     /// Closes the idle connections to a backend.
     pub fn close_idle(&mut self, backend: BackendId) {
-        let idle = self.pools.get_mut(&backend).map(|p| std::mem::take(&mut p.idle));
-        idle.into_iter().flatten().for_each(|key| drop(self.conns.remove(key)));
+        let idle = self.pools.get_mut(&backend).map(|pool| std::mem::take(&mut pool.idle));
+        for key in idle.into_iter().flatten() {
+            self.connections.remove(key);
+        }
     }
 
-    /// Closes what has been idle for too long.
+    /// Closes connections that have been idle for too long, or whose reply has stalled. Called every half second.
     pub fn sweep(&mut self, now: Micros) {
-        self.staleness.fade();
-        let most = self.idle_for.min(self.staleness.limit());
-        let old = |c: &Conn| c.assignment.is_none() && now.saturating_sub(c.since) > most;
-        let old: Vec<usize> = self.conns.iter().filter(|(_, c)| old(c)).map(|(key, _)| key).collect();
-        old.into_iter().for_each(|key| self.remove(key));
-        // An answer that began and goes no further will not be whole: a line or a length without an end.
-        let stuck = |c: &Conn| !c.buf.is_empty() && now > c.heard + PATIENCE;
-        let stuck: Vec<usize> = self.conns.iter().filter(|(_, c)| stuck(c)).map(|(key, _)| key).collect();
-        for key in stuck {
-            let outcome = self.conns[key].broken();
-            self.end(key, outcome, Vec::new(), None, now);
+        self.idle_reuse.decay();
+        self.close_expired(now);
+        self.close_stalled(now);
+    }
+
+    fn close_expired(&mut self, now: Micros) {
+        let max_idle_time = self.max_idle_time.min(self.idle_reuse.max_idle_time());
+        let is_expired = |connection: &Connection| {
+            connection.assignment.is_none() && now.saturating_sub(connection.state_since) > max_idle_time
+        };
+        for key in self.keys_where(is_expired) {
             self.remove(key);
         }
     }
 
-    /// Closes the connection that has been idle for longest, to make room; false if none is idle.
+    /// A reply that has begun and does not go on will not become complete: a line or a length without an end.
+    fn close_stalled(&mut self, now: Micros) {
+        let is_stalled = |connection: &Connection| {
+            !connection.received.is_empty() && now > connection.reply_started_at + MAX_REPLY_DURATION
+        };
+        for key in self.keys_where(is_stalled) {
+            self.fail(key, now);
+        }
+    }
+
+    /// Closes the connection that has been idle for longest, to free its descriptor. Returns false if none is idle.
     pub fn close_longest_idle(&mut self) -> bool {
-        let idle = self.conns.iter().filter(|(_, c)| c.assignment.is_none());
-        let oldest = idle.min_by_key(|(_, c)| (c.since, c.serial)).map(|(key, _)| key);
-        oldest.into_iter().for_each(|key| self.remove(key));
-        oldest.is_some()
+        let idle = self.connections.iter().filter(|(_, connection)| connection.assignment.is_none());
+        let longest = idle.min_by_key(|(_, connection)| (connection.state_since, connection.serial));
+        let Some(key) = longest.map(|(key, _)| key) else { return false };
+        self.remove(key);
+        true
     }
 }
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of [`super`].
 
-use super::pool::REST;
+use super::pool::MIN_IDLE_TIME;
 use super::*;
 use crate::discovery::{EndpointEntry, EndpointList};
 use ingress::{BackendId, Endpoint, Micros, Outcome, RequestId};
@@ -8,8 +8,15 @@
 use std::io::Write;
 use std::net::TcpListener;
 
-const ID: BackendId = BackendId(7);
-const T: Micros = 1_000_000_000;
+const BACKEND: BackendId = BackendId(7);
+const START: Micros = 1_000_000_000;
+/// A reply whose value is `one`, with no load report.
+const REPLY_ONE: &[u8] = b"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n";
+
+/// The first attempt of a request.
+fn attempt(request: u64) -> Assignment {
+    Assignment::Attempt { id: RequestId(request), attempt: 0 }
+}
 
 /// Connections to one backend, which the test plays; its clock is the test's as well.
 struct Rig {
@@ -19,100 +26,100 @@
 }
 
 impl Rig {
-    fn new(keepalive: Micros) -> Rig {
+    fn new(keepalive_timeout: Micros) -> Rig {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut backends = Backends::new(keepalive, Token);
-        let endpoint = Endpoint { backend: ID, ..Endpoint::default() };
+        let mut backends = Backends::new(keepalive_timeout, Token);
+        let endpoint = Endpoint { backend: BACKEND, ..Endpoint::default() };
         let entries = vec![EndpointEntry { endpoint, address: listener.local_addr().ok() }];
         backends.update_endpoints(&EndpointList { index: 1, is_snapshot: true, entries });
         Rig { backends, poll: Poll::new().unwrap(), listener }
     }
 
-    /// Begins an attempt, which is written at once.
-    fn assign(&mut self, id: u64, now: Micros) -> ConnectionId {
-        let (registry, assignment) =
-            (self.poll.registry(), Assignment::Attempt { id: RequestId(id), attempt: 0 });
-        let fill = |out: &mut Vec<u8>| out.extend_from_slice(b"*1\r\n$4\r\nCALL\r\n");
-        let link = self.backends.assign(registry, ID, assignment, now, fill).unwrap().connection;
-        while self.backends.is_unsent(link) {
-            self.backends.on_ready(link.key, now, Readiness { writable: true, closed: false });
+    /// Begins an attempt, whose command is written at once.
+    fn assign(&mut self, request: u64, now: Micros) -> ConnectionId {
+        let encode = |command: &mut Vec<u8>| command.extend_from_slice(b"*1\r\n$4\r\nCALL\r\n");
+        let registry = self.poll.registry();
+        let assigned = self.backends.assign(registry, BACKEND, attempt(request), now, encode).unwrap();
+        while self.backends.is_unsent(assigned.connection) {
+            let readiness = Readiness { writable: true, closed: false };
+            self.backends.on_ready(assigned.connection.key, now, readiness);
         }
-        link
+        assigned.connection
     }
 
-    /// Reads from a connection until something has ended; gives the work and the value.
-    fn done(&mut self, link: ConnectionId, now: Micros) -> (Assignment, String) {
+    /// Reads from a connection until an exchange has ended.
+    fn completion(&mut self, connection: ConnectionId, now: Micros) -> Completion {
         for _ in 0..1_000_000 {
-            if let Some(done) = self.backends.completions.pop() {
-                return (done.assignment, String::from_utf8(done.value).unwrap());
+            if let Some(completion) = self.backends.completions.pop() {
+                return completion;
             }
-            self.backends.on_ready(link.key, now, Readiness { writable: false, closed: false });
+            self.backends.on_ready(connection.key, now, Readiness { writable: false, closed: false });
         }
         panic!("nothing has ended");
     }
 
-    fn serve(&mut self, peer: &mut impl Write, link: ConnectionId, now: Micros) {
-        peer.write_all(b"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n").unwrap();
-        self.done(link, now);
+    fn serve(&mut self, peer: &mut impl Write, connection: ConnectionId, now: Micros) {
+        peer.write_all(REPLY_ONE).unwrap();
+        self.completion(connection, now);
     }
 }
 
-/// Guards against serving a request with the answer before it: a backend may send it twice, up to some milliseconds
-/// apart (4 ms at the most of 201 on join+brink), and an answer does not say whose it is.
+/// Guards against serving a request with the reply before it: a backend may send it twice, up to some milliseconds
+/// apart (4 ms at the most of 201 on join+brink), and a reply does not say whose it is.
 #[test]
-fn a_second_answer_some_milliseconds_late_serves_nobody() {
-    for late in [2_500, 5_000, 10_000] {
+fn a_duplicate_reply_some_milliseconds_late_serves_nobody() {
+    for delay in [2_500, 5_000, 10_000] {
         let mut rig = Rig::new(30_000_000);
-        let first = rig.assign(1, T);
+        let first = rig.assign(1, START);
         let mut peer = rig.listener.accept().unwrap().0;
-        rig.serve(&mut peer, first, T);
-        let second = rig.assign(2, T + late);
-        peer.write_all(b"*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n").unwrap();
-        assert_ne!(first, second, "{late} us behind an answer");
+        rig.serve(&mut peer, first, START);
+        let second = rig.assign(2, START + delay);
+        peer.write_all(REPLY_ONE).unwrap();
+        assert_ne!(first, second, "{delay} us after a reply");
         let mut other = rig.listener.accept().unwrap().0;
         other.write_all(b"*3\r\n$3\r\ntwo\r\n$-1\r\n$-1\r\n").unwrap();
-        let (work, value) = rig.done(second, T + late);
-        assert_eq!(
-            (work, &value[..]),
-            (Assignment::Attempt { id: RequestId(2), attempt: 0 }, "$3\r\ntwo\r\n")
-        );
+        let completion = rig.completion(second, START + delay);
+        assert_eq!((completion.assignment, &completion.value[..]), (attempt(2), &b"$3\r\ntwo\r\n"[..]));
     }
 }
 
 #[test]
-fn a_connection_that_has_rested_is_used_again() {
+fn a_connection_that_has_been_idle_long_enough_is_used_again() {
     let mut rig = Rig::new(30_000_000);
-    let first = rig.assign(1, T);
+    let first = rig.assign(1, START);
     let mut peer = rig.listener.accept().unwrap().0;
-    rig.serve(&mut peer, first, T);
-    assert_eq!(rig.assign(2, T + REST), first);
+    rig.serve(&mut peer, first, START);
+    assert_eq!(rig.assign(2, START + MIN_IDLE_TIME), first);
 }
 
-/// Guards against a command that a backend takes in later than the module counts on: the connection is up, but nobody
-/// reads from it.
+/// Guards against a command that a backend takes in later than the gateway counts on: the connection is established, but
+/// nobody reads from it.
 #[test]
-fn a_command_that_is_not_taken_in_time_has_not_begun() {
+fn a_command_that_is_not_written_in_time_has_not_begun() {
     let mut rig = Rig::new(30_000_000);
-    let (registry, assignment) = (rig.poll.registry(), Assignment::Attempt { id: RequestId(1), attempt: 0 });
-    let fill = |out: &mut Vec<u8>| out.resize(64 << 20, b'x');
-    let assigned = rig.backends.assign(registry, ID, assignment, T, fill).unwrap();
-    let (link, unsent) = (assigned.connection, assigned.command == CommandState::Unsent);
+    let encode = |command: &mut Vec<u8>| command.resize(64 << 20, b'x');
+    let registry = rig.poll.registry();
+    let assigned = rig.backends.assign(registry, BACKEND, attempt(1), START, encode).unwrap();
+    let connection = assigned.connection;
     let peer = rig.listener.accept().unwrap().0;
-    rig.backends.on_ready(link.key, T, Readiness { writable: true, closed: false });
-    assert!(unsent && rig.backends.conns[link.key].connected && rig.backends.is_unsent(link));
-    rig.backends.on_connect_timeout(link);
-    let done = rig.backends.completions.pop().expect("it has ended");
-    assert_eq!((done.assignment, done.outcome, rig.backends.len()), (assignment, Outcome::ConnectFailed, 0));
+    rig.backends.on_ready(connection.key, START, Readiness { writable: true, closed: false });
+    assert_eq!(assigned.command, CommandState::Unsent);
+    assert!(rig.backends.connections[connection.key].is_connected);
+    assert!(rig.backends.is_unsent(connection));
+    rig.backends.on_connect_timeout(connection);
+    let completion = rig.backends.completions.pop().expect("it has ended");
+    assert_eq!((completion.assignment, completion.outcome), (attempt(1), Outcome::ConnectFailed));
+    assert_eq!(rig.backends.len(), 0);
     drop(peer);
 }
 
-/// Guards against a request on a connection that the backend is about to close: where connections are kept for a
+/// Guards against a command on a connection that the backend is about to close: where connections are kept for a
 /// short time only, the sweep comes too seldom to close them first.
 #[test]
 fn a_connection_that_the_backend_may_close_any_moment_is_not_used() {
     let mut rig = Rig::new(400_000);
-    let first = rig.assign(1, T);
+    let first = rig.assign(1, START);
     let mut peer = rig.listener.accept().unwrap().0;
-    rig.serve(&mut peer, first, T);
-    assert_ne!(rig.assign(2, T + 390_000), first);
+    rig.serve(&mut peer, first, START);
+    assert_ne!(rig.assign(2, START + 390_000), first);
 }
--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -8,9 +8,7 @@
 mod poll;
 mod watch;
 
-#[cfg(test)]
-pub use endpoint_list::EndpointEntry;
-pub use endpoint_list::EndpointList;
+pub use endpoint_list::{EndpointEntry, EndpointList};
 pub use error::{EndpointListError, HttpError, PollError};
 pub use http::max_body_bytes;
 pub use location_names::LocationNames;
