Name the parts of client connections and give them types of their own

One struct of twenty fields held a connection, with names such as surplus, strike, dirty and spoke; its replies and output were handled in place, and errors were texts.

ReplyQueue, OutputBuffer, CloseState, MemoryBudget and ClientError hold what belongs together; Connection has a method for each question and change; ReadUntil replaces a flag; names are the field's. The order of reads, writes, replies and events is as it was, as are all limits and texts.

--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -4,52 +4,56 @@
 use crate::command::ClassSchema;
 use ingress::Idempotency;
 use mio::Poll;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
-const T: Micros = 1_000_000_000;
+/// The time at which connections are accepted and requests read.
+const NOW: Micros = 1_000_000_000;
 
-struct Rig {
+/// Connections on a listener of their own.
+struct Fixture {
     clients: Clients,
     poll: Poll,
-    at: std::net::SocketAddr,
+    address: SocketAddr,
 }
 
-impl Rig {
-    fn new(memory: usize) -> Rig {
+impl Fixture {
+    fn new(memory_limit: usize) -> Fixture {
         let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        let (at, classes) = (
-            listener.local_addr().unwrap(),
-            vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }],
-        );
-        let words =
-            CommandSchema { classes, plans: vec!["starter".into()], max_units: 1.0, gateway_count: 1 };
-        Rig { clients: Clients::new(listener, words, memory, Token), poll: Poll::new().unwrap(), at }
+        let address = listener.local_addr().unwrap();
+        let classes = vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }];
+        let plans = vec!["starter".into()];
+        let schema = CommandSchema { classes, plans, max_units: 1.0, gateway_count: 1 };
+        let clients = Clients::new(listener, schema, memory_limit, Token);
+        Fixture { clients, poll: Poll::new().unwrap(), address }
     }
 
-    /// A client that has been accepted.
-    fn client(&mut self, room: Capacity) -> std::net::TcpStream {
-        let client = std::net::TcpStream::connect(self.at).unwrap();
-        client.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+    /// A client whose connection was accepted.
+    fn client(&mut self, capacity: Capacity) -> TcpStream {
+        let client = TcpStream::connect(self.address).unwrap();
+        client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         let before = self.clients.len();
         while self.clients.len() == before {
-            self.clients.accept(self.poll.registry(), T, |_| room);
+            self.clients.accept(self.poll.registry(), NOW, |_| capacity);
         }
         client
     }
 
-    /// Has a client send a request, and gives where its answer belongs.
-    fn request(&mut self, client: &mut std::net::TcpStream) -> ReplyHandle {
-        client.write_all(&call()).unwrap();
+    /// Has a client send a request, and returns where its reply belongs.
+    fn request(&mut self, client: &mut TcpStream) -> ReplyHandle {
+        client.write_all(&request_command()).unwrap();
         for _ in 0..1_000_000 {
-            self.clients.read_all(T);
+            self.clients.read_all(NOW);
             if let Some(ClientEvent::Command { reply_to, .. }) = self.clients.next_event() {
                 return reply_to;
             }
         }
-        panic!("the request did not come");
+        panic!("the request did not arrive");
     }
 }
 
-fn call() -> Vec<u8> {
+/// A valid request, encoded.
+fn request_command() -> Vec<u8> {
     let mut out = Vec::new();
     resp::write_array_header(&mut out, 4);
     for word in ["CALL.GET", "0000000000000001", "q1", "c=quote,t=starter,d=900,units=1,spread=1,first=0"] {
@@ -58,62 +62,62 @@
     out
 }
 
-fn hears(client: &mut std::net::TcpStream, want: &[u8]) {
-    let mut got = vec![0; want.len()];
-    client.read_exact(&mut got).expect("the whole answer");
-    assert!(got == want, "{:?}", String::from_utf8_lossy(&got[..got.len().min(40)]));
+/// Reads as many bytes as are expected, and compares them.
+fn expect_reply(client: &mut TcpStream, expected: &[u8]) {
+    let mut received = vec![0; expected.len()];
+    client.read_exact(&mut received).expect("the whole reply");
+    assert!(received == expected, "{:?}", String::from_utf8_lossy(&received[..received.len().min(40)]));
 }
 
-/// Guards against taking a client for gone by the time since it asked: the answer is not even written yet.
+/// Guards against counting the write timeout from the request on: the reply is not even written yet.
 #[test]
-fn an_answer_that_took_long_is_not_taken_for_unread() {
-    let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Capacity::Available);
-    let origin = rig.request(&mut client);
-    rig.clients.reply(origin, b"+late\r\n");
-    rig.clients.close_expired(T + UNREAD + 1_000_000);
-    rig.clients.flush(T + UNREAD + 1_000_000);
-    hears(&mut client, b"+late\r\n");
+fn a_late_reply_is_not_taken_for_an_unread_one() {
+    let mut fixture = Fixture::new(1 << 20);
+    let mut client = fixture.client(Capacity::Available);
+    let reply_to = fixture.request(&mut client);
+    fixture.clients.reply(reply_to, b"+late\r\n");
+    fixture.clients.close_expired(NOW + WRITE_TIMEOUT + 1_000_000);
+    fixture.clients.flush(NOW + WRITE_TIMEOUT + 1_000_000);
+    expect_reply(&mut client, b"+late\r\n");
 }
 
-/// Guards against ending a connection for what it holds while that is its own answer, on its way this very turn.
+/// Guards against closing a connection for the memory of its own reply, which is written within the turn.
 #[test]
-fn an_answer_on_its_way_is_not_dropped_for_the_memory_that_it_takes() {
-    let mut rig = Rig::new(10_000);
-    let mut client = rig.client(Capacity::Available);
-    let origin = rig.request(&mut client);
-    let answer = [b"$60000\r\n", &[b'x'; 60_000][..], b"\r\n"].concat();
-    rig.clients.reply(origin, &answer);
-    rig.clients.read_all(T);
-    rig.clients.flush(T);
-    hears(&mut client, &answer);
+fn a_reply_is_not_dropped_for_the_memory_that_it_takes() {
+    let mut fixture = Fixture::new(10_000);
+    let mut client = fixture.client(Capacity::Available);
+    let reply_to = fixture.request(&mut client);
+    let reply = [b"$60000\r\n", &[b'x'; 60_000][..], b"\r\n"].concat();
+    fixture.clients.reply(reply_to, &reply);
+    fixture.clients.read_all(NOW);
+    fixture.clients.flush(NOW);
+    expect_reply(&mut client, &reply);
 }
 
-/// Guards against an error for half a command whose rest has come, though nobody has read it yet.
+/// Guards against an error for an incomplete command whose rest has arrived, though it was not read yet.
 #[test]
-fn the_rest_of_a_command_that_has_come_is_read_before_it_is_called_missing() {
-    let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Capacity::Available);
+fn the_rest_of_a_command_is_read_before_the_command_times_out() {
+    let mut fixture = Fixture::new(1 << 20);
+    let mut client = fixture.client(Capacity::Available);
     client.write_all(b"*1\r\n$4\r\nPI").unwrap();
-    while rig.clients.idle_count() > 0 {
-        rig.clients.read_all(T);
+    while fixture.clients.idle_count() > 0 {
+        fixture.clients.read_all(NOW);
     }
     client.write_all(b"NG\r\n").unwrap();
-    rig.clients.close_expired(T + PATIENCE + 1);
-    rig.clients.flush(T + PATIENCE + 1);
-    hears(&mut client, b"+PONG\r\n");
+    fixture.clients.close_expired(NOW + COMMAND_TIMEOUT + 1);
+    fixture.clients.flush(NOW + COMMAND_TIMEOUT + 1);
+    expect_reply(&mut client, b"+PONG\r\n");
 }
 
-/// Guards against closing a connection without a word that was taken in only to be told that there is no room, and
-/// has asked by now.
+/// Guards against closing a connection over the limit without a reply though its request has arrived by now.
 #[test]
-fn one_that_is_to_be_told_of_no_room_is_told_so_before_its_time_is_over() {
-    let mut rig = Rig::new(1 << 20);
-    let mut client = rig.client(Capacity::OverLimit);
-    client.write_all(&call()).unwrap();
-    rig.clients.close_expired(T + LINGER);
-    rig.clients.flush(T + LINGER);
-    hears(&mut client, b"-BUSY\r\n");
-    rig.clients.close_expired(T + 3 * LINGER);
-    assert_eq!(rig.clients.len(), 0, "told and gone");
+fn a_client_over_the_limit_is_told_so_before_its_connection_expires() {
+    let mut fixture = Fixture::new(1 << 20);
+    let mut client = fixture.client(Capacity::OverLimit);
+    client.write_all(&request_command()).unwrap();
+    fixture.clients.close_expired(NOW + LINGER_TIMEOUT);
+    fixture.clients.flush(NOW + LINGER_TIMEOUT);
+    expect_reply(&mut client, b"-BUSY\r\n");
+    fixture.clients.close_expired(NOW + 3 * LINGER_TIMEOUT);
+    assert_eq!(fixture.clients.len(), 0, "told and closed");
 }
--- a/src/bin/ingress/command.rs
+++ b/src/bin/ingress/command.rs
@@ -41,6 +41,7 @@
 }
 
 impl Verb {
+    /// The verb of this name.
     fn parse(text: &[u8]) -> Option<Verb> {
         match text {
             b"CALL.GET" => Some(Verb::Get),
@@ -90,6 +91,7 @@
         Some(Command::parse_arguments(verb, &arguments, schema))
     }
 
+    /// Parses as many arguments as the verb has.
     fn parse_arguments(
         verb: Verb,
         arguments: &[&[u8]],
--- a/src/bin/ingress/command/options.rs
+++ b/src/bin/ingress/command/options.rs
@@ -50,10 +50,11 @@
     pub timeout: Option<TimeoutOption>,
     /// `k`: the idempotency key.
     idempotency_key: Option<&'a [u8]>,
+    /// How much quota the request takes.
     units: Option<f64>,
-    /// `spread`.
+    /// `spread`: how many gateways the customer's requests are spread over.
     gateway_set_size: Option<u64>,
-    /// `first`.
+    /// `first`: the first of these gateways.
     gateway_set_start: Option<u64>,
 }
 
--- a/src/bin/ingress/command/template.rs
+++ b/src/bin/ingress/command/template.rs
@@ -4,8 +4,9 @@
 use ingress::Micros;
 use std::ops::Range;
 
-/// What an encoded command is expected to take besides its options and body, and besides a body's bytes.
+/// How many bytes an encoded command is expected to take besides its options and body.
 const EXPECTED_OVERHEAD: usize = 96;
+/// How many bytes an encoded body is expected to take besides the body itself.
 const EXPECTED_BODY_OVERHEAD: usize = 16;
 /// How many arguments come before the options.
 const ARGUMENTS_BEFORE_OPTIONS: usize = 3;
@@ -15,6 +16,7 @@
 pub struct CommandTemplate {
     /// Where the request's id is.
     request_id: Range<usize>,
+    /// The encoded arguments, the options without their length and timeout.
     bytes: Vec<u8>,
     /// Where the options begin.
     options_start: usize,
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -2,7 +2,7 @@
 
 use super::timer_queue::Timer;
 use super::EventLoop;
-use crate::clients::{AcceptOutcome, ClientEvent, ReplyHandle};
+use crate::clients::{AcceptOutcome, ClientError, ClientEvent, ReplyHandle};
 use crate::command::Command;
 use ingress::{Event, Micros, RequestId};
 
@@ -66,7 +66,7 @@
         // Backends and clients could not tell two with one id apart, and the first one came in good faith.
         let id_hash = self.requests.hash_id(&command);
         if self.requests.is_known(id_hash) {
-            return self.clients.reject(reply_to, "the id is not new");
+            return self.clients.reject(reply_to, ClientError::DuplicateRequestId);
         }
         // It has not been sent to any backend, so it is safe to answer that it was not executed.
         if self.shutdown.is_past_reply_deadline(self.now) || !self.requests.has_room_for(&command) {
--- a/src/bin/ingress/event_loop/descriptor_budget.rs
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -62,7 +62,7 @@
         let max_share = self.max_share();
         let is_full = clients.len() >= max_share || self.is_exhausted(clients, backends);
         if !is_full
-            || clients.close_oldest_idle(now)
+            || clients.close_longest_idle(now)
             || (clients.len() < max_share && backends.close_longest_idle())
         {
             Capacity::Available
@@ -80,6 +80,6 @@
         }
         !self.is_exhausted(clients, backends)
             || backends.close_longest_idle()
-            || clients.close_oldest_idle(now)
+            || clients.close_longest_idle(now)
     }
 }
--- a/src/bin/ingress/resp.rs
+++ b/src/bin/ingress/resp.rs
@@ -13,6 +13,7 @@
 
 pub use decode::{parse_command, parse_reply, Element, ElementKind, Reply};
 pub use encode::{write_array_header, write_bulk_string, write_error};
+pub use error::ProtocolError;
 
 /// The most bytes of a value.
 pub const MAX_VALUE_LEN: usize = 64 * 1024;
--- a/src/bin/ingress/resp/decode.rs
+++ b/src/bin/ingress/resp/decode.rs
@@ -39,15 +39,19 @@
     Array(Vec<Element>),
 }
 
-/// A line without its terminator, and where the bytes after it begin.
+/// A line of text.
 struct Line {
+    /// Where the text is, less the line's terminator.
     text: Range<usize>,
+    /// Where the bytes after the line begin.
     end: usize,
 }
 
-/// The header of a bulk string or array: its length, `None` for a null, and where the bytes after it begin.
+/// The header of a bulk string or array.
 struct LengthHeader {
+    /// How many bytes or elements follow; `None` for a null.
     length: Option<usize>,
+    /// Where the bytes after the header begin.
     end: usize,
 }
 
