Split client connections by concern

Accepting, reading, writing, closing, the connection, its reply queue and output, the memory limit and the errors are sub-modules; clients.rs keeps the public types. Nothing else changes.

--- /dev/null
+++ b/src/bin/ingress/clients/error.rs
@@ -0,0 +1,28 @@
+//! What clients are told is wrong.
+
+use crate::command::CommandError;
+use crate::resp::ProtocolError;
+use thiserror::Error;
+
+/// Why a command is rejected, or a connection closed; clients are sent the text.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum ClientError {
+    /// What the client sent is not RESP2.
+    #[error("protocol error: {0}")]
+    Protocol(ProtocolError),
+    /// The command is none that the ingress knows.
+    #[error("unknown command")]
+    UnknownCommand,
+    /// The command's arguments are not acceptable.
+    #[error(transparent)]
+    InvalidCommand(CommandError),
+    /// A request with the same id is in flight or has just ended.
+    #[error("the id is not new")]
+    DuplicateRequestId,
+    /// Client connections hold all the memory that they may, and this one the most.
+    #[error("no memory for the rest of a command")]
+    OutOfMemory,
+    /// A command was begun and not completed.
+    #[error("the rest of a command did not come in time")]
+    CommandTimeout,
+}
--- /dev/null
+++ b/src/bin/ingress/clients/output.rs
@@ -0,0 +1,69 @@
+//! What is to be written to a connection.
+
+use ingress::Micros;
+use mio::net::TcpStream;
+use std::io::{self, Write};
+
+/// What an idle connection may keep of its buffer.
+const IDLE_CAPACITY: usize = 2 * 1024;
+/// How long a client may accept nothing of its replies until its connection is closed.
+pub const WRITE_TIMEOUT: Micros = 15_000_000;
+
+/// Bytes that are still to be written to a connection.
+#[derive(Default)]
+pub struct OutputBuffer {
+    /// The bytes, those already written among them until all are.
+    pub bytes: Vec<u8>,
+    /// How many of the bytes are written.
+    written: usize,
+    /// Since when the client accepts nothing.
+    blocked_since: Option<Micros>,
+}
+
+impl OutputBuffer {
+    /// Whether all is written and cleared.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    /// How many bytes are not written yet.
+    pub fn unwritten(&self) -> usize {
+        self.bytes.len() - self.written
+    }
+
+    /// Whether the client accepts nothing at present.
+    pub fn is_blocked(&self) -> bool {
+        self.blocked_since.is_some()
+    }
+
+    /// Whether the client has accepted nothing for too long.
+    pub fn is_timed_out(&self, now: Micros) -> bool {
+        self.blocked_since.is_some_and(|since| now > since + WRITE_TIMEOUT)
+    }
+
+    /// Writes as much as the client accepts; an error means that the connection is broken.
+    pub fn write_to(&mut self, stream: &mut TcpStream, now: Micros) -> io::Result<()> {
+        while self.unwritten() > 0 {
+            match stream.write(&self.bytes[self.written..]) {
+                Ok(written) => {
+                    self.written += written;
+                    self.blocked_since = None;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.blocked_since = self.blocked_since.or(Some(now));
+                    break;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    /// Forgets what is written and gives most of its memory back.
+    pub fn clear(&mut self) {
+        self.written = 0;
+        self.bytes.clear();
+        self.bytes.shrink_to(IDLE_CAPACITY);
+    }
+}
--- /dev/null
+++ b/src/bin/ingress/clients/reading.rs
@@ -0,0 +1,191 @@
+//! Reading from connections and parsing their commands.
+
+use super::error::ClientError;
+use super::{ClientEvent, Clients, ReplyHandle};
+use crate::command::Command;
+use crate::resp;
+use ingress::{Micros, RequestId};
+use std::io::{ErrorKind, Read};
+use std::ops::Range;
+
+/// The most bytes read at once.
+pub const READ_BUFFER_LEN: usize = 16 * 1024;
+/// The most reads from one connection in a turn: a fast client must not hold up the others.
+const MAX_READS_PER_TURN: usize = 4;
+
+/// When a connection has been read from enough.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadUntil {
+    /// A read did not fill the buffer: there was no more, and the poll will tell of what comes later.
+    ShortRead,
+    /// A read found nothing, or the end of the connection.
+    WouldBlock,
+}
+
+/// Whether a connection may be read from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Intake {
+    /// Further commands can be taken in.
+    Open,
+    /// Too many replies are owed or unread.
+    Paused,
+}
+
+impl Clients {
+    /// Handles a connection whose socket shows as ready.
+    pub fn on_ready(&mut self, key: usize, now: Micros, writable: bool) {
+        let Some(connection) = self.connections.get(key) else { return };
+        if writable && !connection.output.is_empty() {
+            self.queue_for_write(key);
+        }
+        self.read(key, now, ReadUntil::ShortRead);
+    }
+
+    /// Handles a connection that the client has closed or half-closed: the client has gone, and what it sent is not
+    /// looked at any more.
+    pub fn on_disconnect(&mut self, key: usize) {
+        if self.connections.contains(key) {
+            self.remove(key);
+        }
+    }
+
+    /// Reads on from connections that were not read to the end.
+    pub fn resume_reads(&mut self, now: Micros) {
+        for key in std::mem::take(&mut self.read_queue) {
+            if let Some(connection) = self.connections.get_mut(key) {
+                connection.queued_for_read = false;
+                self.read(key, now, ReadUntil::WouldBlock);
+            }
+        }
+    }
+
+    /// Reads from all connections, whether or not their sockets showed as ready.
+    pub fn read_all(&mut self, now: Micros) {
+        let keys: Vec<usize> = self.connections.iter().map(|(key, _)| key).collect();
+        keys.into_iter().for_each(|key| self.read(key, now, ReadUntil::WouldBlock));
+    }
+
+    /// Reads from a connection and accounts for the memory that this takes.
+    pub(super) fn read(&mut self, key: usize, now: Micros, until: ReadUntil) {
+        if self.connections.contains(key) {
+            self.read_and_parse(key, now, until);
+            self.enforce_memory_limit(key);
+        }
+    }
+
+    /// Reads from a connection and parses its commands, within the bound of a turn.
+    fn read_and_parse(&mut self, key: usize, now: Micros, until: ReadUntil) {
+        for _ in 0..MAX_READS_PER_TURN {
+            if self.parse_commands(key, now) == Intake::Paused {
+                self.connections[key].reading_paused = true;
+                return;
+            }
+            let connection = &mut self.connections[key];
+            let received = match connection.stream.read(&mut self.read_buffer) {
+                Ok(0) => return self.remove(key),
+                Ok(received) => received,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => return self.remove(key),
+            };
+            connection.receive(&self.read_buffer[..received], now);
+            if received < READ_BUFFER_LEN && until == ReadUntil::ShortRead {
+                if !connection.is_closing() {
+                    self.parse_and_update_pause(key, now);
+                }
+                return;
+            }
+        }
+        if self.parse_and_update_pause(key, now) == Intake::Open {
+            self.queue_for_read(key);
+        }
+    }
+
+    /// Parses a connection's commands and notes whether its reading is paused.
+    fn parse_and_update_pause(&mut self, key: usize, now: Micros) -> Intake {
+        let intake = self.parse_commands(key, now);
+        self.connections[key].reading_paused = intake == Intake::Paused;
+        intake
+    }
+
+    /// Parses the complete commands that a connection has sent.
+    fn parse_commands(&mut self, key: usize, now: Micros) -> Intake {
+        let mut parsed = 0;
+        loop {
+            let connection = &mut self.connections[key];
+            if connection.is_closing() {
+                parsed = connection.input.len(); // What follows the last command that gets a reply is discarded.
+            }
+            if connection.is_backlogged() || parsed >= connection.input.len() {
+                break;
+            }
+            match resp::parse_command(&connection.input[parsed..], &mut self.argument_ranges) {
+                Ok(None) => break,
+                Ok(Some(len)) => {
+                    self.handle_command(key, parsed..parsed + len, now);
+                    parsed += len;
+                }
+                Err(error) => {
+                    connection.start_closing();
+                    self.reply_error(key, ClientError::Protocol(error));
+                }
+            }
+        }
+        let connection = &mut self.connections[key];
+        connection.consume_input(parsed);
+        if connection.is_backlogged() {
+            Intake::Paused
+        } else {
+            Intake::Open
+        }
+    }
+
+    /// Handles the command that was last parsed, at this place in the connection's input.
+    fn handle_command(&mut self, key: usize, position: Range<usize>, now: Micros) {
+        let connection = &mut self.connections[key];
+        connection.record_command(now);
+        let bytes = &connection.input[position];
+        match Command::parse(bytes, &self.argument_ranges, &self.schema) {
+            Some(Ok(_)) if connection.over_limit => {
+                connection.start_closing();
+                self.reply_immediately(key, b"-BUSY\r\n");
+            }
+            Some(Ok(command)) => self.accept_command(key, command),
+            Some(Err(error)) => self.reject_command(key, ClientError::InvalidCommand(error)),
+            None if bytes[self.argument_ranges[0].clone()].eq_ignore_ascii_case(b"PING") => {
+                connection.record_valid_command();
+                self.reply_immediately(key, b"+PONG\r\n");
+            }
+            None => self.reject_command(key, ClientError::UnknownCommand),
+        }
+    }
+
+    /// Passes a request on.
+    fn accept_command(&mut self, key: usize, command: Command) {
+        self.last_request_id += 1;
+        let id = RequestId(self.last_request_id);
+        let connection = &mut self.connections[key];
+        connection.record_valid_command();
+        let sequence = connection.replies.push_pending(id);
+        let reply_to = ReplyHandle { key, serial: connection.serial, sequence };
+        self.events.push_back(ClientEvent::Command { id, reply_to, command });
+    }
+
+    /// Replies with an error to a command that is not acceptable.
+    fn reject_command(&mut self, key: usize, error: ClientError) {
+        self.connections[key].record_protocol_error();
+        self.reply_error(key, error);
+    }
+
+    /// Replies with an error to what was just parsed.
+    fn reply_error(&mut self, key: usize, error: ClientError) {
+        self.connections[key].reply_error(error);
+        self.queue_for_write(key);
+    }
+
+    /// Replies to the command that was just parsed.
+    fn reply_immediately(&mut self, key: usize, reply: &[u8]) {
+        self.connections[key].reply_immediately(reply);
+        self.queue_for_write(key);
+    }
+}
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -1,9 +1,13 @@
 //! Tests of [`super`].
 
+use super::connection::{COMMAND_TIMEOUT, LINGER_TIMEOUT};
+use super::output::WRITE_TIMEOUT;
 use super::*;
 use crate::command::ClassSchema;
+use crate::resp;
 use ingress::Idempotency;
 use mio::Poll;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
--- /dev/null
+++ b/src/bin/ingress/clients/writing.rs
@@ -0,0 +1,52 @@
+//! Replying to requests and writing to connections.
+
+use super::connection::error_line;
+use super::error::ClientError;
+use super::{Clients, ReplyHandle};
+use ingress::Micros;
+
+impl Clients {
+    /// Replies with an error to a request that is not acceptable; a connection may have a few of them in a row.
+    pub fn reject(&mut self, reply_to: ReplyHandle, error: ClientError) {
+        let connection = self.connections.get_mut(reply_to.key);
+        if let Some(connection) = connection.filter(|connection| connection.serial == reply_to.serial) {
+            connection.record_protocol_error();
+        }
+        self.reply(reply_to, &error_line(error));
+    }
+
+    /// Gives a request its final reply, a whole RESP2 value.
+    pub fn reply(&mut self, reply_to: ReplyHandle, reply: &[u8]) {
+        let connection = self.connections.get_mut(reply_to.key);
+        let Some(connection) = connection.filter(|connection| connection.serial == reply_to.serial) else {
+            return;
+        };
+        if connection.replies.complete(reply_to.sequence, reply, &mut connection.output.bytes) {
+            self.memory.account(connection);
+            self.queue_for_write(reply_to.key);
+        }
+    }
+
+    /// Writes what there is to write: one write for all replies that a connection got in a turn.
+    pub fn flush(&mut self, now: Micros) {
+        for key in std::mem::take(&mut self.write_queue) {
+            let Some(connection) = self.connections.get_mut(key) else { continue };
+            connection.queued_for_write = false;
+            if connection.output.write_to(&mut connection.stream, now).is_err() {
+                self.remove(key);
+                continue;
+            }
+            if connection.output.unwritten() == 0 {
+                connection.last_active_at = now.max(connection.last_active_at);
+                connection.output.clear();
+                self.memory.account(connection);
+            }
+            // Commands that were held back by the backlog of replies are taken up again.
+            if connection.reading_paused && !connection.is_backlogged() {
+                connection.reading_paused = false;
+                self.queue_for_read(key);
+            }
+            self.close_if_done(key, now);
+        }
+    }
+}
