Name the event loop's tests by the field's terms

The tests spoke of stages, turns, links and clients that have gone, and passed bools such as cancel and half by place.

Testbed, iterate_until, disconnect, take_commands; Cancellation and Disconnect are enums; one function makes the request that two wrote out. The tests and what they assert are the same.

--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -8,308 +8,326 @@
 use crate::error_chain::ErrorChain;
 use crate::resp;
 use std::io::{Read, Write};
+use std::net::{Shutdown as Direction, SocketAddr, TcpListener, TcpStream, UdpSocket};
 
-/// An ingress in this process, whose turns the test takes.
-fn ingress(name: &str) -> (EventLoop, std::net::TcpStream) {
-    ingress_of(name, CONFIG)
-}
+/// The command that every client may send.
+const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
-fn ingress_of(name: &str, config: &str) -> (EventLoop, std::net::TcpStream) {
+/// An event loop whose iterations the test runs, and a client that is connected to it.
+fn start(name: &str, config: &str) -> (EventLoop, TcpStream) {
     let file = std::env::temp_dir().join(format!("ingress-{name}-{}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let path = file.to_str().unwrap().to_string();
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = probe.local_addr().unwrap();
-    drop(probe);
-    let var = |name: &str| (name == "LB_LISTEN").then(|| at.to_string());
-    let config = Config::read(&path, var).unwrap();
-    let ingress = EventLoop::start(config, Reload::new(path), register_signals().unwrap()).unwrap();
+    let unused = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = unused.local_addr().unwrap();
+    drop(unused);
+    let variable = |name: &str| (name == "LB_LISTEN").then(|| address.to_string());
+    let config = Config::read(&path, variable).unwrap();
+    let event_loop = EventLoop::start(config, Reload::new(path), register_signals().unwrap()).unwrap();
     std::fs::remove_file(&file).unwrap();
-    let client = std::net::TcpStream::connect(at).unwrap();
+    let client = TcpStream::connect(address).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    (ingress, client)
+    (event_loop, client)
 }
 
-/// Guards against an end with something unread: what came behind the last look at a connection was taken, and with
-/// the connection it would be reset.
+/// Guards against an exit with something unread: what comes after the last read of a connection was received, and would
+/// be reset with the connection.
 #[test]
-fn what_was_said_just_before_the_end_is_answered_first() {
-    let (mut ingress, mut client) = ingress("end");
-    while ingress.clients.len() == 0 {
-        ingress.accept();
+fn commands_received_just_before_the_exit_are_answered() {
+    let (mut event_loop, mut client) = start("end", CONFIG);
+    while event_loop.clients.len() == 0 {
+        event_loop.accept();
     }
-    // Told to stop long ago, and all is answered; half a command of this one has come.
+    // The shutdown began long ago, and all is answered; half a command of this client has come.
     client.write_all(b"*1\r\n$4\r\nPI").unwrap();
-    while ingress.clients.idle_count() > 0 {
-        ingress.clients.read_all(ingress.now);
+    while event_loop.clients.idle_count() > 0 {
+        event_loop.clients.read_all(event_loop.now);
     }
-    let since = ingress.now - MAX_DRAINING_TIME - 1;
-    ingress.shutdown.phase = Phase::Draining { reply_deadline: Micros::MAX, since };
+    let since = event_loop.now - MAX_DRAINING_TIME - 1;
+    event_loop.shutdown.phase = Phase::Draining { reply_deadline: Micros::MAX, since };
     client.write_all(b"NG\r\n").unwrap();
-    ingress.can_exit();
-    let mut answer = [0; 7];
+    event_loop.can_exit();
+    let mut reply = [0; 7];
     client.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
-    client.read_exact(&mut answer).expect("an answer before the end");
-    assert_eq!(&answer, b"+PONG\r\n");
+    client.read_exact(&mut reply).expect("a reply before the exit");
+    assert_eq!(&reply, b"+PONG\r\n");
 }
 
-/// Guards against a port that is closed with clients in its line, who have asked and were taken by the kernel: with
-/// the port they are reset. More wait than are accepted in a turn.
+/// Guards against a listener that is closed with clients in its queue, whose connections the kernel has taken: they are
+/// reset with the listener. More wait than are accepted in a batch.
 #[test]
-fn those_in_the_line_when_the_port_closes_are_answered() {
-    let (mut ingress, first) = ingress("line");
-    let at = first.peer_addr().unwrap();
-    let mut clients: Vec<_> = (0..100).map(|_| std::net::TcpStream::connect(at).unwrap()).collect();
-    clients.iter_mut().for_each(|c| c.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap());
-    // Told to stop; the time of accepting has run out by the next turn.
-    ingress.shutdown.phase = Phase::Accepting { reply_deadline: ingress.now + MIN_ACCEPTING_TIME };
-    ingress.timers.schedule(ingress.now, Timer::StopAccepting);
-    while !ingress.shutdown.is_draining() {
-        ingress.now += ACCEPTING_CHECK_INTERVAL;
-        ingress.process_ready(&mut []);
+fn clients_queued_when_the_listener_closes_are_answered() {
+    let (mut event_loop, first) = start("line", CONFIG);
+    let address = first.peer_addr().unwrap();
+    let mut clients: Vec<_> = (0..100).map(|_| TcpStream::connect(address).unwrap()).collect();
+    clients.iter_mut().for_each(|client| client.write_all(PING).unwrap());
+    // The shutdown has begun; the time for accepting is over by the next iteration.
+    event_loop.shutdown.phase = Phase::Accepting { reply_deadline: event_loop.now + MIN_ACCEPTING_TIME };
+    event_loop.timers.schedule(event_loop.now, Timer::StopAccepting);
+    while !event_loop.shutdown.is_draining() {
+        event_loop.now += ACCEPTING_CHECK_INTERVAL;
+        event_loop.process_ready(&mut []);
     }
-    ingress.clients.read_all(ingress.now);
-    ingress.clients.flush(ingress.now);
-    for (n, client) in clients.iter_mut().enumerate() {
-        let mut answer = [0; 7];
+    event_loop.clients.read_all(event_loop.now);
+    event_loop.clients.flush(event_loop.now);
+    for (index, client) in clients.iter_mut().enumerate() {
+        let mut reply = [0; 7];
         client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        client.read_exact(&mut answer).unwrap_or_else(|e| panic!("client {n}: {e}"));
-        assert_eq!(&answer, b"+PONG\r\n");
+        client.read_exact(&mut reply).unwrap_or_else(|error| panic!("client {index}: {error}"));
+        assert_eq!(&reply, b"+PONG\r\n");
     }
 }
 
-/// Guards against a request that is taken up when its time until the end is over already.
+/// Guards against a request that is opened when the reply deadline of the shutdown is over already.
 #[test]
-fn what_comes_when_no_time_is_left_is_refused_at_once() {
-    let (mut ingress, mut client) = ingress("late");
-    while ingress.clients.len() == 0 {
-        ingress.accept();
+fn requests_after_the_reply_deadline_are_rejected_at_once() {
+    let (mut event_loop, mut client) = start("late", CONFIG);
+    while event_loop.clients.len() == 0 {
+        event_loop.accept();
     }
-    ingress.shutdown.phase = Phase::Draining { reply_deadline: ingress.now, since: ingress.now };
+    event_loop.shutdown.phase = Phase::Draining { reply_deadline: event_loop.now, since: event_loop.now };
+    client.write_all(&request_command(1)).unwrap();
+    event_loop.can_exit();
+    let mut reply = [0; 7];
+    client.read_exact(&mut reply).unwrap();
+    assert_eq!((&reply, event_loop.requests.len()), (b"-BUSY\r\n", 0));
+}
+
+/// A request, of a customer with this number and with an id of its own.
+fn request_command(number: usize) -> Vec<u8> {
+    let (customer, id) = (format!("{number:016x}"), format!("q{number}"));
     let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
-    let mut call = Vec::new();
-    resp::write_array_header(&mut call, 4);
-    for word in ["CALL.GET", "0000000000000001", "q1", options] {
-        resp::write_bulk_string(&mut call, &[word.as_bytes()]);
+    let mut command = Vec::new();
+    resp::write_array_header(&mut command, 4);
+    for word in ["CALL.GET", &customer, &id, options] {
+        resp::write_bulk_string(&mut command, &[word.as_bytes()]);
     }
-    client.write_all(&call).unwrap();
-    ingress.can_exit();
-    let mut answer = [0; 7];
-    client.read_exact(&mut answer).unwrap();
-    assert_eq!((&answer, ingress.requests.len()), (b"-BUSY\r\n", 0));
+    command
 }
 
-// ---- Clients that have gone ----
+/// Whether the settings let the policy cancel attempts.
+#[derive(Clone, Copy, Debug)]
+enum Cancellation {
+    Allowed,
+    Forbidden,
+}
 
-/// An ingress in this process before two backends that the test plays.
-struct Stage {
-    ingress: EventLoop,
-    backends: [std::net::TcpListener; 2],
-    /// Connections that backends have accepted.
-    links: [Vec<std::net::TcpStream>; 2],
-    at: std::net::SocketAddr,
+/// How clients disconnect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disconnect {
+    /// They close the connection.
+    Full,
+    /// They end their sending only.
+    Half,
 }
 
-impl Stage {
-    fn new(name: &str, cancel: bool) -> Stage {
+/// An event loop between clients and two backends that the test plays.
+struct Testbed {
+    event_loop: EventLoop,
+    backends: [TcpListener; 2],
+    /// The connections that each backend has accepted.
+    connections: [Vec<TcpStream>; 2],
+    address: SocketAddr,
+}
+
+impl Testbed {
+    fn new(name: &str, cancellation: Cancellation) -> Testbed {
         let backend = || {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
             listener.set_nonblocking(true).unwrap();
             listener
         };
         let backends = [backend(), backend()];
-        let entry = |n: usize| {
-            let at = backends[n].local_addr().unwrap();
+        let entry = |index: usize| {
+            let address = backends[index].local_addr().unwrap();
             format!(
-                r#"{{"name":"s-{n}","address":"{at}","zone":"a","type":"m","group":0,"status":"up","weight":1,"since_ms":0}}"#
+                r#"{{"name":"s-{index}","address":"{address}","zone":"a","type":"m","group":0,"status":"up","weight":1,"since_ms":0}}"#
             )
         };
+        let cancelling = matches!(cancellation, Cancellation::Allowed);
         let config = CONFIG
             .replace("\"endpoints\":[]", &format!("\"endpoints\":[{},{}]", entry(0), entry(1)))
-            .replace("\"cancelling\":true", &format!("\"cancelling\":{cancel}"))
+            .replace("\"cancelling\":true", &format!("\"cancelling\":{cancelling}"))
             .replace("\"quota_rate\":1.5,\"burst\":7.0", "\"quota_rate\":1000.0,\"burst\":1000.0");
-        let (ingress, client) = ingress_of(name, &config);
-        Stage { ingress, backends, links: [Vec::new(), Vec::new()], at: client.peer_addr().unwrap() }
-    }
-
-    fn client(&self) -> std::net::TcpStream {
-        std::net::TcpStream::connect(self.at).unwrap()
+        let (event_loop, client) = start(name, &config);
+        let connections = [Vec::new(), Vec::new()];
+        Testbed { event_loop, backends, connections, address: client.peer_addr().unwrap() }
     }
 
-    fn call(id: usize) -> Vec<u8> {
-        let (customer, id) = (format!("{id:016x}"), format!("q{id}"));
-        let options = "c=quote,t=starter,d=900,units=1,spread=1,first=0";
-        let mut call = Vec::new();
-        resp::write_array_header(&mut call, 4);
-        for word in ["CALL.GET", &customer, &id, options] {
-            resp::write_bulk_string(&mut call, &[word.as_bytes()]);
-        }
-        call
+    fn client(&self) -> TcpStream {
+        TcpStream::connect(self.address).unwrap()
     }
 
-    /// A client whose request is with a backend, and how many commands came for it.
-    fn begun(&mut self) -> (std::net::TcpStream, usize) {
+    /// A client whose request is in flight, and how many commands backends got for it.
+    fn client_in_flight(&mut self) -> (TcpStream, usize) {
         let mut client = self.client();
-        client.write_all(&Stage::call(1)).unwrap();
-        let mut first = 0;
-        self.turns("the first attempt", |s| {
-            first += s.commands();
-            first > 0
+        client.write_all(&request_command(1)).unwrap();
+        let mut received = 0;
+        self.iterate_until("the first attempt", |testbed| {
+            received += testbed.take_commands();
+            received > 0
         });
-        (client, first)
+        (client, received)
     }
 
-    /// What is ready at once, with no turn taken.
-    fn gather(&mut self, until: impl Fn(&[ReadySocket]) -> bool) -> Vec<ReadySocket> {
+    /// Polls, without an iteration, until what is ready fulfils a condition.
+    fn poll_until(&mut self, condition: impl Fn(&[ReadySocket]) -> bool) -> Vec<ReadySocket> {
         let (mut events, mut ready) = (Events::with_capacity(1024), Vec::new());
         for _ in 0..10_000 {
-            self.ingress.poll.poll(&mut events, Some(Duration::from_millis(1))).unwrap();
+            self.event_loop.poll.poll(&mut events, Some(Duration::from_millis(1))).unwrap();
             ready.extend(events.iter().map(ReadySocket::from));
-            if until(&ready) {
+            if condition(&ready) {
                 return ready;
             }
         }
-        panic!("it did not come: {ready:?}");
+        panic!("never ready: {ready:?}");
     }
 
-    /// Takes turns, the clock standing still, until something holds.
-    fn turns(&mut self, what: &str, mut until: impl FnMut(&mut Stage) -> bool) {
+    /// Runs iterations, while the clock stands still, until a condition is fulfilled.
+    fn iterate_until(&mut self, what: &str, mut condition: impl FnMut(&mut Testbed) -> bool) {
         for _ in 0..10_000 {
-            if until(self) {
+            if condition(self) {
                 return;
             }
-            let mut ready = self.gather(|_| true);
-            self.ingress.process_ready(&mut ready);
+            let mut ready = self.poll_until(|_| true);
+            self.event_loop.process_ready(&mut ready);
             self.accept();
         }
         panic!("never: {what}");
     }
 
     fn accept(&mut self) {
-        for n in 0..2 {
-            while let Ok((link, _)) = self.backends[n].accept() {
-                link.set_nonblocking(true).unwrap();
-                self.links[n].push(link);
+        for (backend, connections) in self.backends.iter().zip(&mut self.connections) {
+            while let Ok((connection, _)) = backend.accept() {
+                connection.set_nonblocking(true).unwrap();
+                connections.push(connection);
             }
         }
     }
 
-    /// How many commands backends have got so far.
-    fn commands(&mut self) -> usize {
+    /// How many commands backends have got since the last call.
+    fn take_commands(&mut self) -> usize {
         self.accept();
-        let (mut all, mut chunk) = (0, [0; 4096]);
-        for link in self.links.iter_mut().flatten() {
-            while let Ok(n @ 1..) = std::io::Read::read(link, &mut chunk) {
-                all += chunk[..n].windows(8).filter(|w| w == b"CALL.GET").count();
+        let (mut commands, mut chunk) = (0, [0; 4096]);
+        for connection in self.connections.iter_mut().flatten() {
+            while let Ok(length @ 1..) = connection.read(&mut chunk) {
+                commands += chunk[..length].windows(8).filter(|bytes| bytes == b"CALL.GET").count();
             }
         }
-        all
+        commands
     }
 
-    /// Takes some more turns, each with a clock of its own, and tells how many commands came in them.
-    fn goes_on(&mut self, turns: u64) -> usize {
-        let mut all = self.commands();
-        for _ in 0..turns {
-            self.ingress.now += self.ingress.tick;
-            let mut ready = self.gather(|_| true);
-            self.ingress.process_ready(&mut ready);
-            all += self.commands();
+    /// Runs some more iterations, each a tick after the last, and gives how many commands backends got.
+    fn take_commands_of(&mut self, iterations: u64) -> usize {
+        let mut commands = self.take_commands();
+        for _ in 0..iterations {
+            self.event_loop.now += self.event_loop.tick;
+            let mut ready = self.poll_until(|_| true);
+            self.event_loop.process_ready(&mut ready);
+            commands += self.take_commands();
         }
-        all
+        commands
     }
 
-    /// Lets clients end, and gathers that all of them have: told at once, in the same turn.
-    fn all_left(&mut self, clients: Vec<std::net::TcpStream>, half: bool) -> Vec<ReadySocket> {
-        let n = clients.len();
-        if half {
-            clients.iter().for_each(|c| c.shutdown(std::net::Shutdown::Write).unwrap());
-            self.keep(clients);
-        } else {
-            drop(clients);
+    /// Disconnects clients, and polls until all of them have: the loop is to see that in one iteration.
+    fn disconnect(&mut self, clients: Vec<TcpStream>, disconnect: Disconnect) -> Vec<ReadySocket> {
+        let count = clients.len();
+        match disconnect {
+            Disconnect::Full => drop(clients),
+            Disconnect::Half => {
+                clients.iter().for_each(|client| client.shutdown(Direction::Write).unwrap());
+                clients.into_iter().for_each(std::mem::forget); // half open to the end of the test
+            }
         }
         let gone = |socket: &&ReadySocket| socket.closed && matches!(socket.source(), Source::Client(_));
-        self.gather(|ready| ready.iter().filter(gone).count() >= n)
-    }
-
-    /// Half-closed clients stay to the end of the test.
-    fn keep(&mut self, clients: Vec<std::net::TcpStream>) {
-        clients.into_iter().for_each(std::mem::forget);
+        self.poll_until(|ready| ready.iter().filter(gone).count() >= count)
     }
 }
 
-/// Guards against a further attempt for a client whose end has come in the same turn as what makes the first one fail: the
-/// backends' sockets were looked at first.
+/// Guards against a retry for a client whose disconnect is seen in the iteration in which its first attempt fails: the
+/// backends' sockets were handled first.
 #[test]
-fn a_backend_that_turns_away_for_a_client_that_has_gone_is_not_followed_by_another() {
-    for (cancel, half) in [(true, false), (false, false), (true, true), (false, true)] {
-        let mut stage = Stage::new("gone-retry", cancel);
-        let (client, first) = stage.begun();
-        for link in stage.links.iter_mut().flatten() {
-            link.write_all(b"-BUSY\r\n").unwrap();
+fn a_rejected_attempt_is_not_retried_for_a_disconnected_client() {
+    for (cancellation, kind) in [
+        (Cancellation::Allowed, Disconnect::Full),
+        (Cancellation::Forbidden, Disconnect::Full),
+        (Cancellation::Allowed, Disconnect::Half),
+        (Cancellation::Forbidden, Disconnect::Half),
+    ] {
+        let mut testbed = Testbed::new("gone-retry", cancellation);
+        let (client, first) = testbed.client_in_flight();
+        for connection in testbed.connections.iter_mut().flatten() {
+            connection.write_all(b"-BUSY\r\n").unwrap();
         }
         let replied = |socket: &ReadySocket| matches!(socket.source(), Source::Backend(_));
-        let mut ready = stage.gather(|ready| ready.iter().any(replied));
-        ready.extend(stage.all_left(vec![client], half));
-        stage.ingress.process_ready(&mut ready);
-        assert_eq!((first, stage.goes_on(200)), (1, 0), "cancel {cancel}, half {half}");
+        let mut ready = testbed.poll_until(|ready| ready.iter().any(replied));
+        ready.extend(testbed.disconnect(vec![client], kind));
+        testbed.event_loop.process_ready(&mut ready);
+        assert_eq!((first, testbed.take_commands_of(200)), (1, 0), "{cancellation:?}, {kind:?}");
     }
 }
 
-/// Guards against a burst: the place that one leaves went to the next one, which had gone as well.
+/// Guards against a burst of disconnects in which the place of one request goes to the next, whose client has
+/// disconnected as well.
 #[test]
-fn of_many_clients_that_go_at_once_none_begins_in_the_place_of_another() {
-    for (cancel, half) in [(true, false), (false, false), (true, true)] {
-        let mut stage = Stage::new("gone-burst", cancel);
-        let mut clients: Vec<_> = (0..40).map(|_| stage.client()).collect();
-        for (n, client) in clients.iter_mut().enumerate() {
-            client.write_all(&Stage::call(n)).unwrap();
+fn of_many_disconnected_clients_none_takes_the_place_of_another() {
+    for (cancellation, kind) in [
+        (Cancellation::Allowed, Disconnect::Full),
+        (Cancellation::Forbidden, Disconnect::Full),
+        (Cancellation::Allowed, Disconnect::Half),
+    ] {
+        let mut testbed = Testbed::new("gone-burst", cancellation);
+        let mut clients: Vec<_> = (0..40).map(|_| testbed.client()).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.write_all(&request_command(number)).unwrap();
         }
-        let mut begun = 0;
-        stage.turns("some wait for a place", |s| {
-            begun += s.commands();
-            s.ingress.requests.len() >= 22
+        let mut sent = 0;
+        testbed.iterate_until("some requests are queued", |testbed| {
+            sent += testbed.take_commands();
+            testbed.event_loop.requests.len() >= 22
         });
-        begun += stage.goes_on(1);
-        assert!((1..22).contains(&begun), "{begun} begun");
-        let mut ready = stage.all_left(clients, half);
-        stage.ingress.process_ready(&mut ready);
-        assert_eq!(stage.goes_on(200), 0, "cancel {cancel}, half {half}");
+        sent += testbed.take_commands_of(1);
+        assert!((1..22).contains(&sent), "{sent} sent");
+        let mut ready = testbed.disconnect(clients, kind);
+        testbed.event_loop.process_ready(&mut ready);
+        assert_eq!(testbed.take_commands_of(200), 0, "{cancellation:?}, {kind:?}");
     }
 }
 
-/// Guards against taking up what a client said before it went, when both are read in one turn.
+/// Guards against opening a request whose client's disconnect is seen in the same iteration.
 #[test]
-fn what_a_client_said_just_before_it_left_is_not_sent_on() {
-    for half in [false, true] {
-        let mut stage = Stage::new("gone-said", true);
-        let mut client = stage.client();
-        let before = stage.ingress.clients.len();
-        stage.turns("the client is in", |s| s.ingress.clients.len() > before);
-        client.write_all(&Stage::call(1)).unwrap();
-        let mut ready = stage.all_left(vec![client], half);
-        stage.ingress.process_ready(&mut ready);
-        assert_eq!(stage.goes_on(50), 0, "half {half}");
+fn requests_sent_just_before_a_disconnect_are_not_forwarded() {
+    for kind in [Disconnect::Full, Disconnect::Half] {
+        let mut testbed = Testbed::new("gone-said", Cancellation::Allowed);
+        let mut client = testbed.client();
+        let before = testbed.event_loop.clients.len();
+        testbed.iterate_until("the client is accepted", |testbed| testbed.event_loop.clients.len() > before);
+        client.write_all(&request_command(1)).unwrap();
+        let mut ready = testbed.disconnect(vec![client], kind);
+        testbed.event_loop.process_ready(&mut ready);
+        assert_eq!(testbed.take_commands_of(50), 0, "{kind:?}");
     }
 }
 
-/// Guards against a second copy, or a repeat after silence, that falls due in the turn in which its client goes.
+/// Guards against a hedged request, or a retry after a timeout, that is due in the iteration in which its client
+/// disconnects.
 #[test]
-fn what_falls_due_as_a_client_goes_begins_nothing_for_it() {
-    for cancel in [true, false] {
-        let mut stage = Stage::new("gone-hedge", cancel);
-        let (client, first) = stage.begun();
-        let mut ready = stage.all_left(vec![client], false);
-        stage.ingress.now += 300_000; // past the time after which silence is answered by a second copy
-        stage.ingress.process_ready(&mut ready);
-        assert_eq!((first, stage.goes_on(100)), (1, 0), "cancel {cancel}");
+fn timers_due_at_a_disconnect_begin_no_attempt_for_its_client() {
+    for cancellation in [Cancellation::Allowed, Cancellation::Forbidden] {
+        let mut testbed = Testbed::new("gone-hedge", cancellation);
+        let (client, first) = testbed.client_in_flight();
+        let mut ready = testbed.disconnect(vec![client], Disconnect::Full);
+        testbed.event_loop.now += 300_000; // past the time after which a request is hedged
+        testbed.event_loop.process_ready(&mut ready);
+        assert_eq!((first, testbed.take_commands_of(100)), (1, 0), "{cancellation:?}");
     }
 }
 
 /// Operators look for these texts: they stay as they are, and name the key at fault.
 #[test]
-fn a_start_that_fails_tells_why() {
-    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let datagrams = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+fn each_start_failure_has_its_text() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let datagrams = UdpSocket::bind("127.0.0.1:0").unwrap();
     let (address, peer) = (taken.local_addr().unwrap(), datagrams.local_addr().unwrap());
     let in_use = "Address already in use (os error 98)";
     let own_peers = format!("{{\"peer_listen\":\"{peer}\",\"peers\":[\"{peer}\"],");
