Pin the bytes of a usage report, a quota grant and a latency sample

Cause: the tests of the message encoding only decode what they encoded; a changed layout would pass them. Change: three tests compare the bytes with those that the present encoder writes.

--- a/src/gossip/tests.rs
+++ b/src/gossip/tests.rs
@@ -46,3 +46,91 @@
     }
     assert_eq!(wrapping_delta(wrap_total(16_383.0), wrap_total(16_385.0)), 2.0);
 }
+
+/// The layout, byte by byte: gateways of two versions have to understand each other during a rolling upgrade.
+#[test]
+fn a_usage_report_has_these_bytes() {
+    let report = UsageReport {
+        customer: CustomerId(0x1_2345_6789),
+        plan: 5,
+        total_units: 0xABCD,
+        in_flight: 99,
+        tokens_level: 200,
+        gateway_set_start: 0x0102,
+        gateway_set_size: 0x0304,
+        requests_grant: true,
+        requested_units: 1.3,
+        needs_hard_limit_grant: true,
+    };
+    let plain =
+        UsageReport { requests_grant: false, needs_hard_limit_grant: false, in_flight: 200, ..report };
+    let success = LatencySample { backend_tag: 0x00AB_CDEF, class: 6, relative_latency: Some(0.5) };
+    let failure = LatencySample { relative_latency: None, class: 9, ..success };
+    let message = Message {
+        incarnation: 0x1122_3344,
+        sequence: 0x5566,
+        samples: vec![success, failure],
+        body: Body::UsageReports(vec![report, plain]),
+    };
+    #[rustfmt::skip]
+    let expected = [
+        0xa2, 0x08, // version, kind and samples
+        0x44, 0x33, 0x22, 0x11, // incarnation
+        0x66, 0x55, // sequence
+        0x02, // entries
+        0xef, 0xcd, 0xab, 0xd4, // success
+        0xef, 0xcd, 0xab, 0xff, // failure
+        0x89, 0x67, 0x45, 0x23, 0xc7, // customer, attempts in flight
+        0xcd, 0xab, // total
+        0xc8, 0x17, 0x06, // level, plan and requests, units
+        0x02, 0x01, 0x04, 0x03, // gateway set
+        0x89, 0x67, 0x45, 0x23, 0xff, // customer, attempts in flight
+        0xcd, 0xab, // total
+        0xc8, 0x14, 0x06, // level, plan, units
+        0x02, 0x01, 0x04, 0x03, // gateway set
+    ];
+    assert_eq!(message.encode(), expected);
+}
+
+#[test]
+fn a_quota_grant_has_these_bytes() {
+    let grant = QuotaGrant {
+        customer: CustomerId(0x1_2345_6789),
+        receiver_total: 0xABCD,
+        tokens: -7.3,
+        remote_rate: 300.1,
+        remote_in_flight: 12,
+        hard_limit_grant: 2.3,
+    };
+    let full = QuotaGrant { tokens: 1e6, remote_rate: 1e6, hard_limit_grant: 100.0, ..grant };
+    let message = Message {
+        incarnation: 1,
+        sequence: 65_535,
+        samples: vec![],
+        body: Body::QuotaGrants(0x99AA_BBCC, vec![grant, full]),
+    };
+    #[rustfmt::skip]
+    let expected = [
+        0xa2, 0x01, // version, kind and samples
+        0x01, 0x00, 0x00, 0x00, // incarnation
+        0xff, 0xff, // sequence
+        0x02, // entries
+        0xcc, 0xbb, 0xaa, 0x99, // receiver's incarnation
+        0x89, 0x67, 0x45, 0x23, 0x19, // customer, attempts in flight
+        0xcd, 0xab, // receiver's total
+        0xe2, 0xff, 0xb0, 0x04, 0x09, // tokens, rate, hard limit units
+        0x89, 0x67, 0x45, 0x23, 0x19, // customer, attempts in flight
+        0xcd, 0xab, // receiver's total
+        0xff, 0x7f, 0xff, 0xff, 0xff, // the same at their most
+    ];
+    assert_eq!(message.encode(), expected);
+}
+
+/// Every step of a sample's latency, and what lies past both ends.
+#[test]
+fn relative_latencies_have_these_bytes() {
+    let byte = |relative_latency| LatencySample { backend_tag: 0, class: 0, relative_latency }.encode()[3];
+    let latencies = [0.0, 0.01, 0.03125, 0.04, 0.1, 0.3, 0.9, 1.0, 1.1, 2.0, 3.0, 100.0];
+    assert_eq!(latencies.map(|latency| byte(Some(latency))), [0, 0, 0, 2, 8, 16, 24, 25, 26, 30, 30, 30]);
+    assert_eq!(byte(None), 31);
+}
