Split gossip into messages, byte layout, bytes and wire units, under whole names

Cause: gossip.rs held types, layout and arithmetic; Message::decode took 70 lines of indexes into a slice, and the level of a token bucket was a u8 whose 255 stood for unknown. Change: modules message, encoding, bytes and units; a byte writer and a checked reader; TokenLevel; named constants for kinds, flags, lengths and steps; Body::QuotaGrants has named fields. Tests stand beside, with two more for the units.

--- a/src/gossip/tests.rs
+++ b/src/gossip/encoding/tests.rs
@@ -1,25 +1,26 @@
 //! Tests of [`super`].
 
 use super::*;
+use crate::gossip::backend_tag;
+use crate::CustomerId;
 
 #[test]
-fn messages_survive_the_way() {
+fn a_message_decodes_to_itself_and_a_cut_one_to_none() {
     let customer = CustomerId((1 << 33) - 7);
-    let (first, width) = (400, 219);
-    let one = UsageReport {
+    let report = UsageReport {
         customer,
         plan: 3,
         total_units: 65_000,
         in_flight: 99,
-        tokens_level: 200,
-        gateway_set_start: first,
-        gateway_set_size: width,
+        tokens_level: TokenLevel::from_byte(200),
+        gateway_set_start: 400,
+        gateway_set_size: 219,
         requests_grant: true,
         requested_units: 1.25,
         needs_hard_limit_grant: true,
     };
-    let uses = vec![one; MAX_USAGE_REPORTS];
-    let news = vec![
+    let reports = vec![report; MAX_USAGE_REPORTS];
+    let grants = vec![
         QuotaGrant {
             customer,
             receiver_total: 9,
@@ -30,11 +31,16 @@
         };
         MAX_QUOTA_GRANTS
     ];
-    for body in [Body::UsageReports(uses), Body::QuotaGrants(9, news), Body::UsageReports(vec![])] {
+    for body in [
+        Body::UsageReports(reports),
+        Body::QuotaGrants { receiver_incarnation: 9, grants },
+        Body::UsageReports(vec![]),
+    ] {
         for count in 0..=MAX_SAMPLES {
-            let one = LatencySample { backend_tag: backend_tag(77), class: 6, relative_latency: Some(0.5) };
-            let bad = LatencySample { relative_latency: None, ..one };
-            let samples = [one, bad, one].into_iter().cycle().take(count).collect();
+            let success =
+                LatencySample { backend_tag: backend_tag(77), class: 6, relative_latency: Some(0.5) };
+            let failure = LatencySample { relative_latency: None, ..success };
+            let samples = [success, failure, success].into_iter().cycle().take(count).collect();
             let message = Message { incarnation: 77, sequence: 3, samples, body: body.clone() };
             let bytes = message.encode();
             assert!(bytes.len() <= MAX_MESSAGE_BYTES);
@@ -44,7 +50,6 @@
             }
         }
     }
-    assert_eq!(wrapping_delta(wrap_total(16_383.0), wrap_total(16_385.0)), 2.0);
 }
 
 /// The layout, byte by byte: gateways of two versions have to understand each other during a rolling upgrade.
@@ -55,7 +60,7 @@
         plan: 5,
         total_units: 0xABCD,
         in_flight: 99,
-        tokens_level: 200,
+        tokens_level: TokenLevel::from_byte(200),
         gateway_set_start: 0x0102,
         gateway_set_size: 0x0304,
         requests_grant: true,
@@ -107,7 +112,7 @@
         incarnation: 1,
         sequence: 65_535,
         samples: vec![],
-        body: Body::QuotaGrants(0x99AA_BBCC, vec![grant, full]),
+        body: Body::QuotaGrants { receiver_incarnation: 0x99AA_BBCC, grants: vec![grant, full] },
     };
     #[rustfmt::skip]
     let expected = [
@@ -129,7 +134,11 @@
 /// Every step of a sample's latency, and what lies past both ends.
 #[test]
 fn relative_latencies_have_these_bytes() {
-    let byte = |relative_latency| LatencySample { backend_tag: 0, class: 0, relative_latency }.encode()[3];
+    let byte = |relative_latency| {
+        let mut writer = ByteWriter::default();
+        LatencySample { backend_tag: 0, class: 0, relative_latency }.encode(&mut writer);
+        writer.finish()[3]
+    };
     let latencies = [0.0, 0.01, 0.03125, 0.04, 0.1, 0.3, 0.9, 1.0, 1.1, 2.0, 3.0, 100.0];
     assert_eq!(latencies.map(|latency| byte(Some(latency))), [0, 0, 0, 2, 8, 16, 24, 25, 26, 30, 30, 30]);
     assert_eq!(byte(None), 31);
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -295,13 +295,14 @@
                     uses.into_iter().filter_map(|u| self.on_usage_report(from.0, m.incarnation >= mine, u));
                 let news: Vec<QuotaGrant> = news.collect();
                 if !news.is_empty() {
-                    self.send_message(from.0, Body::QuotaGrants(m.incarnation, news), actions);
+                    let body = Body::QuotaGrants { receiver_incarnation: m.incarnation, grants: news };
+                    self.send_message(from.0, body, actions);
                 }
             }
             // Only to the incarnation it was meant for, and by its number only once: a repeat mints nothing.
-            Body::QuotaGrants(to, _) if to != mine => {}
-            Body::QuotaGrants(_, news) => {
-                news.into_iter().for_each(|n| self.on_quota_grant(from.0, n, actions))
+            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != mine => {}
+            Body::QuotaGrants { grants, .. } => {
+                grants.into_iter().for_each(|n| self.on_quota_grant(from.0, n, actions))
             }
         }
     }
@@ -329,10 +330,10 @@
         let young = self.quota.usage_known_since.is_none() && now - self.started_at < CUSTOMER_IDLE_TIME;
         let plan = self.settings.plans.get(usize::from(u.plan))?;
         let few = self.quota.report_interval > 0;
-        let (burst, cap, told) =
-            (plan.burst, plan.concurrency_quota, f64::from(u.tokens_level) / 254.0 * plan.burst);
+        let (burst, cap) = (plan.burst, plan.concurrency_quota);
+        let told = u.tokens_level.tokens(burst);
         let unknown = if few { (plan.rate * life).min(burst) } else { burst };
-        let level = if u.tokens_level < 255 && !young { told } else { unknown };
+        let level = told.filter(|_| !young).unwrap_or(unknown);
         // Told of a customer that never came here: the sender's view, or what has filled since this start.
         let owed = burst - level;
         let new = Customer {
@@ -354,7 +355,7 @@
         if !known && !younger && !young && delta.abs() > burst / 4.0 {
             // Its count is older than this start: its view of the store is what is left to go by.
             (c.withheld_tokens, delta) = (c.withheld_tokens - delta, 0.0);
-            if u.tokens_level < 255 {
+            if let Some(told) = told {
                 c.tokens = c.tokens.min((told - c.total_units).max(0.0));
             }
         } else if delta < -burst {
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows of a customer: its token buckets, its owners and the usage that gateways reported.
 
-use crate::gossip::{wrap_total, UsageReport, MAX_PLAN};
+use crate::gossip::{wrap_total, TokenLevel, UsageReport, MAX_PLAN};
 use crate::{CustomerId, Micros, RequestId};
 use std::collections::BTreeMap;
 
@@ -61,13 +61,12 @@
     /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket goes along where
     /// it is known, as a part of the plan's `burst`.
     pub fn usage_report(&self, customer: CustomerId, burst: Option<f64>) -> UsageReport {
-        let level = |burst: f64| (self.tokens / burst.max(1e-9) * 254.0).clamp(0.0, 254.0) as u8;
         UsageReport {
             customer,
             plan: self.plan.min(MAX_PLAN) as u8,
             total_units: wrap_total(self.total_units),
             in_flight: self.in_flight.min(127) as u8,
-            tokens_level: burst.map_or(255, level),
+            tokens_level: burst.map_or(TokenLevel::UNKNOWN, |burst| TokenLevel::of(self.tokens, burst)),
             gateway_set_start: self.gateway_set_start,
             gateway_set_size: self.gateway_set_size as u16,
             requests_grant: false,
