Name the files of fleet-experiments by their concern

Cause: names such as `cold.rs`, `standin.rs`, `model.rs` or `real.rs` say nothing to somebody who looks for slow start, the stand-in servers, the simulation or the experiments on real processes.

Change: moves only. The experiments stand in `experiments/`; `spec` is `experiment_file`, `model` is `simulation`, `standin` is `stand_in`, `processes` is `ingress_process`, `tests/cold.rs` is `tests/slow_start.rs`.

--- a/fleet-experiments/src/spec.rs
+++ b/fleet-experiments/src/experiment_file.rs
@@ -1,6 +1,9 @@
 //! Experiment files: TOML, one table for each experiment to run, all under one seed.
 
-use crate::{cold, discovery, list, quota, real, report::Report, request};
+use crate::experiments::{
+    discovery_outage, endpoint_list, quota_messages, real_ingresses, request_cost, slow_start,
+};
+use crate::report::Report;
 use serde::Deserialize;
 use std::path::Path;
 
@@ -14,21 +17,21 @@
     /// Seed of all that is drawn.
     pub seed: u64,
     /// The endpoint list in the module: whole, a change, a zone lost and back.
-    pub list: Option<list::Experiment>,
+    pub list: Option<endpoint_list::Experiment>,
     /// Requests through the module, by backends, customers and peers.
-    pub request: Option<request::Experiment>,
+    pub request: Option<request_cost::Experiment>,
     /// Quota messages, by ingresses and rates.
-    pub quota: Option<quota::Experiment>,
+    pub quota: Option<quota_messages::Experiment>,
     /// Calls to a shared discovery through an outage and a mass restart.
-    pub discovery: Option<discovery::Experiment>,
+    pub discovery: Option<discovery_outage::Experiment>,
     /// Ramps of cold backends.
-    pub cold: Option<cold::Experiment>,
+    pub cold: Option<slow_start::Experiment>,
     /// The endpoint list at a real ingress.
-    pub real_list: Option<real::ListExperiment>,
+    pub real_list: Option<real_ingresses::ListExperiment>,
     /// Restart of most of a fleet of real ingresses, and a new configuration for all.
-    pub real_restart: Option<real::RestartExperiment>,
+    pub real_restart: Option<real_ingresses::RestartExperiment>,
     /// Time added by a real ingress.
-    pub real_added: Option<real::AddedExperiment>,
+    pub real_added: Option<real_ingresses::AddedExperiment>,
 }
 
 impl Spec {
@@ -51,14 +54,14 @@
 
     fn check(&self) -> Result<(), String> {
         let all = [
-            self.list.as_ref().map(list::Experiment::amounts),
-            self.request.as_ref().map(request::Experiment::amounts),
-            self.quota.as_ref().map(quota::Experiment::amounts),
-            self.discovery.as_ref().map(discovery::Experiment::amounts),
-            self.cold.as_ref().map(cold::Experiment::amounts),
-            self.real_list.as_ref().map(real::ListExperiment::amounts),
-            self.real_restart.as_ref().map(real::RestartExperiment::amounts),
-            self.real_added.as_ref().map(real::AddedExperiment::amounts),
+            self.list.as_ref().map(endpoint_list::Experiment::amounts),
+            self.request.as_ref().map(request_cost::Experiment::amounts),
+            self.quota.as_ref().map(quota_messages::Experiment::amounts),
+            self.discovery.as_ref().map(discovery_outage::Experiment::amounts),
+            self.cold.as_ref().map(slow_start::Experiment::amounts),
+            self.real_list.as_ref().map(real_ingresses::ListExperiment::amounts),
+            self.real_restart.as_ref().map(real_ingresses::RestartExperiment::amounts),
+            self.real_added.as_ref().map(real_ingresses::AddedExperiment::amounts),
         ];
         let given: Vec<_> = all.into_iter().flatten().flatten().collect();
         if given.is_empty() {
--- a/fleet-experiments/src/discovery.rs
+++ b/fleet-experiments/src/experiments/discovery_outage.rs
@@ -1,8 +1,8 @@
 //! Calls to a shared discovery through an outage and a mass restart, over a line that serves so many a second.
 
-use crate::model::*;
+use crate::experiment_file::{whole as amounts_of, Amounts};
 use crate::report::Report;
-use crate::spec::{whole as amounts_of, Amounts};
+use crate::simulation::*;
 use ingress::backoff::{Backoff, FailedPoll, PollSchedule};
 use ingress::Micros;
 use serde::Deserialize;
--- a/fleet-experiments/src/list.rs
+++ b/fleet-experiments/src/experiments/endpoint_list.rs
@@ -1,9 +1,9 @@
 //! The endpoint list in the module: what a whole list, the change of one backend, and a zone that is lost and comes back
 //! cost at each size.
 
-use crate::model::*;
+use crate::experiment_file::{whole as amounts_of, Amounts};
 use crate::report::Report;
-use crate::spec::{whole as amounts_of, Amounts};
+use crate::simulation::*;
 use hdrhistogram::Histogram;
 use ingress::*;
 use serde::Deserialize;
--- a/fleet-experiments/src/quota.rs
+++ b/fleet-experiments/src/experiments/quota_messages.rs
@@ -1,9 +1,9 @@
 //! Quota messages: how many an ingress sends and gets, and how many bytes, by the size of the fleet and the rate of
 //! requests.
 
-use crate::model::*;
+use crate::experiment_file::{whole as amounts_of, Amounts};
 use crate::report::Report;
-use crate::spec::{whole as amounts_of, Amounts};
+use crate::simulation::*;
 use ingress::*;
 use serde::Deserialize;
 use serde_json::json;
--- a/fleet-experiments/src/real.rs
+++ b/fleet-experiments/src/experiments/real_ingresses.rs
@@ -1,9 +1,9 @@
 //! Experiments on real ingresses, for what only sockets and processes show.
 
-use crate::processes::{check_room, Ingress, Setup};
+use crate::experiment_file::{whole as amounts_of, Amounts};
+use crate::ingress_process::{check_room, Ingress, Setup};
 use crate::report::Report;
-use crate::spec::{whole as amounts_of, Amounts};
-use crate::standin::{self, Discovery};
+use crate::stand_in::{self, Discovery};
 use anyhow::Context;
 use hdrhistogram::Histogram;
 use serde::Deserialize;
@@ -44,8 +44,8 @@
         // Nobody is asked for anything: all backends may be one place.
         let place: SocketAddr = "127.0.0.1:9".parse()?;
         for &backends in &self.backends {
-            let entries: Vec<String> = (0..backends).map(|n| standin::entry(n, place, "up")).collect();
-            let body = standin::list(2, true, &entries);
+            let entries: Vec<String> = (0..backends).map(|n| stand_in::entry(n, place, "up")).collect();
+            let body = stand_in::list(2, true, &entries);
             let discovery = Discovery::start()?;
             let setup = Setup {
                 number: 0,
@@ -70,8 +70,8 @@
                 let cpu = ingress.cpu();
                 for n in 0..self.changes {
                     let status = if n % 2 == 0 { "draining" } else { "up" };
-                    let entry = standin::entry(n / 2 * 7919 % backends, place, status);
-                    discovery.tell(3 + n, standin::list(3 + n, false, &[entry]));
+                    let entry = stand_in::entry(n / 2 * 7919 % backends, place, status);
+                    discovery.tell(3 + n, stand_in::list(3 + n, false, &[entry]));
                     anyhow::ensure!(discovery.wait_for(Some(3 + n), 1, PATIENCE), "change {n} was not taken");
                 }
                 anyhow::ensure!(ingress.answers(), "no answer behind the changes");
@@ -122,8 +122,8 @@
     /// Runs it: a point for each size, times in seconds.
     pub fn run(&self, program: &Path, report: &mut Report) -> anyhow::Result<()> {
         check_room(self.processes)?;
-        let backend = standin::backend()?;
-        let known: Vec<String> = (0..self.known).map(|n| standin::entry(n, backend, "up")).collect();
+        let backend = stand_in::backend()?;
+        let known: Vec<String> = (0..self.known).map(|n| stand_in::entry(n, backend, "up")).collect();
         for &fleet in &self.fleets {
             let (discovery, moved) = (Discovery::start()?, Discovery::start()?);
             // Each starts with a version of its own: so its calls are told from those of the others.
@@ -283,8 +283,8 @@
     /// out at set times, and a request's time counts from the time that was set for it.
     pub fn run(&self, program: &Path, report: &mut Report) -> anyhow::Result<()> {
         check_room(1)?;
-        let (backend, discovery) = (standin::backend()?, Discovery::start()?);
-        let known: Vec<String> = (0..self.backends).map(|n| standin::entry(n, backend, "up")).collect();
+        let (backend, discovery) = (stand_in::backend()?, Discovery::start()?);
+        let known: Vec<String> = (0..self.backends).map(|n| stand_in::entry(n, backend, "up")).collect();
         for &rate in &self.rates {
             let setup = Setup {
                 number: 0,
--- a/fleet-experiments/src/request.rs
+++ b/fleet-experiments/src/experiments/request_cost.rs
@@ -1,8 +1,8 @@
 //! Requests through the module: what one costs by the number of backends, customers and peers.
 
-use crate::model::*;
+use crate::experiment_file::{whole as amounts_of, Amounts};
 use crate::report::Report;
-use crate::spec::{whole as amounts_of, Amounts};
+use crate::simulation::*;
 use hdrhistogram::Histogram;
 use ingress::*;
 use serde::Deserialize;
--- a/fleet-experiments/src/cold.rs
+++ b/fleet-experiments/src/experiments/slow_start.rs
@@ -1,9 +1,9 @@
 //! Cold ramps over a whole fleet: half of the backends start anew at one moment, and what all ingresses together send to each
 //! of them is counted in the rule's window.
 
-use crate::model::*;
+use crate::experiment_file::Amounts;
 use crate::report::Report;
-use crate::spec::Amounts;
+use crate::simulation::*;
 use ingress::*;
 use serde::Deserialize;
 use serde_json::json;
--- a/fleet-experiments/src/processes.rs
+++ b/fleet-experiments/src/ingress_process.rs
@@ -1,6 +1,6 @@
 //! Real ingresses on loopback: started with a configuration each, ended with the handle, and nothing else touched.
 
-use crate::standin;
+use crate::stand_in;
 use anyhow::{bail, Context};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -50,8 +50,8 @@
 impl Setup {
     fn config(&self, listen: SocketAddr) -> String {
         let Setup { number, fleet, discovery, mode, memory_mb, .. } = self;
-        let known = standin::list(self.known.0, true, &self.known.1);
-        let zones: Vec<String> = (0..crate::model::ZONES).map(|z| format!("\"z{z}\"")).collect();
+        let known = stand_in::list(self.known.0, true, &self.known.1);
+        let zones: Vec<String> = (0..crate::simulation::ZONES).map(|z| format!("\"z{z}\"")).collect();
         format!(
             r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
  "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"known":{known},
--- a/fleet-experiments/src/lib.rs
+++ b/fleet-experiments/src/lib.rs
@@ -2,15 +2,10 @@
 //! driven clock) against models of backends, network, discovery and clients; and, for what only sockets show, real
 //! `ingress` processes on loopback.
 
-pub mod cold;
-pub mod discovery;
+pub mod experiment_file;
+pub mod experiments;
 pub mod fit;
-pub mod list;
-pub mod model;
-pub mod processes;
-pub mod quota;
-pub mod real;
+pub mod ingress_process;
 pub mod report;
-pub mod request;
-pub mod spec;
-pub mod standin;
+pub mod simulation;
+pub mod stand_in;
--- a/fleet-experiments/src/main.rs
+++ b/fleet-experiments/src/main.rs
@@ -2,7 +2,7 @@
 
 use anyhow::Context;
 use clap::{Parser, Subcommand};
-use fleet_experiments::{fit, report::Report, spec::Spec};
+use fleet_experiments::{experiment_file::Spec, fit, report::Report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
--- a/fleet-experiments/src/standin.rs
+++ b/fleet-experiments/src/stand_in.rs
@@ -10,7 +10,7 @@
 
 /// The line of one backend in a list.
 pub fn entry(n: u64, at: SocketAddr, status: &str) -> String {
-    let zone = n % crate::model::ZONES;
+    let zone = n % crate::simulation::ZONES;
     format!(
         r#"{{"name":"s-{n:08x}","address":"{at}","zone":"z{zone}","type":"m","group":{zone},"status":"{status}","weight":1.0,"since_ms":0}}"#
     )
--- a/fleet-experiments/tests/experiments.rs
+++ b/fleet-experiments/tests/experiments.rs
@@ -1,6 +1,6 @@
 //! Every experiment in small, judged by counts; and what bad experiment files get.
 
-use fleet_experiments::{report::Report, spec::Spec};
+use fleet_experiments::{experiment_file::Spec, report::Report};
 use serde_json::Value;
 use std::path::PathBuf;
 use std::process::Command;
--- a/fleet-experiments/tests/cold.rs
+++ b/fleet-experiments/tests/slow_start.rs
@@ -1,6 +1,6 @@
 //! Cold ramps over a whole fleet: what is sent to backends that have just started, counted in the rule's window.
 
-use fleet_experiments::cold::{play, Ramp};
+use fleet_experiments::experiments::slow_start::{play, Ramp};
 
 /// Guards against a budget that grows with what is offered, and against draws that change within the rule's window for all
 /// ingresses at once: at a multiple of 1.2 each start passed the bound, by up to 1.7 times. Answers that take no longer
