--- a/src/bin/simulator-adapter/main.rs
+++ b/src/bin/simulator-adapter/main.rs
@@ -1,4 +1,5 @@
-//! The adapter between the simulator's wire protocol and the decision module. It translates and decides nothing.
+//! The adapter between the simulator's wire protocol and the decision module. It translates and decides
+//! nothing.
 
 mod error;
 mod input;
--- a/src/bin/simulator-adapter/wire.rs
+++ b/src/bin/simulator-adapter/wire.rs
@@ -1,7 +1,8 @@
-//! The simulator's frames: batches of events in, replies with actions out. All numbers are little-endian, and every length
-//! and offset that comes from outside is checked.
+//! The simulator's frames: batches of events in, replies with actions out. All numbers are little-endian, and
+//! every length and offset that comes from outside is checked.
 //!
-//! A frame is a header, records of a fixed size, and a tail that holds what has no fixed size; records point into it.
+//! A frame is a header, records of a fixed size, and a tail that holds what has no fixed size; records point
+//! into it.
 
 mod batch;
 mod field_reader;
--- a/src/bin/simulator-adapter/wire/field_writer.rs
+++ b/src/bin/simulator-adapter/wire/field_writer.rs
@@ -3,8 +3,8 @@
 use super::field_reader::BACKEND_ID_SIZE;
 use ingress::{BackendId, Micros, RequestId};
 
-/// A record of `SIZE` bytes under construction; what is not written is zero. Writing behind its end is a mistake in its
-/// layout and panics.
+/// A record of `SIZE` bytes under construction; what is not written is zero. Writing behind its end is a
+/// mistake in its layout and panics.
 pub struct FieldWriter<const SIZE: usize> {
     /// The whole record.
     record: [u8; SIZE],
--- a/src/bin/simulator-adapter/wire/record.rs
+++ b/src/bin/simulator-adapter/wire/record.rs
@@ -208,7 +208,8 @@
         })
     }
 
-    /// The part of the tail that the next two fields point to: an offset, and a count of items of `item_size` bytes.
+    /// The part of the tail that the next two fields point to: an offset, and a count of items of `item_size`
+    /// bytes.
     fn tail_part(
         &self,
         fields: &mut FieldReader,
