--- /dev/null
+++ b/fleet-experiments/src/experiment.rs
@@ -0,0 +1,52 @@
+//! What an experiment is to whoever reads experiment files and runs them.
+
+use crate::report::Report;
+use std::path::Path;
+
+/// What experiments are run with.
+#[derive(Clone, Copy, Debug)]
+pub struct Environment<'a> {
+    /// Seed of all that is drawn.
+    pub seed: u64,
+    /// The program of a real ingress, for experiments on processes.
+    pub ingress_program: &'a Path,
+}
+
+/// An experiment with its sizes, as a table of an experiment file gives them.
+pub trait Experiment {
+    /// The name of its table in an experiment file, and of its points in the results.
+    fn name(&self) -> &'static str;
+
+    /// All sizes that it was given, to be checked before anything runs.
+    fn sizes(&self) -> Vec<Sizes>;
+
+    /// Measures at each size and records the points.
+    fn run(&self, environment: &Environment, report: &mut Report) -> anyhow::Result<()>;
+}
+
+/// The sizes under one key of an experiment's table.
+#[derive(Clone, Debug)]
+pub struct Sizes {
+    /// The key.
+    pub key: &'static str,
+    /// The values.
+    pub values: Vec<f64>,
+}
+
+impl Sizes {
+    /// A key with one whole number.
+    pub fn one(key: &'static str, value: u64) -> Sizes {
+        Sizes { key, values: vec![value as f64] }
+    }
+
+    /// A key with a list of whole numbers.
+    pub fn list(key: &'static str, values: &[u64]) -> Sizes {
+        Sizes { key, values: values.iter().map(|value| *value as f64).collect() }
+    }
+
+    /// A key with a list of numbers of which those from a tenth on are meant; `key` has to say that they are
+    /// checked in tenths.
+    pub fn tenths(key: &'static str, values: &[f64]) -> Sizes {
+        Sizes { key, values: values.iter().map(|value| value * 10.0).collect() }
+    }
+}
--- a/fleet-experiments/src/experiment_file.rs
+++ b/fleet-experiments/src/experiment_file.rs
@@ -1,121 +1,169 @@
 //! Experiment files: TOML, one table for each experiment to run, all under one seed.
+//!
+//! Tables and keys that had another name in earlier files are read by it too.
 
-use crate::experiments::{
-    discovery_outage, endpoint_list, quota_messages, real_ingresses, request_cost, slow_start,
-};
+use crate::experiment::{Environment, Experiment, Sizes};
+use crate::experiments::discovery_outage::DiscoveryOutageExperiment;
+use crate::experiments::endpoint_list::EndpointListExperiment;
+use crate::experiments::ingress_endpoint_list::IngressEndpointListExperiment;
+use crate::experiments::ingress_latency::IngressLatencyExperiment;
+use crate::experiments::ingress_restart::IngressRestartExperiment;
+use crate::experiments::quota_messages::QuotaMessagesExperiment;
+use crate::experiments::request_cost::RequestCostExperiment;
+use crate::experiments::slow_start::SlowStartExperiment;
 use crate::report::Report;
 use serde::Deserialize;
 use std::path::Path;
+use thiserror::Error;
 
-/// The most of anything that a file may ask for: beyond it a run would not end in a sitting, or not fit in memory.
-const MOST: u64 = 1_000_000;
+/// The largest size that a file may ask for: beyond it a run would not end within hours, or not fit in
+/// memory.
+const MAX_SIZE: u64 = 1_000_000;
+
+/// Why an experiment file cannot be used; the text is one line that names key and reason.
+#[derive(Debug, Error)]
+pub enum ExperimentFileError {
+    /// The file cannot be read.
+    #[error("cannot read: {0}")]
+    Read(#[from] std::io::Error),
+    /// The text is not TOML.
+    #[error("{0}")]
+    Syntax(String),
+    /// A key is missing or unknown, or its value is of the wrong type.
+    #[error("{0}")]
+    Key(String),
+    /// The file has no table of an experiment.
+    #[error(
+        "no experiment: one of endpoint_list, request, quota, discovery, slow_start, ingress_endpoint_list, \
+         ingress_restart, ingress_latency is wanted"
+    )]
+    NoExperiment,
+    /// A list of sizes has none.
+    #[error("{experiment}.{key}: is empty")]
+    Empty {
+        /// The experiment's table.
+        experiment: &'static str,
+        /// The key of the list.
+        key: &'static str,
+    },
+    /// A size is too small or too large.
+    #[error("{experiment}.{key}: {value} is not from 1 to {MAX_SIZE}")]
+    OutOfRange {
+        /// The experiment's table.
+        experiment: &'static str,
+        /// The key of the size.
+        key: &'static str,
+        /// The size.
+        value: f64,
+    },
+}
 
 /// An experiment file.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Spec {
+pub struct ExperimentFile {
     /// Seed of all that is drawn.
     pub seed: u64,
-    /// The endpoint list in the module: whole, a change, a zone lost and back.
-    pub list: Option<endpoint_list::Experiment>,
-    /// Requests through the module, by backends, customers and peers.
-    pub request: Option<request_cost::Experiment>,
+    /// Updates of the endpoint list in the decision module.
+    #[serde(alias = "list")]
+    pub endpoint_list: Option<EndpointListExperiment>,
+    /// Requests through the decision module, by backends, customers and ingresses.
+    pub request: Option<RequestCostExperiment>,
     /// Quota messages, by ingresses and rates.
-    pub quota: Option<quota_messages::Experiment>,
-    /// Calls to a shared discovery through an outage and a mass restart.
-    pub discovery: Option<discovery_outage::Experiment>,
-    /// Ramps of cold backends.
-    pub cold: Option<slow_start::Experiment>,
+    pub quota: Option<QuotaMessagesExperiment>,
+    /// Polls of a shared discovery through an outage and a mass restart.
+    pub discovery: Option<DiscoveryOutageExperiment>,
+    /// Slow start of backends that a whole fleet sends to.
+    #[serde(alias = "cold")]
+    pub slow_start: Option<SlowStartExperiment>,
     /// The endpoint list at a real ingress.
-    pub real_list: Option<real_ingresses::ListExperiment>,
+    #[serde(alias = "real_list")]
+    pub ingress_endpoint_list: Option<IngressEndpointListExperiment>,
     /// Restart of most of a fleet of real ingresses, and a new configuration for all.
-    pub real_restart: Option<real_ingresses::RestartExperiment>,
-    /// Time added by a real ingress.
-    pub real_added: Option<real_ingresses::AddedExperiment>,
+    #[serde(alias = "real_restart")]
+    pub ingress_restart: Option<IngressRestartExperiment>,
+    /// Latency that a real ingress adds.
+    #[serde(alias = "real_added")]
+    pub ingress_latency: Option<IngressLatencyExperiment>,
 }
 
-impl Spec {
-    /// Reads a file; the error is one line that names key and reason.
-    pub fn read(path: &Path) -> Result<Spec, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("cannot read: {e}"))?;
-        Self::parse(&text)
+impl ExperimentFile {
+    /// Reads a file and checks all that it asks for.
+    pub fn read(path: &Path) -> Result<ExperimentFile, ExperimentFileError> {
+        Self::parse(&std::fs::read_to_string(path)?)
     }
 
-    /// Reads the text of a file; the error is one line that names key and reason.
-    pub fn parse(text: &str) -> Result<Spec, String> {
-        let one_line = |text: String| text.split_whitespace().collect::<Vec<_>>().join(" ");
-        let table: toml::Table =
-            text.parse().map_err(|e: toml::de::Error| one_line(e.message().to_string()))?;
-        let spec: Spec = serde_path_to_error::deserialize(table)
-            .map_err(|e| one_line(format!("{}: {}", e.path(), e.inner().message())))?;
-        spec.check()?;
-        Ok(spec)
+    /// Reads the text of a file and checks all that it asks for.
+    pub fn parse(text: &str) -> Result<ExperimentFile, ExperimentFileError> {
+        let table: toml::Table = text
+            .parse()
+            .map_err(|error: toml::de::Error| ExperimentFileError::Syntax(one_line(error.message())))?;
+        let file: ExperimentFile = serde_path_to_error::deserialize(table).map_err(|error| {
+            let text = format!("{}: {}", error.path(), error.inner().message());
+            ExperimentFileError::Key(one_line(&text))
+        })?;
+        file.check()?;
+        Ok(file)
     }
 
-    fn check(&self) -> Result<(), String> {
-        let all = [
-            self.list.as_ref().map(endpoint_list::Experiment::amounts),
-            self.request.as_ref().map(request_cost::Experiment::amounts),
-            self.quota.as_ref().map(quota_messages::Experiment::amounts),
-            self.discovery.as_ref().map(discovery_outage::Experiment::amounts),
-            self.cold.as_ref().map(slow_start::Experiment::amounts),
-            self.real_list.as_ref().map(real_ingresses::ListExperiment::amounts),
-            self.real_restart.as_ref().map(real_ingresses::RestartExperiment::amounts),
-            self.real_added.as_ref().map(real_ingresses::AddedExperiment::amounts),
+    /// The experiments that the file asks for, in the order in which they run.
+    pub fn experiments(&self) -> Vec<&dyn Experiment> {
+        let tables = [
+            as_experiment(&self.endpoint_list),
+            as_experiment(&self.request),
+            as_experiment(&self.quota),
+            as_experiment(&self.discovery),
+            as_experiment(&self.slow_start),
+            as_experiment(&self.ingress_endpoint_list),
+            as_experiment(&self.ingress_restart),
+            as_experiment(&self.ingress_latency),
         ];
-        let given: Vec<_> = all.into_iter().flatten().flatten().collect();
-        if given.is_empty() {
-            return Err(
-                "no experiment: one of list, request, quota, discovery, cold, real_list, real_restart, \
-                        real_added is wanted"
-                    .into(),
-            );
+        tables.into_iter().flatten().collect()
+    }
+
+    /// Checks that there is something to run, and that every size can be run.
+    fn check(&self) -> Result<(), ExperimentFileError> {
+        let experiments = self.experiments();
+        if experiments.is_empty() {
+            return Err(ExperimentFileError::NoExperiment);
         }
-        for (key, amounts) in given {
-            if amounts.is_empty() {
-                return Err(format!("{key}: is empty"));
-            }
-            if let Some(bad) = amounts.iter().find(|n| !(1.0..=MOST as f64).contains(*n)) {
-                return Err(format!("{key}: {bad} is not from 1 to {MOST}"));
+        for experiment in experiments {
+            for sizes in experiment.sizes() {
+                check_sizes(experiment.name(), &sizes)?;
             }
         }
         Ok(())
     }
 
-    /// Runs what the file asks for. `ingress` is the program of a real ingress.
-    pub fn run(&self, ingress: &Path, report: &mut Report) -> anyhow::Result<()> {
-        if let Some(e) = &self.list {
-            e.run(self.seed, report)?;
-        }
-        if let Some(e) = &self.request {
-            e.run(self.seed, report)?;
-        }
-        if let Some(e) = &self.quota {
-            e.run(self.seed, report)?;
-        }
-        if let Some(e) = &self.discovery {
-            e.run(self.seed, report)?;
-        }
-        if let Some(e) = &self.cold {
-            e.run(self.seed, report)?;
-        }
-        if let Some(e) = &self.real_list {
-            e.run(ingress, report)?;
-        }
-        if let Some(e) = &self.real_restart {
-            e.run(ingress, report)?;
-        }
-        if let Some(e) = &self.real_added {
-            e.run(ingress, report)?;
+    /// Runs what the file asks for. `ingress_program` is the program of a real ingress.
+    pub fn run(&self, ingress_program: &Path, report: &mut Report) -> anyhow::Result<()> {
+        let environment = Environment { seed: self.seed, ingress_program };
+        for experiment in self.experiments() {
+            experiment.run(&environment, report)?;
         }
         Ok(())
     }
 }
 
-/// Keys and their amounts, for the check.
-pub type Amounts = Vec<(&'static str, Vec<f64>)>;
+/// The experiment of a table, if the file has it.
+fn as_experiment<E: Experiment>(table: &Option<E>) -> Option<&dyn Experiment> {
+    table.as_ref().map(|experiment| experiment as &dyn Experiment)
+}
+
+/// Checks that there are sizes, each from 1 to [`MAX_SIZE`].
+fn check_sizes(experiment: &'static str, sizes: &Sizes) -> Result<(), ExperimentFileError> {
+    let key = sizes.key;
+    if sizes.values.is_empty() {
+        return Err(ExperimentFileError::Empty { experiment, key });
+    }
+    let allowed = 1.0..=MAX_SIZE as f64;
+    match sizes.values.iter().find(|value| !allowed.contains(*value)) {
+        Some(&value) => Err(ExperimentFileError::OutOfRange { experiment, key, value }),
+        None => Ok(()),
+    }
+}
 
-/// Amounts of whole numbers.
-pub fn whole(list: &[u64]) -> Vec<f64> {
-    list.iter().map(|n| *n as f64).collect()
+/// The text with each run of blanks and line breaks as one blank.
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
 }
--- a/fleet-experiments/src/experiments.rs
+++ b/fleet-experiments/src/experiments.rs
@@ -1,8 +1,12 @@
-//! The experiments, a module each: those on the decision module under a driven clock, then those on real processes.
+//! The experiments, a module each: those on the decision module under a driven clock, then those on real
+//! processes.
 
 pub mod discovery_outage;
 pub mod endpoint_list;
 pub mod quota_messages;
-pub mod real_ingresses;
 pub mod request_cost;
 pub mod slow_start;
+
+pub mod ingress_endpoint_list;
+pub mod ingress_latency;
+pub mod ingress_restart;
--- a/fleet-experiments/src/experiments/discovery_outage.rs
+++ b/fleet-experiments/src/experiments/discovery_outage.rs
@@ -1,126 +1,251 @@
-//! Calls to a shared discovery through an outage and a mass restart, over a line that serves so many a second.
+//! Polls of a shared discovery through an outage and a mass restart, where discovery serves so many a second.
 
-use crate::experiment_file::{whole as amounts_of, Amounts};
+use crate::experiment::{Environment, Experiment, Sizes};
 use crate::report::Report;
-use crate::simulation::*;
+use crate::simulation::{EventQueue, SECOND, START};
+use crate::statistics::quantile;
 use ingress::backoff::{Backoff, FailedPoll, PollSchedule};
 use ingress::Micros;
-use serde::Deserialize;
-use serde_json::json;
+use serde::{Deserialize, Serialize};
+
+/// How long a poll may wait in discovery's queue until it is rejected, though discovery works on it all the
+/// same.
+const MAX_QUEUEING: Micros = 2 * SECOND;
+/// Ingresses that were killed start anew so long before discovery is back.
+const RESTART_LEAD: Micros = 2 * SECOND;
+/// For how long the fleet is watched after discovery is back.
+const WATCHED: Micros = 60 * SECOND;
+/// The time of the settings within which ingresses poll discovery.
+const MAX_POLL_INTERVAL: Micros = 10 * SECOND;
 
 /// Sizes of the fleet, and how strong discovery is.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Experiment {
+pub struct DiscoveryOutageExperiment {
     /// Ingresses in the fleet.
     pub ingresses: Vec<u64>,
-    /// Seconds in which discovery serves a call of each ingress.
-    pub round_s: Vec<f64>,
+    /// Seconds in which discovery serves a poll of each ingress.
+    #[serde(alias = "round_s")]
+    pub fleet_poll_s: Vec<f64>,
     /// How many of ten ingresses are killed during the outage.
-    pub killed: u64,
-    /// For how long discovery is down.
-    pub down_s: u64,
+    #[serde(alias = "killed")]
+    pub killed_of_ten: u64,
+    /// For how many seconds discovery is down.
+    #[serde(alias = "down_s")]
+    pub outage_s: u64,
 }
 
-/// How an outage went.
-#[derive(Debug, Default)]
+/// A fleet, and the outage that it goes through.
+#[derive(Clone, Debug)]
 pub struct Outage {
-    /// Calls that reached discovery behind its return, and those of them that were turned away.
-    pub calls: u64,
-    /// Calls turned away for their time in the line.
-    pub in_vain: u64,
-    /// The longest that an ingress without an answer made no call behind the return (or its own start).
+    /// Ingresses in the fleet.
+    pub ingresses: u64,
+    /// How long discovery works on a poll, in microseconds.
+    pub poll_work: f64,
+    /// How many of ten ingresses are killed during the outage.
+    pub killed_of_ten: u64,
+    /// For how long discovery is down.
+    pub duration: Micros,
+    /// Seed of all that is drawn.
+    pub seed: u64,
+}
+
+/// How a fleet came through an outage.
+#[derive(Clone, Debug, Default)]
+pub struct Recovery {
+    /// Polls that reached discovery after its return.
+    pub polls: u64,
+    /// Those of them that were rejected for their time in the queue.
+    pub rejected_polls: u64,
+    /// The longest time in which an ingress without an answer made no poll after the return (or its own
+    /// start).
     pub longest_gap: Micros,
-    /// Times to the first answer behind the return (or its own start): the middle one, nineteen in twenty, all.
+    /// Time from the return to the first answer, the median over all ingresses.
     pub median: Micros,
-    /// Nineteen in twenty.
+    /// The same, the 95th percentile.
     pub p95: Micros,
-    /// All of them; none if some had no answer within a minute.
+    /// The same, the last; none if some ingress had no answer within a minute.
     pub last: Option<Micros>,
 }
 
-/// How long a call may wait in the line until it is turned away, though it is worked on all the same.
-const LINE: Micros = 2 * S;
-
-/// Plays a fleet whose watches all end as discovery goes down; it turns calls away at once until it is back. Those killed
-/// start anew two seconds before that, the first calls of all spread as their settings say.
-pub fn play(ingresses: u64, takes: f64, killed: u64, down: Micros, seed: u64) -> Outage {
-    let back = T0 + down;
-    let start = back.saturating_sub(2 * S).max(T0);
-    let is_killed = |n: u64| n % 10 < killed;
-    let mut schedule = Schedule::default();
-    let schedule_of = |n: u64| PollSchedule::new(Backoff::shared_service(10 * S, ingresses), seed << 32 | n);
-    let mut fleet: Vec<PollSchedule> = (0..ingresses).map(schedule_of).collect();
-    for n in 0..ingresses {
-        let at = if is_killed(n) {
-            fleet[n as usize].first_poll_at(start)
-        } else {
-            fleet[n as usize].on_failure(T0, None).at
-        };
-        schedule.put(at, n);
-    }
-    let (mut outage, mut free_at) = (Outage::default(), 0.0);
-    let mut last = vec![0; ingresses as usize];
-    let mut had: Vec<Micros> = Vec::new();
-    while let Some((now, n)) = schedule.take() {
-        if now > back + 60 * S {
-            break;
-        }
-        let at = n as usize;
-        outage.longest_gap = outage.longest_gap.max(now.saturating_sub(back.max(last[at])));
-        last[at] = now;
-        let mut ends = now;
-        if now >= back {
-            outage.calls += 1;
-            let begins = f64::max(free_at, now as f64);
-            free_at = begins + takes;
-            if begins <= (now + LINE) as f64 {
-                had.push(free_at as Micros - back);
-                continue;
-            }
-            outage.in_vain += 1;
-            ends = now + LINE;
-        }
-        let failed_poll = FailedPoll { started_at: now, request_sent: true };
-        let next = fleet[at].on_failure(ends, Some(failed_poll)).at;
-        schedule.put(next, n);
-    }
-    had.sort_unstable();
-    let at =
-        |share: f64| had.get(((had.len() as f64 * share) as usize).saturating_sub(1)).copied().unwrap_or(0);
-    (outage.median, outage.p95) = (at(0.5), at(0.95));
-    outage.last = (had.len() as u64 == ingresses).then(|| at(1.0));
-    outage
+/// How a fleet came through an outage: times in seconds.
+#[derive(Debug, Serialize)]
+struct Point {
+    /// Ingresses in the fleet.
+    ingresses: u64,
+    /// Seconds in which discovery serves a poll of each ingress.
+    fleet_poll_s: f64,
+    /// Polls that reached discovery after its return.
+    polls: u64,
+    /// Those of them that were rejected.
+    rejected_polls: u64,
+    /// The longest time without a poll of an ingress that had no answer.
+    longest_gap_s: f64,
+    /// Time from the return to the first answer, the median over all ingresses.
+    median_s: f64,
+    /// The same, the 95th percentile.
+    p95_s: f64,
+    /// The same, the last; none if some ingress had no answer within a minute.
+    last_s: Option<f64>,
 }
 
-impl Experiment {
-    /// What is to be checked.
-    pub fn amounts(&self) -> Amounts {
+impl Experiment for DiscoveryOutageExperiment {
+    fn name(&self) -> &'static str {
+        "discovery"
+    }
+
+    fn sizes(&self) -> Vec<Sizes> {
         vec![
-            ("discovery.ingresses", amounts_of(&self.ingresses)),
-            ("discovery.round_s", self.round_s.clone()),
-            ("discovery.killed", vec![self.killed as f64]),
-            ("discovery.down_s", vec![self.down_s as f64]),
+            Sizes::list("ingresses", &self.ingresses),
+            Sizes { key: "fleet_poll_s", values: self.fleet_poll_s.clone() },
+            Sizes::one("killed_of_ten", self.killed_of_ten),
+            Sizes::one("outage_s", self.outage_s),
         ]
     }
 
-    /// Runs it: a point for each size and strength, times in seconds.
-    pub fn run(&self, seed: u64, report: &mut Report) -> anyhow::Result<()> {
+    fn run(&self, environment: &Environment, report: &mut Report) -> anyhow::Result<()> {
         for &ingresses in &self.ingresses {
-            for &round in &self.round_s {
-                let takes = round * S as f64 / ingresses as f64;
-                let o = play(ingresses, takes, self.killed, self.down_s * S, seed);
-                let s = |t: Micros| t as f64 / S as f64;
-                report.point(
-                    "discovery",
-                    json!({
-                        "ingresses": ingresses, "round_s": round, "calls": o.calls, "in_vain": o.in_vain,
-                        "longest_gap_s": s(o.longest_gap), "median_s": s(o.median), "p95_s": s(o.p95),
-                        "last_s": o.last.map(s),
-                    }),
-                )?;
+            for &fleet_poll_s in &self.fleet_poll_s {
+                report.record(self.name(), &self.measure(ingresses, fleet_poll_s, environment.seed))?;
             }
         }
         Ok(())
     }
 }
+
+impl DiscoveryOutageExperiment {
+    /// Simulates an outage for a fleet of one size.
+    fn measure(&self, ingresses: u64, fleet_poll_s: f64, seed: u64) -> Point {
+        let recovery = simulate(&Outage {
+            ingresses,
+            poll_work: fleet_poll_s * SECOND as f64 / ingresses as f64,
+            killed_of_ten: self.killed_of_ten,
+            duration: self.outage_s * SECOND,
+            seed,
+        });
+        let seconds = |span: Micros| span as f64 / SECOND as f64;
+        Point {
+            ingresses,
+            fleet_poll_s,
+            polls: recovery.polls,
+            rejected_polls: recovery.rejected_polls,
+            longest_gap_s: seconds(recovery.longest_gap),
+            median_s: seconds(recovery.median),
+            p95_s: seconds(recovery.p95),
+            last_s: recovery.last.map(seconds),
+        }
+    }
+}
+
+/// Simulates a fleet whose watches all end as discovery goes down; it rejects polls at once until it is back.
+/// Ingresses that were killed start anew shortly before that, the first polls of all spread as their settings
+/// say.
+pub fn simulate(outage: &Outage) -> Recovery {
+    Simulation::new(outage).run()
+}
+
+/// An ingress without an endpoint list, as discovery sees it.
+struct Poller {
+    /// When it polls.
+    schedule: PollSchedule,
+    /// When it polled last; 0 before its first poll.
+    last_poll: Micros,
+}
+
+/// A fleet that is simulated.
+struct Simulation {
+    /// When discovery is back.
+    back_at: Micros,
+    /// How long discovery works on a poll, in microseconds.
+    poll_work: f64,
+    /// The ingresses of the fleet.
+    pollers: Vec<Poller>,
+    /// The next poll of each ingress, by its index.
+    queue: EventQueue<usize>,
+    /// When discovery has worked on all polls that reached it.
+    idle_at: f64,
+    /// When ingresses had their answers, from the return.
+    answered: Vec<Micros>,
+    /// What happened so far.
+    recovery: Recovery,
+}
+
+impl Simulation {
+    /// A fleet with its first polls to come.
+    fn new(outage: &Outage) -> Simulation {
+        let back_at = START + outage.duration;
+        let restarted_at = back_at.saturating_sub(RESTART_LEAD).max(START);
+        let mut simulation = Simulation {
+            back_at,
+            poll_work: outage.poll_work,
+            pollers: Vec::new(),
+            queue: EventQueue::default(),
+            idle_at: 0.0,
+            answered: Vec::new(),
+            recovery: Recovery::default(),
+        };
+        for number in 0..outage.ingresses {
+            let backoff = Backoff::shared_service(MAX_POLL_INTERVAL, outage.ingresses);
+            let mut schedule = PollSchedule::new(backoff, outage.seed << 32 | number);
+            let first_poll = if number % 10 < outage.killed_of_ten {
+                schedule.first_poll_at(restarted_at)
+            } else {
+                schedule.on_failure(START, None).at
+            };
+            simulation.queue.schedule(first_poll, number as usize);
+            simulation.pollers.push(Poller { schedule, last_poll: 0 });
+        }
+        simulation
+    }
+
+    /// Runs until each ingress has its answer, or the time is over.
+    fn run(mut self) -> Recovery {
+        while let Some((now, index)) = self.queue.pop() {
+            if now > self.back_at + WATCHED {
+                break;
+            }
+            self.record_gap(index, now);
+            let rejected_at = if now < self.back_at { Some(now) } else { self.poll(now) };
+            if let Some(rejected_at) = rejected_at {
+                let failed = FailedPoll { started_at: now, request_sent: true };
+                let next_poll = self.pollers[index].schedule.on_failure(rejected_at, Some(failed));
+                self.queue.schedule(next_poll.at, index);
+            }
+        }
+        self.finish()
+    }
+
+    /// Notes how long an ingress that polls now has not.
+    fn record_gap(&mut self, index: usize, now: Micros) {
+        let poller = &mut self.pollers[index];
+        let gap = now.saturating_sub(self.back_at.max(poller.last_poll));
+        poller.last_poll = now;
+        self.recovery.longest_gap = self.recovery.longest_gap.max(gap);
+    }
+
+    /// A poll that reaches discovery now; when it is rejected, if it is.
+    fn poll(&mut self, now: Micros) -> Option<Micros> {
+        self.recovery.polls += 1;
+        let served_from = f64::max(self.idle_at, now as f64);
+        self.idle_at = served_from + self.poll_work;
+        if served_from <= (now + MAX_QUEUEING) as f64 {
+            self.answered.push(self.idle_at as Micros - self.back_at);
+            return None;
+        }
+        self.recovery.rejected_polls += 1;
+        Some(now + MAX_QUEUEING)
+    }
+
+    /// Sums up when the ingresses had their answers.
+    fn finish(mut self) -> Recovery {
+        self.answered.sort_unstable();
+        let answered_by = |share: f64| quantile(&self.answered, share).unwrap_or(0);
+        let all_answered = self.answered.len() == self.pollers.len();
+        Recovery {
+            median: answered_by(0.5),
+            p95: answered_by(0.95),
+            last: all_answered.then(|| answered_by(1.0)),
+            ..self.recovery
+        }
+    }
+}
--- a/fleet-experiments/src/experiments/endpoint_list.rs
+++ b/fleet-experiments/src/experiments/endpoint_list.rs
@@ -1,19 +1,25 @@
-//! The endpoint list in the module: what a whole list, the change of one backend, and a zone that is lost and comes back
-//! cost at each size.
+//! The endpoint list in the decision module: what a snapshot, the change of one backend, and a zone that is
+//! lost and returns cost at each size of the list.
 
-use crate::experiment_file::{whole as amounts_of, Amounts};
+use crate::experiment::{Environment, Experiment, Sizes};
+use crate::procfs;
 use crate::report::Report;
-use crate::simulation::*;
+use crate::simulation::{endpoint, ingress_settings, ready_endpoints, START, ZONES};
+use crate::statistics::{p50, p99};
 use hdrhistogram::Histogram;
-use ingress::*;
-use serde::Deserialize;
-use serde_json::json;
+use ingress::{Action, Availability, Endpoint, EndpointUpdate, Event, Gateway, Micros};
+use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
+/// Time on the driven clock between two updates.
+const UPDATE_INTERVAL: Micros = 4_000;
+/// Changes go to backends this far apart in the list.
+const CHANGE_STRIDE: u64 = 7919;
+
 /// Sizes of the list to measure at.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Experiment {
+pub struct EndpointListExperiment {
     /// Backends in the list.
     pub backends: Vec<u64>,
     /// Ingresses in the fleet.
@@ -22,57 +28,128 @@
     pub changes: u64,
 }
 
-impl Experiment {
-    /// What is to be checked.
-    pub fn amounts(&self) -> Amounts {
+/// What updates cost at one size: times in microseconds.
+#[derive(Debug, Serialize)]
+struct Point {
+    /// Backends in the list.
+    backends: u64,
+    /// The first snapshot.
+    snapshot_us: f64,
+    /// The same snapshot once more.
+    repeated_snapshot_us: f64,
+    /// The change of one backend, the median.
+    change_us: f64,
+    /// The change of one backend, the 99th percentile.
+    change_p99_us: f64,
+    /// Changes that were made.
+    changes: u64,
+    /// Backends of the zone that is lost.
+    zone_backends: u64,
+    /// The loss of a zone, in one update.
+    zone_lost_us: f64,
+    /// Its return, in one update.
+    zone_returned_us: f64,
+    /// What the ingress grew by with its first snapshot.
+    memory_bytes: u64,
+}
+
+impl Experiment for EndpointListExperiment {
+    fn name(&self) -> &'static str {
+        "endpoint_list"
+    }
+
+    fn sizes(&self) -> Vec<Sizes> {
         vec![
-            ("list.backends", amounts_of(&self.backends)),
-            ("list.ingresses", vec![f64::from(self.ingresses)]),
-            ("list.changes", vec![self.changes as f64]),
+            Sizes::list("backends", &self.backends),
+            Sizes::one("ingresses", u64::from(self.ingresses)),
+            Sizes::one("changes", self.changes),
         ]
     }
 
-    /// Runs it: a point for each size, times in microseconds, memory in bytes.
-    pub fn run(&self, seed: u64, report: &mut Report) -> anyhow::Result<()> {
-        let mut kept = Vec::new();
+    fn run(&self, environment: &Environment, report: &mut Report) -> anyhow::Result<()> {
+        // Kept until the end: memory that one ingress frees must not pass for memory that the next one does
+        // not take.
+        let mut measured = Vec::new();
         for &backends in &self.backends {
-            let mut actions = Vec::new();
-            let before = resident();
-            let mut gateway = Gateway::new(settings(self.ingresses, 0), seed, T0);
-            let mut now = T0;
-            let mut take = |gateway: &mut Gateway, kind, list| {
-                now += 4_000;
-                let began = Instant::now();
-                gateway.handle(now, Event::Endpoints(kind, list), &mut actions);
-                actions.clear();
-                began.elapsed().as_secs_f64() * 1e6
-            };
-            let first = take(&mut gateway, EndpointUpdate::Snapshot, whole(backends));
-            let memory = resident().saturating_sub(before);
-            let again = take(&mut gateway, EndpointUpdate::Snapshot, whole(backends));
-            let mut change = Histogram::<u64>::new(3)?;
-            for n in 0..self.changes {
-                let state = if n % 2 == 0 { Availability::Draining } else { Availability::Ready };
-                let entry = listed(n / 2 * 7919 % backends, state, 0);
-                change.record((take(&mut gateway, EndpointUpdate::Delta, vec![entry]) * 1e3) as u64)?;
-            }
-            let zone = |state, started| -> Vec<Endpoint> {
-                (0..backends).step_by(ZONES as usize).map(|n| listed(n, state, started)).collect()
-            };
-            let lost = take(&mut gateway, EndpointUpdate::Delta, zone(Availability::Gone, 0));
-            let back = take(&mut gateway, EndpointUpdate::Delta, zone(Availability::Ready, T0));
-            kept.push(gateway); // what one frees must not pass for what the next one does not take
-            report.point(
-                "list",
-                json!({
-                    "backends": backends, "whole_us": first, "whole_again_us": again,
-                    "change_us": change.value_at_quantile(0.5) as f64 / 1e3,
-                    "change_p99_us": change.value_at_quantile(0.99) as f64 / 1e3,
-                    "changes": self.changes, "zone": backends.div_ceil(ZONES),
-                    "zone_lost_us": lost, "zone_back_us": back, "memory": memory,
-                }),
-            )?;
+            let memory_before = procfs::own_resident_memory();
+            let mut ingress = TimedIngress::new(self.ingresses, environment.seed);
+            report.record(self.name(), &self.measure(&mut ingress, backends, memory_before)?)?;
+            measured.push(ingress);
         }
         Ok(())
     }
 }
+
+impl EndpointListExperiment {
+    /// Measures all updates at one size of the list.
+    fn measure(
+        &self,
+        ingress: &mut TimedIngress,
+        backends: u64,
+        memory_before: u64,
+    ) -> anyhow::Result<Point> {
+        let snapshot_us = ingress.update(EndpointUpdate::Snapshot, ready_endpoints(backends));
+        let memory_bytes = procfs::own_resident_memory().saturating_sub(memory_before);
+        let repeated_snapshot_us = ingress.update(EndpointUpdate::Snapshot, ready_endpoints(backends));
+        let change_ns = self.changes_in_ns(ingress, backends)?;
+        let zone_lost_us = ingress.update(EndpointUpdate::Delta, zone(backends, Availability::Gone, 0));
+        let returned = zone(backends, Availability::Ready, START);
+        Ok(Point {
+            backends,
+            snapshot_us,
+            repeated_snapshot_us,
+            change_us: p50(&change_ns) as f64 / 1e3,
+            change_p99_us: p99(&change_ns) as f64 / 1e3,
+            changes: self.changes,
+            zone_backends: backends.div_ceil(ZONES),
+            zone_lost_us,
+            zone_returned_us: ingress.update(EndpointUpdate::Delta, returned),
+            memory_bytes,
+        })
+    }
+
+    /// Drains one backend after another, each ready again by the next change; the times in nanoseconds.
+    fn changes_in_ns(&self, ingress: &mut TimedIngress, backends: u64) -> anyhow::Result<Histogram<u64>> {
+        let mut times = Histogram::new(3)?;
+        for change in 0..self.changes {
+            let availability = if change % 2 == 0 { Availability::Draining } else { Availability::Ready };
+            let changed = endpoint(change / 2 * CHANGE_STRIDE % backends, availability, 0);
+            let time_us = ingress.update(EndpointUpdate::Delta, vec![changed]);
+            times.record((time_us * 1e3) as u64)?;
+        }
+        Ok(times)
+    }
+}
+
+/// All endpoints of the first zone.
+fn zone(backends: u64, availability: Availability, started_at: Micros) -> Vec<Endpoint> {
+    let numbers = (0..backends).step_by(ZONES as usize);
+    numbers.map(|number| endpoint(number, availability, started_at)).collect()
+}
+
+/// A simulated ingress whose work on updates is timed.
+struct TimedIngress {
+    /// The decision module.
+    gateway: Gateway,
+    /// The driven clock.
+    now: Micros,
+    /// Kept to reuse its memory.
+    actions: Vec<Action>,
+}
+
+impl TimedIngress {
+    /// An ingress with no list yet.
+    fn new(ingresses: u16, seed: u64) -> TimedIngress {
+        let gateway = Gateway::new(ingress_settings(ingresses, 0), seed, START);
+        TimedIngress { gateway, now: START, actions: Vec::new() }
+    }
+
+    /// Hands it an update; the time that it took, in microseconds.
+    fn update(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>) -> f64 {
+        self.now += UPDATE_INTERVAL;
+        let started_at = Instant::now();
+        self.gateway.handle(self.now, Event::Endpoints(update, endpoints), &mut self.actions);
+        self.actions.clear();
+        started_at.elapsed().as_secs_f64() * 1e6
+    }
+}
--- /dev/null
+++ b/fleet-experiments/src/experiments/quota_messages/simulation.rs
@@ -0,0 +1,200 @@
+//! The simulation of a fleet whose ingresses tell each other of their customers' quotas.
+
+use super::{FleetLoad, Traffic, WARM_UP_SECONDS};
+use crate::simulation::{
+    attempt_served, ingress_settings, poisson_interval, ready_endpoints, EventQueue, FIRST_TIMER,
+    REQUEST_DEADLINE, SECOND, SERVICE_TIME, START,
+};
+use ingress::{
+    Action, BackendId, CustomerId, EndpointUpdate, Event, Gateway, GatewayId, Micros, Request, RequestId,
+    Settings,
+};
+use std::collections::HashMap;
+use std::ops::Range;
+
+/// Backends of the fleet.
+const BACKENDS: u64 = 32;
+/// A customer's quota, in what the customer uses of it: it uses a third.
+const QUOTA_PER_USE: f64 = 3.0;
+/// A quota's burst: what it grants in so many seconds.
+const BURST_SECONDS: f64 = 3.0;
+/// The smallest burst, in requests.
+const MIN_BURST: f64 = 4.0;
+/// How long messages between ingresses take: drawn from this range.
+const MESSAGE_DELAY: Range<Micros> = 500..3_000;
+/// A receiver's limit on messages is kept in parts of a second, since it may get a little ahead.
+const INTERVALS_PER_SECOND: u64 = 10;
+
+/// What is to come.
+enum Scheduled {
+    /// A request arrives at an ingress.
+    Arrival { ingress: usize },
+    /// A timer of an ingress comes due.
+    Timer { ingress: usize, token: u32 },
+    /// A backend answers a request that an ingress sent at `sent_at`.
+    Answer { ingress: usize, id: RequestId, backend: BackendId, sent_at: Micros },
+    /// A message arrives at an ingress.
+    Message { ingress: usize, from: GatewayId, bytes: Vec<u8> },
+}
+
+/// The messages that an ingress gets within one part of a second.
+#[derive(PartialEq, Eq, Hash)]
+struct ReceiveInterval {
+    /// The index of the ingress.
+    ingress: usize,
+    /// Which part of a second, from the start of the epoch.
+    number: u64,
+}
+
+/// A fleet that is simulated.
+pub struct Simulation<'a> {
+    /// What the fleet is asked for.
+    load: &'a FleetLoad,
+    /// Draws of arrivals, customers and delays.
+    random: fastrand::Rng,
+    /// What is to come.
+    queue: EventQueue<Scheduled>,
+    /// The ingresses by their numbers.
+    fleet: Vec<Gateway>,
+    /// The identifier of the last request.
+    last_request: u64,
+    /// Messages that came so far.
+    received: HashMap<ReceiveInterval, u64>,
+    /// The most messages that an ingress takes within one part of a second.
+    max_received: u64,
+    /// What was counted so far.
+    traffic: Traffic,
+    /// What one event led to; kept to reuse its memory.
+    actions: Vec<Action>,
+}
+
+impl<'a> Simulation<'a> {
+    /// A fleet whose ingresses have their endpoint lists and wait for their first requests.
+    pub fn new(load: &'a FleetLoad) -> Self {
+        let messages_per_second = ingress_settings(load.ingresses, 0).limits.peer_messages_per_second as u64;
+        let mut simulation = Simulation {
+            load,
+            random: fastrand::Rng::with_seed(load.seed),
+            queue: EventQueue::default(),
+            fleet: Vec::new(),
+            last_request: 0,
+            received: HashMap::new(),
+            max_received: messages_per_second.div_ceil(INTERVALS_PER_SECOND),
+            traffic: Traffic::default(),
+            actions: Vec::new(),
+        };
+        for number in 0..load.ingresses {
+            simulation.start_ingress(number);
+        }
+        simulation
+    }
+
+    /// Starts an ingress, with its first timer and its first request to come.
+    fn start_ingress(&mut self, number: u16) {
+        let (load, ingress) = (self.load, usize::from(number));
+        let mut gateway = Gateway::new(settings(load, number), load.seed + u64::from(number), START);
+        let endpoints = Event::Endpoints(EndpointUpdate::CachedSnapshot, ready_endpoints(BACKENDS));
+        gateway.handle(START, endpoints, &mut self.actions);
+        self.actions.clear();
+        self.fleet.push(gateway);
+        let first_timer = START + self.random.u64(FIRST_TIMER);
+        self.queue.schedule(first_timer, Scheduled::Timer { ingress, token: 0 });
+        let first_arrival = START + poisson_interval(&mut self.random, load.rate);
+        self.queue.schedule(first_arrival, Scheduled::Arrival { ingress });
+    }
+
+    /// Runs until the time is over.
+    pub fn run(mut self) -> Traffic {
+        let end = START + self.load.seconds * SECOND;
+        while let Some((now, scheduled)) = self.queue.pop() {
+            if now > end {
+                break;
+            }
+            let counted = u64::from(now > START + WARM_UP_SECONDS * SECOND);
+            let (ingress, event) = match scheduled {
+                Scheduled::Timer { ingress, token } => (ingress, Event::Timer(token)),
+                Scheduled::Answer { ingress, id, backend, sent_at } => {
+                    (ingress, attempt_served(id, 0, backend, now - sent_at))
+                }
+                Scheduled::Message { ingress, from, bytes } => {
+                    if !self.receives(ingress, now) {
+                        self.traffic.dropped += counted;
+                        continue;
+                    }
+                    (ingress, Event::PeerMessage { from, bytes })
+                }
+                Scheduled::Arrival { ingress } => {
+                    self.traffic.requests += counted;
+                    (ingress, Event::Request(self.arrive(ingress, now)))
+                }
+            };
+            self.fleet[ingress].handle(now, event, &mut self.actions);
+            self.execute(ingress, now, counted);
+        }
+        self.traffic
+    }
+
+    /// Whether an ingress takes one more message now.
+    fn receives(&mut self, ingress: usize, now: Micros) -> bool {
+        let interval = ReceiveInterval { ingress, number: now / (SECOND / INTERVALS_PER_SECOND) };
+        let received = self.received.entry(interval).or_default();
+        *received += 1;
+        *received <= self.max_received
+    }
+
+    /// The request that arrives at an ingress now, with the one after it scheduled.
+    fn arrive(&mut self, ingress: usize, now: Micros) -> Request {
+        let next_arrival = now + poisson_interval(&mut self.random, self.load.rate);
+        self.queue.schedule(next_arrival, Scheduled::Arrival { ingress });
+        self.last_request += 1;
+        // A customer whose set of gateways holds this ingress.
+        let (ingresses, set_size) = (u64::from(self.load.ingresses), u64::from(self.load.gateway_set_size));
+        let set_start = (ingress as u64 + ingresses - self.random.u64(0..set_size)) % ingresses;
+        let customers = self.load.customers_per_ingress;
+        Request {
+            id: RequestId(self.last_request),
+            deadline: now + REQUEST_DEADLINE,
+            customer: CustomerId(set_start * customers + self.random.u64(0..customers)),
+            units: 1.0,
+            gateway_set_size: f64::from(self.load.gateway_set_size),
+            gateway_set_start: set_start as f64,
+            ..Request::default()
+        }
+    }
+
+    /// Carries out what an ingress asked for.
+    fn execute(&mut self, ingress: usize, now: Micros, counted: u64) {
+        for action in self.actions.drain(..) {
+            match action {
+                Action::SetTimer { delay, token } => {
+                    self.queue.schedule(now + delay, Scheduled::Timer { ingress, token });
+                }
+                Action::Send { id, backend, .. } => {
+                    self.traffic.sent += counted;
+                    let answered_at = now + self.random.u64(SERVICE_TIME);
+                    let answer = Scheduled::Answer { ingress, id, backend, sent_at: now };
+                    self.queue.schedule(answered_at, answer);
+                }
+                Action::SendToPeer { to: Some(to), bytes } => {
+                    self.traffic.messages += counted;
+                    self.traffic.bytes += counted * bytes.len() as u64;
+                    let received_at = now + self.random.u64(MESSAGE_DELAY);
+                    let (receiver, from) = (usize::from(to.0), GatewayId(ingress as u16));
+                    self.queue.schedule(received_at, Scheduled::Message { ingress: receiver, from, bytes });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// The settings of an ingress, with the quotas that the load makes a third of.
+fn settings(load: &FleetLoad, number: u16) -> Settings {
+    let mut settings = ingress_settings(load.ingresses, number);
+    settings.limits.peer_messages = true;
+    let quota_per_ingress = load.rate / load.customers_per_ingress as f64 * QUOTA_PER_USE;
+    let rate = quota_per_ingress * f64::from(load.gateway_set_size);
+    settings.plans[0].rate = rate;
+    settings.plans[0].burst = (rate * BURST_SECONDS).max(MIN_BURST);
+    settings
+}
--- a/fleet-experiments/src/experiments/request_cost.rs
+++ b/fleet-experiments/src/experiments/request_cost.rs
@@ -1,21 +1,31 @@
-//! Requests through the module: what one costs by the number of backends, customers and peers.
+//! Requests through the decision module: what one costs by the number of backends, customers and ingresses.
 
-use crate::experiment_file::{whole as amounts_of, Amounts};
+use crate::experiment::{Environment, Experiment, Sizes};
+use crate::procfs;
 use crate::report::Report;
-use crate::simulation::*;
+use crate::simulation::{attempt_served, ingress_settings, ready_endpoints, REQUEST_DEADLINE, SECOND, START};
+use crate::statistics::{p50, p99};
 use hdrhistogram::Histogram;
-use ingress::*;
-use serde::Deserialize;
-use serde_json::json;
+use ingress::{Action, CustomerId, EndpointUpdate, Event, Gateway, Micros, Request, RequestId};
+use serde::{Deserialize, Serialize};
 use std::time::Instant;
 
+/// Requests a second that an ingress gets: its part of the peak that the fleet is designed for.
+const REQUESTS_PER_SECOND: u64 = 1034;
+/// The span behind the request after which its answer comes.
+const ANSWER_DELAY: Micros = 900;
+/// The time in flight that the answer tells of.
+const REPORTED_ELAPSED: Micros = 100_000;
+/// One request for so many counted ones is made before them and not counted.
+const WARM_UP_SHARE: u64 = 10;
+
 /// Sizes to measure at: each list is varied with the others at their first value.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Experiment {
+pub struct RequestCostExperiment {
     /// Backends in the list.
     pub backends: Vec<u64>,
-    /// Customers that ask.
+    /// Customers that send requests.
     pub customers: Vec<u64>,
     /// Ingresses in the fleet.
     pub ingresses: Vec<u64>,
@@ -23,93 +33,166 @@
     pub requests: u64,
 }
 
-/// What requests came to.
-pub struct Cost {
+/// The sizes of one point.
+#[derive(Clone, Copy, Debug, Serialize)]
+struct Size {
+    /// Backends in the list.
+    backends: u64,
+    /// Customers that send requests.
+    customers: u64,
+    /// Ingresses in the fleet.
+    ingresses: u64,
+}
+
+/// What requests cost at one point: times in microseconds.
+#[derive(Debug, Serialize)]
+struct Point {
+    /// The sizes.
+    #[serde(flatten)]
+    size: Size,
+    /// Requests that were counted.
+    requests: u64,
+    /// Requests that were sent to a backend.
+    sent: u64,
+    /// Bytes that the ingress grew by under the requests.
+    memory_bytes: u64,
+    /// One request with its answer, the median.
+    p50_us: f64,
+    /// The same, the mean.
+    mean_us: f64,
+    /// The same, the 99th percentile.
+    p99_us: f64,
+}
+
+/// What requests through one ingress came to.
+struct RequestCost {
     /// Nanoseconds of each request with its answer.
-    pub time: Histogram<u64>,
-    /// Requests that were sent on.
-    pub sent: u64,
+    time_ns: Histogram<u64>,
+    /// Requests that were sent to a backend.
+    sent: u64,
     /// Bytes that the ingress grew by under the requests: customers' records, for the most part.
-    pub memory: u64,
-    /// The ingress: what one frees must not pass for what the next one does not take.
-    pub gateway: Gateway,
+    memory_bytes: u64,
 }
 
-/// Drives one hollow ingress at some thousand requests a second, all answered in time.
-pub fn drive(
-    backends: u64,
-    customers: u64,
-    ingresses: u16,
-    requests: u64,
-    seed: u64,
-) -> anyhow::Result<Cost> {
-    let mut gateway = Gateway::new(settings(ingresses, 0), seed, T0);
-    let (mut now, mut actions) = (T0, Vec::new());
-    gateway.handle(now, Event::Endpoints(EndpointUpdate::Snapshot, whole(backends)), &mut actions);
-    let mut random = fastrand::Rng::with_seed(seed);
-    let (mut time, mut all_sent) = (Histogram::new(3)?, 0);
-    let before = resident();
-    for n in 0..requests + requests / 10 {
-        now += S / 1034;
-        actions.clear();
-        let request = Request {
-            id: RequestId(n),
-            deadline: now + 3 * S,
-            customer: CustomerId(random.u64(0..customers)),
-            units: 1.0,
-            gateway_set_size: 1.0,
-            ..Request::default()
-        };
-        let began = Instant::now();
-        gateway.handle(now, Event::Request(request), &mut actions);
-        let sent = actions.iter().find_map(|a| match a {
-            Action::Send { backend, .. } => Some(*backend),
-            _ => None,
-        });
-        if let Some(backend) = sent {
-            gateway.handle(now + 900, served(request.id, 0, backend, 100_000), &mut actions);
-        }
-        if n >= requests / 10 {
-            all_sent += u64::from(sent.is_some());
-            time.record(began.elapsed().as_nanos() as u64)?;
-        }
+impl Experiment for RequestCostExperiment {
+    fn name(&self) -> &'static str {
+        "request"
     }
-    Ok(Cost { time, sent: all_sent, memory: resident().saturating_sub(before), gateway })
-}
 
-impl Experiment {
-    /// What is to be checked.
-    pub fn amounts(&self) -> Amounts {
+    fn sizes(&self) -> Vec<Sizes> {
         vec![
-            ("request.backends", amounts_of(&self.backends)),
-            ("request.customers", amounts_of(&self.customers)),
-            ("request.ingresses", amounts_of(&self.ingresses)),
-            ("request.requests", vec![self.requests as f64]),
+            Sizes::list("backends", &self.backends),
+            Sizes::list("customers", &self.customers),
+            Sizes::list("ingresses", &self.ingresses),
+            Sizes::one("requests", self.requests),
         ]
     }
 
-    /// Runs it: a point for each size, times in microseconds, memory in bytes.
-    pub fn run(&self, seed: u64, report: &mut Report) -> anyhow::Result<()> {
-        let base = (self.backends[0], self.customers[0], self.ingresses[0]);
-        let mut points: Vec<(u64, u64, u64)> = self.backends.iter().map(|b| (*b, base.1, base.2)).collect();
-        points.extend(self.customers.iter().skip(1).map(|c| (base.0, *c, base.2)));
-        points.extend(self.ingresses.iter().skip(1).map(|i| (base.0, base.1, *i)));
-        let mut kept = Vec::new();
-        for (backends, customers, ingresses) in points {
-            let peers = u16::try_from(ingresses)?;
-            let cost = drive(backends, customers, peers, self.requests, seed)?;
-            report.point(
-                "request",
-                json!({
-                    "backends": backends, "customers": customers, "ingresses": ingresses,
-                    "requests": self.requests, "sent": cost.sent, "memory": cost.memory,
-                    "p50_us": cost.time.value_at_quantile(0.5) as f64 / 1e3,
-                    "mean_us": cost.time.mean() / 1e3,
-                    "p99_us": cost.time.value_at_quantile(0.99) as f64 / 1e3,
-                }),
-            )?;
-            kept.push(cost.gateway);
+    fn run(&self, environment: &Environment, report: &mut Report) -> anyhow::Result<()> {
+        // Kept until the end: memory that one ingress frees must not pass for memory that the next one does
+        // not take.
+        let mut measured = Vec::new();
+        for size in self.points() {
+            let mut ingress = LoadedIngress::new(size, environment.seed)?;
+            let cost = ingress.drive(self.requests)?;
+            let point = Point {
+                size,
+                requests: self.requests,
+                sent: cost.sent,
+                memory_bytes: cost.memory_bytes,
+                p50_us: p50(&cost.time_ns) as f64 / 1e3,
+                mean_us: cost.time_ns.mean() / 1e3,
+                p99_us: p99(&cost.time_ns) as f64 / 1e3,
+            };
+            report.record(self.name(), &point)?;
+            measured.push(ingress);
         }
         Ok(())
     }
 }
+
+impl RequestCostExperiment {
+    /// The sizes of all points, in the order in which they are measured.
+    fn points(&self) -> Vec<Size> {
+        let base =
+            Size { backends: self.backends[0], customers: self.customers[0], ingresses: self.ingresses[0] };
+        let mut points = vec![base];
+        points.extend(self.backends[1..].iter().map(|&backends| Size { backends, ..base }));
+        points.extend(self.customers[1..].iter().map(|&customers| Size { customers, ..base }));
+        points.extend(self.ingresses[1..].iter().map(|&ingresses| Size { ingresses, ..base }));
+        points
+    }
+}
+
+/// A simulated ingress under requests that are all answered in time.
+struct LoadedIngress {
+    /// The decision module.
+    gateway: Gateway,
+    /// The driven clock.
+    now: Micros,
+    /// Draws of customers.
+    random: fastrand::Rng,
+    /// Customers that send requests.
+    customers: u64,
+    /// Kept to reuse its memory.
+    actions: Vec<Action>,
+}
+
+impl LoadedIngress {
+    /// An ingress that has its endpoint list.
+    fn new(size: Size, seed: u64) -> anyhow::Result<LoadedIngress> {
+        let settings = ingress_settings(u16::try_from(size.ingresses)?, 0);
+        let mut gateway = Gateway::new(settings, seed, START);
+        let mut actions = Vec::new();
+        let endpoints = Event::Endpoints(EndpointUpdate::Snapshot, ready_endpoints(size.backends));
+        gateway.handle(START, endpoints, &mut actions);
+        let random = fastrand::Rng::with_seed(seed);
+        Ok(LoadedIngress { gateway, now: START, random, customers: size.customers, actions })
+    }
+
+    /// Sends it requests, the first of which are not counted.
+    fn drive(&mut self, requests: u64) -> anyhow::Result<RequestCost> {
+        let (mut time_ns, mut sent) = (Histogram::new(3)?, 0);
+        let warm_up = requests / WARM_UP_SHARE;
+        let memory_before = procfs::own_resident_memory();
+        for number in 0..requests + warm_up {
+            self.now += SECOND / REQUESTS_PER_SECOND;
+            self.actions.clear();
+            let request = self.next_request(number);
+            let started_at = Instant::now();
+            let was_sent = self.serve(request);
+            if number >= warm_up {
+                sent += u64::from(was_sent);
+                time_ns.record(started_at.elapsed().as_nanos() as u64)?;
+            }
+        }
+        let memory_bytes = procfs::own_resident_memory().saturating_sub(memory_before);
+        Ok(RequestCost { time_ns, sent, memory_bytes })
+    }
+
+    /// A request of any customer.
+    fn next_request(&mut self, number: u64) -> Request {
+        Request {
+            id: RequestId(number),
+            deadline: self.now + REQUEST_DEADLINE,
+            customer: CustomerId(self.random.u64(0..self.customers)),
+            units: 1.0,
+            gateway_set_size: 1.0,
+            ..Request::default()
+        }
+    }
+
+    /// Hands the ingress a request and its answer; false if it sent the request nowhere.
+    fn serve(&mut self, request: Request) -> bool {
+        self.gateway.handle(self.now, Event::Request(request), &mut self.actions);
+        let backend = self.actions.iter().find_map(|action| match action {
+            Action::Send { backend, .. } => Some(*backend),
+            _ => None,
+        });
+        if let Some(backend) = backend {
+            let answer = attempt_served(request.id, 0, backend, REPORTED_ELAPSED);
+            self.gateway.handle(self.now + ANSWER_DELAY, answer, &mut self.actions);
+        }
+        backend.is_some()
+    }
+}
--- /dev/null
+++ b/fleet-experiments/src/experiments/slow_start/overload_rule.rs
@@ -0,0 +1,46 @@
+//! The overload rule: what a backend in slow start may be sent, and how much of it was used.
+
+use super::Ramp;
+use crate::simulation::{SECOND, START};
+use ingress::Micros;
+
+/// The window in which sends are held against the rule.
+pub const WINDOW: Micros = 3 * SECOND;
+/// The share of its capacity that a backend serves as it starts.
+pub const SLOW_START_FLOOR: f64 = 0.23;
+/// How long a backend takes from its start until it serves its capacity.
+pub const SLOW_START_DURATION: Micros = 15 * SECOND;
+/// When half of the backends restart: the fleet has run for a while by then.
+pub const RESTART: Micros = START + 5 * SECOND;
+/// When their slow start is over.
+pub const SLOW_START_END: Micros = RESTART + SLOW_START_DURATION;
+
+/// What a backend that restarted may be sent from then until `until`.
+fn budget(ramp: &Ramp, until: Micros) -> f64 {
+    let seconds = |span: Micros| span as f64 / SECOND as f64;
+    let age = seconds(until.saturating_sub(RESTART).min(SLOW_START_DURATION));
+    let duration = seconds(SLOW_START_DURATION);
+    let capacity_served = SLOW_START_FLOOR * age + (1.0 - SLOW_START_FLOOR) * age * age / duration / 2.0;
+    ramp.overload_factor * ramp.capacity * capacity_served
+}
+
+/// Sends to a backend, in its budget over the whole slow start.
+pub fn budget_used(ramp: &Ramp, sends: &[Micros]) -> f64 {
+    sends.len() as f64 / budget(ramp, SLOW_START_END)
+}
+
+/// The fullest window within the slow start of a backend, in what the rule lets pass there. `sends` is in
+/// order.
+pub fn peak_window(ramp: &Ramp, sends: &[Micros]) -> f64 {
+    let mut peak = 0.0;
+    for (first, window_start) in sends.iter().enumerate() {
+        let window_end = window_start + WINDOW;
+        if window_end > SLOW_START_END {
+            break;
+        }
+        let sent = sends[first..].partition_point(|sent_at| *sent_at < window_end) as f64;
+        let allowed = budget(ramp, window_end) - budget(ramp, *window_start);
+        peak = f64::max(peak, sent / (allowed + 2.0 * allowed.sqrt() + 2.0));
+    }
+    peak
+}
--- /dev/null
+++ b/fleet-experiments/src/experiments/slow_start/simulation.rs
@@ -0,0 +1,243 @@
+//! The simulation of a fleet before backends of which half restart.
+
+use super::overload_rule::{
+    budget_used, peak_window, RESTART, SLOW_START_DURATION, SLOW_START_END, SLOW_START_FLOOR, WINDOW,
+};
+use super::{Ramp, RampOutcome};
+use crate::simulation::{
+    attempt_served, endpoint, ingress_settings, poisson_interval, EventQueue, FIRST_TIMER, REQUEST_DEADLINE,
+    SECOND, SERVICE_TIME, START,
+};
+use ingress::{
+    Action, Availability, BackendId, CustomerId, Endpoint, EndpointUpdate, Event, Gateway, Micros, Request,
+    RequestId, Settings,
+};
+use std::collections::HashMap;
+
+/// Customers that requests are of.
+const CUSTOMERS: u64 = 1_000_000;
+/// The seeds of ramps are so far apart that no two ingresses share one.
+const SEED_STRIDE: u64 = 1000;
+/// The least weight of an ingress, by which requests are spread over the fleet.
+const MIN_WEIGHT: f64 = 0.3;
+/// How much more the largest weight is.
+const WEIGHT_RANGE: f64 = 2.7;
+/// Every second backend restarts.
+const RESTART_STEP: usize = 2;
+
+/// What is to come.
+enum Scheduled {
+    /// A request arrives at an ingress.
+    Arrival { ingress: usize },
+    /// The backend with this index answers an attempt that an ingress sent at `sent_at`.
+    Answer { ingress: usize, id: RequestId, attempt: u16, backend: usize, sent_at: Micros },
+    /// A timer of an ingress comes due.
+    Timer { ingress: usize, token: u32 },
+    /// An ingress receives the list of the backends that have restarted.
+    EndpointUpdate { ingress: usize },
+}
+
+/// A backend of the simulation.
+#[derive(Clone, Default)]
+struct Backend {
+    /// When it has worked on all requests that were sent to it.
+    idle_at: f64,
+    /// When it was sent requests in its slow start.
+    slow_start_sends: Vec<Micros>,
+}
+
+/// An ingress of the simulation.
+struct SimulatedIngress {
+    /// The decision module.
+    gateway: Gateway,
+    /// Requests that arrive in a second.
+    rate: f64,
+}
+
+/// A ramp that is simulated.
+pub struct Simulation<'a> {
+    /// What is simulated.
+    ramp: &'a Ramp,
+    /// Draws of weights, arrivals, customers and delays.
+    random: fastrand::Rng,
+    /// What is to come.
+    queue: EventQueue<Scheduled>,
+    /// The ingresses by their numbers.
+    fleet: Vec<SimulatedIngress>,
+    /// The backends by their indices.
+    backends: Vec<Backend>,
+    /// The index of each backend.
+    indices: HashMap<BackendId, usize>,
+    /// The identifier of the last request.
+    last_request: u64,
+    /// The number of the next attempt of each open request.
+    attempts: HashMap<RequestId, u16>,
+    /// What was counted so far.
+    outcome: RampOutcome,
+    /// What one event led to; kept to reuse its memory.
+    actions: Vec<Action>,
+}
+
+impl<'a> Simulation<'a> {
+    /// A fleet whose ingresses have their endpoint lists and wait for their first requests.
+    pub fn new(ramp: &'a Ramp) -> Self {
+        let backends = ramp.backends as usize;
+        let mut simulation = Simulation {
+            ramp,
+            random: fastrand::Rng::with_seed(ramp.seed),
+            queue: EventQueue::default(),
+            fleet: Vec::new(),
+            backends: vec![Backend::default(); backends],
+            indices: (0..backends).map(|index| (endpoint_at(index, START).backend, index)).collect(),
+            last_request: 0,
+            attempts: HashMap::new(),
+            outcome: RampOutcome::default(),
+            actions: Vec::new(),
+        };
+        for (number, rate) in simulation.arrival_rates().into_iter().enumerate() {
+            simulation.start_ingress(number, rate);
+        }
+        simulation
+    }
+
+    /// Draws how many requests a second arrive at each ingress.
+    fn arrival_rates(&mut self) -> Vec<f64> {
+        let ramp = self.ramp;
+        let weights: Vec<f64> =
+            (0..ramp.ingresses).map(|_| MIN_WEIGHT + WEIGHT_RANGE * self.random.f64().powi(2)).collect();
+        let rate_per_weight = ramp.load * ramp.capacity * ramp.backends as f64 / weights.iter().sum::<f64>();
+        weights.iter().map(|weight| rate_per_weight * weight).collect()
+    }
+
+    /// Starts an ingress, with its first timer, its first request and the restart of the backends to come.
+    fn start_ingress(&mut self, ingress: usize, rate: f64) {
+        let seed = self.ramp.seed * SEED_STRIDE + ingress as u64;
+        let mut gateway = Gateway::new(settings(self.ramp, ingress as u16), seed, START);
+        let list = (0..self.backends.len()).map(|index| endpoint_at(index, START)).collect();
+        gateway.handle(START, Event::Endpoints(EndpointUpdate::CachedSnapshot, list), &mut self.actions);
+        self.actions.clear();
+        self.fleet.push(SimulatedIngress { gateway, rate });
+        let first_timer = START + self.random.u64(FIRST_TIMER);
+        self.queue.schedule(first_timer, Scheduled::Timer { ingress, token: 0 });
+        let first_arrival = START + poisson_interval(&mut self.random, rate);
+        self.queue.schedule(first_arrival, Scheduled::Arrival { ingress });
+        self.queue.schedule(RESTART, Scheduled::EndpointUpdate { ingress });
+    }
+
+    /// Runs until the slow start is over.
+    pub fn run(mut self) -> RampOutcome {
+        while let Some((now, scheduled)) = self.queue.pop() {
+            if now > SLOW_START_END {
+                break;
+            }
+            let (ingress, event) = match scheduled {
+                Scheduled::Timer { ingress, token } => (ingress, Event::Timer(token)),
+                Scheduled::EndpointUpdate { ingress } => (ingress, self.restarted_endpoints(now)),
+                Scheduled::Answer { ingress, id, attempt, backend, sent_at } => {
+                    self.outcome.served += 1;
+                    self.attempts.remove(&id);
+                    let backend = endpoint_at(backend, now).backend;
+                    (ingress, attempt_served(id, attempt, backend, now - sent_at))
+                }
+                Scheduled::Arrival { ingress } => (ingress, Event::Request(self.arrive(ingress, now))),
+            };
+            self.fleet[ingress].gateway.handle(now, event, &mut self.actions);
+            self.execute(ingress, now);
+        }
+        self.finish()
+    }
+
+    /// The change of the list that tells of the restart.
+    fn restarted_endpoints(&self, now: Micros) -> Event {
+        let restarted = (0..self.backends.len()).step_by(RESTART_STEP);
+        let list = restarted.map(|index| endpoint_at(index, now)).collect();
+        Event::Endpoints(EndpointUpdate::Delta, list)
+    }
+
+    /// The request that arrives at an ingress now, with the one after it scheduled.
+    fn arrive(&mut self, ingress: usize, now: Micros) -> Request {
+        let next_arrival = now + poisson_interval(&mut self.random, self.fleet[ingress].rate);
+        self.queue.schedule(next_arrival, Scheduled::Arrival { ingress });
+        self.last_request += 1;
+        Request {
+            id: RequestId(self.last_request),
+            deadline: now + REQUEST_DEADLINE,
+            customer: CustomerId(self.random.u64(0..CUSTOMERS)),
+            units: 1.0,
+            gateway_set_size: 1.0,
+            gateway_set_start: ingress as f64,
+            ..Request::default()
+        }
+    }
+
+    /// Carries out what an ingress asked for.
+    fn execute(&mut self, ingress: usize, now: Micros) {
+        let mut actions = std::mem::take(&mut self.actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::SetTimer { delay, token } => {
+                    self.queue.schedule(now + delay, Scheduled::Timer { ingress, token });
+                }
+                Action::Send { id, backend, .. } => self.send(ingress, id, self.indices[&backend], now),
+                Action::Reject { .. } | Action::Fail(_) => self.outcome.rejected += 1,
+                _ => {}
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// Sends a request to a backend, whose answer is scheduled.
+    fn send(&mut self, ingress: usize, id: RequestId, index: usize, now: Micros) {
+        let mut answered_at = now + self.random.u64(SERVICE_TIME);
+        let (backend, restarted_at) = (&mut self.backends[index], started_at(index, now));
+        if self.ramp.queueing {
+            let age = (now - restarted_at) as f64 / SLOW_START_DURATION as f64;
+            let capacity_share = (SLOW_START_FLOOR + (1.0 - SLOW_START_FLOOR) * age).min(1.0);
+            let work = SECOND as f64 / self.ramp.capacity / capacity_share;
+            backend.idle_at = f64::max(backend.idle_at, now as f64) + work;
+            answered_at += backend.idle_at as Micros - now;
+        }
+        if restarted_at > 0 {
+            backend.slow_start_sends.push(now);
+        }
+        let attempt = self.attempts.entry(id).or_default();
+        let answer = Scheduled::Answer { ingress, id, attempt: *attempt, backend: index, sent_at: now };
+        *attempt += 1;
+        self.queue.schedule(answered_at, answer);
+    }
+
+    /// Holds what was sent to the restarted backends against the rule.
+    fn finish(mut self) -> RampOutcome {
+        let restarted = self.backends.len().div_ceil(RESTART_STEP) as f64;
+        for backend in self.backends.iter().step_by(RESTART_STEP) {
+            let sends = &backend.slow_start_sends;
+            self.outcome.budget_used += budget_used(self.ramp, sends) / restarted;
+            self.outcome.peak_window = self.outcome.peak_window.max(peak_window(self.ramp, sends));
+        }
+        self.outcome
+    }
+}
+
+/// The settings of an ingress, with the ramp's rule.
+fn settings(ramp: &Ramp, number: u16) -> Settings {
+    let mut settings = ingress_settings(ramp.ingresses, number);
+    settings.rules.slow_start_floor = SLOW_START_FLOOR;
+    settings.rules.slow_start_duration = SLOW_START_DURATION;
+    settings.rules.overload_factor = ramp.overload_factor;
+    settings.rules.overload_window = WINDOW;
+    settings
+}
+
+/// When a backend last started, as seen at `now`; 0 for long ago.
+fn started_at(index: usize, now: Micros) -> Micros {
+    if index % RESTART_STEP == 0 && now >= RESTART {
+        RESTART
+    } else {
+        0
+    }
+}
+
+/// The entry of a backend in the list, as seen at `now`.
+fn endpoint_at(index: usize, now: Micros) -> Endpoint {
+    endpoint(index as u64, Availability::Ready, started_at(index, now))
+}
--- a/fleet-experiments/src/fit.rs
+++ b/fleet-experiments/src/fit.rs
@@ -1,11 +1,25 @@
-//! Slopes: straight lines through the points of a result, and how far off they are.
+//! Fits: straight lines through the points of a file of results, and how far off they are.
 
 use anyhow::Context;
 use serde_json::Value;
 use std::collections::BTreeMap;
 
-/// A straight line through points, by least squares of the relative errors: sizes lie decades apart, and the smallest
-/// would else count for nothing.
+/// The fewest points that a line is drawn through.
+const MIN_POINTS: usize = 4;
+/// Sizes whose spread is below this share of their square sum count as one size.
+const MIN_RELATIVE_SPREAD: f64 = 1e-9;
+
+/// A point: a size, and the value that was measured at it.
+#[derive(Clone, Copy, Debug)]
+pub struct Point {
+    /// The size.
+    pub size: f64,
+    /// The value.
+    pub value: f64,
+}
+
+/// A straight line through points, by least squares of the relative errors: sizes lie decades apart, and the
+/// smallest would else count for nothing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Line {
     /// The value at size 0.
@@ -13,64 +27,157 @@
     /// Growth of the value for each one of the size.
     pub slope: f64,
     /// The largest distance of a point from the line, as a share of the point.
-    pub off: f64,
+    pub max_relative_error: f64,
 }
 
-/// The line through points of size and value; none with fewer than two sizes, or with a value that is not positive.
-pub fn line(points: &[(f64, f64)]) -> Option<Line> {
-    if points.iter().any(|p| p.1 <= 0.0) {
+impl Line {
+    /// The value of the line at a size.
+    fn at(&self, size: f64) -> f64 {
+        self.base + self.slope * size
+    }
+}
+
+/// The line through points; none with fewer than two sizes, or with a value that is not positive.
+pub fn fit_line(points: &[Point]) -> Option<Line> {
+    if points.iter().any(|point| point.value <= 0.0) {
         return None;
     }
-    let sum = |of: &dyn Fn(f64, f64) -> f64| points.iter().map(|(x, y)| of(*x, *y) / (y * y)).sum::<f64>();
-    let (n, x, y) = (sum(&|_, _| 1.0), sum(&|x, _| x), sum(&|_, y| y));
-    let (xx, xy) = (sum(&|x, _| x * x), sum(&|x, y| x * y));
-    let spread = n * xx - x * x;
-    if spread <= 1e-9 * n * xx {
+    // Relative errors: each point weighs one by the square of its value.
+    let sum = |term: &dyn Fn(&Point) -> f64| {
+        points.iter().map(|point| term(point) / (point.value * point.value)).sum::<f64>()
+    };
+    let weight = sum(&|_| 1.0);
+    let sizes = sum(&|point| point.size);
+    let values = sum(&|point| point.value);
+    let size_squares = sum(&|point| point.size * point.size);
+    let products = sum(&|point| point.size * point.value);
+    let spread = weight * size_squares - sizes * sizes;
+    if spread <= MIN_RELATIVE_SPREAD * weight * size_squares {
         return None;
     }
-    let slope = (n * xy - x * y) / spread;
-    let base = (y - slope * x) / n;
-    let off = points.iter().map(|(x, y)| ((base + slope * x - y) / y).abs()).fold(0.0, f64::max);
-    Some(Line { base, slope, off })
+    let slope = (weight * products - sizes * values) / spread;
+    let mut line = Line { base: (values - slope * sizes) / weight, slope, max_relative_error: 0.0 };
+    let error = |point: &Point| ((line.at(point.size) - point.value) / point.value).abs();
+    line.max_relative_error = points.iter().map(error).fold(0.0, f64::max);
+    Some(line)
 }
 
-/// What is fitted: the experiment, the key of the size, what has to be alike, and the keys of the values.
-const FITS: [(&str, &str, &[&str], &[&str]); 6] = [
-    ("list", "backends", &[], &["whole_us", "change_us", "zone_lost_us", "memory"]),
-    ("request", "backends", &["customers", "ingresses"], &["mean_us", "p99_us"]),
-    ("request", "customers", &["backends", "ingresses"], &["mean_us", "memory"]),
-    ("request", "ingresses", &["backends", "customers"], &["mean_us"]),
-    ("quota", "rate", &["ingresses"], &["messages", "bytes"]),
-    ("real_list", "backends", &[], &["took_s", "memory_most", "change_cpu_us"]),
+/// Values of an experiment that are fitted by one of its sizes.
+struct Fit {
+    /// The experiment.
+    experiment: &'static str,
+    /// The key of the size.
+    size: &'static str,
+    /// The keys that have to be equal among the points of one line.
+    equal: &'static [&'static str],
+    /// The keys of the values.
+    values: &'static [&'static str],
+}
+
+/// All that is fitted.
+const FITS: [Fit; 6] = [
+    Fit {
+        experiment: "endpoint_list",
+        size: "backends",
+        equal: &[],
+        values: &["snapshot_us", "change_us", "zone_lost_us", "memory_bytes"],
+    },
+    Fit {
+        experiment: "request",
+        size: "backends",
+        equal: &["customers", "ingresses"],
+        values: &["mean_us", "p99_us"],
+    },
+    Fit {
+        experiment: "request",
+        size: "customers",
+        equal: &["backends", "ingresses"],
+        values: &["mean_us", "memory_bytes"],
+    },
+    Fit { experiment: "request", size: "ingresses", equal: &["backends", "customers"], values: &["mean_us"] },
+    Fit { experiment: "quota", size: "rate", equal: &["ingresses"], values: &["messages", "bytes"] },
+    Fit {
+        experiment: "ingress_endpoint_list",
+        size: "backends",
+        equal: &[],
+        values: &["apply_s", "peak_memory_bytes", "change_cpu_us"],
+    },
+];
+
+/// A name in results, and the one that results written earlier have for it.
+struct FormerName {
+    /// The name of today.
+    current: &'static str,
+    /// The name that it had.
+    former: &'static str,
+}
+
+/// The names of [`FITS`] that had another one.
+const FORMER_NAMES: [FormerName; 6] = [
+    FormerName { current: "endpoint_list", former: "list" },
+    FormerName { current: "ingress_endpoint_list", former: "real_list" },
+    FormerName { current: "snapshot_us", former: "whole_us" },
+    FormerName { current: "memory_bytes", former: "memory" },
+    FormerName { current: "apply_s", former: "took_s" },
+    FormerName { current: "peak_memory_bytes", former: "memory_most" },
 ];
 
-/// The lines through the points of a file of results, a line of text each.
-pub fn fits(text: &str) -> anyhow::Result<Vec<String>> {
+/// The name that results written earlier have for this one.
+fn former_name(current: &str) -> Option<&'static str> {
+    FORMER_NAMES.iter().find(|name| name.current == current).map(|name| name.former)
+}
+
+/// A value of a point, by its name of today or the one that it had.
+fn value<'a>(point: &'a Value, key: &str) -> &'a Value {
+    match former_name(key) {
+        Some(former) if point.get(key).is_none() => &point[former],
+        _ => &point[key],
+    }
+}
+
+/// Whether a line of results is of this experiment, by its name of today or the one that it had.
+fn is_of(result: &Value, experiment: &str) -> bool {
+    let name = result["experiment"].as_str();
+    name == Some(experiment) || name.is_some() && name == former_name(experiment)
+}
+
+/// Fits lines through the points of a file of results, and describes each in a line of text.
+pub fn fit_results(text: &str) -> anyhow::Result<Vec<String>> {
     let mut results = Vec::new();
-    for (n, line) in text.lines().enumerate() {
-        results.push(serde_json::from_str::<Value>(line).with_context(|| format!("line {}", n + 1))?);
+    for (index, line) in text.lines().enumerate() {
+        let result = serde_json::from_str::<Value>(line).with_context(|| format!("line {}", index + 1))?;
+        results.push(result);
     }
-    let mut out = Vec::new();
-    for (experiment, size, alike, values) in FITS {
-        for value in values {
-            let mut groups: BTreeMap<String, Vec<(f64, f64)>> = BTreeMap::new();
-            for result in results.iter().filter(|r| r["experiment"] == experiment) {
-                let p = &result["point"];
-                let key: Vec<String> = alike.iter().map(|k| format!("{k} {}", p[*k])).collect();
-                if let (Some(x), Some(y)) = (p[size].as_f64(), p[*value].as_f64()) {
-                    groups.entry(key.join(", ")).or_default().push((x, y));
-                }
-            }
-            for (key, points) in groups.into_iter().filter(|g| g.1.len() >= 4) {
-                if let Some(Line { base, slope, off }) = line(&points) {
-                    let n = points.len();
-                    out.push(format!(
-                        "{experiment} {value} by {size} ({key}): {base:.3e} + {slope:.3e} each, {n} points, off by {:.0}% at most",
-                        off * 100.0
-                    ));
-                }
+    let mut descriptions = Vec::new();
+    for fit in &FITS {
+        for key in fit.values {
+            for (group, points) in groups(&results, fit, key) {
+                descriptions.extend(describe(fit, key, &group, &points));
             }
         }
     }
-    Ok(out)
+    Ok(descriptions)
+}
+
+/// The points of a value, grouped by what has to be equal among the points of one line.
+fn groups(results: &[Value], fit: &Fit, key: &str) -> BTreeMap<String, Vec<Point>> {
+    let mut groups: BTreeMap<String, Vec<Point>> = BTreeMap::new();
+    for result in results.iter().filter(|result| is_of(result, fit.experiment)) {
+        let point = &result["point"];
+        let equal: Vec<String> = fit.equal.iter().map(|key| format!("{key} {}", value(point, key))).collect();
+        if let (Some(size), Some(value)) = (value(point, fit.size).as_f64(), value(point, key).as_f64()) {
+            groups.entry(equal.join(", ")).or_default().push(Point { size, value });
+        }
+    }
+    groups
+}
+
+/// Describes the line through the points of a group; none if there are too few, or no line fits.
+fn describe(fit: &Fit, key: &str, group: &str, points: &[Point]) -> Option<String> {
+    let count = points.len();
+    let Line { base, slope, max_relative_error } = fit_line(points).filter(|_| count >= MIN_POINTS)?;
+    let (experiment, size, percent) = (fit.experiment, fit.size, max_relative_error * 100.0);
+    Some(format!(
+        "{experiment} {key} by {size} ({group}): {base:.3e} + {slope:.3e} each, {count} points, off by {percent:.0}% at most"
+    ))
 }
--- a/fleet-experiments/src/ingress_process.rs
+++ b/fleet-experiments/src/ingress_process.rs
@@ -1,6 +1,10 @@
-//! Real ingresses on loopback: started with a configuration each, ended with the handle, and nothing else touched.
+//! Real ingresses on loopback: each started with a configuration of its own, and ended with its handle.
 
-use crate::stand_in;
+mod config;
+
+pub use config::{DiscoveryMode, IngressConfig, InitialList};
+
+use crate::procfs::{self, ProcessMemory};
 use anyhow::{bail, Context};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -8,96 +12,61 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-/// The most processes, and what each is reckoned to take when there is to be room for all of them.
-const MOST_PROCESSES: u64 = 400;
-const MEMORY_EACH: u64 = 16 << 20;
+/// The most ingresses that may be started.
+const MAX_PROCESSES: u64 = 400;
+/// The memory that each is taken to need when there is to be room for all of them.
+const MEMORY_PER_PROCESS: u64 = 16 << 20;
+/// How long an ingress may take to answer a ping.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time between two pings of an ingress that is not ready yet.
+const PING_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Checks that so many ingresses may be started here: a few hundred, in half of the machine's memory.
-pub fn check_room(processes: u64) -> anyhow::Result<()> {
-    if processes > MOST_PROCESSES {
-        bail!("{processes} processes are more than {MOST_PROCESSES}");
+pub fn check_capacity(processes: u64) -> anyhow::Result<()> {
+    if processes > MAX_PROCESSES {
+        bail!("{processes} processes are more than {MAX_PROCESSES}");
     }
-    let text = std::fs::read_to_string("/proc/meminfo").context("cannot read /proc/meminfo")?;
-    let kb = |key: &str| {
-        let line = text.lines().find(|l| l.starts_with(key));
-        line.and_then(|l| l.split_whitespace().nth(1)).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0)
-    };
-    let (wanted, room) =
-        (processes * MEMORY_EACH, (kb("MemTotal:") * 1024 / 2).min(kb("MemAvailable:") * 1024));
-    if wanted > room {
-        bail!("{processes} processes want {} MB, and {} MB are free for them", wanted >> 20, room >> 20);
+    let meminfo = std::fs::read_to_string("/proc/meminfo").context("cannot read /proc/meminfo")?;
+    let needed = processes * MEMORY_PER_PROCESS;
+    let (total, free) = (procfs::bytes(&meminfo, "MemTotal"), procfs::bytes(&meminfo, "MemAvailable"));
+    let available = (total / 2).min(free);
+    if needed > available {
+        bail!("{processes} processes want {} MB, and {} MB are free for them", needed >> 20, available >> 20);
     }
     Ok(())
 }
 
-/// How an ingress is configured.
-#[derive(Clone)]
-pub struct Setup {
-    /// Its number, and how many ingresses the fleet has by its settings.
-    pub number: u64,
-    /// The size of the fleet, as the settings tell it.
-    pub fleet: u64,
-    /// Discovery.
-    pub discovery: SocketAddr,
-    /// `push` or `ask`.
-    pub mode: &'static str,
-    /// The version and the lines of the list that it starts with.
-    pub known: (u64, Vec<String>),
-    /// Its limit on memory, in MB.
-    pub memory_mb: u64,
-}
-
-impl Setup {
-    fn config(&self, listen: SocketAddr) -> String {
-        let Setup { number, fleet, discovery, mode, memory_mb, .. } = self;
-        let known = stand_in::list(self.known.0, true, &self.known.1);
-        let zones: Vec<String> = (0..crate::simulation::ZONES).map(|z| format!("\"z{z}\"")).collect();
-        format!(
-            r#"{{"name":"n{number}","listen":"{listen}","discovery":"{discovery}","seed":"{:016x}",
- "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":1024}},"known":{known},
- "settings":{{"n_instances":{fleet},"slot_no":{number},"zone":0,"tick_us":4000,"zones":[{}],"skus":["m"],
- "grades":[{{"name":"quote","effect":"repeatable","group":"all","window_us":0,"objective_us":1000000,
-  "give_up_us":3000000,"worth":1.0,"late_worth":0.0,"stream":false}}],
- "contracts":[{{"name":"starter","quota_rate":1000000.0,"burst":1000000.0,"max_out":0,"never_over_rate":0.0,
-  "ceiling_burst":0.0,"ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}}],
- "limits":{{"most_tries":3,"second_copies":true,"cancelling":true,"may_probe":false,"peers":false,"retry_after":true,
-  "max_retry_after_us":2000000,"max_open":20000,"connect_timeout_us":250000,"keepalive_us":15000000}},
- "family_info":{{"peer_in_per_s":40.0,"has_counter":false,"meter_period_us":0,"post_paid":false}},
- "rules":{{"answer_slack_us":16000,"drain_grace_us":250000,"cold_from":0.28,"cold_us":16000000,
-  "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000}},
- "membership_mode":"{mode}","weights":"nominal","reporting":{{"how":"none","fields":[]}}}}}}"#,
-            number + 7,
-            zones.join(",")
-        )
-    }
-}
-
-/// An ingress that runs; it is ended with this.
-pub struct Ingress {
+/// An ingress that runs; it is ended with this handle.
+pub struct IngressProcess {
     /// Where it listens.
-    pub at: SocketAddr,
+    pub address: SocketAddr,
     /// When it was started.
-    pub began: Instant,
+    pub started_at: Instant,
+    /// The process.
     child: Child,
-    file: PathBuf,
+    /// Its configuration file.
+    config_file: PathBuf,
+    /// The program that it runs.
     program: PathBuf,
 }
 
-impl Ingress {
-    /// Starts one.
-    pub fn start(program: &Path, setup: &Setup) -> anyhow::Result<Ingress> {
-        let at = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let file =
-            std::env::temp_dir().join(format!("fleet-experiments-{}-{}.json", std::process::id(), at.port()));
-        std::fs::write(&file, setup.config(at))
-            .with_context(|| format!("cannot write {}", file.display()))?;
-        let child = Self::spawn(program, &file)?;
-        Ok(Ingress { at, began: Instant::now(), child, file, program: program.to_path_buf() })
+impl IngressProcess {
+    /// Starts an ingress at a port of its own.
+    pub fn start(program: &Path, config: &IngressConfig) -> anyhow::Result<IngressProcess> {
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let file_name = format!("fleet-experiments-{}-{}.json", std::process::id(), address.port());
+        let config_file = std::env::temp_dir().join(file_name);
+        std::fs::write(&config_file, config.to_json(address))
+            .with_context(|| format!("cannot write {}", config_file.display()))?;
+        let child = Self::spawn(program, &config_file)?;
+        let program = program.to_path_buf();
+        Ok(IngressProcess { address, started_at: Instant::now(), child, config_file, program })
     }
 
-    fn spawn(program: &Path, file: &Path) -> anyhow::Result<Child> {
+    /// Starts the program with a configuration file, and nothing of it from the environment.
+    fn spawn(program: &Path, config_file: &Path) -> anyhow::Result<Child> {
         let mut command = Command::new(program);
-        command.env("LB_CONFIG", file).stdin(Stdio::null()).stderr(Stdio::piped());
+        command.env("LB_CONFIG", config_file).stdin(Stdio::null()).stderr(Stdio::piped());
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
@@ -108,85 +77,79 @@
     pub fn restart(&mut self) -> anyhow::Result<()> {
         self.child.kill()?;
         self.child.wait()?;
-        self.child = Self::spawn(&self.program, &self.file)?;
-        self.began = Instant::now();
+        self.child = Self::spawn(&self.program, &self.config_file)?;
+        self.started_at = Instant::now();
         Ok(())
     }
 
-    /// Gives it another configuration and tells it so.
-    pub fn configure(&self, setup: &Setup) -> anyhow::Result<()> {
-        let new = self.file.with_extension("new");
-        std::fs::write(&new, setup.config(self.at))?;
-        std::fs::rename(&new, &self.file)?;
-        let told = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status()?;
-        if !told.success() {
-            bail!("cannot signal process {}", self.child.id());
+    /// Gives it another configuration and tells it to reload.
+    pub fn reconfigure(&self, config: &IngressConfig) -> anyhow::Result<()> {
+        let new_file = self.config_file.with_extension("new");
+        std::fs::write(&new_file, config.to_json(self.address))?;
+        std::fs::rename(&new_file, &self.config_file)?;
+        let process = self.child.id();
+        if !Command::new("kill").args(["-HUP", &process.to_string()]).status()?.success() {
+            bail!("cannot signal process {process}");
         }
         Ok(())
     }
 
-    /// Waits until it answers PING; the time since its start.
-    pub fn ready(&self, most: Duration) -> anyhow::Result<Duration> {
-        while self.began.elapsed() < most {
-            if self.answers() {
-                return Ok(self.began.elapsed());
+    /// Waits until it answers a ping; the time since its start.
+    pub fn wait_until_ready(&self, timeout: Duration) -> anyhow::Result<Duration> {
+        while self.started_at.elapsed() < timeout {
+            if self.answers_ping() {
+                return Ok(self.started_at.elapsed());
             }
-            std::thread::sleep(Duration::from_millis(2));
+            std::thread::sleep(PING_INTERVAL);
         }
-        bail!("the ingress at {} was not ready in {most:?}", self.at)
+        bail!("the ingress at {} was not ready in {timeout:?}", self.address)
+    }
+
+    /// Whether it answers a ping.
+    pub fn answers_ping(&self) -> bool {
+        self.ping().unwrap_or(false)
     }
 
-    /// Whether it answers PING.
-    pub fn answers(&self) -> bool {
-        let ask = || -> std::io::Result<bool> {
-            let mut stream = TcpStream::connect(self.at)?;
-            stream.set_read_timeout(Some(Duration::from_secs(2)))?;
-            stream.write_all(b"*1\r\n$4\r\nPING\r\n")?;
-            let mut answer = [0; 7];
-            stream.read_exact(&mut answer)?;
-            Ok(&answer == b"+PONG\r\n")
-        };
-        ask().unwrap_or(false)
+    /// Sends a ping on a connection of its own; false for an answer that is not the right one.
+    fn ping(&self) -> std::io::Result<bool> {
+        let mut stream = TcpStream::connect(self.address)?;
+        stream.set_read_timeout(Some(PING_TIMEOUT))?;
+        stream.write_all(b"*1\r\n$4\r\nPING\r\n")?;
+        let mut answer = [0; 7];
+        stream.read_exact(&mut answer)?;
+        Ok(&answer == b"+PONG\r\n")
     }
 
     /// Whether it still runs.
-    pub fn runs(&mut self) -> bool {
+    pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
 
-    /// Resident memory now and at its most, in bytes.
-    pub fn memory(&self) -> (u64, u64) {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let kb = |key: &str| {
-            let line = text.lines().find(|l| l.starts_with(key));
-            line.and_then(|l| l.split_whitespace().nth(1)).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0)
-        };
-        (kb("VmRSS:") * 1024, kb("VmHWM:") * 1024)
+    /// The memory that it takes.
+    pub fn memory(&self) -> ProcessMemory {
+        procfs::memory(self.child.id())
     }
 
-    /// Processor time used so far, in seconds; the system counts in hundredths.
-    pub fn cpu(&self) -> f64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
-        let fields: Vec<&str> = text.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |n: usize| fields.get(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
-        (ticks(11) + ticks(12)) / 100.0
+    /// The processor time that it has used, in seconds; the system counts in hundredths.
+    pub fn cpu_seconds(&self) -> f64 {
+        procfs::cpu_seconds(self.child.id())
     }
 
     /// Ends it; what it wrote to its log.
     pub fn end(mut self) -> String {
         let _ = self.child.kill();
         let mut log = String::new();
-        if let Some(mut err) = self.child.stderr.take() {
-            let _ = err.read_to_string(&mut log);
+        if let Some(mut stderr) = self.child.stderr.take() {
+            let _ = stderr.read_to_string(&mut log);
         }
         log
     }
 }
 
-impl Drop for Ingress {
+impl Drop for IngressProcess {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.config_file);
     }
 }
--- a/fleet-experiments/src/main.rs
+++ b/fleet-experiments/src/main.rs
@@ -1,19 +1,25 @@
-//! The command line: runs the experiments of a file and writes their results as lines of JSON, or draws slopes through them.
+//! The command line: runs the experiments of a file and writes their results as lines of JSON, or draws
+//! straight lines through such results.
 
 use anyhow::Context;
 use clap::{Parser, Subcommand};
-use fleet_experiments::{experiment_file::Spec, fit, report::Report};
+use fleet_experiments::{experiment_file::ExperimentFile, fit, report::Report};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// The exit status for an experiment file that cannot be used.
+const BAD_EXPERIMENT_FILE: u8 = 2;
+
 /// Runs experiments on a fleet of ingresses.
 #[derive(Parser)]
 #[command(version)]
-struct Args {
+struct Arguments {
+    /// What to do.
     #[command(subcommand)]
     command: Command,
 }
 
+/// What the program does.
 #[derive(Subcommand)]
 enum Command {
     /// Runs the experiments of a file.
@@ -35,33 +41,42 @@
 }
 
 fn main() -> ExitCode {
-    let args = Args::parse();
+    let arguments = Arguments::parse();
     tracing_subscriber::fmt().with_writer(std::io::stderr).with_target(false).init();
-    let (path, done) = match &args.command {
-        Command::Run { experiment, out, ingress } => {
-            let spec = match Spec::read(experiment) {
-                Ok(spec) => spec,
-                Err(why) => {
-                    eprintln!("{}: {why}", experiment.display());
-                    return ExitCode::from(2);
-                }
-            };
-            let report = Report::to(out.as_deref(), spec.seed);
-            (experiment, report.and_then(|mut report| spec.run(ingress, &mut report)))
-        }
-        Command::Fit { results } => (results, print_fits(results)),
-    };
-    match done {
+    match &arguments.command {
+        Command::Run { experiment, out, ingress } => match ExperimentFile::read(experiment) {
+            Ok(file) => exit_code(experiment, run(&file, out.as_deref(), ingress)),
+            Err(error) => {
+                eprintln!("{}: {error}", experiment.display());
+                ExitCode::from(BAD_EXPERIMENT_FILE)
+            }
+        },
+        Command::Fit { results } => exit_code(results, print_fits(results)),
+    }
+}
+
+/// Success, or a line on standard error about the file that was worked on.
+fn exit_code(path: &Path, result: anyhow::Result<()>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("{}: {e:#}", path.display());
+        Err(error) => {
+            eprintln!("{}: {error:#}", path.display());
             ExitCode::FAILURE
         }
     }
 }
 
+/// Runs the experiments of a file.
+fn run(file: &ExperimentFile, out: Option<&Path>, ingress_program: &Path) -> anyhow::Result<()> {
+    let mut report = Report::create(out, file.seed)?;
+    file.run(ingress_program, &mut report)
+}
+
+/// Prints the lines through a file of results.
 fn print_fits(results: &Path) -> anyhow::Result<()> {
     let text = std::fs::read_to_string(results).context("cannot read")?;
-    fit::fits(&text)?.iter().for_each(|line| println!("{line}"));
+    for line in fit::fit_results(&text)? {
+        println!("{line}");
+    }
     Ok(())
 }
--- a/fleet-experiments/src/report.rs
+++ b/fleet-experiments/src/report.rs
@@ -1,56 +1,49 @@
 //! Results: a line of JSON for each point, with the seed, the commit and the machine.
 
+use crate::procfs;
 use anyhow::Context;
-use serde_json::{json, Value};
+use serde::Serialize;
+use serde_json::Value;
 use std::fs::File;
-use std::io::{stdout, Write};
+use std::io::{sink, stdout, Write};
 use std::path::Path;
 use std::process::Command;
 
+/// What a commit has to hold of, to be named without a mark.
+const SOURCES: [&str; 3] = ["src", "fleet-experiments/src", "Cargo.lock"];
+
 /// Where results go.
 pub struct Report {
+    /// The file, or standard output.
     out: Box<dyn Write>,
+    /// Seed of all that was drawn.
     seed: u64,
+    /// The commit that was run.
     commit: String,
+    /// The machine that it was run on.
     machine: String,
     /// The points so far, for whoever runs experiments from code.
     pub points: Vec<Value>,
 }
 
-fn first_line(program: &str, args: &[&str]) -> Option<String> {
-    let out = Command::new(program).args(args).output().ok().filter(|o| o.status.success())?;
-    String::from_utf8(out.stdout).ok()?.lines().next().map(str::to_string)
-}
-
-/// The commit that is checked out, with `+` where files differ from it.
-fn commit() -> String {
-    let Some(head) = first_line("git", &["rev-parse", "--short", "HEAD"]) else { return "unknown".into() };
-    let changed =
-        first_line("git", &["status", "--porcelain", "--", "src", "fleet-experiments/src", "Cargo.lock"])
-            .is_some();
-    if changed {
-        head + "+"
-    } else {
-        head
-    }
-}
-
-/// Cores, processor and memory.
-fn machine() -> String {
-    let read = |path: &str| std::fs::read_to_string(path).unwrap_or_default();
-    let value = |text: &str, key: &str| {
-        let line = text.lines().find(|l| l.starts_with(key));
-        line.and_then(|l| l.split(':').nth(1)).unwrap_or("unknown").trim().to_string()
-    };
-    let cores = std::thread::available_parallelism().map_or(0, usize::from);
-    let (cpu, memory) =
-        (value(&read("/proc/cpuinfo"), "model name"), value(&read("/proc/meminfo"), "MemTotal"));
-    format!("{cores} cores, {cpu}, {memory}")
+/// A line of a file of results.
+#[derive(Serialize)]
+struct ResultLine<'a> {
+    /// The commit that was run.
+    commit: &'a str,
+    /// The experiment's name.
+    experiment: &'a str,
+    /// The machine that it was run on.
+    machine: &'a str,
+    /// The experiment's point.
+    point: &'a Value,
+    /// Seed of all that was drawn.
+    seed: u64,
 }
 
 impl Report {
     /// Writes to a file, or to standard output.
-    pub fn to(path: Option<&Path>, seed: u64) -> anyhow::Result<Report> {
+    pub fn create(path: Option<&Path>, seed: u64) -> anyhow::Result<Report> {
         let out: Box<dyn Write> = match path {
             Some(path) => {
                 Box::new(File::create(path).with_context(|| format!("cannot write {}", path.display()))?)
@@ -61,25 +54,47 @@
     }
 
     /// Keeps results in memory only.
-    pub fn kept(seed: u64) -> Report {
-        Report {
-            out: Box::new(std::io::sink()),
-            seed,
-            commit: String::new(),
-            machine: String::new(),
-            points: vec![],
-        }
+    pub fn in_memory(seed: u64) -> Report {
+        let (commit, machine) = (String::new(), String::new());
+        Report { out: Box::new(sink()), seed, commit, machine, points: Vec::new() }
     }
 
     /// Writes a point, and a line of progress.
-    pub fn point(&mut self, experiment: &str, point: Value) -> anyhow::Result<()> {
-        tracing::info!("{experiment}: {point}");
-        let (seed, commit, machine) = (self.seed, &self.commit, &self.machine);
-        let line = json!({
-            "experiment": experiment, "seed": seed, "commit": commit, "machine": machine, "point": point
-        });
+    pub fn record(&mut self, experiment: &str, point: &impl Serialize) -> anyhow::Result<()> {
+        let point = serde_json::to_value(point).context("cannot write a result")?;
+        tracing::info!("report: point measured, experiment={experiment} point={point}");
+        let (commit, machine) = (&self.commit, &self.machine);
+        let line = ResultLine { commit, experiment, machine, point: &point, seed: self.seed };
+        let line = serde_json::to_string(&line).context("cannot write a result")?;
         writeln!(self.out, "{line}").and_then(|()| self.out.flush()).context("cannot write a result")?;
         self.points.push(point);
         Ok(())
     }
 }
+
+/// The first line that a program prints; none if it fails or prints nothing.
+fn first_line(program: &str, arguments: &[&str]) -> Option<String> {
+    let output = Command::new(program).args(arguments).output().ok()?;
+    let text = String::from_utf8(output.stdout).ok().filter(|_| output.status.success())?;
+    text.lines().next().map(str::to_string)
+}
+
+/// The commit that is checked out, with `+` where files differ from it.
+fn commit() -> String {
+    let Some(head) = first_line("git", &["rev-parse", "--short", "HEAD"]) else { return "unknown".into() };
+    let mut status = vec!["status", "--porcelain", "--"];
+    status.extend(SOURCES);
+    match first_line("git", &status) {
+        Some(_) => head + "+",
+        None => head,
+    }
+}
+
+/// Cores, processor and memory.
+fn machine() -> String {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let (cpuinfo, meminfo) = (procfs::read("/proc/cpuinfo"), procfs::read("/proc/meminfo"));
+    let processor = procfs::value(&cpuinfo, "model name").unwrap_or("unknown");
+    let memory = procfs::value(&meminfo, "MemTotal").unwrap_or("unknown");
+    format!("{cores} cores, {processor}, {memory}")
+}
--- a/fleet-experiments/tests/experiments.rs
+++ b/fleet-experiments/tests/experiments.rs
@@ -1,6 +1,7 @@
 //! Every experiment in small, judged by counts; and what bad experiment files get.
 
-use fleet_experiments::{experiment_file::Spec, report::Report};
+use fleet_experiments::experiment_file::{ExperimentFile, ExperimentFileError};
+use fleet_experiments::report::Report;
 use serde_json::Value;
 use std::path::PathBuf;
 use std::process::Command;
@@ -23,9 +24,9 @@
     let mut one = toml::Table::new();
     one.insert("seed".into(), all["seed"].clone());
     one.insert(table.into(), all[table].clone());
-    let spec = Spec::parse(&one.to_string()).unwrap();
-    let mut report = Report::kept(spec.seed);
-    spec.run(&ingress(), &mut report).unwrap();
+    let file = ExperimentFile::parse(&one.to_string()).unwrap();
+    let mut report = Report::in_memory(file.seed);
+    file.run(&ingress(), &mut report).unwrap();
     report.points
 }
 
@@ -35,10 +36,10 @@
 
 #[test]
 fn a_list_is_measured_at_each_size() {
-    let points = points("list");
-    let sizes: Vec<f64> = points.iter().map(|p| number(p, "backends")).collect();
+    let points = points("endpoint_list");
+    let sizes: Vec<f64> = points.iter().map(|point| number(point, "backends")).collect();
     assert_eq!(sizes, [200.0, 400.0]);
-    let zones: Vec<f64> = points.iter().map(|p| number(p, "zone")).collect();
+    let zones: Vec<f64> = points.iter().map(|point| number(point, "zone_backends")).collect();
     assert_eq!(zones, [12.0, 23.0]);
 }
 
@@ -49,7 +50,8 @@
     }
 }
 
-/// Guards against quota messages that grow with the fleet at one rate: each ingress has its own customers to ask of.
+/// Guards against quota messages that grow with the fleet at one rate: each ingress has its own customers to
+/// ask of.
 #[test]
 fn quota_messages_of_an_ingress_grow_with_requests_and_not_with_the_fleet() {
     let points = points("quota");
@@ -58,7 +60,9 @@
         assert!(messages > 0.0 && bytes <= 256.0 * messages, "{point}");
     }
     let of = |ingresses: f64, rate: f64| {
-        let found = points.iter().find(|p| number(p, "ingresses") == ingresses && number(p, "rate") == rate);
+        let is_wanted =
+            |point: &&Value| number(point, "ingresses") == ingresses && number(point, "rate") == rate;
+        let found = points.iter().find(is_wanted);
         number(found.unwrap(), "messages")
     };
     assert!(of(6.0, 8.0) > of(6.0, 4.0) && of(12.0, 8.0) > of(12.0, 4.0), "{points:?}");
@@ -68,79 +72,116 @@
 /// The same draws give the same results: two plays differ in nothing.
 #[test]
 fn models_are_deterministic() {
-    for table in ["quota", "discovery", "cold"] {
+    for table in ["quota", "discovery", "slow_start"] {
         assert_eq!(points(table), points(table), "{table}");
     }
 }
 
 #[test]
-fn a_fleet_calls_a_discovery_that_is_back_once_each() {
+fn a_fleet_polls_a_discovery_that_is_back_once_each() {
     let points = points("discovery");
-    assert_eq!((number(&points[0], "calls"), number(&points[0], "in_vain")), (50.0, 0.0));
+    assert_eq!((number(&points[0], "polls"), number(&points[0], "rejected_polls")), (50.0, 0.0));
     assert!(number(&points[0], "longest_gap_s") <= 5.0, "{points:?}");
 }
 
 #[test]
-fn a_ramp_counts_what_cold_backends_get() {
-    let points = points("cold");
-    assert!(number(&points[0], "used") > 0.0 && number(&points[0], "worst") > 0.0, "{points:?}");
-    assert_eq!(number(&points[0], "passed"), 0.0, "{points:?}");
+fn a_ramp_counts_what_backends_in_slow_start_get() {
+    let points = points("slow_start");
+    assert!(number(&points[0], "budget_used") > 0.0 && number(&points[0], "peak_window") > 0.0, "{points:?}");
+    assert_eq!(number(&points[0], "runs_over_limit"), 0.0, "{points:?}");
 }
 
 #[test]
-fn a_real_ingress_takes_a_list_and_its_changes() {
-    let points = points("real_list");
-    assert!(points[0]["taken"] == true && points[0]["runs"] == true, "{points:?}");
+fn a_real_ingress_applies_a_list_and_its_changes() {
+    let points = points("ingress_endpoint_list");
+    assert!(points[0]["applied"] == true && points[0]["running"] == true, "{points:?}");
 }
 
 #[test]
-fn restarted_ingresses_call_discovery_and_heed_a_new_configuration() {
-    let points = points("real_restart");
-    assert_eq!((number(&points[0], "restarted"), number(&points[0], "configured")), (9.0, 10.0));
-    assert!(number(&points[0], "list_last_s").is_finite() && number(&points[0], "served") > 0.0);
+fn restarted_ingresses_poll_discovery_and_apply_a_new_configuration() {
+    let points = points("ingress_restart");
+    assert_eq!((number(&points[0], "restarted"), number(&points[0], "reconfigured")), (9.0, 10.0));
+    assert!(number(&points[0], "first_poll_last_s").is_finite() && number(&points[0], "served") > 0.0);
 }
 
 #[test]
 fn requests_through_a_real_ingress_are_all_served() {
-    let points = points("real_added");
+    let points = points("ingress_latency");
     assert_eq!(number(&points[0], "served"), 100.0, "{points:?}");
 }
 
-/// What is wrong with a file is told in one line that names key and reason, and the status is 2.
+/// An error in a file is reported in one line that names key and reason, with exit status 2.
 #[test]
-fn bad_experiment_files_are_told_by_their_key() {
+fn errors_in_experiment_files_name_the_key() {
     let cases = [
         ("", "seed"),
         ("seed = 1", "no experiment"),
         ("seed = \"x\"", "seed"),
         ("seed = 1\nsed = 2", "sed"),
-        ("seed = 1\n[list]\nbackends = [0]\ningresses = 3\nchanges = 1", "list.backends: 0"),
-        ("seed = 1\n[list]\nbackends = []\ningresses = 3\nchanges = 1", "list.backends: is empty"),
+        (
+            "seed = 1\n[endpoint_list]\nbackends = [0]\ningresses = 3\nchanges = 1",
+            "endpoint_list.backends: 0",
+        ),
+        (
+            "seed = 1\n[endpoint_list]\nbackends = []\ningresses = 3\nchanges = 1",
+            "endpoint_list.backends: is empty",
+        ),
+        ("seed = 1\n[list]\nbackends = []\ningresses = 3\nchanges = 1", "endpoint_list.backends: is empty"),
+        (
+            "seed = 1\n[endpoint_list]\nbackends = [5, \"many\"]\ningresses = 3\nchanges = 1",
+            "endpoint_list.backends[1]",
+        ),
         ("seed = 1\n[list]\nbackends = [5, \"many\"]\ningresses = 3\nchanges = 1", "list.backends[1]"),
-        ("seed = 1\n[list]\nbackends = [5]\ningresses = 70000\nchanges = 1", "list.ingresses"),
-        ("seed = 1\n[list]\nbackends = [5]\ningresses = 3", "changes"),
         (
-            "seed = 1\n[real_added]\nrates = [99999999]\nconnections = 1\nrequests = 1\nbackends = 1",
-            "real_added.rates",
+            "seed = 1\n[endpoint_list]\nbackends = [5]\ningresses = 70000\nchanges = 1",
+            "endpoint_list.ingresses",
+        ),
+        ("seed = 1\n[endpoint_list]\nbackends = [5]\ningresses = 3", "changes"),
+        (
+            "seed = 1\n[ingress_latency]\nrates = [99999999]\nconnections = 1\nrequests = 1\nbackends = 1",
+            "ingress_latency.rates",
         ),
         ("seed 1", "expected"),
     ];
-    for (n, (text, key)) in cases.into_iter().enumerate() {
-        let why = Spec::parse(text).map(|_| ()).expect_err(text);
+    for (index, (text, key)) in cases.into_iter().enumerate() {
+        let why = ExperimentFile::parse(text).map(|_| ()).expect_err(text).to_string();
         assert!(why.contains(key) && !why.contains('\n'), "{text:?}: {why}");
         let file =
-            std::env::temp_dir().join(format!("fleet-experiments-bad-{}-{n}.toml", std::process::id()));
+            std::env::temp_dir().join(format!("fleet-experiments-bad-{}-{index}.toml", std::process::id()));
         std::fs::write(&file, text).unwrap();
-        let out =
+        let output =
             Command::new(env!("CARGO_BIN_EXE_fleet-experiments")).arg("run").arg(&file).output().unwrap();
         std::fs::remove_file(&file).unwrap();
-        let err = String::from_utf8(out.stderr).unwrap();
-        assert_eq!((out.status.code(), err.lines().count()), (Some(2), 1), "{text:?}: {err}");
+        let err = String::from_utf8(output.stderr).unwrap();
+        assert_eq!((output.status.code(), err.lines().count()), (Some(2), 1), "{text:?}: {err}");
     }
 }
 
 /// The file that the capacity page rests on is one that can be run.
 #[test]
 fn the_experiments_of_the_capacity_page_are_well_formed() {
-    Spec::parse(include_str!("../experiments/capacity.toml")).unwrap();
+    ExperimentFile::parse(include_str!("../experiments/capacity.toml")).unwrap();
+}
+
+/// Files written before tables and keys were renamed say the same as those of today.
+#[test]
+fn experiment_files_with_former_names_are_still_read() {
+    let former = ExperimentFile::parse(include_str!("former_names.toml")).unwrap();
+    assert_eq!(former.experiments().len(), 8);
+    assert_eq!(former, ExperimentFile::parse(SMALL).unwrap());
+}
+
+#[test]
+fn errors_in_sizes_have_their_kind() {
+    let parse = |table: &str| ExperimentFile::parse(&format!("seed = 1\n{table}")).unwrap_err();
+    assert!(matches!(parse(""), ExperimentFileError::NoExperiment));
+    let list = |backends: &str| parse(&format!("[list]\nbackends = {backends}\ningresses = 3\nchanges = 1"));
+    assert!(matches!(
+        list("[]"),
+        ExperimentFileError::Empty { experiment: "endpoint_list", key: "backends" }
+    ));
+    let ExperimentFileError::OutOfRange { experiment, key, value } = list("[5, 0]") else {
+        panic!("not a size out of range")
+    };
+    assert_eq!((experiment, key, value), ("endpoint_list", "backends", 0.0));
 }
--- a/fleet-experiments/tests/fit.rs
+++ b/fleet-experiments/tests/fit.rs
@@ -1,19 +1,25 @@
 //! Slopes through results.
 
-use fleet_experiments::fit::{fits, line};
+use fleet_experiments::fit::{fit_line, fit_results, Point};
 
 #[test]
 fn a_straight_line_is_found_and_a_bent_one_is_told_by_its_distance() {
-    let straight: Vec<(f64, f64)> = [1.0, 10.0, 1e3, 1e5].iter().map(|x| (*x, 3.0 + 0.5 * x)).collect();
-    let found = line(&straight).unwrap();
+    let points =
+        |sizes: [f64; 4], value: &dyn Fn(f64) -> f64| sizes.map(|size| Point { size, value: value(size) });
+    let straight = points([1.0, 10.0, 1e3, 1e5], &|size| 3.0 + 0.5 * size);
+    let found = fit_line(&straight).unwrap();
     assert!(
-        (found.base - 3.0).abs() < 1e-6 && (found.slope - 0.5).abs() < 1e-9 && found.off < 1e-6,
+        (found.base - 3.0).abs() < 1e-6
+            && (found.slope - 0.5).abs() < 1e-9
+            && found.max_relative_error < 1e-6,
         "{found:?}"
     );
-    let bent: Vec<(f64, f64)> = [1.0, 10.0, 100.0, 1000.0].iter().map(|x| (*x, x * x)).collect();
-    assert!(line(&bent).unwrap().off > 0.5, "{:?}", line(&bent));
-    assert_eq!(line(&[(5.0, 1.0), (5.0, 2.0)]), None, "one size");
-    assert_eq!(line(&[(1.0, 0.0), (2.0, 2.0)]), None, "nothing to be a share of");
+    let bent = points([1.0, 10.0, 100.0, 1000.0], &|size| size * size);
+    assert!(fit_line(&bent).unwrap().max_relative_error > 0.5, "{:?}", fit_line(&bent));
+    let one_size = [Point { size: 5.0, value: 1.0 }, Point { size: 5.0, value: 2.0 }];
+    assert_eq!(fit_line(&one_size), None, "one size");
+    let zero = [Point { size: 1.0, value: 0.0 }, Point { size: 2.0, value: 2.0 }];
+    assert_eq!(fit_line(&zero), None, "nothing to be a share of");
 }
 
 #[test]
@@ -23,10 +29,41 @@
             r#"{{"experiment":"quota","point":{{"rate":{rate},"ingresses":{ingresses},"messages":{messages}}}}}"#
         )
     };
-    let mut lines: Vec<String> = (1..=4).map(|n| point(n, 30, 2 * n)).collect();
-    lines.extend((1..=3).map(|n| point(n, 60, 2 * n)));
-    let found = fits(&lines.join("\n")).unwrap();
+    let mut lines: Vec<String> = (1..=4).map(|rate| point(rate, 30, 2 * rate)).collect();
+    lines.extend((1..=3).map(|rate| point(rate, 60, 2 * rate)));
+    let found = fit_results(&lines.join("\n")).unwrap();
     assert_eq!(found.len(), 1, "{found:?}");
     assert!(found[0].contains("ingresses 30") && found[0].contains("2.000e0 each"), "{found:?}");
-    assert!(fits("{").is_err());
+    assert!(fit_results("{").is_err());
+}
+
+/// The results that the capacity page rests on have the names of their time: they are fitted like those of
+/// today.
+#[test]
+fn results_with_former_names_are_fitted_like_those_of_today() {
+    let former = include_str!("../results/capacity-after.jsonl");
+    let renamed = [
+        ("\"list\"", "\"endpoint_list\""),
+        ("\"real_list\"", "\"ingress_endpoint_list\""),
+        ("\"whole_us\"", "\"snapshot_us\""),
+        ("\"memory\"", "\"memory_bytes\""),
+        ("\"took_s\"", "\"apply_s\""),
+        ("\"memory_most\"", "\"peak_memory_bytes\""),
+    ];
+    let mut current = former.to_string();
+    for (former_name, name) in renamed {
+        assert!(current.contains(former_name), "{former_name}");
+        current = current.replace(former_name, name);
+    }
+    let fits = fit_results(former).unwrap();
+    assert_eq!(fits, fit_results(&current).unwrap());
+    assert_eq!(fits.len(), 19, "{fits:?}");
+    for fit in [
+        "endpoint_list snapshot_us by backends (): 2.107e0 + 4.462e-1 each, 5 points, off by 54% at most",
+        "request mean_us by customers (backends 200, ingresses 2900): 3.221e0 + 2.685e-6 each, 5 points, off by 18% at most",
+        "ingress_endpoint_list apply_s by backends (): 2.424e-4 + 2.848e-6 each, 5 points, off by 19% at most",
+        "ingress_endpoint_list peak_memory_bytes by backends (): 3.113e6 + 4.475e2 each, 5 points, off by 5% at most",
+    ] {
+        assert!(fits.iter().any(|found| found == fit), "{fit} in {fits:?}");
+    }
 }
--- a/fleet-experiments/tests/slow_start.rs
+++ b/fleet-experiments/tests/slow_start.rs
@@ -1,19 +1,20 @@
-//! Cold ramps over a whole fleet: what is sent to backends that have just started, counted in the rule's window.
+//! Slow start over a whole fleet: what is sent to backends that have just started, counted in the rule's
+//! window.
 
-use fleet_experiments::experiments::slow_start::{play, Ramp};
+use fleet_experiments::experiments::slow_start::{simulate, Ramp};
 
-/// Guards against a budget that grows with what is offered, and against draws that change within the rule's window for all
-/// ingresses at once: at a multiple of 1.2 each start passed the bound, by up to 1.7 times. Answers that take no longer
-/// however much is asked hide from all ingresses what a backend can do.
+/// Guards against a budget that grows with what is offered, and against draws that change within the rule's
+/// window for all ingresses at once: at a multiple of 1.2 each start passed the bound, by up to 1.7 times.
+/// Answers that take no longer however much is asked hide from all ingresses what a backend can do.
 #[test]
-fn cold_backends_are_not_pushed_over_by_a_fleet_that_is_asked_for_too_much() {
-    let ramp = |ingresses, backends, capacity, factor, load| Ramp {
+fn backends_in_slow_start_are_not_overloaded_by_a_fleet_that_is_asked_for_too_much() {
+    let ramp = |ingresses, backends, capacity, overload_factor, load| Ramp {
         ingresses,
         backends,
         capacity,
-        factor,
+        overload_factor,
         load,
-        queues: false,
+        queueing: false,
         seed: 0,
     };
     let ramps = [
@@ -24,22 +25,29 @@
         ramp(300, 12, 40.0, 2.0, 2.5),
         ramp(300, 12, 40.0, 1.2, 1.5),
     ];
-    for (n, ramp) in ramps.into_iter().enumerate() {
-        let ramp = Ramp { seed: n as u64 + 1, ..ramp };
-        let out = play(&ramp);
-        assert!(out.worst <= 1.0, "{ramp:?}: {out:?}");
-        assert!(out.used > 0.1, "they are used: {ramp:?}: {out:?}");
+    for (index, ramp) in ramps.into_iter().enumerate() {
+        let ramp = Ramp { seed: index as u64 + 1, ..ramp };
+        let outcome = simulate(&ramp);
+        assert!(outcome.peak_window <= 1.0, "{ramp:?}: {outcome:?}");
+        assert!(outcome.budget_used > 0.1, "they are used: {ramp:?}: {outcome:?}");
     }
 }
 
-/// Where answers slow down with what is asked, cold ones are spared, and still bear their part.
+/// Where answers slow down with what is asked, backends in slow start get less, and still serve their part.
 #[test]
-fn cold_backends_bear_their_part_where_answers_tell_of_the_load() {
+fn backends_in_slow_start_serve_their_part_where_answers_tell_of_the_load() {
     for (ingresses, seed) in [(30, 1), (30, 2), (300, 3)] {
-        let ramp =
-            Ramp { ingresses, backends: 12, capacity: 40.0, factor: 4.0, load: 0.7, queues: true, seed };
-        let out = play(&ramp);
-        assert!(out.worst <= 1.0 && out.used > 0.03, "{ramp:?}: {out:?}");
-        assert!(out.refused * 2 < out.answered, "{ramp:?}: {out:?}");
+        let ramp = Ramp {
+            ingresses,
+            backends: 12,
+            capacity: 40.0,
+            overload_factor: 4.0,
+            load: 0.7,
+            queueing: true,
+            seed,
+        };
+        let outcome = simulate(&ramp);
+        assert!(outcome.peak_window <= 1.0 && outcome.budget_used > 0.03, "{ramp:?}: {outcome:?}");
+        assert!(outcome.rejected * 2 < outcome.served, "{ramp:?}: {outcome:?}");
     }
 }
