--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -15,13 +15,12 @@
 
 /// Settings under which a connection may take its time, so that it is surely still to come up at the crossing.
 fn patient(mut setup: IngressSetup) -> IngressSetup {
-    setup.settings =
-        setup.settings.replace("\"connect_timeout_us\":250000", "\"connect_timeout_us\":8000000");
+    setup.replace_setting("\"connect_timeout_us\":250000", "\"connect_timeout_us\":8000000");
     setup
 }
 
 fn ids(backend: &Backend) -> Vec<String> {
-    backend.record.commands.lock().unwrap().iter().map(|c| c[2].clone()).collect()
+    backend.request_ids()
 }
 
 // ---- A connection that is still to come up ----
@@ -70,7 +69,7 @@
         let slow = UnreachableBackend::new();
         let mut setup = patient(IngressSetup::with_backends(&[]));
         setup.known_endpoints.push(endpoint_json("s-0", slow.address, "up"));
-        setup.settings = setup.settings.replace("\"cancelling\":true", &format!("\"cancelling\":{cancel}"));
+        setup.replace_setting("\"cancelling\":true", &format!("\"cancelling\":{cancel}"));
         let ingress = setup.start();
         let (mut leaves, mut stays) = (ingress.client(), ingress.client());
         leaves.send(&encode_request("refer", "r1", 7000));
@@ -109,7 +108,7 @@
     let mut client = ingress.client();
     let many: Vec<u8> = (0..400).flat_map(|n| encode_request("refer", &format!("r{n}"), 7000)).collect();
     client.send(&many);
-    wait_until("all places are taken", || backend.count() == 10);
+    wait_until("all places are taken", || backend.command_count() == 10);
     ingress.wait_until_input_is_processed();
     client.disconnect();
     ingress.wait_until_input_is_processed();
@@ -133,7 +132,7 @@
     let ingress = setup.start();
     let (mut first, mut second) = (ingress.client(), ingress.client());
     first.send(&encode_request("refer", "r1", 7000));
-    wait_until("it is sent", || working.count() == 1);
+    wait_until("it is sent", || working.command_count() == 1);
     old.publish(endpoint_json("s-1", slow.address, "up"));
     old.publish_and_wait(working.endpoint_json("s-0", "draining"));
     second.send(&encode_request("refer", "r2", 7000));
@@ -172,7 +171,7 @@
     let waited = sent.elapsed().as_millis() as u64;
     let slow = slow.accept_connections();
     assert_eq!(client.read_reply(), "value of r1");
-    let options = slow.record.commands.lock().unwrap()[0][3].clone();
+    let options = slow.commands()[0][3].clone();
     let told = options.split(',').find_map(|o| o.strip_prefix("d=")).unwrap().parse::<u64>().unwrap();
     assert!((1..=7000 - waited).contains(&told), "{told} ms told, {waited} ms after it was asked for 7000");
 }
--- a/tests/crowded.rs
+++ b/tests/crowded.rs
@@ -53,7 +53,7 @@
     let (discovery, moved) = (DiscoveryServer::start(), DiscoveryServer::start());
     let mut setup = IngressSetup::with_backends(&[]);
     setup.discovery = Some(discovery.address);
-    setup.settings = setup.settings.replace("\"push\"", &format!("\"{mode}\""));
+    setup.replace_setting("\"push\"", &format!("\"{mode}\""));
     if by_system {
         setup.system_descriptor_limit = Some(SOCKETS);
     } else {
@@ -67,12 +67,10 @@
     let held = Crowd::held(&ingress);
     assert!((SOCKETS / 2..=SOCKETS).contains(&held), "{held} descriptors; {what}");
     // Down for as long as it takes until it is back, it is told of a change meanwhile.
-    let before = discovery.polls.load(std::sync::atomic::Ordering::SeqCst);
+    let before = discovery.poll_count();
     discovery.publish(good.endpoint_json("s-0", "up"));
     discovery.set_down(false);
-    wait_until(&format!("discovery is called again; {what}"), || {
-        discovery.polls.load(std::sync::atomic::Ordering::SeqCst) > before
-    });
+    wait_until(&format!("discovery is called again; {what}"), || discovery.poll_count() > before);
     // One more client comes; its request needs a connection to a backend that nobody was connected to.
     let mut client = ingress.client();
     let mut answer = String::new();
@@ -92,7 +90,7 @@
     wait_until(&format!("a backend from there is used; {what}"), || {
         n += 1;
         client.round_trip(&encode_request("quote", &format!("m{n}"), 900));
-        other.count() > 0
+        other.command_count() > 0
     });
     crowd.0.iter().for_each(|c| drop(c.0.shutdown(Shutdown::Both)));
 }
--- a/tests/ingress/backend_connections.rs
+++ b/tests/ingress/backend_connections.rs
@@ -5,7 +5,6 @@
 use crate::support::client::encode_request;
 use crate::support::ingress::IngressSetup;
 use crate::support::wait::wait_until;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -40,14 +39,12 @@
             client.round_trip(&encode_request("refer", &format!("r{n}"), 2000)),
             format!("value of r{n}")
         );
-        backend.record.close_when_idle.store(true, Ordering::SeqCst);
-        wait_until("the backend hangs up", || {
-            backend.record.connections_closed.load(Ordering::SeqCst) == n + 1
-        });
-        backend.record.close_when_idle.store(false, Ordering::SeqCst);
+        backend.set_close_when_idle(true);
+        wait_until("the backend hangs up", || backend.connections_closed() == n + 1);
+        backend.set_close_when_idle(false);
         thread::sleep(Duration::from_millis(30));
     }
-    assert_eq!(backend.count(), 5);
+    assert_eq!(backend.command_count(), 5);
 }
 
 /// Guards against connections that are dead after a moment of idleness and say so only under the next request:
@@ -55,7 +52,7 @@
 #[test]
 fn connections_that_die_of_idleness_are_found_out() {
     let backend = Backend::start(reply_with_value);
-    backend.record.reset_after_idle_ms.store(130, Ordering::SeqCst);
+    backend.set_reset_after_idle(Duration::from_millis(130));
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
     let mut ask = |pause| {
@@ -67,20 +64,17 @@
     assert!(served >= 22, "{served} of 30 served");
     assert!((0..10).all(|_| ask(260)), "found out by now");
     // Those that were idle for less are used on.
-    let before = backend.record.connections_opened.load(Ordering::SeqCst);
+    let before = backend.connections_opened();
     assert!((0..10).filter(|_| ask(50)).count() >= 7);
-    assert!(
-        backend.record.connections_opened.load(Ordering::SeqCst) <= before + 7,
-        "each request has a new one"
-    );
+    assert!(backend.connections_opened() <= before + 7, "each request has a new one");
 }
 
 #[test]
 fn idle_connections_are_closed_before_the_backend_does() {
     let backend = Backend::start(reply_with_value);
     let mut setup = IngressSetup::with_backends(&[&backend]);
-    setup.settings = setup.settings.replace("15000000", "1000000");
+    setup.replace_setting("15000000", "1000000");
     let ingress = setup.start();
     assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
-    wait_until("it is closed", || backend.record.connections_closed.load(Ordering::SeqCst) == 1);
+    wait_until("it is closed", || backend.connections_closed() == 1);
 }
--- a/tests/ingress/client_connections.rs
+++ b/tests/ingress/client_connections.rs
@@ -5,7 +5,6 @@
 use crate::support::ingress::IngressSetup;
 use crate::support::resp::encode_command;
 use crate::support::wait::wait_until;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -15,9 +14,9 @@
     let ingress = IngressSetup::with_backends(&[&slow]).start();
     let mut client = ingress.client();
     client.send(&encode_request("refer", "r1", 5000));
-    wait_until("it is sent", || slow.count() == 1);
+    wait_until("it is sent", || slow.command_count() == 1);
     client.disconnect();
-    wait_until("it is called off", || slow.record.connections_closed.load(Ordering::SeqCst) == 1);
+    wait_until("it is called off", || slow.connections_closed() == 1);
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 5000)), "value of r2");
 }
 
@@ -61,7 +60,7 @@
         let answer = client.read_reply();
         assert!(answer == format!("value of s{n}") || answer.starts_with('-'), "{n}: {answer:?}");
     }
-    assert_eq!(client.round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(client.ping(), "+PONG");
 }
 
 #[test]
@@ -83,12 +82,12 @@
     let ingress = IngressSetup::with_backends(&[]).start();
     let (mut usual, mut silent, mut half) = (ingress.client(), ingress.client(), ingress.client());
     let start = Instant::now();
-    assert_eq!(usual.round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(usual.ping(), "+PONG");
     half.send(b"*4\r\n$8\r\nCALL");
     assert!(half.read_reply().starts_with("-ERR"));
     assert!(half.is_disconnected() && silent.is_disconnected());
     assert!(start.elapsed() < Duration::from_secs(5), "it took {:?}", start.elapsed());
-    assert_eq!(usual.round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(usual.ping(), "+PONG");
     // Half a command is timed from its first byte, not from the last command.
     let ping = encode_command(&["PING"]);
     usual.send(&ping[..5]);
--- a/tests/ingress/discovery.rs
+++ b/tests/ingress/discovery.rs
@@ -6,7 +6,6 @@
 use crate::support::discovery::DiscoveryServer;
 use crate::support::ingress::IngressSetup;
 use crate::support::wait::wait_until;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -20,7 +19,7 @@
     reply_through(&ingress, "quote", &one);
     reply_through(&ingress, "quote", &two);
     discovery.publish_and_wait(one.endpoint_json("s-0", "draining"));
-    let before = one.count();
+    let before = one.command_count();
     let mut client = ingress.client();
     for n in 0..50 {
         assert_eq!(
@@ -28,11 +27,8 @@
             format!("value of d{n}")
         );
     }
-    assert_eq!(one.count(), before);
-    wait_until("its idle connections are closed", || {
-        one.record.connections_closed.load(Ordering::SeqCst)
-            == one.record.connections_opened.load(Ordering::SeqCst)
-    });
+    assert_eq!(one.command_count(), before);
+    wait_until("its idle connections are closed", || one.connections_closed() == one.connections_opened());
     discovery.publish_and_wait(one.endpoint_json("s-0", "up"));
     reply_through(&ingress, "quote", &one);
 }
@@ -46,9 +42,9 @@
     let ingress = setup.start();
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
     discovery.publish_and_wait(new.endpoint_json("s-0", "up"));
-    wait_until("the old connection is closed", || old.record.connections_closed.load(Ordering::SeqCst) == 1);
+    wait_until("the old connection is closed", || old.connections_closed() == 1);
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 2000)), "value of r2");
-    assert_eq!((old.count(), new.count()), (1, 1));
+    assert_eq!((old.command_count(), new.command_count()), (1, 1));
 }
 
 /// Without discovery the list stays as it is; once it is back, what changed meanwhile is heard.
@@ -58,12 +54,12 @@
     let mut setup = IngressSetup::with_backends(&[&one]);
     setup.discovery = Some(discovery.address);
     let ingress = setup.start();
-    wait_until("the watch begins", || discovery.polls.load(Ordering::SeqCst) > 0);
+    wait_until("the watch begins", || discovery.poll_count() > 0);
     fail(&discovery, true);
     discovery.publish(two.endpoint_json("s-1", "up"));
     thread::sleep(Duration::from_millis(500));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
-    assert_eq!(two.count(), 0, "nobody can have told of it");
+    assert_eq!(two.command_count(), 0, "nobody can have told of it");
     let busy = ingress.cpu_centiseconds();
     thread::sleep(Duration::from_millis(1000));
     assert!(ingress.cpu_centiseconds() - busy < 50, "it is busy with asking");
--- a/tests/ingress/forwarding.rs
+++ b/tests/ingress/forwarding.rs
@@ -5,7 +5,6 @@
 use crate::support::client::{encode_request, encode_request_of};
 use crate::support::ingress::IngressSetup;
 use crate::support::resp::encode_command;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -22,7 +21,7 @@
         "BO\r\nDY",
     ]);
     assert_eq!(client.round_trip(&asked), "value of 9b1f03aa5c7e2d41");
-    let seen = backend.record.commands.lock().unwrap().clone();
+    let seen = backend.commands();
     let [args] = &seen[..] else { panic!("one attempt: {seen:?}") };
     assert_eq!(
         (&args[..3].join(" "), &args[4]),
@@ -47,11 +46,7 @@
         );
         thread::sleep(Duration::from_millis(40)); // a connection rests for a moment behind an answer
     }
-    assert_eq!(
-        backend.record.connections_opened.load(Ordering::SeqCst),
-        1,
-        "the newest idle connection is used again"
-    );
+    assert_eq!(backend.connections_opened(), 1, "the newest idle connection is used again");
 }
 
 #[test]
@@ -68,7 +63,7 @@
         }
     }
     assert!(refusals.len() >= 3, "a burst of 7 lets 12 through");
-    assert_eq!(backend.count(), 12 - refusals.len(), "what is refused reaches no backend");
+    assert_eq!(backend.command_count(), 12 - refusals.len(), "what is refused reaches no backend");
     for (answer, took) in refusals {
         let pause: u32 = answer.trim_start_matches("-BUSY ").parse().unwrap_or_else(|_| panic!("{answer}"));
         assert!((1..=2000).contains(&pause) && took < Duration::from_millis(450), "{answer} after {took:?}");
--- a/tests/ingress/peers.rs
+++ b/tests/ingress/peers.rs
@@ -18,9 +18,8 @@
         socket
     };
     let (peer, stranger, own) = (udp(), udp(), unused_address());
-    setup.settings =
-        setup.settings.replace("\"may_probe\":true,\"peers\":false", "\"may_probe\":true,\"peers\":true");
-    setup.settings = setup.settings.replace("\"n_instances\":1", "\"n_instances\":2");
+    setup.replace_setting("\"may_probe\":true,\"peers\":false", "\"may_probe\":true,\"peers\":true");
+    setup.replace_setting("\"n_instances\":1", "\"n_instances\":2");
     setup.extra_keys = format!(
         r#""peer_listen":"{own}","peers":["{own}","{}"],"peers_all":"{}","#,
         peer.local_addr().unwrap(),
--- a/tests/ingress/protocol_errors.rs
+++ b/tests/ingress/protocol_errors.rs
@@ -26,7 +26,7 @@
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
     assert_eq!(client.round_trip(&encode_request("quote", "q2", 900)), "value of q2");
-    assert_eq!(backend.count(), 1, "nothing bad reaches a backend");
+    assert_eq!(backend.command_count(), 1, "nothing bad reaches a backend");
 }
 
 /// Guards against requests that the module would keep in a usual customer's record, and a backend turn away.
@@ -34,7 +34,7 @@
 fn what_is_out_of_range_reaches_no_backend() {
     let backend = Backend::start(reply_with_value);
     let mut setup = IngressSetup::with_backends(&[&backend]);
-    setup.settings = setup.settings.replace("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
+    setup.replace_setting("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
     let ingress = setup.start();
     let good = String::from_utf8(encode_request_of(4711, "quote", "q1", 900)).unwrap();
     for (from, to) in [
@@ -48,7 +48,7 @@
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
     assert_eq!(ingress.client().round_trip(good.as_bytes()), "value of q1");
-    assert_eq!(backend.count(), 1);
+    assert_eq!(backend.command_count(), 1);
 }
 
 /// Guards against a second request under an id that is open: backends would take it for a copy of the first.
@@ -58,7 +58,7 @@
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut first = ingress.client();
     first.send(&encode_request("refer", "r1", 4000));
-    wait_until("it is sent", || backend.count() == 1);
+    wait_until("it is sent", || backend.command_count() == 1);
     for id in ["r1", "r1"] {
         let answer = ingress.client().round_trip(&encode_request("refer", id, 4000));
         assert!(answer.starts_with("-ERR"), "{answer}");
@@ -67,7 +67,7 @@
     // It may come late by a moment only.
     assert!(ingress.client().round_trip(&encode_request("refer", "r1", 4000)).starts_with("-ERR"));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 4000)), "value of r2");
-    assert_eq!(backend.count(), 2);
+    assert_eq!(backend.command_count(), 2);
 }
 
 /// Guards against a client that sends bad commands for as long as its connection stands.
@@ -93,7 +93,7 @@
         client.send(&[b'x'; 1_000_000]);
     }
     assert!(client.read_reply().starts_with("-ERR protocol error"));
-    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(ingress.client().ping(), "+PONG");
 }
 
 #[test]
@@ -111,5 +111,5 @@
         assert!(client.read_reply().starts_with("-ERR protocol error"), "{bad:?}");
         assert!(client.is_disconnected(), "{bad:?}");
     }
-    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(ingress.client().ping(), "+PONG");
 }
--- a/tests/ingress/reload.rs
+++ b/tests/ingress/reload.rs
@@ -5,7 +5,6 @@
 use crate::support::discovery::DiscoveryServer;
 use crate::support::ingress::IngressSetup;
 use crate::support::wait::wait_until;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,7 +20,7 @@
     let mut setup = IngressSetup::with_backends(&[&one]);
     setup.discovery = Some(old.address);
     let mut ingress = setup.start();
-    wait_until("the old one is asked", || old.polls.load(Ordering::SeqCst) > 0);
+    wait_until("the old one is asked", || old.poll_count() > 0);
     old.set_silent(true);
     new.publish(two.endpoint_json("s-7", "up"));
     // Half a file is none: the ingress serves on, and looks again by itself.
@@ -31,16 +30,16 @@
     ingress.signal("HUP");
     thread::sleep(Duration::from_millis(300));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
-    assert_eq!((one.count(), new.polls.load(Ordering::SeqCst)), (1, 0));
+    assert_eq!((one.command_count(), new.poll_count()), (1, 0));
     ingress.write_config(&config);
-    wait_until("the new one is asked", || new.polls.load(Ordering::SeqCst) > 1);
+    wait_until("the new one is asked", || new.poll_count() > 1);
     // Its list is whole: who is not in it is gone. Later news come from there as well.
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 2000)), "value of r2");
-    assert_eq!((one.count(), two.count()), (1, 1));
+    assert_eq!((one.command_count(), two.command_count()), (1, 1));
     new.publish_and_wait(two.endpoint_json("s-7", "draining"));
     new.publish_and_wait(three.endpoint_json("s-8", "up"));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r3", 2000)), "value of r3");
-    assert_eq!((two.count(), three.count()), (1, 1));
+    assert_eq!((two.command_count(), three.command_count()), (1, 1));
     ingress.signal("TERM");
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
     let log = ingress.log();
@@ -62,7 +61,7 @@
     ingress.write_config(&setup.config_json(ingress.address));
     let start = Instant::now();
     ingress.signal("HUP");
-    wait_until("the new one is asked", || new.polls.load(Ordering::SeqCst) > 1);
+    wait_until("the new one is asked", || new.poll_count() > 1);
     assert!(start.elapsed() < Duration::from_millis(1300));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
 }
--- a/tests/ingress/requests.rs
+++ b/tests/ingress/requests.rs
@@ -20,12 +20,12 @@
 /// Asks for two requests at once, again and again, until `wanted` has had one, and gives the answer to that. One
 /// after the other they might all go to the backend that answered first.
 pub fn reply_through(ingress: &IngressProcess, class: &str, wanted: &Backend) -> String {
-    let (mut client, before) = (ingress.client(), wanted.count());
+    let (mut client, before) = (ingress.client(), wanted.command_count());
     for _ in 0..200 {
         let ids = [new_request_id(), new_request_id()];
         client.send(&ids.clone().map(|id| encode_request(class, &id, 1500)).concat());
         let answers = ids.map(|id| (client.read_reply(), id));
-        let had = wanted.record.commands.lock().unwrap().get(before).map(|c| c[2].clone());
+        let had = wanted.commands().get(before).map(|c| c[2].clone());
         if let Some((answer, _)) = answers.iter().find(|(_, id)| Some(id) == had.as_ref()) {
             return answer.clone();
         }
--- a/tests/ingress/resource_limits.rs
+++ b/tests/ingress/resource_limits.rs
@@ -4,7 +4,6 @@
 use crate::support::backend::{reply_with_value, Backend, BackendReply};
 use crate::support::client::{encode_request, Client};
 use crate::support::ingress::IngressSetup;
-use crate::support::resp::encode_command;
 use crate::support::wait::wait_until;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,7 +14,7 @@
     let mut clients: Vec<Client> = Vec::new();
     for n in 0..80 {
         let mut client = ingress.client();
-        assert_eq!(client.round_trip(&encode_command(&["PING"])), "+PONG", "client {n}");
+        assert_eq!(client.ping(), "+PONG", "client {n}");
         clients.push(client);
     }
     let mut last = clients.pop().unwrap();
@@ -56,7 +55,7 @@
     for (n, client) in busy.iter_mut().enumerate() {
         client.send(&[&encode_request("refer", &format!("r{n}"), 8000)[..], b"*1\r\n"].concat());
     }
-    wait_until("they are with the backend", || slow.count() > 3);
+    wait_until("they are with the backend", || slow.command_count() > 3);
     let start = Instant::now();
     assert!(is_rejected(&ingress.client().round_trip(&encode_request("refer", "r99", 8000))));
     assert!(start.elapsed() < Duration::from_secs(2));
--- a/tests/ingress/retry.rs
+++ b/tests/ingress/retry.rs
@@ -8,7 +8,6 @@
 use crate::support::ingress::IngressSetup;
 use crate::support::wait::wait_until;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// An unsafe request that a backend was given whole goes to nobody else, whatever becomes of it.
@@ -16,9 +15,9 @@
     let good = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&bad, &good]).start();
     let answer = reply_through(&ingress, "refer", &bad);
-    let id = bad.record.commands.lock().unwrap()[0][2].clone();
-    assert!(good.record.commands.lock().unwrap().iter().all(|c| c[2] != id), "it was sent again");
-    assert_eq!(bad.count(), 1, "it was sent again to the same one");
+    let id = bad.commands()[0][2].clone();
+    assert!(good.commands().iter().all(|c| c[2] != id), "it was sent again");
+    assert_eq!(bad.command_count(), 1, "it was sent again to the same one");
     assert!(!is_rejected(&answer), "a refusal says that it is harmless to try again");
     (bad, answer)
 }
@@ -42,7 +41,7 @@
     let (bad, answer) =
         may_have_run(Backend::start(|_| BackendReply::Bytes(b"*3\r\n$2\r\nvalue\r\n".to_vec())));
     assert_eq!(answer, "-ERR failed");
-    wait_until("the connection is closed", || bad.record.connections_closed.load(Ordering::SeqCst) == 1);
+    wait_until("the connection is closed", || bad.connections_closed() == 1);
 }
 
 /// Guards against waiting for the rest of what will not come until the client's time is over.
@@ -79,8 +78,8 @@
     });
     let soonest = soonest.min().unwrap_or_default();
     assert!((1400..1500).contains(&soonest), "after {soonest} ms");
-    assert_eq!(silent.count(), 4);
-    wait_until("the attempts are given up", || silent.record.connections_closed.load(Ordering::SeqCst) == 4);
+    assert_eq!(silent.command_count(), 4);
+    wait_until("the attempts are given up", || silent.connections_closed() == 4);
 }
 
 /// Requests of a class that must never run twice are all served, though `bad` lets none in. They come at once:
@@ -105,7 +104,7 @@
 fn an_unsafe_request_turned_away_is_sent_elsewhere() {
     let bad = Backend::start(|_| BackendReply::Bytes(b"-BUSY util=0.99\r\n".to_vec()));
     never_executed(bad.address);
-    assert!(bad.count() > 0, "it was never tried");
+    assert!(bad.command_count() > 0, "it was never tried");
 }
 
 #[test]
@@ -129,7 +128,7 @@
     let ingress = IngressSetup::with_backends(&[&slow, &good]).start();
     let answer = reply_through(&ingress, "quote", &slow);
     assert!(answer.starts_with("value of"), "{answer}");
-    let id = slow.record.commands.lock().unwrap()[0][2].clone();
-    assert!(good.record.commands.lock().unwrap().iter().any(|c| c[2] == id));
-    wait_until("the first copy is called off", || slow.record.connections_closed.load(Ordering::SeqCst) == 1);
+    let id = slow.commands()[0][2].clone();
+    assert!(good.commands().iter().any(|c| c[2] == id));
+    wait_until("the first copy is called off", || slow.connections_closed() == 1);
 }
--- a/tests/ingress/shutdown.rs
+++ b/tests/ingress/shutdown.rs
@@ -18,7 +18,7 @@
     for (n, client) in taken.iter_mut().enumerate().take(4) {
         client.send(&encode_request("refer", &format!("r{n}"), 2500));
     }
-    wait_until("they are with the backend", || backend.count() == 4);
+    wait_until("they are with the backend", || backend.command_count() == 4);
     let start = Instant::now();
     ingress.signal("TERM");
     for (n, client) in taken.iter_mut().enumerate().skip(4) {
@@ -26,7 +26,7 @@
     }
     thread::sleep(Duration::from_millis(200));
     let mut late = ingress.client();
-    assert_eq!(late.round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(late.ping(), "+PONG");
     late.send(&encode_request("refer", "late", 2500));
     for (n, client) in taken.iter_mut().enumerate() {
         assert_eq!(client.read_reply(), format!("value of r{n}"));
@@ -70,7 +70,7 @@
     let mut ingress = IngressSetup::with_backends(&[&silent]).start();
     let mut client = ingress.client();
     client.send(&encode_request("refer", "r1", 7900));
-    wait_until("it is sent", || silent.count() == 1);
+    wait_until("it is sent", || silent.command_count() == 1);
     let start = Instant::now();
     ingress.signal("TERM");
     assert_eq!(client.read_reply(), "-ERR failed");
@@ -86,7 +86,7 @@
     let mut ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.send(b"*4\r\n$8\r\nCALL");
-    assert_eq!(ingress.client().round_trip(&encode_command(&["PING"])), "+PONG");
+    assert_eq!(ingress.client().ping(), "+PONG");
     ingress.signal("TERM");
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -2,7 +2,7 @@
 
 use super::discovery::endpoint_json;
 use super::resp::read_value;
-use std::io::{ErrorKind, Write};
+use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -25,25 +25,31 @@
     BackendReply::Bytes(value_reply(args))
 }
 
+/// The bytes of that reply, with a load report.
 pub fn value_reply(args: &[String]) -> Vec<u8> {
     let value = format!("value of {}", args[2]);
     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$9\r\nutil=0.25\r\n", value.len()).into_bytes()
 }
 
+/// How a backend replies to a command.
+type ReplyFunction = dyn Fn(&[String]) -> BackendReply + Send + Sync;
+
+/// What a backend has seen, and how it treats idle connections.
 #[derive(Default)]
-pub struct BackendRecord {
-    pub commands: Mutex<Vec<Vec<String>>>,
-    pub connections_opened: AtomicUsize,
-    pub connections_closed: AtomicUsize,
+struct BackendState {
+    commands: Mutex<Vec<Vec<String>>>,
+    connections_opened: AtomicUsize,
+    connections_closed: AtomicUsize,
     /// Closes all idle connections.
-    pub close_when_idle: AtomicBool,
+    close_when_idle: AtomicBool,
     /// Resets a connection at a request that comes after it was idle for so many milliseconds; 0 for never.
-    pub reset_after_idle_ms: AtomicU64,
+    reset_after_idle_ms: AtomicU64,
 }
 
+/// A backend with a thread for each connection.
 pub struct Backend {
     pub address: SocketAddr,
-    pub record: Arc<BackendRecord>,
+    state: Arc<BackendState>,
 }
 
 impl Backend {
@@ -51,80 +57,133 @@
         Backend::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
     }
 
+    /// Starts a backend on a listener.
     pub fn on(
         listener: TcpListener,
         reply: impl Fn(&[String]) -> BackendReply + Send + Sync + 'static,
     ) -> Backend {
-        let (address, record, reply) =
-            (listener.local_addr().unwrap(), Arc::new(BackendRecord::default()), Arc::new(reply));
-        let shared = record.clone();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(BackendState::default());
+        let reply: Arc<ReplyFunction> = Arc::new(reply);
+        let shared = state.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (record, reply) = (shared.clone(), reply.clone());
-                record.connections_opened.fetch_add(1, Ordering::SeqCst);
+                let (state, reply) = (shared.clone(), reply.clone());
+                state.connections_opened.fetch_add(1, Ordering::SeqCst);
                 thread::spawn(move || {
-                    Self::talk(stream, &record, &*reply);
-                    record.connections_closed.fetch_add(1, Ordering::SeqCst);
+                    let _ = stream.set_nodelay(true);
+                    BackendConnection { stream, state: &state, reply: &*reply, replied_at: None }.serve();
+                    state.connections_closed.fetch_add(1, Ordering::SeqCst);
                 });
             }
         });
-        Backend { address, record }
-    }
-
-    fn talk(mut stream: TcpStream, record: &BackendRecord, reply: &dyn Fn(&[String]) -> BackendReply) {
-        let _ = stream.set_nodelay(true);
-        let mut replied_at: Option<Instant> = None;
-        loop {
-            stream.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
-            match stream.peek(&mut [0]) {
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    if record.close_when_idle.load(Ordering::SeqCst) {
-                        return;
-                    }
-                    continue;
-                }
-                Ok(n) if n > 0 => {}
-                _ => return,
-            }
-            stream.set_read_timeout(None).unwrap();
-            let limit = Duration::from_millis(record.reset_after_idle_ms.load(Ordering::SeqCst));
-            if !limit.is_zero() && replied_at.is_some_and(|instant| instant.elapsed() > limit) {
-                return;
-            }
-            let Some(args) = read_value(&mut stream) else { return };
-            record.commands.lock().unwrap().push(args.clone());
-            let written = match reply(&args) {
-                BackendReply::Bytes(bytes) => stream.write_all(&bytes),
-                BackendReply::Delayed(pause, bytes) => {
-                    thread::sleep(pause);
-                    stream.write_all(&bytes)
-                }
-                BackendReply::InTwoParts(first_len, bytes) => {
-                    stream.write_all(&bytes[..first_len]).and_then(|()| {
-                        thread::sleep(Duration::from_micros(300));
-                        stream.write_all(&bytes[first_len..])
-                    })
-                }
-                BackendReply::Nothing => Ok(()),
-                BackendReply::Disconnect => return,
+        Backend { address, state }
+    }
+
+    /// The commands that came so far, with their arguments.
+    pub fn commands(&self) -> Vec<Vec<String>> {
+        self.state.commands.lock().unwrap().clone()
+    }
+
+    /// The ids of the requests that came so far.
+    pub fn request_ids(&self) -> Vec<String> {
+        self.commands().iter().map(|command| command[2].clone()).collect()
+    }
+
+    pub fn command_count(&self) -> usize {
+        self.state.commands.lock().unwrap().len()
+    }
+
+    pub fn connections_opened(&self) -> usize {
+        self.state.connections_opened.load(Ordering::SeqCst)
+    }
+
+    pub fn connections_closed(&self) -> usize {
+        self.state.connections_closed.load(Ordering::SeqCst)
+    }
+
+    /// From now on closes idle connections, or no longer.
+    pub fn set_close_when_idle(&self, enabled: bool) {
+        self.state.close_when_idle.store(enabled, Ordering::SeqCst);
+    }
+
+    /// From now on resets connections that were idle for longer than this, at their next request.
+    pub fn set_reset_after_idle(&self, limit: Duration) {
+        self.state.reset_after_idle_ms.store(limit.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    /// The entry of the endpoint list for this backend.
+    pub fn endpoint_json(&self, name: &str, status: &str) -> String {
+        endpoint_json(name, self.address, status)
+    }
+}
+
+/// A connection to a backend, on a thread of its own.
+struct BackendConnection<'a> {
+    stream: TcpStream,
+    state: &'a BackendState,
+    reply: &'a ReplyFunction,
+    replied_at: Option<Instant>,
+}
+
+impl BackendConnection<'_> {
+    /// Replies to commands until either side closes the connection.
+    fn serve(&mut self) {
+        while self.wait_for_command() && !self.was_idle_for_too_long() {
+            let Some(args) = read_value(&mut self.stream) else { return };
+            self.state.commands.lock().unwrap().push(args.clone());
+            let is_open = match (self.reply)(&args) {
+                BackendReply::Disconnect => false,
+                reply => self.send(reply).is_ok(),
             };
-            if written.is_err() {
+            if !is_open {
                 return;
             }
-            replied_at = Some(Instant::now());
+            self.replied_at = Some(Instant::now());
         }
     }
 
-    pub fn count(&self) -> usize {
-        self.record.commands.lock().unwrap().len()
+    /// Waits for the first byte of a command; false where the connection is to be closed before that.
+    fn wait_for_command(&mut self) -> bool {
+        self.stream.set_read_timeout(Some(Duration::from_millis(10))).unwrap();
+        let has_command = loop {
+            match self.stream.peek(&mut [0]) {
+                Ok(length) => break length > 0,
+                Err(error) if !matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                    break false
+                }
+                Err(_) if self.state.close_when_idle.load(Ordering::SeqCst) => break false,
+                Err(_) => {}
+            }
+        };
+        self.stream.set_read_timeout(None).unwrap();
+        has_command
     }
 
-    pub fn endpoint_json(&self, name: &str, status: &str) -> String {
-        endpoint_json(name, self.address, status)
+    fn was_idle_for_too_long(&self) -> bool {
+        let limit = Duration::from_millis(self.state.reset_after_idle_ms.load(Ordering::SeqCst));
+        !limit.is_zero() && self.replied_at.is_some_and(|instant| instant.elapsed() > limit)
+    }
+
+    fn send(&mut self, reply: BackendReply) -> io::Result<()> {
+        match reply {
+            BackendReply::Bytes(bytes) => self.stream.write_all(&bytes),
+            BackendReply::Delayed(delay, bytes) => {
+                thread::sleep(delay);
+                self.stream.write_all(&bytes)
+            }
+            BackendReply::InTwoParts(first_len, bytes) => {
+                self.stream.write_all(&bytes[..first_len])?;
+                thread::sleep(Duration::from_micros(300));
+                self.stream.write_all(&bytes[first_len..])
+            }
+            BackendReply::Nothing | BackendReply::Disconnect => Ok(()),
+        }
     }
 }
 
-/// A backend to which no connection comes up until [`accept_connections`](Self::accept_connections): its accept queue is full, and the kernel drops what comes.
+/// A backend to which no connection comes up until [`accept_connections`](Self::accept_connections): its accept queue
+/// is full, and the kernel drops what comes.
 pub struct UnreachableBackend {
     pub address: SocketAddr,
     socket: socket2::Socket,
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -28,11 +28,17 @@
         read_value(&mut self.stream).map_or(String::new(), |texts| texts.concat())
     }
 
+    /// Sends a command and reads the reply.
     pub fn round_trip(&mut self, bytes: &[u8]) -> String {
         self.send(bytes);
         self.read_reply()
     }
 
+    /// The reply to a PING.
+    pub fn ping(&mut self) -> String {
+        self.round_trip(&encode_command(&["PING"]))
+    }
+
     /// Ends sending and reading.
     pub fn disconnect(self) {
         let _ = self.stream.shutdown(Shutdown::Both);
--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -4,7 +4,6 @@
 use super::backend::Backend;
 use super::client::Client;
 use super::discovery::endpoint_list_json;
-use super::resp::encode_command;
 use super::wait::wait_until;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
@@ -40,7 +39,7 @@
     pub memory_limit_mb: usize,
     /// A limit set by the system, below the one in the configuration.
     pub system_descriptor_limit: Option<usize>,
-    pub settings: String,
+    settings: String,
     /// More keys of the configuration, as JSON.
     pub extra_keys: String,
 }
@@ -62,6 +61,12 @@
         }
     }
 
+    /// Replaces a text in the settings, which must be there.
+    pub fn replace_setting(&mut self, from: &str, to: &str) {
+        assert!(self.settings.contains(from), "no {from} in {}", self.settings);
+        self.settings = self.settings.replace(from, to);
+    }
+
     /// The configuration of an ingress that listens on this address.
     pub fn config_json(&self, address: SocketAddr) -> String {
         let discovery = self.discovery.unwrap_or_else(|| "127.0.0.1:1".parse().unwrap());
@@ -88,8 +93,7 @@
         let address = unused_address();
         let ingress = IngressProcess::spawn(&self.config_json(address), address, program);
         wait_until("the ingress is ready", || {
-            TcpStream::connect(address)
-                .is_ok_and(|stream| Client { stream }.round_trip(&encode_command(&["PING"])) == "+PONG")
+            TcpStream::connect(address).is_ok_and(|stream| Client { stream }.ping() == "+PONG")
         });
         ingress
     }
@@ -128,7 +132,7 @@
 
     /// Waits until the ingress has read all that was sent to it before: it answers a later PING.
     pub fn wait_until_input_is_processed(&self) {
-        assert_eq!(self.client().round_trip(&encode_command(&["PING"])), "+PONG");
+        assert_eq!(self.client().ping(), "+PONG");
     }
 
     /// Replaces the file of the configuration.
