Assemble the event loop in short functions and document private items

The sockets are opened in start, the record is put together in assemble; doc comments on private functions and on fields that their name does not explain. No behaviour changes.

--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -17,7 +17,7 @@
 /// Bytes in a megabyte of `limits.memory_mb`.
 const MEGABYTE: usize = 1 << 20;
 
-/// What an ingress is told at its start.
+/// The configuration of an ingress.
 pub struct Config {
     /// Where clients connect to.
     pub listen_address: SocketAddr,
@@ -108,11 +108,13 @@
     }
 }
 
+/// The seed, a hexadecimal number.
 fn parse_seed(json: &Value) -> Result<u64, ConfigError> {
     let text = text_at(json, "seed")?;
     u64::from_str_radix(text, 16).map_err(|_| ConfigError::SeedNotHex(text.to_string()))
 }
 
+/// The classes and plans that commands may name.
 fn parse_command_schema(reader: &SettingsReader, settings: &Settings) -> Result<CommandSchema, ConfigError> {
     let class = |(name, class): (String, &Class)| ClassSchema { name, idempotency: class.idempotency };
     Ok(CommandSchema {
@@ -123,11 +125,13 @@
     })
 }
 
+/// The endpoint list as cached before the start.
 fn parse_cached_endpoints(json: &Value, location_names: &LocationNames) -> Result<EndpointList, ConfigError> {
     let list = json.get("known").ok_or(ConfigError::Missing("known"))?;
     EndpointList::from_json(list, location_names).map_err(ConfigError::CachedEndpoints)
 }
 
+/// The addresses of the peers; none where the settings allow no messages.
 fn parse_peers(json: &Value, settings: &Settings) -> Result<Option<PeerAddresses>, ConfigError> {
     if !settings.limits.peer_messages {
         return Ok(None);
@@ -144,14 +148,17 @@
     Ok(Some(PeerAddresses { listen_address, by_gateway, broadcast }))
 }
 
+/// An IP address with a port; `key` is named where it is none.
 fn parse_address(key: &'static str, text: &str) -> Result<SocketAddr, ConfigError> {
     text.parse().map_err(|_| ConfigError::NotAnAddress { key, text: text.to_string() })
 }
 
+/// The text at a key.
 fn text_at<'a>(json: &'a Value, key: &'static str) -> Result<&'a str, ConfigError> {
     json.get(key).and_then(Value::as_str).ok_or(ConfigError::NotText(key))
 }
 
+/// The whole number above 0 at a key of an object.
 fn positive_number(json: &Value, object: &'static str, key: &'static str) -> Result<usize, ConfigError> {
     let number = json.get(object).and_then(|object| object.get(key)).and_then(Value::as_u64);
     let number = number.and_then(|number| usize::try_from(number).ok()).filter(|number| *number > 0);
--- a/src/bin/ingress/config/flatten.rs
+++ b/src/bin/ingress/config/flatten.rs
@@ -10,6 +10,7 @@
     pairs
 }
 
+/// Adds the pairs of a value and of all that is nested in it.
 fn append(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
     match value {
         Value::Null => {}
@@ -21,6 +22,7 @@
     }
 }
 
+/// Adds the pairs of a list.
 fn append_list(path: &str, list: &[Value], pairs: &mut Vec<(String, String)>) {
     if list.iter().all(Value::is_object) {
         pairs.push((join(path, "count"), list.len().to_string()));
@@ -35,6 +37,7 @@
     }
 }
 
+/// The path of a key below a path.
 fn join(path: &str, key: &str) -> String {
     if path.is_empty() {
         key.to_string()
@@ -43,6 +46,7 @@
     }
 }
 
+/// A value as its text, a string without its quotes.
 fn plain_text(value: &Value) -> String {
     value.as_str().map_or_else(|| value.to_string(), String::from)
 }
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -42,23 +42,27 @@
 pub struct EventLoop {
     poll: Poll,
     clock: Clock,
-    /// The time that the policy is told.
+    /// The time that the policy is given.
     now: Micros,
     /// The step in which that time goes on.
     tick: Micros,
-    /// Whether the policy has to be told of failed polls of discovery.
+    /// Whether failed polls of discovery are reported to the policy.
     polls_discovery: bool,
+    /// How long a connection to a backend may take to come up, and a health check in all.
     connect_timeout: Micros,
+    /// The most attempts of one request.
     max_attempts: usize,
     descriptors: DescriptorBudget,
     gateway: Gateway,
-    /// What the policy is to be told, in this order.
+    /// The events that the policy has not handled yet, in their order.
     pending_events: VecDeque<Event>,
-    /// What the policy has asked for; kept for its memory.
+    /// A buffer for the actions that the policy asks for.
     actions: Vec<Action>,
     clients: Clients,
     backends: Backends,
+    /// The watch on the endpoint list.
     watch: Watch,
+    /// When the configuration is read again.
     reload: Reload,
     /// None where the settings allow no messages between gateways.
     peers: Option<PeerSocket>,
@@ -73,7 +77,7 @@
 }
 
 impl EventLoop {
-    /// Runs until it is told to stop and all that was received is answered, or the time for that is over.
+    /// Runs until a signal to stop has come and all that was received is answered, or the time for that is over.
     pub fn run(mut self) -> Result<(), EventLoopError> {
         // All that is ready has to come in one iteration: a client's disconnect must not be seen after the reply of a
         // backend that came later.
@@ -109,6 +113,7 @@
         Ok(())
     }
 
+    /// How long the poll may wait for a socket.
     fn poll_timeout(&self) -> Duration {
         if self.accept_pending || self.peer_messages_pending || self.clients.has_pending_work() {
             return Duration::ZERO;
@@ -151,6 +156,7 @@
         self.process_client_events();
     }
 
+    /// Does what one socket is ready for.
     fn process_socket(&mut self, socket: &ReadySocket) {
         let &ReadySocket { writable, closed, .. } = socket;
         match socket.source() {
--- a/src/bin/ingress/event_loop/actions.rs
+++ b/src/bin/ingress/event_loop/actions.rs
@@ -39,6 +39,7 @@
         }
     }
 
+    /// Rejects a request, with advice when to try again unless that is 0.
     fn reject(&mut self, id: RequestId, retry_after: Micros) {
         if retry_after == 0 {
             return self.reply(id, BUSY_REPLY);
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -7,7 +7,7 @@
 use crate::resp;
 use ingress::{BackendId, Event, LoadReport, Micros, Outcome, RequestId};
 
-/// An attempt, as the policy is told of it.
+/// An attempt, as reported to the policy.
 #[derive(Clone, Copy)]
 struct AttemptRecord {
     id: RequestId,
@@ -112,6 +112,7 @@
         }
     }
 
+    /// Reports the end of a health check to the policy.
     fn report_health_check(
         &mut self,
         backend: BackendId,
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -37,8 +37,8 @@
         outcome
     }
 
-    /// Tells the policy of all clients that have disconnected before it hears of anything that follows from it: the
-    /// place that one request leaves in a queue must not go to another of these clients.
+    /// Reports all disconnected clients to the policy before any event that follows from a disconnect: the place that
+    /// one request leaves in a queue must not go to another of these clients.
     pub(super) fn report_disconnects(&mut self) {
         for event in self.clients.pending_events() {
             let ClientEvent::Disconnected(id) = event else { continue };
@@ -48,6 +48,7 @@
         }
     }
 
+    /// Handles what clients have sent and whose connections have ended, in the order in which it came.
     pub(super) fn process_client_events(&mut self) {
         self.report_disconnects();
         while let Some(event) = self.clients.next_event() {
@@ -62,6 +63,7 @@
         }
     }
 
+    /// Opens a request and passes it to the policy, or rejects it where a limit leaves no room.
     fn open_request(&mut self, id: RequestId, reply_to: ReplyHandle, command: Command) {
         // Backends and clients could not tell two with one id apart, and the first one came in good faith.
         let id_hash = self.requests.hash_id(&command);
--- a/src/bin/ingress/event_loop/clock.rs
+++ b/src/bin/ingress/event_loop/clock.rs
@@ -3,9 +3,10 @@
 use ingress::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// A monotonic clock that counts from the Unix epoch, since backends' starts are told in Unix time and peers compare
-/// theirs. It is set once; later steps of the system's clock do not reach it.
+/// A monotonic clock that counts from the Unix epoch, since backends' start times are given in Unix time and peers
+/// compare theirs. It is set once; later steps of the system's clock do not reach it.
 pub struct Clock {
+    /// When the clock was started.
     started: Instant,
     /// The Unix time of the start.
     offset: Micros,
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -1,4 +1,4 @@
-//! What discovery, the peers and the operator's signals tell the ingress.
+//! Input from discovery, from peers and from the operator's signals.
 
 use super::shutdown::MIN_ACCEPTING_TIME;
 use super::timer_queue::Timer;
@@ -41,6 +41,7 @@
         }
     }
 
+    /// Gives the policy a batch of the messages that have come from peers.
     pub(super) fn receive_peer_messages(&mut self) {
         let events = &mut self.pending_events;
         if let Some(peers) = &mut self.peers {
@@ -50,6 +51,7 @@
         self.run_policy();
     }
 
+    /// Handles the signals that have come.
     pub(super) fn handle_signals(&mut self) {
         // All that have come since the last call, several of one kind as one.
         let received: Vec<i32> = self.signals.pending().collect();
@@ -71,6 +73,7 @@
         }
     }
 
+    /// Begins the graceful shutdown, unless it has begun before.
     fn begin_shutdown(&mut self) {
         let Some(reply_deadline) = self.shutdown.begin(self.now) else { return };
         crate::log(&format!("shutdown: started, reply_time_ms={}", (reply_deadline - self.now) / 1000));
--- a/src/bin/ingress/event_loop/descriptor_budget.rs
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -17,6 +17,7 @@
 
 /// How many connections clients and backends may have.
 pub struct DescriptorBudget {
+    /// The most connections of clients and backends together.
     max_connections: usize,
 }
 
@@ -48,6 +49,7 @@
         self.max_connections * MAX_SHARE_EIGHTHS / 8
     }
 
+    /// Whether all connections are in use.
     fn is_exhausted(&self, clients: &Clients, backends: &Backends) -> bool {
         clients.len() + backends.len() >= self.max_connections
     }
--- a/src/bin/ingress/event_loop/request_table.rs
+++ b/src/bin/ingress/event_loop/request_table.rs
@@ -39,6 +39,7 @@
 }
 
 impl OpenRequest {
+    /// Whether any attempt is in flight.
     fn is_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.connection.is_some())
     }
@@ -65,7 +66,9 @@
     hasher: RandomState,
     /// What the open requests take in memory.
     memory: usize,
+    /// The most bytes that the open requests may take.
     max_memory: usize,
+    /// The most requests that may be open.
     max_requests: usize,
 }
 
--- a/src/bin/ingress/event_loop/source.rs
+++ b/src/bin/ingress/event_loop/source.rs
@@ -65,7 +65,7 @@
         self.token.into()
     }
 
-    /// Its place in the order in which sockets are handled: what discovery tells before any request is sent, replies
+    /// Its place in the order in which sockets are handled: changes of the endpoint list before any request is sent, replies
     /// of backends before what clients send.
     pub fn processing_order(&self) -> u8 {
         match self.source() {
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -15,9 +15,9 @@
 use crate::peers::PeerSocket;
 use crate::reload::Reload;
 use ingress::backoff::Backoff;
-use ingress::{Discovery, EndpointUpdate, Gateway, Settings};
+use ingress::{Discovery, EndpointUpdate, Gateway, Micros, Settings};
 use mio::net::TcpListener;
-use mio::{Interest, Poll, Registry};
+use mio::{Interest, Poll, Registry, Token};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -26,26 +26,46 @@
 /// yet read.
 const MEMORY_DIVISOR: usize = 4;
 
+/// What the event loop polls from its start on.
+struct Sockets {
+    poll: Poll,
+    listener: TcpListener,
+    peers: Option<PeerSocket>,
+    signals: Signals,
+}
+
 impl EventLoop {
     /// Opens the sockets. From here on clients can connect; they are served once [`EventLoop::run`] runs.
-    pub fn start(config: Config, reload: Reload, mut signals: Signals) -> Result<Self, EventLoopError> {
+    pub fn start(mut config: Config, reload: Reload, mut signals: Signals) -> Result<Self, EventLoopError> {
         let poll = Poll::new().map_err(EventLoopError::Poll)?;
         let address = config.listen_address;
         let listener = listen(address, poll.registry(), &mut signals)?;
-        let peers = config.peers.map(|addresses| bind_peers(addresses, poll.registry())).transpose()?;
-        let clock = Clock::new();
+        let peers = config.peers.take();
+        let peers = peers.map(|addresses| bind_peers(addresses, poll.registry())).transpose()?;
+        let sockets = Sockets { poll, listener, peers, signals };
+        let mut event_loop = EventLoop::assemble(config, sockets, Clock::new(), reload)?;
+        event_loop.timers.schedule(event_loop.now + SWEEP_INTERVAL, Timer::Sweep);
+        event_loop.run_policy();
+        crate::log(&format!("event_loop: listening, address={address}"));
+        Ok(event_loop)
+    }
+
+    /// Puts the event loop together; the policy is still to be given the cached endpoint list.
+    fn assemble(
+        config: Config,
+        sockets: Sockets,
+        clock: Clock,
+        reload: Reload,
+    ) -> Result<Self, EventLoopError> {
         let now = clock.now();
-        let settings = config.settings;
-        let longest_deadline = settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
-        let watch_options = WatchOptions {
-            backoff: discovery_backoff(&settings),
-            max_body_bytes: max_body_bytes(config.max_memory),
-            seed: config.seed,
-            now,
-        };
+        let options = watch_options(&config, now);
         let memory_share = config.max_memory / MEMORY_DIVISOR;
+        let (settings, endpoints) = (config.settings, config.cached_endpoints);
+        let token = Source::Discovery.into();
+        let watch =
+            Watch::new(config.discovery_address, config.location_names, endpoints.index, token, options);
         let mut event_loop = EventLoop {
-            poll,
+            poll: sockets.poll,
             clock,
             now,
             tick: settings.tick,
@@ -54,36 +74,50 @@
             max_attempts: settings.limits.max_attempts as usize,
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
             requests: RequestTable::new(settings.limits.max_open_requests as usize, memory_share),
+            shutdown: Shutdown::new(longest_deadline(&settings)),
             gateway: Gateway::new(settings, config.seed, now),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(listener, config.command_schema, memory_share, |key| {
-                Source::Client(key).into()
-            }),
-            backends: Backends::new(config.keepalive_timeout, |key| Source::Backend(key).into()),
-            watch: Watch::new(
-                config.discovery_address,
-                config.location_names,
-                config.cached_endpoints.index,
-                Source::Discovery.into(),
-                watch_options,
-            ),
+            clients: Clients::new(sockets.listener, config.command_schema, memory_share, client_token),
+            backends: Backends::new(config.keepalive_timeout, backend_token),
+            watch,
             reload,
-            peers,
-            signals,
+            peers: sockets.peers,
+            signals: sockets.signals,
             timers: TimerQueue::default(),
             accept_pending: false,
             peer_messages_pending: false,
-            shutdown: Shutdown::new(longest_deadline),
         };
-        event_loop.timers.schedule(now + SWEEP_INTERVAL, Timer::Sweep);
-        event_loop.apply_endpoints(config.cached_endpoints, EndpointUpdate::CachedSnapshot);
-        event_loop.run_policy();
-        crate::log(&format!("event_loop: listening, address={address}"));
+        event_loop.apply_endpoints(endpoints, EndpointUpdate::CachedSnapshot);
         Ok(event_loop)
     }
 }
 
+/// The token of a client's connection.
+fn client_token(key: usize) -> Token {
+    Source::Client(key).into()
+}
+
+/// The token of a connection to a backend.
+fn backend_token(key: usize) -> Token {
+    Source::Backend(key).into()
+}
+
+/// The longest deadline of all request classes.
+fn longest_deadline(settings: &Settings) -> Micros {
+    settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0)
+}
+
+/// How the watch on the endpoint list behaves.
+fn watch_options(config: &Config, now: Micros) -> WatchOptions {
+    WatchOptions {
+        backoff: discovery_backoff(&config.settings),
+        max_body_bytes: max_body_bytes(config.max_memory),
+        seed: config.seed,
+        now,
+    }
+}
+
 /// Opens the socket at which clients connect, and registers it and the signals.
 fn listen(
     address: SocketAddr,
@@ -99,12 +133,14 @@
     Ok(listener)
 }
 
+/// Opens the socket for messages of peers, and registers it.
 fn bind_peers(addresses: PeerAddresses, registry: &Registry) -> Result<PeerSocket, EventLoopError> {
     let address = addresses.listen_address;
     PeerSocket::bind(addresses, registry, Source::Peers.into())
         .map_err(|source| EventLoopError::BindPeers { address, source })
 }
 
+/// How polls of discovery are retried: it is shared by all gateways, or an agent on this machine.
 fn discovery_backoff(settings: &Settings) -> Backoff {
     match settings.discovery {
         Discovery::Poll => {
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -20,6 +20,7 @@
         }
     }
 
+    /// Does what one timer was set for.
     fn run_timer(&mut self, timer: Timer) {
         match timer {
             Timer::Policy(token) => self.pending_events.push_back(Event::Timer(token)),
@@ -41,6 +42,7 @@
         }
     }
 
+    /// Clears away what has expired, and schedules the next sweep.
     fn sweep(&mut self) {
         self.backends.sweep(self.now);
         self.clients.close_expired(self.now);
@@ -81,6 +83,7 @@
         self.is_drained()
     }
 
+    /// Whether all is answered, by what has been read so far.
     fn is_drained(&self) -> bool {
         self.shutdown.is_draining()
             && !self.requests.any_unanswered()
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -42,6 +42,7 @@
     let _ = writeln!(std::io::stderr(), "ingress: {line}");
 }
 
+/// Starts the ingress and runs it to its end.
 fn run() -> Result<(), IngressError> {
     let path = environment_variable(CONFIG_VARIABLE).ok_or(IngressError::NoConfigFile)?;
     // From here on no signal ends the process: the event loop handles those that come while it starts.
--- a/src/bin/ingress/reload.rs
+++ b/src/bin/ingress/reload.rs
@@ -13,9 +13,11 @@
 
 /// The file to read again, and when.
 pub struct Reload {
+    /// The configuration file.
     path: String,
     /// The delay after the next failure; none while no reload is pending.
     retry_delay: Option<Micros>,
+    /// When the next attempt is due.
     next_attempt_at: Micros,
     /// Only the first failure of a reload is logged.
     failure_logged: bool,
