Word the comments of the experiments and the adapter in ordinary English

Cause: comments said "behind" for after, "all that is drawn", "tells of".

Change: comments, and the name of one test of `fit`.

--- a/fleet-experiments/src/experiment.rs
+++ b/fleet-experiments/src/experiment.rs
@@ -6,7 +6,7 @@
 /// What experiments are run with.
 #[derive(Clone, Copy, Debug)]
 pub struct Environment<'a> {
-    /// Seed of all that is drawn.
+    /// Seed of all random draws.
     pub seed: u64,
     /// The program of a real ingress, for experiments on processes.
     pub ingress_program: &'a Path,
--- a/fleet-experiments/src/experiment_file.rs
+++ b/fleet-experiments/src/experiment_file.rs
@@ -62,7 +62,7 @@
 #[derive(Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ExperimentFile {
-    /// Seed of all that is drawn.
+    /// Seed of all random draws.
     pub seed: u64,
     /// Updates of the endpoint list in the decision module.
     #[serde(alias = "list")]
--- a/fleet-experiments/src/experiments/discovery_outage.rs
+++ b/fleet-experiments/src/experiments/discovery_outage.rs
@@ -46,7 +46,7 @@
     pub killed_of_ten: u64,
     /// For how long discovery is down.
     pub duration: Micros,
-    /// Seed of all that is drawn.
+    /// Seed of all random draws.
     pub seed: u64,
 }
 
--- a/fleet-experiments/src/experiments/ingress_endpoint_list.rs
+++ b/fleet-experiments/src/experiments/ingress_endpoint_list.rs
@@ -67,7 +67,7 @@
     cpu_s: f64,
     /// Resident memory before the snapshot.
     memory_before_bytes: u64,
-    /// Resident memory behind it.
+    /// Resident memory after it.
     memory_bytes: u64,
     /// The most resident memory until then.
     peak_memory_bytes: u64,
@@ -96,7 +96,7 @@
 }
 
 impl IngressEndpointListExperiment {
-    /// Measures a snapshot of one size, and changes behind it.
+    /// Measures a snapshot of one size, and the changes that follow.
     fn measure(&self, backends: u64, program: &Path) -> anyhow::Result<Point> {
         let endpoints: Vec<String> =
             (0..backends).map(|number| endpoint_json(number, BACKEND, EndpointStatus::Up)).collect();
@@ -160,7 +160,7 @@
     let (cpu_before, published_at) = (ingress.cpu_seconds(), Instant::now());
     discovery.publish(SNAPSHOT_VERSION, body);
     // The ingress has read the snapshot once it polls for what is newer, and has applied it once it answers
-    // behind that.
+    // after that.
     let applied = discovery.wait_for_polls(Some(SNAPSHOT_VERSION), 1, SNAPSHOT_TIMEOUT);
     ensure!(ingress.answers_ping(), "no answer behind the list");
     let (elapsed, cpu_s) = (published_at.elapsed(), ingress.cpu_seconds() - cpu_before);
--- a/fleet-experiments/src/experiments/ingress_latency.rs
+++ b/fleet-experiments/src/experiments/ingress_latency.rs
@@ -29,7 +29,7 @@
     pub connections: u64,
     /// Requests at each rate.
     pub requests: u64,
-    /// Backends in the list; all are one place.
+    /// Backends in the list, all with the same address.
     pub backends: u64,
 }
 
--- a/fleet-experiments/src/experiments/ingress_restart.rs
+++ b/fleet-experiments/src/experiments/ingress_restart.rs
@@ -20,7 +20,7 @@
 const FIRST_POLL_TIMEOUT: Duration = Duration::from_secs(90);
 /// The time between two looks for an ingress's first poll.
 const FIRST_POLL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// One in so many ingresses goes on while the others are killed.
+/// One in so many ingresses keeps running while the others are killed.
 const SURVIVOR_STEP: usize = 10;
 /// The version of the list that the first ingress starts with; each next ingress has the next one, so that
 /// discovery tells the polls of one ingress from those of the others.
@@ -40,7 +40,7 @@
     /// Backends in the list that each starts with.
     #[serde(alias = "known")]
     pub initial_backends: u64,
-    /// Connections that send requests all the time, to those that go on.
+    /// Connections that send requests all the time, to the ingresses that are not restarted.
     pub clients: u64,
 }
 
@@ -185,7 +185,7 @@
         }
     }
 
-    /// Where the ingresses listen that go on.
+    /// The addresses of the ingresses that are not restarted.
     fn survivors(&self) -> Vec<SocketAddr> {
         self.ingresses.iter().step_by(SURVIVOR_STEP).map(|ingress| ingress.address).collect()
     }
@@ -241,7 +241,7 @@
     }
 }
 
-/// The time from `started_at` to the first poll behind it for what is newer than `version`; none if none came
+/// The time from `started_at` to the first poll after it for what is newer than `version`; none if none came
 /// in time.
 fn wait_for_first_poll(discovery: &Discovery, version: u64, started_at: Instant) -> Option<Duration> {
     let first_poll = || discovery.polls(Some(version)).into_iter().find(|polled_at| *polled_at >= started_at);
--- a/fleet-experiments/src/experiments/quota_messages.rs
+++ b/fleet-experiments/src/experiments/quota_messages.rs
@@ -42,7 +42,7 @@
     pub customers_per_ingress: u64,
     /// Seconds on the driven clock; the first is not counted.
     pub seconds: u64,
-    /// Seed of all that is drawn.
+    /// Seed of all random draws.
     pub seed: u64,
 }
 
--- a/fleet-experiments/src/experiments/request_cost.rs
+++ b/fleet-experiments/src/experiments/request_cost.rs
@@ -12,9 +12,9 @@
 
 /// Requests a second that an ingress gets: its part of the peak that the fleet is designed for.
 const REQUESTS_PER_SECOND: u64 = 1034;
-/// The span behind the request after which its answer comes.
+/// The time from a request to its answer.
 const ANSWER_DELAY: Micros = 900;
-/// The time in flight that the answer tells of.
+/// The time in flight that the answer reports.
 const REPORTED_ELAPSED: Micros = 100_000;
 /// One request for so many counted ones is made before them and not counted.
 const WARM_UP_SHARE: u64 = 10;
--- a/fleet-experiments/src/experiments/slow_start.rs
+++ b/fleet-experiments/src/experiments/slow_start.rs
@@ -16,12 +16,12 @@
     pub ingresses: u16,
     /// Backends.
     pub backends: u64,
-    /// Requests that a backend behind its slow start serves in a second.
+    /// Requests that a backend after its slow start serves in a second.
     pub capacity: f64,
     /// The rule's overload factors.
     #[serde(alias = "factors")]
     pub overload_factors: Vec<f64>,
-    /// The load that is offered, in capacities of all backends behind their slow start.
+    /// The load that is offered, in capacities of all backends after their slow start.
     pub loads: Vec<f64>,
     /// Whether answers take longer as a backend is asked for more than it can serve.
     #[serde(alias = "queues")]
@@ -38,16 +38,16 @@
     pub ingresses: u16,
     /// Backends.
     pub backends: u64,
-    /// Requests that a backend behind its slow start serves in a second.
+    /// Requests that a backend after its slow start serves in a second.
     pub capacity: f64,
     /// The rule's overload factor.
     pub overload_factor: f64,
-    /// The load that is offered, in capacities of all backends behind their slow start.
+    /// The load that is offered, in capacities of all backends after their slow start.
     pub load: f64,
     /// Answers take longer as a backend is asked for more than it can serve; else 60 to 160 ms whatever is
     /// asked.
     pub queueing: bool,
-    /// Seed of all that is drawn.
+    /// Seed of all random draws.
     pub seed: u64,
 }
 
@@ -72,13 +72,13 @@
     ingresses: u16,
     /// Backends.
     backends: u64,
-    /// Requests that a backend behind its slow start serves in a second.
+    /// Requests that a backend after its slow start serves in a second.
     capacity: f64,
     /// Whether answers took longer as a backend was asked for more than it can serve.
     queueing: bool,
     /// The rule's overload factor.
     overload_factor: f64,
-    /// The load that was offered, in capacities of all backends behind their slow start.
+    /// The load that was offered, in capacities of all backends after their slow start.
     load: f64,
     /// Simulations, with a seed each.
     runs: u64,
--- a/fleet-experiments/src/experiments/slow_start/simulation.rs
+++ b/fleet-experiments/src/experiments/slow_start/simulation.rs
@@ -147,7 +147,7 @@
         self.finish()
     }
 
-    /// The change of the list that tells of the restart.
+    /// The change of the list that reports the restart.
     fn restarted_endpoints(&self, now: Micros) -> Event {
         let restarted = (0..self.backends.len()).step_by(RESTART_STEP);
         let list = restarted.map(|index| endpoint_at(index, now)).collect();
--- a/fleet-experiments/src/procfs.rs
+++ b/fleet-experiments/src/procfs.rs
@@ -4,7 +4,7 @@
 const PAGE_SIZE: u64 = 4096;
 /// Processor time is counted in this many ticks a second.
 const TICKS_PER_SECOND: f64 = 100.0;
-/// The field of `/proc/PID/stat` behind the name in parentheses that has the processor time in user mode.
+/// The field of `/proc/PID/stat` after the name in parentheses that has the processor time in user mode.
 const USER_TIME_FIELD: usize = 11;
 /// The field that has the processor time in the kernel.
 const SYSTEM_TIME_FIELD: usize = 12;
@@ -23,7 +23,7 @@
     std::fs::read_to_string(path).unwrap_or_default()
 }
 
-/// What stands behind `key` and a colon in lines such as `MemTotal: 5 kB`.
+/// What follows `key` and a colon in lines such as `MemTotal: 5 kB`.
 pub fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
     let line = text.lines().find(|line| line.starts_with(key))?;
     Some(line.split(':').nth(1)?.trim())
--- a/fleet-experiments/src/report.rs
+++ b/fleet-experiments/src/report.rs
@@ -16,7 +16,7 @@
 pub struct Report {
     /// The file, or standard output.
     out: Box<dyn Write>,
-    /// Seed of all that was drawn.
+    /// Seed of all random draws.
     seed: u64,
     /// The commit that was run.
     commit: String,
@@ -37,7 +37,7 @@
     machine: &'a str,
     /// The experiment's point.
     point: &'a Value,
-    /// Seed of all that was drawn.
+    /// Seed of all random draws.
     seed: u64,
 }
 
--- a/fleet-experiments/src/stand_in/backend.rs
+++ b/fleet-experiments/src/stand_in/backend.rs
@@ -49,7 +49,7 @@
     size: usize,
 }
 
-/// The number that a line holds behind its type, and where the next line starts.
+/// The number that a line holds after its type, and where the next line starts.
 struct NumberLine {
     /// The number.
     number: usize,
--- a/fleet-experiments/tests/fit.rs
+++ b/fleet-experiments/tests/fit.rs
@@ -3,7 +3,7 @@
 use fleet_experiments::fit::{fit_line, fit_results, Point};
 
 #[test]
-fn a_straight_line_is_found_and_a_bent_one_is_told_by_its_distance() {
+fn a_straight_line_is_found_and_a_bent_one_has_a_large_error() {
     let points =
         |sizes: [f64; 4], value: &dyn Fn(f64) -> f64| sizes.map(|size| Point { size, value: value(size) });
     let straight = points([1.0, 10.0, 1e3, 1e5], &|size| 3.0 + 0.5 * size);
--- a/src/bin/simulator-adapter/wire/field_reader.rs
+++ b/src/bin/simulator-adapter/wire/field_reader.rs
@@ -5,7 +5,7 @@
 /// Bytes of a backend's identifier on the wire.
 pub const BACKEND_ID_SIZE: usize = 6;
 
-/// The fields of a record that are still to be read. Reading behind the record's end is a mistake in its
+/// The fields of a record that are still to be read. Reading beyond the record's end is a mistake in its
 /// layout and panics.
 pub struct FieldReader<'a> {
     /// The bytes from the next field on.
--- a/src/bin/simulator-adapter/wire/field_writer.rs
+++ b/src/bin/simulator-adapter/wire/field_writer.rs
@@ -3,7 +3,7 @@
 use super::field_reader::BACKEND_ID_SIZE;
 use ingress::{BackendId, Micros, RequestId};
 
-/// A record of `SIZE` bytes under construction; what is not written is zero. Writing behind its end is a
+/// A record of `SIZE` bytes under construction; what is not written is zero. Writing beyond its end is a
 /// mistake in its layout and panics.
 pub struct FieldWriter<const SIZE: usize> {
     /// The whole record.
