--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -6,9 +6,10 @@
 
 /// The longest time for which discovery holds a poll.
 const MAX_POLL_TIMEOUT: Micros = 60_000_000;
-/// The part of one ingress in the time over which first polls are spread, and the most of that time: a process that
-/// starts counts as informed after 6 s like any other, and the response takes its time.
+/// The part of one ingress in the time over which first polls are spread.
 const SPREAD_PER_INGRESS: Micros = 20_000;
+/// The most of that time: a process that starts counts as informed after 6 s like any other, and the response takes its
+/// time.
 const MAX_SPREAD: Micros = 4_000_000;
 /// The longest time from a failed poll to the next one, drawn from this range: a change counts as delivered 6 s after
 /// discovery had it and could be reached, which may be the moment after the poll, and the rest is for the response.
@@ -19,6 +20,7 @@
 struct RetryDelays {
     /// Before the first retry; each further one doubles it.
     initial: Micros,
+    /// Before any retry.
     max: Micros,
 }
 
@@ -30,6 +32,7 @@
     /// How long a connection may take to be established, and the response to a poll that does not wait, until the
     /// connection counts as dead.
     pub response_timeout: Micros,
+    /// The delays after a failure.
     retry_delays: RetryDelays,
     /// Over how long the first polls of ingresses that start, or lose their watches, at one moment are spread.
     spread: Micros,
@@ -84,7 +87,9 @@
 pub struct PollSchedule {
     /// How polls are made.
     pub backoff: Backoff,
+    /// The middle of the delay after the next failure.
     next_delay: Micros,
+    /// Draws the jitter.
     random: fastrand::Rng,
     /// A poll failed, and none has succeeded since.
     is_failing: bool,
--- a/src/bin/ingress/backends/assignment.rs
+++ b/src/bin/ingress/backends/assignment.rs
@@ -6,7 +6,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Assignment {
     /// An attempt of a request, the first one with number 0.
-    Attempt { id: RequestId, attempt: u16 },
+    Attempt {
+        /// The request.
+        id: RequestId,
+        /// The attempt's number.
+        attempt: u16,
+    },
     /// A health check.
     HealthCheck,
 }
@@ -32,7 +37,9 @@
 /// Identifies a connection for as long as it lives: keys are used again, serial numbers are not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionId {
+    /// Its place in the table of connections.
     pub(super) key: usize,
+    /// Counts all connections of the process.
     pub(super) serial: u64,
 }
 
--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -8,9 +8,11 @@
 
 /// A connection to a backend.
 pub struct Connection {
+    /// The socket.
     pub stream: TcpStream,
     /// Tells connections apart that have the same key one after another.
     pub serial: u64,
+    /// The backend it was opened for.
     pub backend: BackendId,
     /// The address it was opened to, which the backend may have left.
     pub address: SocketAddr,
@@ -24,8 +26,9 @@
     pub idle_before: Option<Micros>,
     /// When the first byte of the reply came.
     pub reply_started_at: Micros,
-    /// The command, and how many of its bytes are written.
+    /// The command of the assignment.
     pub command: Vec<u8>,
+    /// How many bytes of the command are written.
     pub written: usize,
     /// What has come of the reply.
     pub received: Vec<u8>,
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -16,7 +16,9 @@
 /// Whether a connection can still be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Usability {
+    /// It stays open.
     Usable,
+    /// It is to be closed.
     Unusable,
 }
 
@@ -107,6 +109,7 @@
         }
     }
 
+    /// Writes as much of the command as possible.
     fn write(&mut self, key: usize) {
         let connection = &mut self.connections[key];
         if connection.write_command().is_ok() {
@@ -199,6 +202,7 @@
         self.push_completion(assignment, backend, started_at, result);
     }
 
+    /// Adds a completion.
     fn push_completion(
         &mut self,
         assignment: Assignment,
--- a/src/bin/ingress/backends/idle_reuse.rs
+++ b/src/bin/ingress/backends/idle_reuse.rs
@@ -10,6 +10,7 @@
 const RETAINED_PER_SWEEP: f64 = 0.97;
 /// Classes of idle time, each twice as long as the one before; the first one ends at 2 ms.
 const BUCKET_COUNT: usize = 16;
+/// Microseconds in a millisecond.
 const MICROS_PER_MILLI: Micros = 1000;
 
 /// How the use of an idle connection ended.
@@ -24,11 +25,14 @@
 /// The uses after one class of idle times, with older ones decayed.
 #[derive(Clone, Copy, Default)]
 struct Bucket {
+    /// All of them.
     uses: f64,
+    /// Those that found the connection stale.
     stale_uses: f64,
 }
 
 impl Bucket {
+    /// Whether connections that were idle for such a time should not be used.
     fn is_stale(&self) -> bool {
         self.uses >= MIN_USES && self.stale_uses > self.uses * MAX_STALE_FRACTION
     }
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -32,15 +32,21 @@
 
 /// The connections to all backends.
 pub struct Backends {
+    /// Every connection by its key.
     pub(super) connections: Slab<Connection>,
+    /// A pool for each backend of the endpoint list.
     pub(super) pools: HashMap<BackendId, Pool>,
+    /// The serial number of the latest connection.
     last_serial: u64,
+    /// What a read fills first.
     pub(super) read_buffer: Vec<u8>,
     /// Idle connections are closed after this, before the backend does.
     max_idle_time: Micros,
+    /// Shortens the idle time further where connections turn out to be stale.
     pub(super) idle_reuse: IdleReuseTracker,
     /// The poll's token of the connection with a key.
     token: fn(usize) -> Token,
+    /// What [`Backends::take_completions`] returns next.
     pub(super) completions: Vec<Completion>,
 }
 
@@ -105,6 +111,7 @@
         self.pools.keys().filter(|backend| !listed.contains(backend)).copied().collect()
     }
 
+    /// Whether a backend has an address other than before.
     fn has_moved(&self, entry: &EndpointEntry) -> bool {
         self.pools.get(&entry.endpoint.backend).is_some_and(|pool| pool.address != entry.address)
     }
@@ -122,6 +129,7 @@
         }
     }
 
+    /// The keys of all connections that fulfil a condition.
     fn keys_where(&self, condition: impl Fn(&Connection) -> bool) -> Vec<usize> {
         self.connections.iter().filter(|(_, connection)| condition(connection)).map(|(key, _)| key).collect()
     }
@@ -216,6 +224,7 @@
         self.close_stalled(now);
     }
 
+    /// Closes connections that have been idle for too long.
     fn close_expired(&mut self, now: Micros) {
         let max_idle_time = self.max_idle_time.min(self.idle_reuse.max_idle_time());
         let is_expired = |connection: &Connection| {
--- a/src/bin/ingress/discovery/connection.rs
+++ b/src/bin/ingress/discovery/connection.rs
@@ -12,6 +12,7 @@
 
 /// A connection to discovery, which carries one request at a time.
 pub struct Connection {
+    /// The socket.
     stream: TcpStream,
     /// What is still to be written of a request.
     outgoing: Vec<u8>,
--- a/src/bin/ingress/discovery/endpoint_list.rs
+++ b/src/bin/ingress/discovery/endpoint_list.rs
@@ -8,8 +8,9 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-/// The parameters of the 64-bit FNV-1a hash.
+/// What a 64-bit FNV-1a hash begins with.
 const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// What each step of a 64-bit FNV-1a hash multiplies by.
 const FNV_PRIME: u64 = 0x100_0000_01b3;
 /// Start times are in milliseconds.
 const MICROS_PER_MILLI: Micros = 1000;
@@ -58,6 +59,7 @@
 
 /// Builds an [`EndpointList`] from a JSON object.
 struct ListVisitor<'a> {
+    /// Gives zones and machine types their numbers.
     location_names: &'a LocationNames,
 }
 
@@ -89,6 +91,7 @@
 
 /// Builds the entries of an [`EndpointList`] from a JSON array.
 struct EntriesVisitor<'a> {
+    /// Gives zones and machine types their numbers.
     location_names: &'a LocationNames,
 }
 
@@ -118,6 +121,7 @@
 }
 
 impl EndpointEntry {
+    /// Reads an entry from a JSON object.
     fn from_json(json: &Value, location_names: &LocationNames) -> Result<EndpointEntry, EndpointListError> {
         let text = |field: &str| json.get(field).and_then(Value::as_str);
         let name = text("name").ok_or(EndpointListError::Unnamed)?;
--- a/src/bin/ingress/discovery/http.rs
+++ b/src/bin/ingress/discovery/http.rs
@@ -63,7 +63,9 @@
 struct Head {
     /// The head's length.
     len: usize,
+    /// How the body behind it ends.
     framing: Framing,
+    /// What becomes of the connection, if nothing comes behind the body.
     persistence: Persistence,
 }
 
@@ -115,6 +117,7 @@
     Ok(Some(Head { len, framing, persistence }))
 }
 
+/// How the body ends, by the headers.
 fn parse_framing(headers: &[httparse::Header], max_body_bytes: usize) -> Result<Framing, HttpError> {
     if header(headers, "transfer-encoding").is_some_and(|value| value.contains("chunked")) {
         return Ok(Framing::Chunked);
--- a/src/bin/ingress/discovery/location_names.rs
+++ b/src/bin/ingress/discovery/location_names.rs
@@ -20,6 +20,7 @@
     }
 }
 
+/// Where a name stands in a list.
 fn position(names: &[String], wanted: Option<&str>) -> Option<usize> {
     let wanted = wanted?;
     names.iter().position(|name| name == wanted)
--- a/src/bin/ingress/discovery/poll.rs
+++ b/src/bin/ingress/discovery/poll.rs
@@ -14,7 +14,12 @@
     /// The whole list, at once.
     Snapshot,
     /// What has changed since a version of the list, as soon as there is something, or nothing after a time.
-    Changes { since: u64, timeout: Micros },
+    Changes {
+        /// The version held.
+        since: u64,
+        /// How long discovery may wait for a change.
+        timeout: Micros,
+    },
 }
 
 impl PollRequest {
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -33,9 +33,13 @@
 
 /// The watch.
 pub struct Watch {
+    /// Where discovery is.
     address: SocketAddr,
+    /// The zones and machine types that lists refer to.
     location_names: LocationNames,
+    /// The poll's token of the connection.
     token: Token,
+    /// The connection, while there is one; it outlives a poll where discovery keeps it open.
     connection: Option<Connection>,
     /// The version of the list held; none asks for a snapshot.
     index: Option<u64>,
@@ -43,7 +47,9 @@
     poll_started_at: Option<Micros>,
     /// When the last poll counts as unanswered, once its request is written.
     response_due_at: Micros,
+    /// When polls are made.
     schedule: PollSchedule,
+    /// The most bytes of a response's body.
     max_body_bytes: usize,
     /// When [`Watch::on_timer`] has something to do.
     pub next_timer_at: Micros,
@@ -137,6 +143,7 @@
         just_failed
     }
 
+    /// Makes the next poll. Returns whether polls have just begun to fail.
     fn start_poll(&mut self, now: Micros, registry: &Registry) -> bool {
         if self.connection.is_none() {
             match Connection::open(self.address, registry, self.token) {
@@ -213,6 +220,7 @@
         }
     }
 
+    /// Records a response, and when the next poll is due.
     fn complete_poll(
         &mut self,
         now: Micros,
