--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to a backend: its state, and single reads and writes.
 
 use super::{Assignment, CommandState};
+use crate::socket_error::is_not_ready;
 use ingress::{BackendId, Micros, Outcome};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
@@ -134,8 +135,3 @@
         read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
     }
 }
-
-/// Whether a socket is not connected yet, or has nothing to read or no room to write.
-fn is_not_ready(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
-}
--- a/src/bin/ingress/discovery/connection.rs
+++ b/src/bin/ingress/discovery/connection.rs
@@ -2,6 +2,7 @@
 
 use super::http::{StreamState, MAX_HEAD_BYTES};
 use super::{HttpError, PollError};
+use crate::socket_error::is_not_ready;
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use std::io::{self, Read, Write};
@@ -93,8 +94,3 @@
         }
     }
 }
-
-/// Whether a socket is not connected yet, or has nothing to read or no room to write.
-fn is_not_ready(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::NotConnected)
-}
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod reload;
 mod resp;
+mod socket_error;
 
 use config::{environment_variable, Config, ConfigFileError};
 use error_chain::ErrorChain;
