Split the test of polls during an outage into a fleet and its steps

The function that plays an outage had 59 lines, with a Vec for each property of an ingress.

Fleet and Ingress hold them, with a method for each step.

--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -249,65 +249,116 @@
     }
 }
 
+/// An ingress of a fleet whose discovery is down.
+struct Ingress {
+    watch: Watch,
+    is_killed: bool,
+    has_restarted: bool,
+    answered_at: Option<Micros>,
+    last_poll_at: Micros,
+}
+
+impl Ingress {
+    /// From when on discovery could be reached, by an ingress that restarts at `restart_at` if it is killed.
+    fn reachable_since(is_killed: bool, restart_at: Micros) -> Micros {
+        if is_killed {
+            RETURN_AT.max(restart_at)
+        } else {
+            RETURN_AT
+        }
+    }
+}
+
 /// A fleet whose discovery is down for 8 s: it rejects all polls at once. `killed` of ten ingresses start anew.
-fn outage(ingresses: u64, polls_per_second: u64, killed: u64, restart: Restart, seed: u64) -> Outage {
-    let restart_at = restart.at();
-    let watch = |number: u64, now| {
+struct Fleet {
+    ingress_count: u64,
+    seed: u64,
+    restart_at: Micros,
+    discovery: SharedDiscovery,
+    ingresses: Vec<Ingress>,
+    /// When an ingress polls next, by its number.
+    due: std::collections::BTreeSet<(Micros, usize)>,
+    outage: Outage,
+}
+
+impl Fleet {
+    fn new(ingress_count: u64, polls_per_second: u64, killed: u64, restart: Restart, seed: u64) -> Fleet {
+        let discovery = SharedDiscovery { service_time: 1_000_000 / polls_per_second, free_at: 0 };
+        let outage = Outage { longest_gap: 0, p95: 0, polls: 0 };
+        let (ingresses, due, restart_at) = (Vec::new(), std::collections::BTreeSet::new(), restart.at());
+        let mut fleet = Fleet { ingress_count, seed, restart_at, discovery, ingresses, due, outage };
+        for number in 0..ingress_count {
+            // An open watch, which ends as discovery goes down.
+            let mut watch = fleet.watch(number, DOWN_AT);
+            watch.fail(DOWN_AT, &PollError::ConnectionEnded);
+            fleet.due.insert((watch.next_timer_at, number as usize));
+            let is_killed = number % 10 < killed;
+            let (has_restarted, answered_at, last_poll_at) = (false, None, 0);
+            fleet.ingresses.push(Ingress { watch, is_killed, has_restarted, answered_at, last_poll_at });
+        }
+        fleet
+    }
+
+    fn watch(&self, number: u64, now: Micros) -> Watch {
         let options = WatchOptions {
             max_body_bytes: MAX_BODY_BYTES,
-            backoff: Backoff::shared_service(10_000_000, ingresses),
-            seed: seed * 100_000 + number,
+            backoff: Backoff::shared_service(10_000_000, self.ingress_count),
+            seed: self.seed * 100_000 + number,
             now,
         };
         Watch::new(([127, 0, 0, 1], 1).into(), location_names(), 0, Token(0), options)
-    };
-    let mut discovery = SharedDiscovery { service_time: 1_000_000 / polls_per_second, free_at: 0 };
-    // Open watches, which all end as discovery goes down.
-    let mut watches: Vec<Watch> = (0..ingresses).map(|number| watch(number, DOWN_AT)).collect();
-    for watch in &mut watches {
-        watch.fail(DOWN_AT, &PollError::ConnectionEnded);
     }
-    let is_killed = |number: usize| (number as u64) % 10 < killed;
-    let mut due: std::collections::BTreeSet<(Micros, usize)> =
-        watches.iter().enumerate().map(|(number, watch)| (watch.next_timer_at, number)).collect();
-    let mut restarted = vec![false; watches.len()];
-    let mut answered_at: Vec<Option<Micros>> = vec![None; watches.len()];
-    let (mut last_poll, mut longest_gap) = (vec![0; watches.len()], 0);
-    let mut arrivals = Vec::new();
-    while let Some((now, number)) = due.pop_first() {
-        if now >= restart_at && is_killed(number) && !std::mem::replace(&mut restarted[number], true) {
-            watches[number] = watch(number as u64 + ingresses, restart_at);
-            (answered_at[number], last_poll[number]) = (None, 0);
-            due.insert((watches[number].next_timer_at, number));
-            continue;
-        }
-        if answered_at[number].is_some() {
-            continue; // the watch waits for changes again
+
+    /// Runs until all have a response.
+    fn run(mut self) -> Outage {
+        while let Some((now, number)) = self.due.pop_first() {
+            let ingress = &self.ingresses[number];
+            if now >= self.restart_at && ingress.is_killed && !ingress.has_restarted {
+                self.restart(number);
+            } else if ingress.answered_at.is_none() {
+                self.poll(number, now);
+            } // else the watch waits for changes again
         }
-        let watch = &mut watches[number];
-        let since = if restarted[number] { RETURN_AT.max(restart_at) } else { RETURN_AT };
-        longest_gap = longest_gap.max(now.saturating_sub(since.max(last_poll[number])));
-        last_poll[number] = now;
-        arrivals.push(now);
-        let end = if now < RETURN_AT { PollEnd { at: now, is_answered: false } } else { discovery.poll(now) };
-        watch.poll_started_at = Some(now);
+        let answered_after = |ingress: &Ingress| {
+            let since = Ingress::reachable_since(ingress.is_killed, self.restart_at);
+            ingress.answered_at.expect("all got a response").saturating_sub(since)
+        };
+        let mut times: Vec<Micros> = self.ingresses.iter().map(answered_after).collect();
+        times.sort_unstable();
+        Outage { p95: times[times.len() * 19 / 20 - 1], ..self.outage }
+    }
+
+    fn restart(&mut self, number: usize) {
+        let watch = self.watch(number as u64 + self.ingress_count, self.restart_at);
+        self.due.insert((watch.next_timer_at, number));
+        let (is_killed, has_restarted) = (true, true);
+        let (answered_at, last_poll_at) = (None, 0);
+        self.ingresses[number] = Ingress { watch, is_killed, has_restarted, answered_at, last_poll_at };
+    }
+
+    fn poll(&mut self, number: usize, now: Micros) {
+        let ingress = &mut self.ingresses[number];
+        let since = Ingress::reachable_since(ingress.has_restarted, self.restart_at);
+        let gap = now.saturating_sub(since.max(ingress.last_poll_at));
+        self.outage.longest_gap = self.outage.longest_gap.max(gap);
+        ingress.last_poll_at = now;
+        let end = if now < RETURN_AT {
+            PollEnd { at: now, is_answered: false }
+        } else {
+            self.outage.polls += 1;
+            self.discovery.poll(now)
+        };
+        ingress.watch.poll_started_at = Some(now);
         if end.is_answered {
-            answered_at[number] = Some(end.at);
+            ingress.answered_at = Some(end.at);
             // Killed ones poll again at their start.
-            due.insert((if restarted[number] { Micros::MAX } else { end.at.max(restart_at) }, number));
+            let next = if ingress.has_restarted { Micros::MAX } else { end.at.max(self.restart_at) };
+            self.due.insert((next, number));
         } else {
-            watch.fail(end.at, &rejected());
-            due.insert((watch.next_timer_at, number));
+            ingress.watch.fail(end.at, &rejected());
+            self.due.insert((ingress.watch.next_timer_at, number));
         }
     }
-    let since = |number: usize| if is_killed(number) { RETURN_AT.max(restart_at) } else { RETURN_AT };
-    let answered_after = |(number, at): (usize, &Option<Micros>)| {
-        at.expect("all got a response").saturating_sub(since(number))
-    };
-    let mut times: Vec<Micros> = answered_at.iter().enumerate().map(answered_after).collect();
-    times.sort_unstable();
-    let p95 = times[times.len() * 19 / 20 - 1];
-    Outage { longest_gap, p95, polls: arrivals.iter().filter(|at| **at >= RETURN_AT).count() }
 }
 
 /// Guards against an ingress that stays away from a discovery that is back: it was polled again up to 12 s after a failed
@@ -320,7 +371,7 @@
         let restarts =
             [Restart::BeforeReturn, Restart::AfterReturn, Restart::BeforeReturn, Restart::AfterReturn];
         for (seed, restart) in (1..).zip(restarts) {
-            let outage = outage(ingresses, polls_per_second, 7, restart, seed);
+            let outage = Fleet::new(ingresses, polls_per_second, 7, restart, seed).run();
             let count = ingresses as usize;
             assert!(outage.longest_gap <= MAX_RETRY_GAP, "{ingresses}: {outage:?}");
             assert!(outage.p95 <= 6_000_000, "nineteen in twenty are in time, {ingresses}: {outage:?}");
