Pin the texts by which an unusable response of discovery is told

Errors of discovery became types; their texts in the log are to stay as they were.

Two tests hold the texts for 13 lists and 7 responses.

--- a/src/bin/ingress/discovery/poll/tests.rs
+++ b/src/bin/ingress/discovery/poll/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::discovery::max_body_bytes;
 use crate::discovery::tests::{location_names, long_list, MAX_BODY_BYTES};
+use crate::error_chain::ErrorChain;
 use ingress::Availability;
 
 /// Parses with the limit that small machines have.
@@ -86,3 +87,63 @@
     let long = parse(&texts[0].0, StreamState::Open);
     assert!(long.is_err(), "longer than there is memory for");
 }
+
+/// The text of the error that a response gives.
+fn fault(response: &str) -> String {
+    let error = parse(response, StreamState::Open).err().expect("it is no list");
+    ErrorChain(&error).to_string()
+}
+
+/// Operators look for these texts in the log: they stay as they are.
+#[test]
+fn each_fault_of_a_list_has_its_text() {
+    let list = |entry: &str| format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{entry}]}}");
+    let entry = r#"{"name":"s","address":"1.2.3.4:5","status":"up"}"#;
+    let with = |from: &str, to: &str| list(entry).replace(from, to);
+    for (body, text) in [
+        ("{]".into(), "key must be a string at line 1 column 2"),
+        ("[]".into(), "invalid type: sequence, expected a list of backends at line 1 column 0"),
+        ("{}".into(), "index is missing or no whole number at line 1 column 2"),
+        (with("\"index\":1", "\"index\":-1"), "index is missing or no whole number at line 1 column 91"),
+        (with("true", "1"), "snapshot is missing or no flag at line 1 column 87"),
+        ("{\"index\":1,\"snapshot\":true}".into(), "endpoints is missing or no list at line 1 column 27"),
+        (
+            "{\"index\":1,\"snapshot\":true,\"endpoints\":7}".into(),
+            "invalid type: integer `7`, expected endpoints as a list at line 1 column 40",
+        ),
+        (list("{}"), "endpoints has an entry without a name at line 1 column 43"),
+        (
+            with("\"status\":\"up\"", "\"x\":1"),
+            "endpoints: status of s is missing or bad at line 1 column 81",
+        ),
+        (with("1.2.3.4:5", "x"), "endpoints: address of s is missing or bad at line 1 column 81"),
+        (
+            with("\"up\"", "\"up\",\"since_ms\":-1"),
+            "endpoints: since_ms of s is missing or bad at line 1 column 103",
+        ),
+        (
+            with("\"up\"", "\"up\",\"group\":70000"),
+            "endpoints: group of s is missing or bad at line 1 column 103",
+        ),
+        (list(entry) + "7", "trailing characters at line 1 column 91"),
+    ] {
+        let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        assert_eq!(fault(&response), format!("an answer is no list: {text}"));
+    }
+}
+
+#[test]
+fn each_fault_of_a_response_has_its_text() {
+    let long_head = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000));
+    for (response, text) in [
+        ("SSH-2.0\r\n", "an answer is no HTTP: invalid HTTP version"),
+        ("HTTP/1.1 503 Busy\r\n\r\n", "it answers with status 503"),
+        (&long_head[..], "an answer's head is too long"),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 1e3\r\n\r\n", "an answer's length is 1e3"),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 4194305\r\n\r\n", "an answer's length is 4194305"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "an answer's chunk is no chunk"),
+        ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n", "an answer is too long"),
+    ] {
+        assert_eq!(fault(response), text);
+    }
+}
