--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -43,7 +43,7 @@
         let peers = config.peers.take();
         let peers = peers.map(|addresses| bind_peers(addresses, poll.registry())).transpose()?;
         let sockets = Sockets { poll, listener, peers, signals };
-        let mut event_loop = EventLoop::assemble(config, sockets, Clock::new(), reload)?;
+        let mut event_loop = EventLoop::build(config, sockets, Clock::new(), reload)?;
         event_loop.timers.schedule(event_loop.now + SWEEP_INTERVAL, Timer::Sweep);
         event_loop.run_policy();
         crate::log(&format!("event_loop: listening, address={address}"));
@@ -51,12 +51,7 @@
     }
 
     /// Puts the event loop together; the policy is still to be given the cached endpoint list.
-    fn assemble(
-        config: Config,
-        sockets: Sockets,
-        clock: Clock,
-        reload: Reload,
-    ) -> Result<Self, EventLoopError> {
+    fn build(config: Config, sockets: Sockets, clock: Clock, reload: Reload) -> Result<Self, EventLoopError> {
         let now = clock.now();
         let options = watch_options(&config, now);
         let memory_share = config.max_memory / MEMORY_DIVISOR;
