Name the tests of the decisions and their driven gateway by the field's terms

The tests of the decisions spoke of homes, ladders, rungs, capped customers and words, by names as Rig, feed, pass, ask, settle, carry, T0 and S; classes and plans were bare numbers.

The classes and plans of settings() have names with the same values. Doc comments use the terms of the glossary.

--- a/tests/gateway/load_shedding.rs
+++ b/tests/gateway/load_shedding.rs
@@ -1,16 +1,17 @@
 //! Shedding stages and the concurrency limit.
 
-use crate::support::gateway::{listed, plan, refused, sends, settings, Rig};
+use crate::support::gateway::{endpoint, is_rejected, plan, sent_to, settings, GatewayHarness};
+use crate::support::gateway::{IDEMPOTENT, UNLIMITED};
 use ingress::*;
 
 #[test]
-fn the_ladder_climbs_on_latency_and_comes_down() {
-    let mut rig = Rig::with(settings(), 4);
+fn the_shedding_stage_rises_with_latency_and_falls_again() {
+    let mut harness = GatewayHarness::new(settings(), 4);
     let mut log = Vec::new();
     for step in 0..800u64 {
         let slow = (100..300).contains(&step);
-        let (id, actions) = rig.ask(0, 0, step, 1.0);
-        if let Some(b) = sends(&actions).first() {
+        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step, 1.0);
+        if let Some(b) = sent_to(&actions).first() {
             let event = Event::AttemptEnded {
                 id,
                 attempt: 0,
@@ -22,9 +23,9 @@
                 charged_units: None,
                 load_report: None,
             };
-            rig.feed(event);
+            harness.handle(event);
         }
-        let actions = rig.pass(20_000);
+        let actions = harness.advance(20_000);
         log.extend(actions.into_iter().filter_map(|a| {
             if let Action::Log(l) = a {
                 Some((step, l))
@@ -39,21 +40,22 @@
     assert!(down.0 > 300);
 }
 
-/// A rung cuts the same customers for an epoch: a refused client's retry gets the same answer.
+/// A shedding stage rejects the same customers for an epoch: the retry of a rejected client gets the same
+/// answer.
 #[test]
-fn the_ladder_cuts_whole_customers_alike_at_all_gateways() {
+fn all_gateways_shed_the_same_customers() {
     let verdicts = |me: u16| {
         let mut s = Settings { own_id: GatewayId(me), ..settings() };
         s.plans = vec![plan(1e6, 1e6)];
-        let mut rig = Rig::with(s, 4);
+        let mut harness = GatewayHarness::new(s, 4);
         for step in 0..400u64 {
-            let (id, actions) = rig.ask(0, 0, step % 40, 1.0);
-            for backend in sends(&actions) {
+            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step % 40, 1.0);
+            for backend in sent_to(&actions) {
                 let took = if step < 40 { 100_000 } else { 900_000 };
                 let (complete, outcome) = (true, Outcome::Ok);
                 let (metered, charged, report) = (None, None, None);
                 let attempt = 0;
-                rig.feed(Event::AttemptEnded {
+                harness.handle(Event::AttemptEnded {
                     id,
                     attempt,
                     backend,
@@ -65,9 +67,9 @@
                     load_report: report,
                 });
             }
-            rig.pass(20_000);
+            harness.advance(20_000);
         }
-        (0..40).map(|n| refused(&rig.ask(0, 0, n, 1.0).1)).collect::<Vec<_>>()
+        (0..40).map(|n| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1)).collect::<Vec<_>>()
     };
     let (here, there) = (verdicts(0), verdicts(1));
     assert_eq!(here, there);
@@ -75,24 +77,28 @@
 }
 
 #[test]
-fn backends_that_are_left_do_not_inherit_the_load_of_the_fallen() {
+fn remaining_backends_do_not_take_over_the_load_of_removed_ones() {
     let out = |left: u64| {
-        let mut rig = Rig::with(settings(), 12);
-        rig.feed(Event::Endpoints(EndpointUpdate::Snapshot, (0..left).map(listed).collect()));
-        (0..200).map(|n| sends(&rig.ask(0, 0, n, 1.0).1).len()).sum::<usize>()
+        let mut harness = GatewayHarness::new(settings(), 12);
+        harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, (0..left).map(endpoint).collect()));
+        (0..200).map(|n| sent_to(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1).len()).sum::<usize>()
     };
     assert!(out(12) >= 12);
     assert!(out(6) * 2 <= out(12) + 2, "{} out at 6 backends, {} at 12", out(6), out(12));
 }
 
-/// Whom a full bound turns away is drawn by customer and epoch, not by who comes last: a retry of the unlucky
-/// gets the same answer at every gateway.
+/// Whom the concurrency limit rejects is drawn by customer and epoch, not by who comes last: a retry gets the
+/// same answer at every gateway.
 #[test]
-fn a_full_bound_turns_the_same_customers_away() {
-    let mut rig = Rig::with(settings(), 12);
-    let verdicts: Vec<bool> = (0..80).map(|n| refused(&rig.ask(0, 0, n, 1.0).1)).collect();
+fn the_concurrency_limit_rejects_the_same_customers_again() {
+    let mut harness = GatewayHarness::new(settings(), 12);
+    let verdicts: Vec<bool> =
+        (0..80).map(|n| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1)).collect();
     let first_refused = verdicts.iter().position(|r| *r).expect("the bound is full");
     let last_taken = verdicts.iter().rposition(|r| !*r).expect("some are taken");
     assert!(first_refused < last_taken, "the line is closed to some before it is full");
-    assert!(refused(&rig.ask(0, 0, first_refused as u64, 1.0).1), "asking again changes nothing");
+    assert!(
+        is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, first_refused as u64, 1.0).1),
+        "asking again changes nothing"
+    );
 }
