Read a backend's connection up to a named limit in place of a bool

read took a bool that said whether the end of the connection was near.

ReadUntil says how far to read. Some comments say after where they said behind.

--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -22,6 +22,15 @@
     Unusable,
 }
 
+/// How far a connection is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadUntil {
+    /// Until nothing more is there; the poll reports what comes later.
+    Drained,
+    /// To the end of the connection, which is known to be near.
+    Ended,
+}
+
 impl Backends {
     /// Begins an attempt or a health check with the command that `encode` appends. Returns none if it has failed, which is
     /// among the completions.
@@ -105,7 +114,8 @@
             self.write(key);
         }
         if self.connections.contains(key) {
-            self.read(key, now, readiness.closed);
+            let until = if readiness.closed { ReadUntil::Ended } else { ReadUntil::Drained };
+            self.read(key, now, until);
         }
     }
 
@@ -118,7 +128,7 @@
         // The backend may have said why before the connection broke, for instance that it has too many.
         let id = ConnectionId { key, serial: connection.serial };
         let assigned_at = connection.state_since;
-        self.read(key, assigned_at, true);
+        self.read(key, assigned_at, ReadUntil::Ended);
         if self.connection(id).is_some() {
             let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
             self.complete(key, result, Some(assigned_at));
@@ -126,8 +136,8 @@
         }
     }
 
-    /// Reads what has come; `closed` tells that the end of the connection is to be found behind it.
-    fn read(&mut self, key: usize, now: Micros, closed: bool) {
+    /// Reads what has come.
+    fn read(&mut self, key: usize, now: Micros, until: ReadUntil) {
         for _ in 0..MAX_READS_PER_TURN {
             let step = self.connections[key].read_once(&mut self.read_buffer, now);
             match step {
@@ -138,8 +148,7 @@
                     if self.process_received(key, now) == Usability::Unusable {
                         return self.remove(key);
                     }
-                    // The poll tells of more.
-                    if step == ReadStep::Drained && !closed {
+                    if step == ReadStep::Drained && until == ReadUntil::Drained {
                         return;
                     }
                 }
--- a/src/bin/ingress/discovery/endpoint_list.rs
+++ b/src/bin/ingress/discovery/endpoint_list.rs
@@ -17,7 +17,7 @@
 
 /// An entry of the list, with the backend's address as this ingress reaches it.
 pub struct EndpointEntry {
-    /// What the gateway is told of the backend.
+    /// What the gateway needs to know of the backend.
     pub endpoint: Endpoint,
     /// Where to connect to; none only for a backend that is gone.
     pub address: Option<SocketAddr>,
--- a/src/bin/ingress/discovery/http.rs
+++ b/src/bin/ingress/discovery/http.rs
@@ -63,9 +63,9 @@
 struct Head {
     /// The head's length.
     len: usize,
-    /// How the body behind it ends.
+    /// How the end of the body is found.
     framing: Framing,
-    /// What becomes of the connection, if nothing comes behind the body.
+    /// What becomes of the connection, if nothing follows the body.
     persistence: Persistence,
 }
 
@@ -87,7 +87,7 @@
             Ok(bytes.map(|bytes| Body { bytes, persistence: head.persistence }))
         }
         Framing::ContentLength(length) => {
-            // Bytes behind the body belong to no request, so the connection is not used again.
+            // Bytes after the body belong to no request, so the connection is not used again.
             let persistence = if rest.len() == length { head.persistence } else { Persistence::Close };
             Ok(rest.get(..length).map(|bytes| Body { bytes: Cow::Borrowed(bytes), persistence }))
         }
