Test that an error's sources are each shown once

main prints an error with its sources; transparent errors must not show a text twice.

A test of ErrorChain with an I/O error and with two transparent errors around a setting's.

--- a/src/bin/ingress/error_chain.rs
+++ b/src/bin/ingress/error_chain.rs
@@ -17,3 +17,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
