--- a/fleet-experiments/src/simulation.rs
+++ b/fleet-experiments/src/simulation.rs
@@ -6,8 +6,8 @@
 pub use event_queue::EventQueue;
 
 use ingress::{
-    Availability, BackendId, Class, Endpoint, Event, GatewayId, Idempotency, Limits, Micros, Outcome, Plan,
-    RequestId, Rules, Settings,
+    AttemptEnded, Availability, BackendId, Class, Endpoint, Event, GatewayId, Idempotency, Limits, Micros,
+    Outcome, Plan, RequestId, Rules, Settings,
 };
 use std::ops::Range;
 
@@ -107,7 +107,7 @@
 
 /// The end of an attempt that was served and whose answer went to the client.
 pub fn attempt_served(id: RequestId, attempt: u16, backend: BackendId, elapsed: Micros) -> Event {
-    Event::AttemptEnded {
+    Event::AttemptEnded(AttemptEnded {
         id,
         attempt,
         backend,
@@ -117,7 +117,7 @@
         metered: None,
         charged_units: None,
         load_report: None,
-    }
+    })
 }
 
 /// The time until the next arrival of a Poisson stream of `rate` a second.
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -5,7 +5,7 @@
 use super::EventLoop;
 use crate::backends::{Assignment, CommandState, Completion, ConnectionId};
 use crate::resp;
-use ingress::{BackendId, Event, LoadReport, Micros, Outcome, RequestId};
+use ingress::{AttemptEnded, BackendId, Event, LoadReport, Micros, Outcome, RequestId};
 
 /// An attempt, as reported to the policy.
 #[derive(Clone, Copy)]
@@ -19,7 +19,7 @@
 impl AttemptRecord {
     /// The event of its end; `answered` says that the request has its final reply.
     fn ended(self, outcome: Outcome, answered: bool, load_report: Option<LoadReport>) -> Event {
-        Event::AttemptEnded {
+        Event::AttemptEnded(AttemptEnded {
             id: self.id,
             attempt: self.number,
             backend: self.backend,
@@ -29,7 +29,7 @@
             metered: None,
             charged_units: None,
             load_report,
-        }
+        })
     }
 }
 
--- a/src/bin/simulator-adapter/wire/record.rs
+++ b/src/bin/simulator-adapter/wire/record.rs
@@ -4,8 +4,8 @@
 use super::InstanceId;
 use crate::error::{FieldProblem, RecordError};
 use ingress::{
-    Availability, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId, LoadReport, Outcome, Request,
-    RequestId,
+    AttemptEnded, Availability, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId, LoadReport, Outcome,
+    Request, RequestId,
 };
 
 /// Bytes of a record.
@@ -167,7 +167,7 @@
         fields: &mut FieldReader,
         report_fields: &[String],
     ) -> Result<Event, RecordError> {
-        Ok(Event::AttemptEnded {
+        Ok(Event::AttemptEnded(AttemptEnded {
             id: RequestId(fields.u64()),
             elapsed: u64::from(fields.u32()),
             outcome: self.outcome(fields)?,
@@ -178,7 +178,7 @@
             backend: fields.backend(),
             charged_units: Some(fields.u16()).filter(|units| *units > 0).map(f64::from),
             load_report: load_report(fields, report_fields),
-        })
+        }))
     }
 
     /// The end of a call to the shared counter.
--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -5,8 +5,8 @@
 use super::reply::{ACTION_SIZE, REPLY_HEADER_SIZE};
 use super::*;
 use ingress::{
-    Action, Availability, BackendId, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId, LoadReport,
-    Outcome, Request, RequestId,
+    Action, AttemptEnded, Availability, BackendId, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId,
+    LoadReport, Outcome, Request, RequestId,
 };
 
 #[test]
@@ -97,7 +97,7 @@
             (31, &float(6.0)),
         ],
     );
-    let Event::AttemptEnded {
+    let Event::AttemptEnded(AttemptEnded {
         id,
         attempt,
         backend,
@@ -107,7 +107,7 @@
         metered,
         charged_units,
         load_report,
-    } = read(attempt_ended)
+    }) = read(attempt_ended)
     else {
         panic!("not the end of an attempt")
     };
--- a/src/event.rs
+++ b/src/event.rs
@@ -83,6 +83,29 @@
     pub gateway_set_start: f64,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptEnded {
+    /// The request.
+    pub id: RequestId,
+    /// The number of the attempt, from 0.
+    pub attempt: u16,
+    /// Where it went.
+    pub backend: BackendId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The request has its final answer.
+    pub answered: bool,
+    /// How long it was in flight.
+    pub elapsed: Micros,
+    /// The customer's metered use as a share of its rate or concurrency quota, where there is a meter.
+    pub metered: Option<f64>,
+    /// True units, where they are settled afterwards.
+    pub charged_units: Option<f64>,
+    /// The load report that came along.
+    pub load_report: Option<LoadReport>,
+}
+
 /// What a gateway sees.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -91,26 +114,7 @@
     /// A request arrived.
     Request(Request),
     /// An attempt ended.
-    AttemptEnded {
-        /// The request.
-        id: RequestId,
-        /// The number of the attempt, from 0.
-        attempt: u16,
-        /// Where it went.
-        backend: BackendId,
-        /// How it ended.
-        outcome: Outcome,
-        /// The request has its final answer.
-        answered: bool,
-        /// How long it was in flight.
-        elapsed: Micros,
-        /// The customer's metered use as a share of its rate or concurrency quota, where there is a meter.
-        metered: Option<f64>,
-        /// True units, where they are settled afterwards.
-        charged_units: Option<f64>,
-        /// The load report that came along.
-        load_report: Option<LoadReport>,
-    },
+    AttemptEnded(AttemptEnded),
     /// A streamed answer began; the attempt is the client's from now on.
     FirstByte {
         /// The request.
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,272 @@
+//! A gateway: the parts that own its state, and the bookkeeping that needs several of them. Nothing is
+//! decided here: that is the work of `crate::policy`.
+
+use crate::gossip::{incarnation_of, Body, Message};
+use crate::policy::{initial_baseline, report_interval, retry_budget, MAX_REPORTED_QUEUE_DEPTH};
+use crate::state::{
+    BackendTable, DecayingRate, LatencyBaseline, LoadShedder, PeerTable, QuotaTable, RequestState,
+};
+use crate::state::{RequestTable, RetryBudget, RetryScope};
+use crate::{Action, AttemptEnded, BackendId, Class, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId};
+use crate::{Idempotency, Micros, Outcome, Plan, Request, RequestId, Settings};
+
+/// One gateway's decisions. Feed it events with [`Gateway::handle`], and do what it asks.
+#[derive(Default)]
+pub struct Gateway {
+    pub(crate) settings: Settings,
+    /// How many gateways there are, at least 1.
+    pub(crate) fleet_size: u64,
+    /// Counted up for each draw; the seed is its first value.
+    pub(crate) random_state: u64,
+    pub(crate) now: Micros,
+    pub(crate) started_at: Micros,
+    pub(crate) next_wake_up_at: Micros,
+    /// When the host last went on after it had stood still: latencies found with that event say nothing.
+    pub(crate) resumed_at: Micros,
+    pub(crate) next_poll_at: Micros,
+    pub(crate) requests: RequestTable,
+    pub(crate) quota: QuotaTable,
+    pub(crate) peers: PeerTable,
+    pub(crate) backends: BackendTable,
+    /// By class.
+    pub(crate) latency_baselines: Vec<LatencyBaseline>,
+    pub(crate) load_shedder: LoadShedder,
+    pub(crate) retry_budget: RetryBudget,
+    /// Attempts sent by this gateway.
+    pub(crate) send_rate: DecayingRate,
+}
+
+/// What the concurrency limit of a gateway is computed from.
+#[derive(Clone, Copy)]
+pub(crate) struct GatewayLoad {
+    pub in_flight: u32,
+    pub ready_backends: usize,
+    pub fleet_size: u64,
+}
+
+/// What the end of an attempt means for others.
+pub(crate) struct SettledAttempt {
+    pub backend: BackendId,
+    pub customer: CustomerId,
+    /// The request has its final answer.
+    pub answered: bool,
+    /// No other attempt of the request is in flight.
+    pub was_last_in_flight: bool,
+    /// The owners of the customer's quota are to be told.
+    pub usage_changed: bool,
+}
+
+impl Gateway {
+    /// A gateway that starts now and knows nothing yet.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let fleet_size = u64::from(settings.gateway_count.max(1));
+        let report_interval = report_interval(&settings, fleet_size);
+        Gateway {
+            random_state: seed,
+            now,
+            started_at: now,
+            quota: QuotaTable { usage_known_since: Some(now), report_interval, ..QuotaTable::default() },
+            backends: BackendTable::new(&settings),
+            latency_baselines: settings.classes.iter().map(|class| initial_baseline(class, now)).collect(),
+            load_shedder: LoadShedder::new(),
+            retry_budget: retry_budget(fleet_size),
+            fleet_size,
+            settings,
+            ..Gateway::default()
+        }
+    }
+
+    pub(crate) fn load(&self) -> GatewayLoad {
+        GatewayLoad {
+            in_flight: self.requests.in_flight,
+            ready_backends: self.backends.ready.len(),
+            fleet_size: self.fleet_size,
+        }
+    }
+
+    /// The class of a request that was found valid.
+    pub(crate) fn class_of(&self, request: &Request) -> &Class {
+        &self.settings.classes[usize::from(request.class)]
+    }
+
+    /// The plan of a request that was found valid.
+    pub(crate) fn plan_of(&self, request: &Request) -> &Plan {
+        &self.settings.plans[usize::from(request.plan)]
+    }
+
+    /// Whether every gateway of a customer owns its quota, and is sent reports; in a large fleet only one or
+    /// two do, which are asked for grants.
+    pub(crate) fn all_gateways_own_quotas(&self) -> bool {
+        self.quota.report_interval > 0
+    }
+
+    pub(crate) fn concurrency_limit(&self) -> f64 {
+        self.load_shedder.concurrency_limit(self.load())
+    }
+
+    pub(crate) fn record_pressure(&mut self, ratio: f64) {
+        self.load_shedder.record_pressure(self.now, ratio, self.load());
+    }
+
+    pub(crate) fn dispatch_event(&mut self, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.on_request(request, actions),
+            Event::AttemptEnded(ended) => self.on_attempt_ended(&ended, actions),
+            Event::ClientDisconnected(id) => self.close_request(id, actions),
+            Event::FirstByte { id, attempt } => self.on_first_byte(id, attempt, actions),
+            Event::PeerMessage { from, bytes } => self.on_peer_message(from, &bytes, actions),
+            Event::Endpoints(update, endpoints) => self.on_endpoints(update, endpoints, actions),
+            Event::Timer(_) | Event::HealthCheckEnded { .. } | Event::CounterUpdated { .. } => {}
+        }
+    }
+
+    /// Goes on after the host stood still: what is overdue by now is answered at once, and all that came
+    /// meanwhile is read before any backend is judged by it.
+    pub(crate) fn resume(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let unsent = self.requests.iter().filter(|state| state.attempts.is_empty());
+        let overdue = unsent.filter(|state| !self.can_be_queued(state, now));
+        let overdue: Vec<RequestId> = overdue.map(|state| state.request.id).collect();
+        overdue.into_iter().for_each(|id| self.reject_or_fail(id, actions));
+        self.resumed_at = now;
+    }
+
+    pub(crate) fn on_wake_up(&mut self, actions: &mut Vec<Action>) {
+        let now = self.now;
+        while let Some(id) = self.requests.next_due(now) {
+            self.check_request(id, actions);
+        }
+        for id in std::mem::take(&mut self.requests.queue) {
+            if !self.expire_if_overdue(id, actions) {
+                self.requests.queue.push_back(id);
+            }
+        }
+        self.load_shedder.update(now, self.load(), actions);
+        self.dispatch(actions);
+        self.peers.ready_to_send(now).into_iter().for_each(|peer| self.flush_outbox(peer, actions));
+        self.sweep(actions);
+        self.poll_discovery(actions);
+    }
+
+    /// Sends queued requests, in their order, while there is capacity.
+    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        while let Some(id) = self.requests.queue.front().copied() {
+            let waits = self.requests.get(id).is_some_and(RequestState::awaits_attempt);
+            let saturated = f64::from(self.requests.in_flight) >= self.concurrency_limit();
+            if waits && (saturated || !self.send_attempt(id, actions)) {
+                return;
+            }
+            self.requests.queue.pop_front();
+        }
+    }
+
+    fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>, actions: &mut Vec<Action>) {
+        match update {
+            EndpointUpdate::PollFailed => return self.on_poll_failed(),
+            EndpointUpdate::Delta => endpoints.into_iter().for_each(|one| self.backends.apply_change(one)),
+            EndpointUpdate::Snapshot | EndpointUpdate::CachedSnapshot => self.backends.replace_all(endpoints),
+        }
+        self.dispatch(actions);
+    }
+
+    /// An answer streams: the other attempts are cancelled, and this one is the client's.
+    pub(crate) fn on_first_byte(&mut self, id: RequestId, attempt: u16, actions: &mut Vec<Action>) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.cancel_attempts(Some(attempt), self.settings.limits.cancellation, actions);
+            request.streaming = true;
+        }
+    }
+
+    /// Sends a peer a message, with the latest latency samples.
+    pub(crate) fn send_message(&mut self, to: u16, body: Body, actions: &mut Vec<Action>) {
+        let samples = self.peers.take_samples();
+        let peer = self.peers.entry(to);
+        peer.sent_messages = peer.sent_messages.wrapping_add(1);
+        peer.next_send_at = self.now + self.quota.report_interval;
+        let incarnation = incarnation_of(self.started_at);
+        let message = Message { incarnation, sequence: peer.sent_messages, samples, body };
+        actions.push(Action::SendToPeer { to: Some(GatewayId(to)), bytes: message.encode() });
+    }
+
+    pub(crate) fn schedule_wake_up(&mut self, now: Micros, interval: Micros, actions: &mut Vec<Action>) {
+        self.next_wake_up_at = now + interval;
+        actions.push(Action::SetTimer { delay: interval, token: 0 });
+    }
+
+    pub(crate) fn reject(&self, id: RequestId, retry_after: Micros, actions: &mut Vec<Action>) {
+        let limits = &self.settings.limits;
+        let most = if limits.retry_after { limits.max_retry_after } else { 0 };
+        actions.push(Action::Reject { id, retry_after: retry_after.min(most) });
+    }
+
+    /// A request has its final answer, or no client: its attempts are cancelled, and it is forgotten once
+    /// they ended.
+    pub(crate) fn close_request(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        state.answered = true;
+        state.cancel_attempts(None, self.settings.limits.cancellation && !state.streaming, actions);
+        if state.attempts_in_flight() > 0 {
+            return;
+        }
+        let (request, unsent, awaited) = (state.request, state.attempts.is_empty(), state.awaiting_grant);
+        self.requests.remove(id);
+        if awaited {
+            self.quota.stop_awaiting_grant(request.customer, id, true);
+        } else if unsent {
+            self.charge(&request, -1.0);
+            self.queue_usage_report(request.customer, false, actions);
+        }
+    }
+
+    /// Where the next attempt of a request may go; none if an idempotency key may be forgotten by then.
+    pub(crate) fn retry_scope(&self, state: &RequestState) -> Option<RetryScope> {
+        let Idempotency::Keyed { scope, window } = self.class_of(&state.request).idempotency else {
+            return Some(RetryScope::Anywhere);
+        };
+        let Some(first) = state.first_possibly_executed() else { return Some(RetryScope::Anywhere) };
+        // An attempt begins once its connection is up: by then, too, the window has to be open.
+        let latest = self.now + self.settings.tick + self.settings.limits.connect_timeout;
+        (latest < first.sent_at + window).then_some(RetryScope::Within(scope, first.endpoint))
+    }
+
+    /// Notes that an attempt of a request goes to a backend.
+    pub(crate) fn begin_attempt(&mut self, id: RequestId, backend: BackendId) {
+        let Some(state) = self.requests.get_mut(id) else { return };
+        let Some(backend) = self.backends.get_mut(backend) else { return };
+        state.begin_attempt(backend.endpoint, self.now);
+        backend.begin_attempt(self.now, self.settings.rules.overload_window);
+        if let Some(customer) = self.quota.customers.get_mut(&state.request.customer) {
+            customer.in_flight += 1;
+        }
+        self.requests.in_flight += 1;
+    }
+
+    /// Notes what a backend reported of its queue with the end of an attempt.
+    pub(crate) fn record_queue_depth(&mut self, ended: &AttemptEnded) {
+        let Some(depth) = ended.load_report.and_then(|report| report.queue_depth) else { return };
+        let Some(backend) = self.backends.get_mut(ended.backend) else { return };
+        backend.reported_queue_depth = depth.clamp(0.0, MAX_REPORTED_QUEUE_DEPTH);
+        backend.reported_at = self.now;
+    }
+
+    /// Notes the end of an attempt with its request, backend and customer; none if it was not in flight.
+    pub(crate) fn settle_attempt(&mut self, ended: &AttemptEnded) -> Option<SettledAttempt> {
+        let state = self.requests.get_mut(ended.id)?;
+        let endpoint = state.end_attempt(ended.attempt, ended.outcome)?;
+        state.answered |= ended.answered || ended.outcome == Outcome::Ok;
+        let (request, answered) = (state.request, state.answered);
+        let was_last_in_flight = state.attempts_in_flight() == 0;
+        self.requests.in_flight = self.requests.in_flight.saturating_sub(1);
+        if let Some(backend) = self.backends.get_mut(endpoint.backend) {
+            backend.end_attempt();
+        }
+        let charged = ended.charged_units.filter(|_| self.settings.postpaid);
+        let correction = charged.map_or(0.0, |units| units - request.units);
+        let mut usage_changed = correction != 0.0;
+        if let Some(customer) = self.quota.customers.get_mut(&request.customer) {
+            customer.end_attempt(correction);
+            usage_changed |= self.settings.plans[customer.plan].concurrency_quota > 0;
+        }
+        let (backend, customer) = (endpoint.backend, request.customer);
+        Some(SettledAttempt { backend, customer, answered, was_last_in_flight, usage_changed })
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,10 +36,10 @@
 //! assert_eq!(actions, [Action::Send { id, backend, expires_at: 0 }]);
 //!
 //! actions.clear();
-//! let answer = Event::AttemptEnded {
+//! let answer = Event::AttemptEnded(AttemptEnded {
 //!     id, attempt: 0, backend, outcome: Outcome::Ok, answered: true, elapsed: 12_000,
 //!     metered: None, charged_units: None, load_report: None,
-//! };
+//! });
 //! gateway.handle(start + 16_000, answer, &mut actions);
 //! assert!(actions.is_empty(), "the answer went to the client; nothing is left to do");
 //! ```
@@ -50,6 +50,7 @@
 mod endpoint;
 
 mod event;
+mod gateway;
 mod gossip;
 mod identifiers;
 mod policy;
@@ -60,11 +61,11 @@
 
 pub use action::Action;
 pub use endpoint::{Availability, Endpoint, EndpointUpdate};
-pub use event::{Event, LoadReport, Outcome, Request};
+pub use event::{AttemptEnded, Event, LoadReport, Outcome, Request};
+pub use gateway::Gateway;
 pub use identifiers::{BackendId, CustomerId, GatewayId, RequestId};
 pub use settings::{
     Class, Discovery, Idempotency, IdempotencyScope, Limits, Plan, Rules, Settings, SettingsError,
     SettingsReader, SizeMeaning,
 };
-pub use state::Gateway;
 pub use time::Micros;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,3 +8,8 @@
 mod outlier_detection;
 mod quota;
 mod retry;
+
+pub(crate) use gateway::report_interval;
+pub(crate) use load_balancing::MAX_REPORTED_QUEUE_DEPTH;
+pub(crate) use outlier_detection::initial_baseline;
+pub(crate) use retry::retry_budget;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -1,9 +1,10 @@
 //! Admission: whether a request is rejected at once, waits for a quota grant, is queued or is sent.
 
 use super::gateway::WAKE_UP_TICKS;
+use super::load_shedding::epoch_draw;
 use super::quota::CUSTOMER_IDLE_TIME;
-use crate::{state::*, *};
-use std::cmp::Reverse;
+use crate::state::{Customer, GatewaySet, RequestState, SECOND};
+use crate::{Action, Gateway, Micros, Request, RequestId};
 
 /// Share of the useful duration that a request may be queued for; queued longer it would fail late.
 const MAX_QUEUE_SHARE: f64 = 0.3;
@@ -13,168 +14,165 @@
 const REJECTION_FRESHNESS: Micros = 500_000;
 
 impl Gateway {
-    pub(crate) fn on_request(&mut self, mut req: Request, actions: &mut Vec<Action>) {
-        let (class, plan) = (usize::from(req.class), usize::from(req.plan));
-        let known = class < self.settings.classes.len() && plan < self.settings.plans.len();
-        let sane = req.units.is_finite() && req.units >= 0.0;
-        if self.requests.contains_key(&req.id) {
-            return; // told twice: the first telling gets the answer
+    pub(crate) fn on_request(&mut self, mut request: Request, actions: &mut Vec<Action>) {
+        if self.requests.contains(request.id) {
+            return; // delivered twice: the first one gets the answer
         }
         // With less than two wake-ups left nothing can be held, watched or served: answered at once.
-        if !known || !sane || req.deadline < self.now + 2 * WAKE_UP_TICKS * self.settings.tick {
-            return self.reject(req.id, 0, actions);
+        if !self.settings.accepts(&request) || request.deadline < self.now + self.min_queue_time() {
+            return self.reject(request.id, 0, actions);
         }
-        let unseen = self.observe_customer(&mut req);
-        let plan = usize::from(req.plan);
-        if !self.passes_shedding(req.customer, plan, unseen) {
-            return self.reject(req.id, Micros::MAX, actions);
+        let unseen = self.observe_customer(&mut request);
+        if !self.load_shedder.admits(self.now, &request, &self.settings.plans, unseen) {
+            return self.reject(request.id, Micros::MAX, actions);
         }
-        let open = RequestState { request: req, arrived_at: self.now, ..RequestState::default() };
-        let (now, may_wait) = (self.now, self.can_be_queued(&open, self.now));
-        let (quota, ceiling) = self.wait_for_tokens(&req);
-        let c = &self.quota.customers[&req.customer];
-        // A no may rest on older news than a yes: else a red customer's retries ask without end.
-        let red = quota.is_some() && self.settings.plans[plan].concurrency_quota == 0;
-        let yes = if self.quota.report_interval > 0 { GRANT_FRESHNESS } else { 0 }; // a yes was for another request
-        let known =
-            c.is_quota_owner || now - c.granted_at.min(now) < if red { REJECTION_FRESHNESS } else { yes };
-        let short =
-            ceiling.is_some() && quota.is_none() && c.hard_limit_owners != [self.settings.own_id.0; 2];
-        if !may_wait || (known && !short) {
-            self.requests.insert(req.id, open);
-            return self.admit(req.id, true, actions);
+        let state = RequestState { request, arrived_at: self.now, ..RequestState::default() };
+        let wait = self.wait_for_tokens(&request);
+        let customer = &self.quota.customers[&request.customer];
+        // A no may rest on an older grant than a yes, which was for another request: else the retries of a
+        // customer over its quota would request grants without end.
+        let over_rate_quota = wait.quota.is_some() && self.plan_of(&request).concurrency_quota == 0;
+        let yes_freshness = if self.all_gateways_own_quotas() { GRANT_FRESHNESS } else { 0 };
+        let freshness = if over_rate_quota { REJECTION_FRESHNESS } else { yes_freshness };
+        let granted_ago = self.now - customer.granted_at.min(self.now);
+        let known = customer.is_quota_owner || granted_ago < freshness;
+        let elsewhere = customer.hard_limit_owners != [self.settings.own_id.0; 2];
+        let needs_grant = wait.hard_limit.is_some() && wait.quota.is_none() && elsewhere;
+        if !self.can_be_queued(&state, self.now) || (known && !needs_grant) {
+            self.requests.insert(state);
+            return self.admit(request.id, true, actions);
         }
-        if self.skips_grant_request(&req) {
-            return self.reject(req.id, Micros::MAX, actions);
+        if self.skips_grant_request(&request) {
+            return self.reject(request.id, Micros::MAX, actions);
         }
-        // The room is not known here: held until the homes' word comes, or for as long as that may take.
-        self.requests.insert(req.id, RequestState { awaiting_grant: true, ..open });
-        // In a large fleet the question is put twice: one lost on the way must not let a red customer in.
-        let again = if self.quota.report_interval > 0 { 1 } else { 2 };
-        self.request_timers.push(Reverse((now + self.grant_wait(&req, now) / again, req.id)));
-        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
-        c.awaiting_grant.push(req.id);
-        if c.awaiting_grant.len() == 1 || now - c.grant_requested_at > GRANT_FRESHNESS || short {
-            c.grant_requested_at = now;
-            c.owners_answered.clear();
-            (c.requested_units, c.needs_hard_limit_grant) = (req.units, ceiling.is_some());
-            self.queue_usage_report(req.customer, true, actions);
+        self.requests.insert(RequestState { awaiting_grant: true, ..state });
+        self.await_grant(&request, wait.hard_limit.is_some(), needs_grant, actions);
+    }
+
+    /// Holds a request until the quota owners have answered, or for as long as that may take.
+    fn await_grant(&mut self, request: &Request, hard_limit: bool, at_once: bool, actions: &mut Vec<Action>) {
+        let now = self.now;
+        // In a large fleet the grant is requested twice: one message lost must not admit what is over its
+        // quota.
+        let requests = if self.all_gateways_own_quotas() { 1 } else { 2 };
+        self.requests.check_at(now + self.grant_wait(request, now) / requests, request.id);
+        let Some(customer) = self.quota.customers.get_mut(&request.customer) else { return };
+        customer.awaiting_grant.push(request.id);
+        let first = customer.awaiting_grant.len() == 1;
+        if first || now - customer.grant_requested_at > GRANT_FRESHNESS || at_once {
+            customer.request_grant(now, request.units, hard_limit);
+            self.queue_usage_report(request.customer, true, actions);
         }
     }
 
-    /// How long a request may be held for its homes' word.
-    pub(crate) fn grant_wait(&self, req: &Request, arrived: Micros) -> Micros {
-        let left =
-            (req.deadline - arrived).min(self.settings.classes[usize::from(req.class)].latency_objective);
+    /// How long a request that arrived at a time may be held for a grant.
+    fn grant_wait(&self, request: &Request, arrived_at: Micros) -> Micros {
+        let left = (request.deadline - arrived_at).min(self.class_of(request).latency_objective);
         GRANT_FRESHNESS.min(left / 5)
     }
 
-    /// Lets a request in if the stores have room; without it, one that is held stays so till the `last` word.
+    /// Requests a grant once more, or decides by what is known here if the owners said nothing in time.
+    pub(crate) fn check_awaited_grant(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(state) = self.requests.get(id) else { return };
+        let customer = state.request.customer;
+        let end = state.arrived_at + self.grant_wait(&state.request, state.arrived_at);
+        if self.now >= end {
+            return self.admit(id, true, actions);
+        }
+        self.requests.check_at(end, id);
+        self.queue_usage_report(customer, true, actions);
+    }
+
+    /// Admits a request if there are tokens and capacity. Without tokens, one that awaits a grant goes on
+    /// doing so until the `last` answer.
     pub(crate) fn admit(&mut self, id: RequestId, last: bool, actions: &mut Vec<Action>) {
-        let Some(o) = self.requests.get_mut(&id) else { return };
-        let (req, held) = (o.request, std::mem::take(&mut o.awaiting_grant));
-        let (quota_wait, ceiling_wait) = self.wait_for_tokens(&req);
-        let wait = quota_wait.into_iter().chain(ceiling_wait).reduce(f64::max);
-        // The fuller the line, the fewer customers may join it; the same ones for an epoch, as on the ladder.
-        let line = self.queue.len() as f64 / (self.concurrency_limit() * MAX_QUEUE_SHARE);
-        let full =
-            self.in_flight as f64 >= self.concurrency_limit() && self.epoch_draw(req.customer) >= 1.0 - line;
-        if wait.is_some() && !last {
-            self.requests.entry(id).and_modify(|o| o.awaiting_grant = held);
+        let Some(state) = self.requests.get(id) else { return };
+        let (request, awaited) = (state.request, state.awaiting_grant);
+        let wait = self.wait_for_tokens(&request);
+        let seconds = wait.quota.into_iter().chain(wait.hard_limit).reduce(f64::max);
+        if seconds.is_some() && !last {
             return;
         }
-        self.quota.stop_awaiting_grant(req.customer, id, held && (wait.is_some() || full));
-        if wait.is_some() || full {
-            // Red, or no place and none soon.
-            let pause = wait.map_or(Micros::MAX, |w| (w * SECOND) as Micros);
-            self.rejection_rate += 0.05 * f64::from(u8::from(wait.is_none())) * (1.0 - self.rejection_rate);
-            self.requests.remove(&id);
-            self.reject(id, pause, actions);
-            let counted = self
-                .quota
-                .customers
-                .get_mut(&req.customer)
-                .is_some_and(|c| std::mem::take(&mut c.charged_by_owner));
-            if held && (counted || self.quota.report_interval > 0) {
-                self.queue_usage_report(req.customer, false, actions); // a home may have counted it
-            }
-            return;
+        // The fuller the queue, the fewer customers may join it; the same ones for an epoch, as in load
+        // shedding.
+        let limit = self.concurrency_limit();
+        let queue_fill = self.requests.queue.len() as f64 / (limit * MAX_QUEUE_SHARE);
+        let saturated = f64::from(self.requests.in_flight) >= limit;
+        if seconds.is_none() && !(saturated && epoch_draw(self.now, request.customer) >= 1.0 - queue_fill) {
+            return self.enqueue(&request, awaited, actions);
+        }
+        self.quota.stop_awaiting_grant(request.customer, id, awaited);
+        if seconds.is_none() {
+            self.load_shedder.record_rejection();
+        }
+        self.requests.remove(id);
+        let retry_after = seconds.map_or(Micros::MAX, |seconds| (seconds * SECOND) as Micros);
+        self.reject(id, retry_after, actions);
+        let charged_by_owner = self.quota.take_owner_charge(request.customer);
+        if awaited && (charged_by_owner || self.all_gateways_own_quotas()) {
+            self.queue_usage_report(request.customer, false, actions);
         }
-        self.rejection_rate -= 0.05 * self.rejection_rate;
-        self.charge(&req, 1.0);
-        self.quota.stop_awaiting_grant(req.customer, id, held);
-        let few = self.quota.report_interval > 0;
-        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
-        if !(std::mem::take(&mut c.charged_by_owner) && held) || few {
-            let ask = !held && !c.is_quota_owner && few;
-            self.queue_usage_report(req.customer, ask, actions);
+    }
+
+    /// Charges an admitted request, and sends it as soon as a backend may take it.
+    fn enqueue(&mut self, request: &Request, awaited: bool, actions: &mut Vec<Action>) {
+        self.load_shedder.record_admission();
+        self.charge(request, 1.0);
+        if let Some(state) = self.requests.get_mut(request.id) {
+            state.awaiting_grant = false;
         }
-        self.queue.push_back(id);
+        self.quota.stop_awaiting_grant(request.customer, request.id, awaited);
+        let owned_by_all = self.all_gateways_own_quotas();
+        let charged_by_owner = self.quota.take_owner_charge(request.customer);
+        let Some(customer) = self.quota.customers.get(&request.customer) else { return };
+        if !(charged_by_owner && awaited) || owned_by_all {
+            let requests_grant = !awaited && !customer.is_quota_owner && owned_by_all;
+            self.queue_usage_report(request.customer, requests_grant, actions);
+        }
+        self.requests.queue.push_back(request.id);
         self.dispatch(actions);
-        self.expire_if_overdue(id, actions);
+        self.expire_if_overdue(request.id, actions);
     }
 
-    /// Notes the customer; true if it was unseen within the ageing time.
-    pub(crate) fn observe_customer(&mut self, req: &mut Request) -> bool {
-        let (now, life) = (self.now, self.quota.seconds_of_known_usage(self.now));
-        let plan = &self.settings.plans[usize::from(req.plan)];
-        let most = self.settings.gateway_count.max(1) as f64;
-        let sane = req.gateway_set_size.is_finite() && (0.0..most).contains(&req.gateway_set_start);
-        let (first, width) = if sane {
-            (req.gateway_set_start.floor(), req.gateway_set_size.clamp(1.0, most))
-        } else {
-            (0.0, most)
-        };
-        // A customer unseen here: its share, or one request, and what has filled since this start.
-        let known = ((plan.burst / width).max(req.units) + plan.rate * life).min(plan.burst);
-        // In a large fleet a start says little: most customers have all but full stores, and one home counts.
-        let level = if self.quota.report_interval > 0 { known } else { plan.burst };
-        let (others, owed) = (plan.rate * (1.0 - 1.0 / width), plan.burst - level);
-        let plan = usize::from(req.plan);
-        let new = Customer {
-            plan,
-            tokens: level,
-            withheld_tokens: owed,
-            remote_rate: others,
-            refilled_at: now,
-            ..Customer::default()
-        };
-        self.record_identity(req.customer, first as u16, width as u16, new);
-        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return true };
-        let unseen = c.last_seen_at == 0 || now - c.last_seen_at > CUSTOMER_IDLE_TIME;
-        // A request is judged by its customer's plan, whatever it says itself.
-        (c.last_seen_at, req.plan) = (now, c.plan as u16);
+    /// Notes the customer, whose plan the request is judged by; true if it was unseen for its idle time.
+    fn observe_customer(&mut self, request: &mut Request) -> bool {
+        let now = self.now;
+        let plan = self.plan_of(request);
+        let set = GatewaySet::of(request, self.settings.gateway_count);
+        // A customer unseen here: its share, or one request, and what was refilled since this start. In a
+        // large fleet a start says little: most customers have all but full buckets, and one owner counts.
+        let share = (plan.burst / set.size).max(request.units);
+        let refilled = plan.rate * self.quota.seconds_of_known_usage(now);
+        let known = (share + refilled).min(plan.burst);
+        let tokens = if self.all_gateways_own_quotas() { known } else { plan.burst };
+        let remote_rate = plan.rate * (1.0 - 1.0 / set.size);
+        let new = Customer { remote_rate, ..Customer::new(usize::from(request.plan), plan, tokens, now) };
+        self.record_identity(request.customer, set.start, set.size as u16, new);
+        let Some(customer) = self.quota.customers.get_mut(&request.customer) else { return true };
+        let unseen = customer.last_seen_at == 0 || now - customer.last_seen_at > CUSTOMER_IDLE_TIME;
+        customer.last_seen_at = now;
+        request.plan = customer.plan as u16;
         unseen
     }
 
+    fn min_queue_time(&self) -> Micros {
+        2 * WAKE_UP_TICKS * self.settings.tick
+    }
+
     /// Whether a request has the time to be held for two wake-ups.
-    pub(crate) fn can_be_queued(&self, o: &RequestState, now: Micros) -> bool {
-        now + 2 * WAKE_UP_TICKS * self.settings.tick <= o.request.deadline
+    pub(crate) fn can_be_queued(&self, state: &RequestState, now: Micros) -> bool {
+        now + self.min_queue_time() <= state.request.deadline
     }
 
-    /// Ends a request that has waited for a place for as long as it may; true if it need not wait.
+    /// Ends a request that was queued for as long as it may be; true if it need not wait.
     pub(crate) fn expire_if_overdue(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        let Some(o) = self.requests.get(&id).filter(|o| !o.answered && o.attempts_in_flight() == 0) else {
-            return true;
-        };
-        let patience =
-            o.useful_duration(self.settings.classes[usize::from(o.request.class)].latency_objective);
-        let end = self.now > o.arrived_at + (patience * MAX_QUEUE_SHARE) as Micros
-            || !self.can_be_queued(o, self.now);
-        if end {
+        let Some(state) = self.requests.get(id).filter(|state| state.awaits_attempt()) else { return true };
+        let useful_duration = state.useful_duration(self.class_of(&state.request).latency_objective);
+        let queued_until = state.arrived_at + (useful_duration * MAX_QUEUE_SHARE) as Micros;
+        let overdue = self.now > queued_until || !self.can_be_queued(state, self.now);
+        if overdue {
             self.reject_or_fail(id, actions);
         }
-        end
-    }
-
-    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        while let Some(id) = self.queue.front().copied() {
-            let ready = self.requests.get(&id).is_some_and(|o| !o.answered && o.attempts_in_flight() == 0);
-            if ready && (self.in_flight as f64 >= self.concurrency_limit() || !self.send_attempt(id, actions))
-            {
-                return;
-            }
-            self.queue.pop_front();
-        }
+        overdue
     }
 }
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -3,9 +3,9 @@
 use super::load_shedding::PRESSURE_TIME_CONSTANT;
 use super::outlier_detection::SUSPECT_FAILURE_RATE;
 use super::quota::USAGE_RATE_TIME_CONSTANT;
-use super::retry::{retry_burst, RETRY_RATIO, SILENCE_SHARE};
-use crate::{state::*, *};
-use std::cmp::Reverse;
+use super::retry::SILENCE_SHARE;
+use crate::state::{decay, hash, Backend, RequestState, RetryScope, SECOND};
+use crate::{Action, BackendId, Gateway, Micros, RequestId};
 
 /// Part of the rule's budget spent on a backend in slow start. The budget is computed from what is sent,
 /// which may be two and a half times what backends bear before answers show it; the rest is for chance.
@@ -20,131 +20,165 @@
 /// Candidates looked at before such a subset: more find hardly better ones.
 const MAX_CANDIDATES: usize = 8;
 
+/// The part of the ready backends that one choice looks at.
+struct Subset {
+    ready: usize,
+    /// Healthy candidates to compare.
+    wanted: usize,
+    /// Backends that the candidates come from.
+    size: usize,
+}
+
+impl Subset {
+    /// Two candidates drawn by their weight, and more the more of the load is this gateway's own: what many
+    /// see as the least loaded would be so for all of them at once. They come from the same few backends at
+    /// every choice: connections seldom used are closed, and made anew for each request.
+    fn new(ready: usize, fleet_size: u64, scope: &RetryScope) -> Subset {
+        let covering = GATEWAYS_PER_BACKEND * ready / fleet_size as usize;
+        let wanted = 2 + 3 * ready / fleet_size as usize;
+        let wanted = if covering > MIN_SUBSET_SIZE { wanted.min(MAX_CANDIDATES) } else { wanted };
+        let whole = wanted >= ready || matches!(scope, RetryScope::Within(..));
+        let size = if whole { ready } else { ready.min(MIN_SUBSET_SIZE.max(covering)) };
+        Subset { ready, wanted, size }
+    }
+
+    /// Whether candidates are drawn by their weight.
+    fn is_sampled(&self) -> bool {
+        self.wanted < self.ready
+    }
+
+    fn steps(&self) -> usize {
+        if self.is_sampled() {
+            4 * self.size
+        } else {
+            self.size
+        }
+    }
+}
+
+/// A backend that may take an attempt.
+struct Candidate {
+    cost: f64,
+    suspect: bool,
+}
+
+/// The deepest queue that a backend's report is believed.
+pub(crate) const MAX_REPORTED_QUEUE_DEPTH: f64 = 1000.0;
+
 impl Gateway {
-    /// How warm a backend is for sure, and whether this gateway alone may send it one more in the rule's
-    /// window. Where its part is less than a request, it is drawn who may: one each would be a hundred.
-    pub(crate) fn slow_start(&self, b: &Backend) -> (f64, bool) {
-        let (rules, age) = (&self.settings.rules, self.now.saturating_sub(b.endpoint.started_at));
-        if b.endpoint.started_at == 0 || age >= rules.slow_start_duration {
-            return (1.0, true);
+    /// Whether this gateway alone may send a backend in slow start one more in the rule's window. Where its
+    /// part is less than a request, it is drawn who may: one from each would be a hundred.
+    fn slow_start_allows(&self, backend: &Backend) -> bool {
+        let rules = &self.settings.rules;
+        if !backend.in_slow_start(self.now, rules) {
+            return true;
         }
-        let warmth = rules.slow_start_floor
-            + (1.0 - rules.slow_start_floor) * age as f64 / rules.slow_start_duration as f64;
-        let span = rules.overload_window.max(1);
-        let recent = b.recent_slow_start_sends.iter().filter(|t| **t + span > self.now).count() as f64;
-        let rate = self.send_rate * decay(self.send_rate_updated_at, self.now, USAGE_RATE_TIME_CONSTANT);
-        let fair = rate * b.size / self.ready_capacity.max(b.size) * span as f64 / SECOND;
-        let budget =
-            (rules.overload_factor * warmth * fair * SLOW_START_MARGIN).max(1.0 / self.fleet_size as f64);
+        let window = rules.overload_window.max(1);
+        let rate = self.send_rate.at(self.now, USAGE_RATE_TIME_CONSTANT);
+        let fair_share = rate * backend.size / self.backends.ready_capacity.max(backend.size);
+        let fair_sends = fair_share * window as f64 / SECOND;
+        let share = backend.slow_start_share(self.now, rules);
+        let budget = rules.overload_factor * share * fair_sends * SLOW_START_MARGIN;
+        let budget = budget.max(1.0 / self.fleet_size as f64);
         // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and
         // whoever wins in any part of it sends.
-        let turn = span * LOTTERY_WINDOWS;
-        let turns = (self.now + (hash(u64::from(self.settings.own_id.0)) * turn as f64) as u64) / turn;
-        let lot = hash(b.endpoint.backend.0 ^ turns << 48 ^ u64::from(self.settings.own_id.0) << 32);
-        (warmth, recent + lot < budget)
+        let own_id = u64::from(self.settings.own_id.0);
+        let period = window * LOTTERY_WINDOWS;
+        let round = (self.now + (hash(own_id) * period as f64) as u64) / period;
+        let draw = hash(backend.endpoint.backend.0 ^ round << 48 ^ own_id << 32);
+        backend.recent_sends(self.now, window) as f64 + draw < budget
     }
 
-    pub(crate) fn choose_backend(&mut self, id: RequestId) -> Option<BackendId> {
+    /// Chooses a backend for a request's next attempt; none if none may take it now.
+    fn choose_backend(&mut self, id: RequestId) -> Option<BackendId> {
         self.random_state = self.random_state.wrapping_add(1);
-        let (noise, now) = (hash(self.random_state), self.now);
-        let o = &self.requests[&id];
-        let k = usize::from(o.request.class);
-        // An attempt begins once its connection is up: by then, too, the window has to be open.
-        let latest = now + self.settings.tick + self.settings.limits.connect_timeout;
-        let bound = match (self.settings.classes[k].idempotency, o.first_possibly_executed()) {
-            (Idempotency::Keyed { window, .. }, Some(a)) if latest >= a.sent_at + window => return None,
-            (Idempotency::Keyed { scope: group, .. }, Some(a)) => Some((group, a.endpoint)),
-            _ => None,
-        };
-        // Two drawn by their weight, and more the more of the load is its own: what many see as the
-        // least would be the least for all of them at once.
-        let (all, want) =
-            (self.ready_backends.len(), 2 + 3 * self.ready_backends.len() / self.fleet_size as usize);
-        // Always among the same few: connections seldom used are closed, and made anew at each request.
-        let cover = GATEWAYS_PER_BACKEND * all / self.fleet_size as usize;
-        let want = if cover > MIN_SUBSET_SIZE { want.min(MAX_CANDIDATES) } else { want };
-        let n = if want < all && bound.is_none() { all.min(MIN_SUBSET_SIZE.max(cover)) } else { all };
-        let (mut sound, mut sick, mut best) = (0, 0, (f64::MAX, None));
-        for step in 0..if want < all { 4 * n } else { n } {
-            let Some(bid) = self.ready_backends.get(((noise * n as f64) as usize + step) % n) else {
-                continue;
-            };
-            let Some(b) = self.backends.get(&bid) else { continue };
-            let fits = bound.map_or(true, |(group, l): (IdempotencyScope, Endpoint)| {
-                let (zone, cell) = (b.endpoint.zone == l.zone, b.endpoint.cell == l.cell);
-                group == IdempotencyScope::Fleet
-                    || (group == IdempotencyScope::Zone && zone)
-                    || (group == IdempotencyScope::Cell && cell)
-            });
-            let tried = o.attempts.iter().any(|a| a.endpoint.backend == bid);
-            let (warmth, may) = self.slow_start(b);
-            let weight = b.size * warmth / b.relative_latency * all as f64 / self.ready_capacity / 2.0;
-            if !fits || !may || (want < all && hash(self.random_state ^ (step as u64) << 40) > weight) {
+        let state = self.requests.get(id)?;
+        let scope = self.retry_scope(state)?;
+        let subset = Subset::new(self.backends.ready.len(), self.fleet_size, &scope);
+        let start = (hash(self.random_state) * subset.size as f64) as usize;
+        let (mut healthy, mut suspect) = (0, 0);
+        let (mut best, mut best_cost) = (None, f64::MAX);
+        for step in 0..subset.steps() {
+            let backend = self.backends.ready.get((start + step) % subset.size);
+            let Some(backend) = backend.and_then(|id| self.backends.get(id)) else { continue };
+            if !scope.includes(&backend.endpoint) {
                 continue;
             }
-            // Failing connections are laid to the zone as well: it may be cut off, with all that is in it.
-            let zone = self.zone_health.get(&b.endpoint.zone).map_or(0.0, |z| z.failure_rate_at(now));
-            let (h, doubt) = (&b.health[k], b.health[k].failure_rate_at(now).max(zone));
-            let resting = h.consecutive_ejections > 0 && (now < h.ejected_until || b.in_flight > 0);
-            let jitter = 1.0 + 0.1 * ((noise + step as f64 * 0.618_034) % 1.0);
-            let far = if b.endpoint.zone == self.settings.zone { 1.0 } else { 1.05 };
-            let load = f64::from(b.in_flight)
-                + 1.0
-                + b.reported_queue_depth * decay(b.reported_at, now, PRESSURE_TIME_CONSTANT)
-                    / self.fleet_size.min(4) as f64;
-            let doubts = (1.0 + 10.0 * doubt) * if tried { 8.0 } else { 1.0 };
-            let cost = load * jitter * far * doubts / if want < all { 1.0 } else { weight };
-            // The sick come last, but none is shut out: else where most are sick the rest are pushed over.
-            let cost = cost * if resting { 10.0 } else { 1.0 };
-            best = if cost < best.0 { (cost, Some(bid)) } else { best };
-            *if resting || doubt > SUSPECT_FAILURE_RATE { &mut sick } else { &mut sound } += 1;
-            if sound >= want || sick > 4 * want {
+            let Some(candidate) = self.candidate(backend, state, &subset, step) else { continue };
+            if candidate.cost < best_cost {
+                (best, best_cost) = (Some(backend.endpoint.backend), candidate.cost);
+            }
+            *if candidate.suspect { &mut suspect } else { &mut healthy } += 1;
+            if healthy >= subset.wanted || suspect > 4 * subset.wanted {
                 break;
             }
         }
-        best.1
+        best
+    }
+
+    /// What it would cost to send a backend the next attempt; none if it may not take it, or is not drawn.
+    fn candidate(
+        &self,
+        backend: &Backend,
+        state: &RequestState,
+        subset: &Subset,
+        step: usize,
+    ) -> Option<Candidate> {
+        let now = self.now;
+        let capacity = backend.size * backend.slow_start_share(now, &self.settings.rules);
+        let weight = capacity / backend.relative_latency * subset.ready as f64;
+        let weight = weight / self.backends.ready_capacity / 2.0;
+        let passed_over = subset.is_sampled() && hash(self.random_state ^ (step as u64) << 40) > weight;
+        if passed_over || !self.slow_start_allows(backend) {
+            return None;
+        }
+        let health = &backend.health[usize::from(state.request.class)];
+        // Failing connections count for the zone as well: it may be cut off, with all that is in it.
+        let zone = self.backends.zone_health.get(&backend.endpoint.zone);
+        let zone_failure_rate = zone.map_or(0.0, |zone| zone.failure_rate(now));
+        let failure_rate = health.failure_rate(now).max(zone_failure_rate);
+        let ejected =
+            health.consecutive_ejections > 0 && (now < health.ejected_until || backend.in_flight > 0);
+        let tried = state.attempts.iter().any(|attempt| attempt.endpoint.backend == backend.endpoint.backend);
+        let jitter = 1.0 + 0.1 * ((hash(self.random_state) + step as f64 * 0.618_034) % 1.0);
+        let distance = if backend.endpoint.zone == self.settings.zone { 1.0 } else { 1.05 };
+        let queue_depth =
+            backend.reported_queue_depth * decay(backend.reported_at, now, PRESSURE_TIME_CONSTANT);
+        let load = f64::from(backend.in_flight) + 1.0 + queue_depth / self.fleet_size.min(4) as f64;
+        let risk = (1.0 + 10.0 * failure_rate) * if tried { 8.0 } else { 1.0 };
+        let cost = load * jitter * distance * risk / if subset.is_sampled() { 1.0 } else { weight };
+        // The ejected come last, but none is shut out: else where most are ejected the rest are pushed over.
+        let cost = cost * if ejected { 10.0 } else { 1.0 };
+        Some(Candidate { cost, suspect: ejected || failure_rate > SUSPECT_FAILURE_RATE })
     }
 
     /// Sends a request's next attempt; false if no backend may take it now.
     pub(crate) fn send_attempt(&mut self, id: RequestId, actions: &mut Vec<Action>) -> bool {
-        let (now, Some(bid)) = (self.now, self.choose_backend(id)) else { return false };
-        let Some(o) = self.requests.get_mut(&id) else { return false };
-        if o.attempts.is_empty() {
-            self.retry_tokens = (self.retry_tokens + RETRY_RATIO).min(retry_burst(self.fleet_size));
-        }
-        self.quota.customers.entry(o.request.customer).and_modify(|c| c.in_flight += 1);
-        let patience =
-            o.useful_duration(self.settings.classes[usize::from(o.request.class)].latency_objective);
-        self.request_timers.push(Reverse((now + (patience * SILENCE_SHARE) as Micros, id)));
-        self.in_flight += 1;
-        self.send_rate = self.send_rate * decay(self.send_rate_updated_at, now, USAGE_RATE_TIME_CONSTANT)
-            + 1.0 / USAGE_RATE_TIME_CONSTANT;
-        self.send_rate_updated_at = now;
-        if let Some(b) = self.backends.get_mut(&bid) {
-            o.attempts.push(Attempt {
-                endpoint: b.endpoint,
-                sent_at: now,
-                in_flight: true,
-                cancelled: false,
-                never_executed: false,
-            });
-            b.in_flight += 1;
-            b.recent_slow_start_sends.retain(|t| *t + self.settings.rules.overload_window > now);
-            b.recent_slow_start_sends.push_back(now);
+        let Some(backend) = self.choose_backend(id) else { return false };
+        let Some(state) = self.requests.get(id) else { return false };
+        if state.attempts.is_empty() {
+            self.retry_budget.deposit();
         }
-        // Past the aim an attempt earns nothing, but goes on holding one of its customer's few places. In a
-        // small fleet the clients that come again would cost more.
-        let (class, plan) = (
-            &self.settings.classes[usize::from(o.request.class)],
-            &self.settings.plans[usize::from(o.request.plan)],
-        );
-        let idle = self.quota.report_interval == 0
-            && plan.concurrency_quota > 0
-            && class.late_weight == 0.0
-            && class.latency_objective_stretch == 0.0;
-        let expires =
-            if idle { (o.arrived_at + class.latency_objective).max(now + self.settings.tick) } else { 0 };
-        actions.push(Action::Send { id, backend: bid, expires_at: expires });
+        let objective = self.class_of(&state.request).latency_objective;
+        let silent_at = self.now + (state.useful_duration(objective) * SILENCE_SHARE) as Micros;
+        self.requests.check_at(silent_at, id);
+        self.send_rate.record(self.now, USAGE_RATE_TIME_CONSTANT);
+        self.begin_attempt(id, backend);
+        actions.push(Action::Send { id, backend, expires_at: self.attempt_expiry(id) });
         true
     }
+
+    /// When an attempt is given up; 0 for the client's deadline. Past its objective an attempt may earn
+    /// nothing, but goes on holding one of its customer's few places. In a small fleet the clients that come
+    /// again would cost more.
+    fn attempt_expiry(&self, id: RequestId) -> Micros {
+        let Some(state) = self.requests.get(id) else { return 0 };
+        let class = self.class_of(&state.request);
+        let worthless_when_late = class.late_weight == 0.0 && class.latency_objective_stretch == 0.0;
+        let capped = self.plan_of(&state.request).concurrency_quota > 0;
+        if self.all_gateways_own_quotas() || !capped || !worthless_when_late {
+            return 0;
+        }
+        (state.arrived_at + class.latency_objective).max(self.now + self.settings.tick)
+    }
 }
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -1,6 +1,8 @@
 //! Load shedding: the pressure that answers show, the shedding stages, and the limit on attempts in flight.
 
-use crate::{state::*, *};
+use crate::gateway::GatewayLoad;
+use crate::state::{decay, hash, LoadShedder, SECOND};
+use crate::{Action, CustomerId, Micros, Plan, Request};
 
 /// Share of customers on ordinary plans that passes, by stage (paper, table I); customers unseen so far are
 /// cut from stage 2 on.
@@ -18,76 +20,114 @@
 /// Pressure that ends an alert: between the two nothing moves.
 const LOW_PRESSURE: f64 = 0.75;
 /// Attempts in flight at a backend, from all gateways, to begin with; the limit is then found by latency.
-pub(crate) const INITIAL_CONCURRENCY: f64 = 10.0;
+const INITIAL_CONCURRENCY: f64 = 10.0;
 /// Pressure under which the concurrency limit may grow.
 const GROWTH_PRESSURE: f64 = 0.4;
 /// Share rejected for want of capacity that raises an alert while the pressure is not low.
 const ALERT_REJECTION_RATE: f64 = 0.05;
 /// Memory of the pressure in seconds: some dozen answers.
 pub(crate) const PRESSURE_TIME_CONSTANT: f64 = 1.0;
+/// The stage from which customers unseen so far are shed like others.
+const FIRST_STAGE_FOR_UNSEEN: usize = 2;
+/// Weight of a new answer for the rejection rate.
+const REJECTION_WEIGHT: f64 = 0.05;
+/// Factor on the concurrency limit when the pressure is high.
+const LIMIT_DECREASE: f64 = 0.85;
 
-impl Gateway {
-    /// Whether the rung lets this customer pass. Whom it cuts is fixed for an epoch, alike at all gateways:
-    /// a coin for each request would let refused clients' retries in, too late to earn anything, until they
-    /// fill the fleet and cause the next refusals. It hurts those cut for a whole epoch.
-    pub(crate) fn passes_shedding(&self, customer: CustomerId, plan: usize, green: bool) -> bool {
-        if self.shedding_stage == 0 || (green && self.shedding_stage < 2) {
-            return true;
-        }
-        let top = self.settings.plans.iter().map(|p| p.price).fold(f64::MIN, f64::max);
-        let differ = self.settings.plans.iter().any(|p| p.price < top);
-        let share = if self.shedding_stage == LAST_STAGE && differ {
-            0.0
-        } else {
-            STAGE_ADMITTED_SHARE[self.shedding_stage.min(3)]
-        };
-        (differ && self.settings.plans[plan].price >= top) || self.epoch_draw(customer) < share
+impl LoadShedder {
+    pub(crate) fn new() -> Self {
+        LoadShedder { concurrency_per_backend: INITIAL_CONCURRENCY, ..LoadShedder::default() }
+    }
+
+    /// Whether nobody is shed.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.stage == 0
     }
 
-    pub(crate) fn epoch_draw(&self, customer: CustomerId) -> f64 {
-        hash(customer.0 ^ (self.now / SHEDDING_EPOCH) << 33)
+    /// Whether the stage lets a customer pass. Whom it sheds is fixed for an epoch, alike at all gateways: a
+    /// draw for each request would admit rejected clients' retries, too late to earn anything, until they
+    /// fill the fleet and cause the next rejections.
+    pub(crate) fn admits(&self, now: Micros, request: &Request, plans: &[Plan], unseen: bool) -> bool {
+        if self.stage == 0 || (unseen && self.stage < FIRST_STAGE_FOR_UNSEEN) {
+            return true;
+        }
+        let top_price = plans.iter().map(|plan| plan.price).fold(f64::MIN, f64::max);
+        let prices_differ = plans.iter().any(|plan| plan.price < top_price);
+        if prices_differ && plans[usize::from(request.plan)].price >= top_price {
+            return true;
+        }
+        if prices_differ && self.stage == LAST_STAGE {
+            return false;
+        }
+        epoch_draw(now, request.customer) < STAGE_ADMITTED_SHARE[self.stage.min(3)]
     }
 
-    pub(crate) fn record_pressure(&mut self, ratio: f64) {
-        let keep = decay(self.pressure_updated_at, self.now, PRESSURE_TIME_CONSTANT).min(0.98);
+    /// Takes in how an answer compares with the highest latency that passes for normal.
+    pub(crate) fn record_pressure(&mut self, now: Micros, ratio: f64, load: GatewayLoad) {
+        let keep = decay(self.pressure_updated_at, now, PRESSURE_TIME_CONSTANT).min(0.98);
         self.pressure = self.pressure * keep + ratio.min(4.0) * (1.0 - keep);
-        self.pressure_updated_at = self.now;
-        // Back to where it began at any pressure short of an alert: else a bound once cut stays cut.
-        let below =
-            if self.concurrency_per_backend < INITIAL_CONCURRENCY { LOW_PRESSURE } else { GROWTH_PRESSURE };
-        if self.pressure < below && self.in_flight as f64 > self.concurrency_limit() * 0.7 {
-            self.concurrency_per_backend *= 1.0 + 2.0 / self.concurrency_limit().max(2.0).powi(2);
+        self.pressure_updated_at = now;
+        // Back to where it began at any pressure short of an alert: else a limit once reduced stays reduced.
+        let reduced = self.concurrency_per_backend < INITIAL_CONCURRENCY;
+        let growth_pressure = if reduced { LOW_PRESSURE } else { GROWTH_PRESSURE };
+        let limit = self.concurrency_limit(load);
+        if self.pressure < growth_pressure && f64::from(load.in_flight) > limit * 0.7 {
+            self.concurrency_per_backend *= 1.0 + 2.0 / limit.max(2.0).powi(2);
         }
     }
 
-    /// The bound on what this gateway has out: those left when backends fall must not inherit their load.
-    pub(crate) fn concurrency_limit(&self) -> f64 {
-        (self.concurrency_per_backend * self.ready_backends.len() as f64 / self.fleet_size as f64).max(1.0)
+    /// Attempts that this gateway may have in flight: those left when backends fall must not inherit their
+    /// load.
+    pub(crate) fn concurrency_limit(&self, load: GatewayLoad) -> f64 {
+        (self.concurrency_per_backend * load.ready_backends as f64 / load.fleet_size as f64).max(1.0)
     }
 
-    pub(crate) fn update_shedding_stage(&mut self, actions: &mut Vec<Action>) {
-        let (since, rung) = (self.now - self.stage_changed_at, self.shedding_stage);
-        // Refusals alone hold no alert up: cutting causes refusals, and the fleet may be idle behind them.
-        let refusing = self.pressure > LOW_PRESSURE && self.rejection_rate > ALERT_REJECTION_RATE;
-        if (self.pressure > HIGH_PRESSURE || refusing) && since > MIN_STAGE_TIME_UP && rung < LAST_STAGE {
-            self.shedding_stage += 1;
-        } else if self.pressure < LOW_PRESSURE && since > MIN_STAGE_TIME_DOWN && rung > 0 {
-            self.shedding_stage -= 1;
+    pub(crate) fn record_admission(&mut self) {
+        self.rejection_rate -= REJECTION_WEIGHT * self.rejection_rate;
+    }
+
+    pub(crate) fn record_rejection(&mut self) {
+        self.rejection_rate += REJECTION_WEIGHT * (1.0 - self.rejection_rate);
+    }
+
+    /// Moves by at most one stage, and reduces the concurrency limit under pressure.
+    pub(crate) fn update(&mut self, now: Micros, load: GatewayLoad, actions: &mut Vec<Action>) {
+        let stage = self.next_stage(now);
+        if stage != self.stage {
+            self.stage_changed_at = now;
+            let (from, pressure, limit) = (self.stage, self.pressure, self.concurrency_limit(load));
+            actions.push(Action::Log(format!(
+                "load_shedding: stage changed, from={from}, to={stage}, pressure={pressure:.2}, \
+                 concurrency_limit={limit:.0}, in_flight={}",
+                load.in_flight
+            )));
+            self.stage = stage;
         }
-        if rung != self.shedding_stage {
-            self.stage_changed_at = self.now;
-            let (now, p, limit, out) =
-                (self.shedding_stage, self.pressure, self.concurrency_limit(), self.in_flight);
-            let text = format!("ladder: rung {rung} to {now}, pressure {p:.2}, limit {limit:.0}, out {out}");
-            actions.push(Action::Log(text));
+        // One reduction in a memory of the pressure: answers sent before it must not cause the next one.
+        let settled = now - self.limit_reduced_at > (PRESSURE_TIME_CONSTANT * SECOND) as Micros;
+        if self.pressure > HIGH_PRESSURE && settled {
+            let reduced = self.concurrency_per_backend * LIMIT_DECREASE;
+            self.concurrency_per_backend = reduced.max(INITIAL_CONCURRENCY / 6.0);
+            self.limit_reduced_at = now;
         }
-        // One cut in a memory of the pressure: answers sent before a cut must not cause the next one.
-        if self.pressure > HIGH_PRESSURE
-            && self.now - self.limit_reduced_at > (PRESSURE_TIME_CONSTANT * SECOND) as Micros
-        {
-            self.concurrency_per_backend =
-                (self.concurrency_per_backend * 0.85).max(INITIAL_CONCURRENCY / 6.0);
-            self.limit_reduced_at = self.now;
+    }
+
+    fn next_stage(&self, now: Micros) -> usize {
+        let since = now - self.stage_changed_at;
+        // Rejections alone hold no alert up: shedding causes them, and the fleet may be idle behind them.
+        let rejecting = self.pressure > LOW_PRESSURE && self.rejection_rate > ALERT_REJECTION_RATE;
+        let alert = self.pressure > HIGH_PRESSURE || rejecting;
+        if alert && since > MIN_STAGE_TIME_UP && self.stage < LAST_STAGE {
+            self.stage + 1
+        } else if self.pressure < LOW_PRESSURE && since > MIN_STAGE_TIME_DOWN && self.stage > 0 {
+            self.stage - 1
+        } else {
+            self.stage
         }
     }
 }
+
+/// A number from 0 to 1, the same for a customer at all gateways for an epoch.
+pub(crate) fn epoch_draw(now: Micros, customer: CustomerId) -> f64 {
+    hash(customer.0 ^ (now / SHEDDING_EPOCH) << 33)
+}
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -1,6 +1,8 @@
 //! Outlier detection: failure rates of backends and zones, ejection, return, and what latencies say.
 
-use crate::{gossip::*, state::*, *};
+use crate::gossip::{backend_tag, LatencySample, MAX_CLASS};
+use crate::state::{Health, LatencyBaseline, Observation, Source, SECOND};
+use crate::{AttemptEnded, Class, Gateway, Micros, Outcome};
 
 /// An answer weighs on the pressure by its latency over the lesser of two: a multiple of its class's
 /// latency on unloaded backends, and a share of its objective. Backends driven harder lose throughput
@@ -24,6 +26,12 @@
 const FAILURE_RETRANSMISSIONS: u8 = 36;
 /// Weight of an observation that a peer made: there are as many as one's own in ten seconds.
 const PEER_OBSERVATION_WEIGHT: f64 = 0.2;
+/// Weight of an own answer for the failure rate.
+const OWN_FAILURE_WEIGHT: f64 = 0.15;
+/// Weight of an own answer for the relative latency of its backend.
+const OWN_LATENCY_WEIGHT: f64 = 0.1;
+/// Answers over which the recent latency is a plain mean, and behind which the unloaded one follows it.
+const BASELINE_SAMPLES: f64 = 20.0;
 
 impl Health {
     pub(crate) fn eject(&mut self, now: Micros) {
@@ -31,94 +39,109 @@
         self.consecutive_ejections = self.consecutive_ejections.saturating_add(1);
     }
 
-    pub(crate) fn failure_rate_at(&self, now: Micros) -> f64 {
-        self.failure_rate * decay(self.updated_at, now, FAILURE_RATE_TIME_CONSTANT)
+    pub(crate) fn failure_rate(&self, now: Micros) -> f64 {
+        self.failures.at(now, FAILURE_RATE_TIME_CONSTANT)
     }
 
-    pub(crate) fn record(&mut self, now: Micros, bad: bool, weight: f64) {
-        let errors = self.failure_rate_at(now);
-        self.failure_rate = errors + weight * (f64::from(u8::from(bad)) - errors);
-        self.updated_at = now;
+    fn record(&mut self, now: Micros, failed: bool, weight: f64) {
+        self.failures.record(now, f64::from(u8::from(failed)), weight, FAILURE_RATE_TIME_CONSTANT);
     }
 }
 
+/// What answers of a class are taken to last before any has come.
+pub(crate) fn initial_baseline(class: &Class, now: Micros) -> LatencyBaseline {
+    let latency = class.latency_objective as f64 * 0.15;
+    LatencyBaseline { recent: latency, unloaded: latency, sample_count: 0.0, updated_at: now }
+}
+
 impl Gateway {
-    /// An answer's lesson; one that a peer had (`own` false) counts, but rests nobody.
-    pub(crate) fn record_observation(&mut self, bid: BackendId, class: usize, took: Option<f64>, own: bool) {
-        let (now, aim) = (self.now, self.settings.classes[class].latency_objective.max(1) as f64);
-        let Some(b) = self.backends.get_mut(&bid) else { return };
-        if own {
-            b.health[class].record(now, took.is_none(), 0.15);
+    /// Takes in how an attempt went; what a peer saw counts for less, and ejects no backend.
+    pub(crate) fn record_observation(&mut self, seen: Observation) {
+        let Some(backend) = self.backends.get_mut(seen.backend) else { return };
+        let failed = seen.latency.is_none();
+        if seen.source == Source::Own {
+            backend.health[seen.class].record(self.now, failed, OWN_FAILURE_WEIGHT);
+            self.queue_sample(&seen);
         } else {
-            // What is heard of a class seldom asked for would come too late for it: it counts for all.
-            b.health.iter_mut().for_each(|h| h.record(now, took.is_none(), PEER_OBSERVATION_WEIGHT));
+            // What peers see of a class seldom asked for would come too late for it: it counts for all.
+            let health = backend.health.iter_mut();
+            health.for_each(|health| health.record(self.now, failed, PEER_OBSERVATION_WEIGHT));
         }
-        if own && self.quota.report_interval == 0 && class <= MAX_CLASS {
-            let sample = LatencySample {
-                backend_tag: backend_tag(bid.0),
-                class: class as u8,
-                relative_latency: took.map(|t| t / aim),
-            };
-            // Bad ones go first: they are few, and all should know what a sick backend did to one.
-            let bad = self
-                .peers
-                .latency_samples
-                .iter()
-                .filter(|queued| queued.sample.relative_latency.is_none())
-                .count();
-            let place = if took.is_none() { 0 } else { bad };
-            let times = if took.is_none() { FAILURE_RETRANSMISSIONS } else { SUCCESS_RETRANSMISSIONS };
-            self.peers.latency_samples.insert(place, QueuedSample { retransmissions: times, sample });
-            self.peers.latency_samples.truncate(MAX_SAMPLES);
+        if self.now != self.resumed_at {
+            self.record_latency(&seen);
         }
-        let Some(took) = took.filter(|_| now != self.resumed_at) else { return };
-        let u = &mut self.latency_baselines[class];
-        let weight = if own { 0.1 } else { PEER_OBSERVATION_WEIGHT };
-        b.relative_latency = (b.relative_latency
-            + weight * ((took / u.recent.max(1.0)).min(4.0) - b.relative_latency))
-            .max(0.3);
-        u.sample_count += 1.0;
-        u.recent += (took - u.recent) / u.sample_count.min(20.0);
-        // Down at once, up by a percent a second: half a minute of overload must not pass for calm.
-        let creep = 1.0 + (now - u.updated_at) as f64 / SECOND * UNLOADED_LATENCY_GROWTH;
-        u.unloaded =
-            if u.sample_count <= 20.0 { u.recent.min(aim * 0.3) } else { u.recent.min(u.unloaded * creep) };
-        u.updated_at = now;
-        let norm = (u.unloaded * UNLOADED_LATENCY_MULTIPLE).min(aim * OBJECTIVE_SHARE);
-        self.record_pressure(took / norm.max(1.0));
     }
 
-    pub(crate) fn record_outcome(
-        &mut self,
-        bid: BackendId,
-        outcome: Outcome,
-        took: Micros,
-        class: Option<usize>,
-    ) {
-        let (Some(b), Some(class)) = (self.backends.get_mut(&bid), class) else { return };
+    /// Has peers told of an observation, in a large fleet. Failures go first: they are few, and all should
+    /// know.
+    fn queue_sample(&mut self, seen: &Observation) {
+        if self.all_gateways_own_quotas() || seen.class > MAX_CLASS {
+            return;
+        }
+        let objective = self.settings.classes[seen.class].latency_objective.max(1) as f64;
+        let sample = LatencySample {
+            backend_tag: backend_tag(seen.backend.0),
+            class: seen.class as u8,
+            relative_latency: seen.latency.map(|latency| latency / objective),
+        };
+        let failed = seen.latency.is_none();
+        let retransmissions = if failed { FAILURE_RETRANSMISSIONS } else { SUCCESS_RETRANSMISSIONS };
+        self.peers.queue_sample(sample, retransmissions);
+    }
+
+    fn record_latency(&mut self, seen: &Observation) {
+        let Some(latency) = seen.latency else { return };
+        let Some(backend) = self.backends.get_mut(seen.backend) else { return };
+        let objective = self.settings.classes[seen.class].latency_objective.max(1) as f64;
+        let baseline = &mut self.latency_baselines[seen.class];
+        let own = seen.source == Source::Own;
+        let weight = if own { OWN_LATENCY_WEIGHT } else { PEER_OBSERVATION_WEIGHT };
+        let ratio = (latency / baseline.recent.max(1.0)).min(4.0);
+        let relative = backend.relative_latency + weight * (ratio - backend.relative_latency);
+        backend.relative_latency = relative.max(0.3);
+        baseline.sample_count += 1.0;
+        baseline.recent += (latency - baseline.recent) / baseline.sample_count.min(BASELINE_SAMPLES);
+        // Down at once, up by a percent a second: half a minute of overload must not pass for unloaded.
+        let seconds = (self.now - baseline.updated_at) as f64 / SECOND;
+        let growth = 1.0 + seconds * UNLOADED_LATENCY_GROWTH;
+        let most = if baseline.sample_count <= BASELINE_SAMPLES {
+            objective * 0.3
+        } else {
+            baseline.unloaded * growth
+        };
+        baseline.unloaded = baseline.recent.min(most);
+        baseline.updated_at = self.now;
+        let normal = (baseline.unloaded * UNLOADED_LATENCY_MULTIPLE).min(objective * OBJECTIVE_SHARE);
+        self.record_pressure(latency / normal.max(1.0));
+    }
+
+    /// Takes in the outcome of an own attempt of a class, and ejects the backend where too many fail.
+    pub(crate) fn record_outcome(&mut self, ended: &AttemptEnded, class: usize) {
+        let (now, outcome) = (self.now, ended.outcome);
+        let Some(backend) = self.backends.get(ended.backend) else { return };
         if matches!(outcome, Outcome::NotSent | Outcome::Cancelled | Outcome::TimedOut) {
             return;
         }
-        let now = self.now;
-        let bad = matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
-        let reached = outcome != Outcome::ConnectFailed;
-        self.zone_health.entry(b.endpoint.zone).or_default().record(
-            now,
-            !reached,
-            if reached { 1.0 } else { 0.3 },
-        );
-        let h = &mut b.health[class];
-        h.last_heard_at = now;
+        let connected = outcome != Outcome::ConnectFailed;
+        let zone = self.backends.zone_health.entry(backend.endpoint.zone).or_default();
+        zone.record(now, !connected, if connected { 1.0 } else { 0.3 });
+        let Some(backend) = self.backends.get_mut(ended.backend) else { return };
+        let health = &mut backend.health[class];
+        health.last_heard_at = now;
         if outcome == Outcome::Rejected {
-            b.reported_queue_depth += self.fleet_size as f64;
+            backend.reported_queue_depth += self.fleet_size as f64;
             return self.record_pressure(2.0);
         }
-        let sick = h.failure_rate_at(now) * 0.85 + if bad { 0.15 } else { 0.0 } > EJECTION_FAILURE_RATE;
-        if bad && (sick || h.consecutive_ejections > 0) {
-            h.eject(now);
-        } else if !bad && !sick {
-            h.consecutive_ejections = 0;
+        let failed = matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::Reset);
+        let rate = health.failure_rate(now) * 0.85 + if failed { 0.15 } else { 0.0 };
+        let outlier = rate > EJECTION_FAILURE_RATE;
+        if failed && (outlier || health.consecutive_ejections > 0) {
+            health.eject(now);
+        } else if !failed && !outlier {
+            health.consecutive_ejections = 0;
         }
-        self.record_observation(bid, class, (!bad).then_some(took as f64), true);
+        let latency = (!failed).then_some(ended.elapsed as f64);
+        let source = Source::Own;
+        self.record_observation(Observation { backend: ended.backend, class, latency, source });
     }
 }
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -22,6 +22,12 @@
 /// Hard limit units that come later than this after the request for them lapse.
 const HARD_LIMIT_GRANT_LIFETIME: Micros = 250_000;
 
+/// Seconds until there may be tokens; none where there are enough now.
+pub(crate) struct TokenWait {
+    pub quota: Option<f64>,
+    pub hard_limit: Option<f64>,
+}
+
 impl Customer {
     /// The part of the use that is this gateway's own, with a floor for those that begin.
     pub(crate) fn own_share(&self, plan: &Plan) -> f64 {
@@ -104,7 +110,7 @@
     }
 
     /// Seconds until the quota, and the ceiling, may have room; none where there is room now.
-    pub(crate) fn wait_for_tokens(&mut self, req: &Request) -> (Option<f64>, Option<f64>) {
+    pub(crate) fn wait_for_tokens(&mut self, req: &Request) -> TokenWait {
         self.refill(req.customer);
         let c = &self.quota.customers[&req.customer];
         let plan = &self.settings.plans[c.plan];
@@ -140,9 +146,9 @@
         }
         let has = c.hard_limit_tokens + c.hard_limit_grant;
         let short = plan.hard_limit_rate > 0.0 && has + 1e-9 < req.units;
-        let ceiling =
+        let hard_limit =
             short.then(|| (req.units - has) / (plan.hard_limit_rate * c.hard_limit_fraction.max(0.01)));
-        (quota, ceiling)
+        TokenWait { quota, hard_limit }
     }
 
     /// Whether a question is better not put: a home that is asked more than it takes in loses the ends of
@@ -278,16 +284,10 @@
         self.release_withheld_tokens(mine);
         for s in m.samples {
             let class = usize::from(s.class);
-            if let (Some(bid), Some(k)) =
-                (self.backends_by_tag.get(&s.backend_tag), self.settings.classes.get(class))
-            {
-                self.record_observation(
-                    *bid,
-                    class,
-                    s.relative_latency.map(|t| t * k.latency_objective as f64),
-                    false,
-                );
-            }
+            let (backend, settings) = (self.backends.by_tag(s.backend_tag), self.settings.classes.get(class));
+            let (Some(backend), Some(settings)) = (backend, settings) else { continue };
+            let latency = s.relative_latency.map(|relative| relative * settings.latency_objective as f64);
+            self.record_observation(Observation { backend, class, latency, source: Source::Peer });
         }
         match m.body {
             Body::UsageReports(uses) => {
@@ -334,15 +334,8 @@
         let told = u.tokens_level.tokens(burst);
         let unknown = if few { (plan.rate * life).min(burst) } else { burst };
         let level = told.filter(|_| !young).unwrap_or(unknown);
-        // Told of a customer that never came here: the sender's view, or what has filled since this start.
-        let owed = burst - level;
-        let new = Customer {
-            plan: usize::from(u.plan),
-            tokens: level,
-            withheld_tokens: owed,
-            refilled_at: now,
-            ..Customer::default()
-        };
+        // A customer that never came here: the sender's view, or what was refilled since this start.
+        let new = Customer::new(usize::from(u.plan), plan, level, now);
         self.record_identity(u.customer, u.gateway_set_start, u.gateway_set_size, new);
         let c = self.refill(u.customer)?;
         if c.plan != usize::from(u.plan) || !c.is_quota_owner {
--- a/src/state/arithmetic.rs
+++ b/src/state/arithmetic.rs
@@ -5,18 +5,60 @@
 /// A second in the host's unit.
 pub const SECOND: f64 = 1e6;
 
-pub fn decay(from: Micros, to: Micros, tau: f64) -> f64 {
+/// What is left at one time of a value of 1 at another, with a time constant in seconds.
+pub fn decay(from: Micros, to: Micros, time_constant: f64) -> f64 {
     if from >= to {
         1.0
     } else {
-        (-((to - from) as f64) / SECOND / tau).exp()
+        (-((to - from) as f64) / SECOND / time_constant).exp()
     }
 }
 
 /// A number from 0 to 1 that looks random (splitmix64).
 pub fn hash(seed: u64) -> f64 {
-    let mut z = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    let mut bits = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    ((bits ^ (bits >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// Events a second, of which old ones count less and less.
+#[derive(Default)]
+pub struct DecayingRate {
+    per_second: f64,
+    updated_at: Micros,
+}
+
+impl DecayingRate {
+    /// The rate now.
+    pub fn at(&self, now: Micros, time_constant: f64) -> f64 {
+        self.per_second * decay(self.updated_at, now, time_constant)
+    }
+
+    /// Counts one event.
+    pub fn record(&mut self, now: Micros, time_constant: f64) {
+        self.per_second = self.at(now, time_constant) + 1.0 / time_constant;
+        self.updated_at = now;
+    }
+}
+
+/// A mean in which new samples have a weight, and which falls to 0 by itself.
+#[derive(Clone, Default)]
+pub struct DecayingAverage {
+    value: f64,
+    updated_at: Micros,
+}
+
+impl DecayingAverage {
+    /// The mean now.
+    pub fn at(&self, now: Micros, time_constant: f64) -> f64 {
+        self.value * decay(self.updated_at, now, time_constant)
+    }
+
+    /// Takes in a sample.
+    pub fn record(&mut self, now: Micros, sample: f64, weight: f64, time_constant: f64) {
+        let before = self.at(now, time_constant);
+        self.value = before + weight * (sample - before);
+        self.updated_at = now;
+    }
 }
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -1,7 +1,7 @@
 //! What a gateway knows of a customer: its token buckets, its owners and the usage that gateways reported.
 
 use crate::gossip::{wrap_total, TokenLevel, UsageReport, MAX_PLAN};
-use crate::{CustomerId, Micros, RequestId};
+use crate::{CustomerId, Micros, Plan, RequestId};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
@@ -58,6 +58,27 @@
 }
 
 impl Customer {
+    /// A customer that was not known until now. What its bucket lacks to be full is withheld.
+    pub fn new(plan_index: usize, plan: &Plan, tokens: f64, now: Micros) -> Customer {
+        let withheld_tokens = plan.burst - tokens;
+        Customer { plan: plan_index, tokens, withheld_tokens, refilled_at: now, ..Customer::default() }
+    }
+
+    /// Notes what its owners are asked for.
+    pub fn request_grant(&mut self, now: Micros, units: f64, hard_limit: bool) {
+        self.grant_requested_at = now;
+        self.owners_answered.clear();
+        self.requested_units = units;
+        self.needs_hard_limit_grant = hard_limit;
+    }
+
+    /// Notes the end of an attempt, and by how much its true units are more than were charged.
+    pub fn end_attempt(&mut self, correction: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.tokens -= correction;
+        self.total_units += correction;
+    }
+
     /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket goes along where
     /// it is known, as a part of the plan's `burst`.
     pub fn usage_report(&self, customer: CustomerId, burst: Option<f64>) -> UsageReport {
--- /dev/null
+++ b/src/state/latency.rs
@@ -0,0 +1,15 @@
+//! How long answers of a class usually take.
+
+use crate::Micros;
+
+/// Latencies of a class, in microseconds.
+#[derive(Default)]
+pub struct LatencyBaseline {
+    /// Of recent answers.
+    pub recent: f64,
+    /// Of answers by unloaded backends.
+    pub unloaded: f64,
+    /// Answers seen.
+    pub sample_count: f64,
+    pub updated_at: Micros,
+}
--- /dev/null
+++ b/src/state/load_shedder.rs
@@ -0,0 +1,18 @@
+//! What load shedding remembers.
+
+use crate::Micros;
+
+/// Follows the pressure that answers show, and decides by it whom to shed and how much may be in flight.
+#[derive(Default)]
+pub struct LoadShedder {
+    /// Recent latencies over the highest that pass for normal; 1 raises an alert.
+    pub pressure: f64,
+    pub pressure_updated_at: Micros,
+    /// Recent share of requests inside their quota that were rejected for want of capacity.
+    pub rejection_rate: f64,
+    pub stage: usize,
+    pub stage_changed_at: Micros,
+    /// Attempts that may be in flight at a backend, from all gateways, if all send alike.
+    pub concurrency_per_backend: f64,
+    pub limit_reduced_at: Micros,
+}
--- a/src/state/peer_table.rs
+++ b/src/state/peer_table.rs
@@ -1,7 +1,7 @@
 //! The other gateways, and what waits to be sent to them.
 
 use super::{OutboxEntry, Peer, QueuedSample};
-use crate::gossip::LatencySample;
+use crate::gossip::{LatencySample, MAX_SAMPLES};
 use crate::{CustomerId, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -11,7 +11,7 @@
     pub by_gateway: BTreeMap<u16, Peer>,
     /// Peers with something in their outbox.
     with_outbox: BTreeSet<u16>,
-    pub latency_samples: VecDeque<QueuedSample>,
+    latency_samples: VecDeque<QueuedSample>,
 }
 
 impl PeerTable {
@@ -51,6 +51,15 @@
         self.with_outbox.iter().copied().filter(ready).collect()
     }
 
+    /// Puts a sample before older ones, failures before others; the last ones go where there are too many.
+    pub fn queue_sample(&mut self, sample: LatencySample, retransmissions: u8) {
+        let is_failure = |queued: &&QueuedSample| queued.sample.relative_latency.is_none();
+        let failures = self.latency_samples.iter().filter(is_failure).count();
+        let position = if sample.relative_latency.is_none() { 0 } else { failures };
+        self.latency_samples.insert(position, QueuedSample { retransmissions, sample });
+        self.latency_samples.truncate(MAX_SAMPLES);
+    }
+
     /// The latency samples that the next message carries. Each goes with several messages.
     pub fn take_samples(&mut self) -> Vec<LatencySample> {
         let samples = self.latency_samples.iter().map(|queued| queued.sample).collect();
--- a/src/state/quota_table.rs
+++ b/src/state/quota_table.rs
@@ -21,6 +21,12 @@
         self.usage_known_since.map_or(f64::MAX, |since| (now - since) as f64 / SECOND)
     }
 
+    /// Whether an owner of the customer's quota has charged its request already; told once.
+    pub fn take_owner_charge(&mut self, customer: CustomerId) -> bool {
+        let customer = self.customers.get_mut(&customer);
+        customer.is_some_and(|customer| std::mem::take(&mut customer.charged_by_owner))
+    }
+
     /// A request no longer awaits a grant, if it did; what was granted of the hard limit lapses with the last one.
     pub fn stop_awaiting_grant(&mut self, customer: CustomerId, id: RequestId, awaited: bool) {
         if let Some(customer) = self.customers.get_mut(&customer).filter(|_| awaited) {
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -1,49 +1,79 @@
 //! Requests that are not finished, and their attempts.
 
-use crate::{Action, Endpoint, Micros, Request};
+use crate::{Action, Endpoint, Micros, Outcome, Request};
 
+/// One send of a request to a backend.
 pub struct Attempt {
+    /// The backend's entry of the endpoint list at the send.
     pub endpoint: Endpoint,
     pub sent_at: Micros,
     pub in_flight: bool,
     pub cancelled: bool,
-    /// Proved never to have run.
+    /// The outcome proved that the backend never executed it.
     pub never_executed: bool,
 }
 
+/// A request from its arrival until its last attempt has ended.
 #[derive(Default)]
 pub struct RequestState {
     pub request: Request,
     pub arrived_at: Micros,
     pub attempts: Vec<Attempt>,
+    /// Its final answer has been given.
     pub answered: bool,
+    /// Its answer has begun to stream to the client.
     pub streaming: bool,
-    /// Waits for the word of its customer's homes.
+    /// It waits for a grant from its customer's quota owners.
     pub awaiting_grant: bool,
 }
 
 impl RequestState {
-    /// Calls the attempts off, but for one to keep.
+    /// Cancels the attempts in flight, but for one to keep, where cancelling is `allowed`.
     pub fn cancel_attempts(&mut self, keep: Option<u16>, allowed: bool, actions: &mut Vec<Action>) {
-        for (n, a) in (0u16..).zip(&mut self.attempts) {
-            if allowed && a.in_flight && !a.cancelled && keep != Some(n) {
-                a.cancelled = true;
-                actions.push(Action::Cancel { id: self.request.id, attempt: n });
+        for (number, attempt) in (0u16..).zip(&mut self.attempts) {
+            if allowed && attempt.in_flight && !attempt.cancelled && keep != Some(number) {
+                attempt.cancelled = true;
+                actions.push(Action::Cancel { id: self.request.id, attempt: number });
             }
         }
     }
 
+    /// Notes a send.
+    pub fn begin_attempt(&mut self, endpoint: Endpoint, now: Micros) {
+        let (in_flight, cancelled, never_executed) = (true, false, false);
+        self.attempts.push(Attempt { endpoint, sent_at: now, in_flight, cancelled, never_executed });
+    }
+
+    /// Notes how an attempt ended, and gives the endpoint it was sent to; none if it is not in flight.
+    pub fn end_attempt(&mut self, number: u16, outcome: Outcome) -> Option<Endpoint> {
+        let attempt = self.attempts.get_mut(usize::from(number)).filter(|attempt| attempt.in_flight)?;
+        attempt.in_flight = false;
+        attempt.never_executed = outcome.never_executed();
+        Some(attempt.endpoint)
+    }
+
+    /// How many attempts are in flight.
     pub fn attempts_in_flight(&self) -> usize {
-        self.attempts.iter().filter(|a| a.in_flight).count()
+        self.attempts.iter().filter(|attempt| attempt.in_flight).count()
+    }
+
+    /// The latest attempt that is in flight and not cancelled.
+    pub fn latest_attempt_in_flight(&self) -> Option<&Attempt> {
+        self.attempts.iter().rev().find(|attempt| attempt.in_flight && !attempt.cancelled)
+    }
+
+    /// Whether it waits for a backend, with no attempt in flight.
+    pub fn awaits_attempt(&self) -> bool {
+        !self.answered && self.attempts_in_flight() == 0
     }
 
-    /// The first attempt that ran or may have run.
+    /// The first attempt that was or may have been executed.
     pub fn first_possibly_executed(&self) -> Option<&Attempt> {
-        self.attempts.iter().find(|a| !a.never_executed)
+        self.attempts.iter().find(|attempt| !attempt.never_executed)
     }
 
-    /// How long an answer is worth something: the aim, or what the client waits if that is less.
-    pub fn useful_duration(&self, aim: Micros) -> f64 {
-        aim.min(self.request.deadline.saturating_sub(self.arrived_at)) as f64
+    /// How long an answer is worth something: the latency objective, or what the client waits if that is less.
+    pub fn useful_duration(&self, latency_objective: Micros) -> f64 {
+        latency_objective.min(self.request.deadline.saturating_sub(self.arrived_at)) as f64
     }
 }
--- /dev/null
+++ b/src/state/request_table.rs
@@ -0,0 +1,58 @@
+//! All requests that are not finished, the queue of those that wait for a backend, and the times to look at them again.
+
+use super::RequestState;
+use crate::{Micros, RequestId};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+
+/// The requests of a gateway.
+#[derive(Default)]
+pub struct RequestTable {
+    requests: BTreeMap<RequestId, RequestState>,
+    /// Admitted requests that wait for a backend, in the order in which they came.
+    pub queue: VecDeque<RequestId>,
+    checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
+    /// Attempts in flight, of all requests.
+    pub in_flight: u32,
+}
+
+impl RequestTable {
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.requests.contains_key(&id)
+    }
+
+    pub fn get(&self, id: RequestId) -> Option<&RequestState> {
+        self.requests.get(&id)
+    }
+
+    pub fn get_mut(&mut self, id: RequestId) -> Option<&mut RequestState> {
+        self.requests.get_mut(&id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &RequestState> {
+        self.requests.values()
+    }
+
+    pub fn insert(&mut self, state: RequestState) {
+        self.requests.insert(state.request.id, state);
+    }
+
+    pub fn remove(&mut self, id: RequestId) {
+        self.requests.remove(&id);
+    }
+
+    /// Has the request looked at again at a time.
+    pub fn check_at(&mut self, time: Micros, id: RequestId) {
+        self.checks.push(Reverse((time, id)));
+    }
+
+    /// Takes out the next request that is to be looked at by now.
+    pub fn next_due(&mut self, now: Micros) -> Option<RequestId> {
+        let Reverse((time, id)) = self.checks.peek().copied()?;
+        if time > now {
+            return None;
+        }
+        self.checks.pop();
+        Some(id)
+    }
+}
--- a/tests/decision_digest.rs
+++ b/tests/decision_digest.rs
@@ -602,7 +602,7 @@
         let metered = None;
         self.feed(
             gateway,
-            Event::AttemptEnded {
+            Event::AttemptEnded(AttemptEnded {
                 id,
                 attempt,
                 backend,
@@ -612,7 +612,7 @@
                 metered,
                 charged_units: charged,
                 load_report: report,
-            },
+            }),
         );
         self.forget(gateway, id);
     }
--- a/tests/gateway/load_shedding.rs
+++ b/tests/gateway/load_shedding.rs
@@ -12,7 +12,7 @@
         let slow = (100..300).contains(&step);
         let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step, 1.0);
         if let Some(b) = sent_to(&actions).first() {
-            let event = Event::AttemptEnded {
+            let event = Event::AttemptEnded(AttemptEnded {
                 id,
                 attempt: 0,
                 backend: *b,
@@ -22,7 +22,7 @@
                 metered: None,
                 charged_units: None,
                 load_report: None,
-            };
+            });
             harness.handle(event);
         }
         let actions = harness.advance(20_000);
@@ -34,9 +34,9 @@
             }
         }));
     }
-    let up = log.iter().find(|(_, l)| l.contains("rung 0 to 1")).expect("an alert");
+    let up = log.iter().find(|(_, l)| l.contains("from=0, to=1")).expect("an alert");
     assert!((100..300).contains(&up.0));
-    let down = log.iter().rev().find(|(_, l)| l.contains("rung 1 to 0")).expect("the end of the alert");
+    let down = log.iter().rev().find(|(_, l)| l.contains("from=1, to=0")).expect("the end of the alert");
     assert!(down.0 > 300);
 }
 
@@ -55,7 +55,7 @@
                 let (complete, outcome) = (true, Outcome::Ok);
                 let (metered, charged, report) = (None, None, None);
                 let attempt = 0;
-                harness.handle(Event::AttemptEnded {
+                harness.handle(Event::AttemptEnded(AttemptEnded {
                     id,
                     attempt,
                     backend,
@@ -65,7 +65,7 @@
                     metered,
                     charged_units: charged,
                     load_report: report,
-                });
+                }));
             }
             harness.advance(20_000);
         }
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -212,7 +212,7 @@
                 feed(
                     &mut host,
                     now,
-                    Event::AttemptEnded {
+                    Event::AttemptEnded(AttemptEnded {
                         id,
                         attempt,
                         backend,
@@ -222,7 +222,7 @@
                         metered: None,
                         charged_units: None,
                         load_report: None,
-                    },
+                    }),
                 );
             }
             Step::Withdraw(pick) => {
@@ -287,7 +287,7 @@
             feed(
                 &mut host,
                 now,
-                Event::AttemptEnded {
+                Event::AttemptEnded(AttemptEnded {
                     id,
                     attempt,
                     backend,
@@ -297,7 +297,7 @@
                     metered: None,
                     charged_units: None,
                     load_report: None,
-                },
+                }),
             );
         }
     }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -254,7 +254,7 @@
                 }
                 Event::PeerMessage { from: GatewayId(from), bytes }
             }
-            What::Settle { id, attempt, backend } => Event::AttemptEnded {
+            What::Settle { id, attempt, backend } => Event::AttemptEnded(AttemptEnded {
                 id,
                 attempt,
                 backend,
@@ -264,7 +264,7 @@
                 metered: None,
                 charged_units: None,
                 load_report: None,
-            },
+            }),
             What::Wake => Event::Timer(0),
         };
         let mut actions = Vec::new();
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -164,7 +164,7 @@
         backend: BackendId,
         outcome: Outcome,
     ) -> Vec<Action> {
-        self.handle(Event::AttemptEnded {
+        self.handle(Event::AttemptEnded(AttemptEnded {
             id,
             attempt,
             backend,
@@ -174,7 +174,7 @@
             metered: None,
             charged_units: None,
             load_report: None,
-        })
+        }))
     }
 }
 
@@ -204,7 +204,7 @@
                     let (outcome, took) = (Outcome::Ok, 100_000);
                     let (attempt, complete) = (0, true);
                     let (metered, charged, report) = (None, None, None);
-                    let event = Event::AttemptEnded {
+                    let event = Event::AttemptEnded(AttemptEnded {
                         id,
                         attempt,
                         backend,
@@ -214,7 +214,7 @@
                         metered,
                         charged_units: charged,
                         load_report: report,
-                    };
+                    });
                     (at, event)
                 }
                 Action::SendToPeer { to: Some(to), bytes } => {
