Share the driven gateways' builders and drop single letters from the decisions' tests

support::settings has classes, plans, limits, rules and settings_of, support::fleet the fleet. The three cases of a_request_of_a_disconnected_client_is_not_sent are functions that it calls; the loop over actions of a_hundred_gateways_share_observations_of_a_silent_backend is one too. Assertions are as they were, apart from names and the words of their messages.

--- a/tests/gateway/admission.rs
+++ b/tests/gateway/admission.rs
@@ -1,20 +1,20 @@
 //! Final answers: deadlines, disconnects and malformed events.
 
-use crate::support::gateway::{is_failed, is_rejected, sent_to, settings, GatewayHarness, SECOND, START};
-use crate::support::gateway::{IDEMPOTENT, NON_IDEMPOTENT, RATE_QUOTA, UNLIMITED};
+use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness};
+use crate::support::settings::{settings, IDEMPOTENT, NON_IDEMPOTENT, RATE_QUOTA, SECOND, START, UNLIMITED};
 use ingress::*;
 
 #[test]
 fn a_request_close_to_its_deadline_is_rejected_immediately() {
-    // Found by a day drawn to test the rules: a client's last try came with a few milliseconds left, was
-    // held for want of a place, and the next wake-up was past its deadline.
+    // Found on a simulated day: a client's last try came with a few milliseconds left, waited for a backend, and the
+    // next timer was past its deadline.
     let mut harness = GatewayHarness::new(settings(), 1);
     harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, vec![]));
     let base = Request { id: RequestId(1), units: 1.0, gateway_set_size: 3.0, ..Request::default() };
     assert!(is_rejected(&harness.handle(Event::Request(Request { deadline: harness.now + 10_000, ..base }))));
-    let held = Request { id: RequestId(2), deadline: harness.now + 100_000, ..base };
-    assert!(!is_rejected(&harness.handle(Event::Request(held))));
-    assert!(is_rejected(&harness.advance(80_000)), "held, and answered before its deadline");
+    let waiting = Request { id: RequestId(2), deadline: harness.now + 100_000, ..base };
+    assert!(!is_rejected(&harness.handle(Event::Request(waiting))));
+    assert!(is_rejected(&harness.advance(80_000)), "it waits, and is answered before its deadline");
 }
 
 /// Found on simulated days whose gateways stall: a request that waited when the stall began was past its
@@ -25,14 +25,14 @@
     let mut harness = GatewayHarness::new(settings(), 1);
     harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, vec![]));
     harness.advance(SECOND);
-    let held = Request {
+    let waiting = Request {
         id: RequestId(1),
         units: 1.0,
         gateway_set_size: 3.0,
         deadline: harness.now + SECOND,
         ..Request::default()
     };
-    assert!(!is_rejected(&harness.handle(Event::Request(held))));
+    assert!(!is_rejected(&harness.handle(Event::Request(waiting))));
     harness.now += SECOND + 12_000;
     assert!(is_rejected(&harness.handle(Event::ClientDisconnected(RequestId(99)))));
 }
@@ -42,40 +42,59 @@
 /// needs none.
 #[test]
 fn a_request_of_a_disconnected_client_is_not_sent() {
-    for cancel in [true, false] {
-        let s = || Settings { limits: Limits { cancellation: cancel, ..settings().limits }, ..settings() };
-        // For a place: the bound of one backend is reached.
-        let mut harness = GatewayHarness::new(Settings { gateway_count: 1, ..s() }, 1);
-        let asked: Vec<_> = (0..12).map(|n| harness.request(IDEMPOTENT, UNLIMITED, n, 1.0)).collect();
-        let (out, wait): (Vec<_>, Vec<_>) = asked.iter().partition(|(_, a)| !sent_to(a).is_empty());
-        let wait: Vec<_> = wait.into_iter().filter(|(_, a)| !is_rejected(a)).collect();
-        assert!(!out.is_empty() && !wait.is_empty(), "{} out, {} wait", out.len(), wait.len());
-        for (id, _) in &wait {
-            assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
-        }
-        for (id, actions) in &out {
-            let freed = harness.end_attempt(*id, 0, sent_to(actions)[0], Outcome::Ok);
-            assert!(sent_to(&freed).is_empty(), "a place fell free for one that had left");
-        }
-        assert!(sent_to(&harness.advance(SECOND)).is_empty());
+    for cancellation in [true, false] {
+        let settings = || Settings { limits: Limits { cancellation, ..settings().limits }, ..settings() };
+        disconnects_while_waiting_for_the_concurrency_limit(settings());
+        disconnects_while_waiting_for_a_grant(settings());
+        disconnects_before_the_attempt_fails(settings());
+    }
+}
 
-        // For a home's word, in a fleet where one home counts; the time of waiting for it ends.
-        let mut harness = GatewayHarness::new(Settings { gateway_count: 100, ..s() }, 6);
-        let asked: Vec<_> = (0..20).map(|n| harness.request(NON_IDEMPOTENT, RATE_QUOTA, n, 1.0)).collect();
-        let held: Vec<_> = asked.iter().filter(|(_, a)| sent_to(a).is_empty() && !is_rejected(a)).collect();
-        assert!(held.len() > 5, "{} of 20 are held", held.len());
-        for (id, _) in &held {
-            assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
-        }
-        assert!(sent_to(&harness.advance(SECOND)).is_empty());
+/// The concurrency limit of the only backend is reached.
+fn disconnects_while_waiting_for_the_concurrency_limit(settings: Settings) {
+    let mut harness = GatewayHarness::new(Settings { gateway_count: 1, ..settings }, 1);
+    let requests: Vec<_> =
+        (0..12).map(|customer| harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0)).collect();
+    let (in_flight, others): (Vec<_>, Vec<_>) =
+        requests.iter().partition(|(_, actions)| !sent_to(actions).is_empty());
+    let waiting: Vec<_> = others.into_iter().filter(|(_, actions)| !is_rejected(actions)).collect();
+    assert!(
+        !in_flight.is_empty() && !waiting.is_empty(),
+        "{} in flight, {} waiting",
+        in_flight.len(),
+        waiting.len()
+    );
+    for (id, _) in &waiting {
+        assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
+    }
+    for (id, actions) in &in_flight {
+        let after_end = harness.end_attempt(*id, 0, sent_to(actions)[0], Outcome::Ok);
+        assert!(sent_to(&after_end).is_empty(), "sent for a client that had disconnected");
+    }
+    assert!(sent_to(&harness.advance(SECOND)).is_empty());
+}
 
-        // For a further attempt: the one that is out fails behind it.
-        let mut harness = GatewayHarness::new(s(), 6);
-        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
-        harness.handle(Event::ClientDisconnected(id));
-        let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::ConnectFailed);
-        assert!(sent_to(&end).is_empty() && sent_to(&harness.advance(SECOND)).is_empty());
+/// In a fleet where each customer has one quota owner, until the wait for its grant is over.
+fn disconnects_while_waiting_for_a_grant(settings: Settings) {
+    let mut harness = GatewayHarness::new(Settings { gateway_count: 100, ..settings }, 6);
+    let requests: Vec<_> =
+        (0..20).map(|customer| harness.request(NON_IDEMPOTENT, RATE_QUOTA, customer, 1.0)).collect();
+    let waiting: Vec<_> =
+        requests.iter().filter(|(_, actions)| sent_to(actions).is_empty() && !is_rejected(actions)).collect();
+    assert!(waiting.len() > 5, "{} of 20 are waiting", waiting.len());
+    for (id, _) in &waiting {
+        assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
     }
+    assert!(sent_to(&harness.advance(SECOND)).is_empty());
+}
+
+/// The attempt in flight fails behind the disconnect, which would bring a retry.
+fn disconnects_before_the_attempt_fails(settings: Settings) {
+    let mut harness = GatewayHarness::new(settings, 6);
+    let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    harness.handle(Event::ClientDisconnected(id));
+    let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::ConnectFailed);
+    assert!(sent_to(&end).is_empty() && sent_to(&harness.advance(SECOND)).is_empty());
 }
 
 #[test]
@@ -104,27 +123,23 @@
         gateway_set_size: 3.0,
         ..Request::default()
     };
-    let odd = [
+    let malformed = [
         Request { class: 99, ..base },
         Request { plan: 99, id: RequestId(501), ..base },
         Request { units: f64::NAN, id: RequestId(502), ..base },
         Request { deadline: 0, id: RequestId(503), ..base },
     ];
-    for req in odd {
-        let actions = harness.handle(Event::Request(req));
-        let answers = actions.iter().filter(|a| matches!(a, Action::Reject { .. } | Action::Fail(_)));
+    for request in malformed {
+        let actions = harness.handle(Event::Request(request));
+        let answers =
+            actions.iter().filter(|action| matches!(action, Action::Reject { .. } | Action::Fail(_)));
         assert_eq!(answers.count(), 1);
         assert!(sent_to(&actions).is_empty());
     }
-    for set_size in [0.0, f64::NAN, -3.0, 1e30] {
+    for gateway_set_size in [0.0, f64::NAN, -3.0, 1e30] {
         harness.next_request_id += 1000;
         let id = RequestId(harness.next_request_id);
-        harness.handle(Event::Request(Request {
-            id,
-            gateway_set_size: set_size,
-            gateway_set_start: f64::NAN,
-            ..base
-        }));
+        harness.handle(Event::Request(Request { id, gateway_set_size, gateway_set_start: f64::NAN, ..base }));
     }
     harness.end_attempt(RequestId(77_777), 3, BackendId(99), Outcome::Ok);
     harness.handle(Event::FirstByte { id: RequestId(77_777), attempt: 9 });
--- a/tests/gateway/gossip.rs
+++ b/tests/gateway/gossip.rs
@@ -1,12 +1,12 @@
 //! Usage reports between gateways.
 
-use crate::support::gateway::{is_rejected, sent_to, settings, GatewayHarness, SECOND};
-use crate::support::gateway::{IDEMPOTENT, RATE_QUOTA, UNLIMITED};
+use crate::support::gateway::{is_rejected, sent_messages, sent_to, GatewayHarness};
+use crate::support::settings::{settings, settings_of, IDEMPOTENT, RATE_QUOTA, SECOND, UNLIMITED};
 use ingress::*;
 
 #[test]
 fn usage_reports_converge_despite_loss_and_duplicates() {
-    let mut other = GatewayHarness::new(Settings { own_id: GatewayId(1), ..settings() }, 4);
+    let mut other = GatewayHarness::new(settings_of(1, 3), 4);
     let mut harness = GatewayHarness::new(settings(), 4);
     harness.advance(4 * SECOND);
     other.advance(4 * SECOND);
@@ -14,34 +14,30 @@
     other.request(IDEMPOTENT, RATE_QUOTA, 9, 2.0);
     other.advance(200_000); // these messages are lost
     other.request(IDEMPOTENT, RATE_QUOTA, 9, 3.0);
-    let told: Vec<Vec<u8>> = other
-        .advance(300_000)
-        .into_iter()
-        .filter_map(|a| if let Action::SendToPeer { bytes, .. } = a { Some(bytes) } else { None })
-        .collect();
-    for bytes in told.iter().chain(told.iter().rev()) {
+    let messages = sent_messages(&other.advance(300_000));
+    for (_, bytes) in messages.iter().chain(messages.iter().rev()) {
         harness.handle(Event::PeerMessage { from: GatewayId(1), bytes: bytes.clone() });
     }
-    // 6 units less 0.5 here and 5 there: a request of 3 finds no room, though this gateway sent half a unit.
+    // 6 units less 0.5 here and 5 there: no room for a request of 3, though this gateway sent half a unit.
     assert!(is_rejected(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 3.0).1));
 }
 
 #[test]
 fn usage_reports_cover_every_customer_in_turn() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let mut told = std::collections::BTreeSet::new();
+    let mut reported = std::collections::BTreeSet::new();
     for _ in 0..20 {
-        for n in 0..100 {
-            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, n, 1.0);
+        for customer in 0..100 {
+            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
                 harness.end_attempt(id, 0, backend, Outcome::Ok);
             }
         }
-        for action in harness.advance(100_000) {
-            if let Action::SendToPeer { bytes, .. } = action {
-                told.extend((0..100u8).filter(|n| bytes.windows(5).any(|w| w == [*n, 0, 0, 0, 0])));
-            }
+        for (_, bytes) in sent_messages(&harness.advance(100_000)) {
+            let has_customer =
+                |customer: &u8| bytes.windows(5).any(|window| window == [*customer, 0, 0, 0, 0]);
+            reported.extend((0..100u8).filter(has_customer));
         }
     }
-    assert_eq!(told.len(), 100, "with more changed customers than a message holds, none is left out");
+    assert_eq!(reported.len(), 100, "with more changed customers than a message holds, none is left out");
 }
--- a/tests/gateway/hard_limit.rs
+++ b/tests/gateway/hard_limit.rs
@@ -1,7 +1,8 @@
 //! Hard limits, which hold even where gateways hear nothing of each other.
 
-use crate::support::gateway::{endpoint, sent_to, settings, Fleet, GatewayHarness};
-use crate::support::gateway::{HARD_LIMIT, IDEMPOTENT};
+use crate::support::fleet::Fleet;
+use crate::support::gateway::{sent_to, GatewayHarness};
+use crate::support::settings::{settings_of, HARD_LIMIT, IDEMPOTENT};
 use ingress::*;
 
 /// Gateways that get no messages of each other keep to the hard limit together; after each restart their
@@ -9,10 +10,9 @@
 #[test]
 fn restarts_without_gossip_do_not_exceed_a_hard_limit() {
     for gateways in [3, 40, 200] {
-        let settings = |me| Settings { gateway_count: gateways, own_id: GatewayId(me), ..settings() };
         let total: usize = (0..gateways)
             .map(|me| {
-                let mut harness = GatewayHarness::new(settings(me), 4);
+                let mut harness = GatewayHarness::new(settings_of(me, gateways), 4);
                 let mut sent = 0;
                 for second in 0..10 {
                     for _ in 0..10 {
@@ -25,11 +25,7 @@
                         }
                     }
                     if second == 4 {
-                        harness.gateway = Gateway::new(settings(me), 8, harness.now);
-                        harness.handle(Event::Endpoints(
-                            EndpointUpdate::CachedSnapshot,
-                            (0..4).map(endpoint).collect(),
-                        ));
+                        harness.restart(settings_of(me, gateways), 8, 4);
                     }
                 }
                 sent
--- a/tests/gateway/load_balancing.rs
+++ b/tests/gateway/load_balancing.rs
@@ -1,49 +1,48 @@
 //! Choice of a backend: draining, slow start and subsets.
 
-use crate::support::gateway::{endpoint, is_rejected, sent_to, settings, GatewayHarness, SECOND, START};
-use crate::support::gateway::{IDEMPOTENT, UNLIMITED};
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::settings::{endpoint, settings, settings_of, IDEMPOTENT, SECOND, START, UNLIMITED};
 use ingress::*;
 
 #[test]
 fn a_draining_backend_gets_no_new_requests() {
     let mut harness = GatewayHarness::new(settings(), 2);
-    let drained = Endpoint { availability: Availability::Draining, ..endpoint(0) };
-    harness.handle(Event::Endpoints(EndpointUpdate::Delta, vec![drained]));
-    for n in 0..20 {
-        let (_, actions) = harness.request(IDEMPOTENT, UNLIMITED, n, 1.0);
-        assert!(sent_to(&actions).iter().all(|b| *b == BackendId(1)));
+    let draining = Endpoint { availability: Availability::Draining, ..endpoint(0) };
+    harness.handle(Event::Endpoints(EndpointUpdate::Delta, vec![draining]));
+    for customer in 0..20 {
+        let (_, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
+        assert!(sent_to(&actions).iter().all(|backend| *backend == BackendId(1)));
     }
     harness.handle(Event::Endpoints(
         EndpointUpdate::Delta,
         vec![Endpoint { availability: Availability::Gone, ..endpoint(1) }],
     ));
-    let (_, held) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
-    assert!(sent_to(&held).is_empty());
+    let (_, waiting) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    assert!(sent_to(&waiting).is_empty());
     let later = harness.advance(SECOND);
-    assert!(sent_to(&later).is_empty() && is_rejected(&later), "held, then refused in time");
+    assert!(sent_to(&later).is_empty() && is_rejected(&later), "it waits, then is rejected in time");
 }
 
 /// With `max(1)` for each gateway, a backend that has just started would get 150 requests at once.
 #[test]
 fn slow_start_holds_over_a_hundred_and_fifty_gateways() {
-    let (mut in_window, mut ever) = (0, 0);
-    for me in 0..150 {
-        let mut harness =
-            GatewayHarness::new(Settings { own_id: GatewayId(me), gateway_count: 150, ..settings() }, 1);
+    let (mut sent_at_once, mut sent_later) = (0, 0);
+    for own_id in 0..150 {
+        let mut harness = GatewayHarness::new(settings_of(own_id, 150), 1);
         harness.handle(Event::Endpoints(
             EndpointUpdate::Snapshot,
             vec![Endpoint { started_at: START, ..endpoint(0) }],
         ));
-        for n in 0..20 {
-            in_window += sent_to(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1).len();
+        for customer in 0..20 {
+            sent_at_once += sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len();
         }
-        for n in 0..200 {
-            ever += sent_to(&harness.advance(100_000)).len()
-                + sent_to(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1).len();
+        for customer in 0..200 {
+            sent_later += sent_to(&harness.advance(100_000)).len()
+                + sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len();
         }
     }
-    assert!(in_window <= 6, "{in_window} sent at once to a backend that has just started");
-    assert!(ever > 100, "{ever}: it is warm in the end, and used");
+    assert!(sent_at_once <= 6, "{sent_at_once} sent at once to a backend that has just started");
+    assert!(sent_later > 100, "{sent_later}: slow start ends, and it is used");
 }
 
 /// Guards against backends that no gateway sends to: with many more backends than gateways each gateway sent
@@ -52,22 +51,24 @@
 #[test]
 fn every_backend_of_a_large_fleet_is_in_a_subset() {
     let (gateways, backends) = (40u16, 2_400);
-    let mut used = std::collections::HashMap::new();
-    for me in 0..gateways {
-        let mut harness = GatewayHarness::new(
-            Settings { own_id: GatewayId(me), gateway_count: gateways, ..settings() },
-            backends,
-        );
-        for n in 0..2_000 {
+    let mut attempts_by_backend = std::collections::HashMap::new();
+    for own_id in 0..gateways {
+        let mut harness = GatewayHarness::new(settings_of(own_id, gateways), backends);
+        for customer in 0..2_000 {
             harness.now += 1_000;
-            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, n, 1.0);
+            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
-                *used.entry(backend).or_insert(0u64) += 1;
+                *attempts_by_backend.entry(backend).or_insert(0u64) += 1;
                 harness.end_attempt(id, 0, backend, Outcome::Ok);
             }
         }
     }
-    let (most, all) = (used.values().max().unwrap(), used.values().sum::<u64>());
-    assert!(used.len() as u64 * 1000 >= backends * 999, "{} of {backends} are used", used.len());
-    assert!(*most < 6 * all / backends, "{most} of {all} at one");
+    let (most, all) =
+        (attempts_by_backend.values().max().unwrap(), attempts_by_backend.values().sum::<u64>());
+    assert!(
+        attempts_by_backend.len() as u64 * 1000 >= backends * 999,
+        "{} of {backends} are used",
+        attempts_by_backend.len()
+    );
+    assert!(*most < 6 * all / backends, "{most} of {all} at one backend");
 }
--- a/tests/gateway/load_shedding.rs
+++ b/tests/gateway/load_shedding.rs
@@ -1,7 +1,7 @@
 //! Shedding stages and the concurrency limit.
 
-use crate::support::gateway::{endpoint, is_rejected, plan, sent_to, settings, GatewayHarness};
-use crate::support::gateway::{IDEMPOTENT, UNLIMITED};
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::settings::{plan, settings, settings_of, IDEMPOTENT, UNLIMITED};
 use ingress::*;
 
 #[test]
@@ -9,34 +9,22 @@
     let mut harness = GatewayHarness::new(settings(), 4);
     let mut log = Vec::new();
     for step in 0..800u64 {
-        let slow = (100..300).contains(&step);
+        let is_slow = (100..300).contains(&step);
         let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step, 1.0);
-        if let Some(b) = sent_to(&actions).first() {
-            let event = Event::AttemptEnded(AttemptEnded {
-                id,
-                attempt: 0,
-                backend: *b,
-                outcome: Outcome::Ok,
-                answered: true,
-                elapsed: if slow { 900_000 } else { 100_000 },
-                metered: None,
-                charged_units: None,
-                load_report: None,
-            });
-            harness.handle(event);
+        if let Some(backend) = sent_to(&actions).first() {
+            let elapsed = if is_slow { 900_000 } else { 100_000 };
+            harness.end_attempt_after(elapsed, id, 0, *backend, Outcome::Ok);
         }
         let actions = harness.advance(20_000);
-        log.extend(actions.into_iter().filter_map(|a| {
-            if let Action::Log(l) = a {
-                Some((step, l))
-            } else {
-                None
-            }
+        log.extend(actions.into_iter().filter_map(|action| match action {
+            Action::Log(line) => Some((step, line)),
+            _ => None,
         }));
     }
-    let up = log.iter().find(|(_, l)| l.contains("from=0, to=1")).expect("an alert");
+    let up = log.iter().find(|(_, line)| line.contains("from=0, to=1")).expect("an alert");
     assert!((100..300).contains(&up.0));
-    let down = log.iter().rev().find(|(_, l)| l.contains("from=1, to=0")).expect("the end of the alert");
+    let down =
+        log.iter().rev().find(|(_, line)| line.contains("from=1, to=0")).expect("the end of the alert");
     assert!(down.0 > 300);
 }
 
@@ -44,47 +32,43 @@
 /// answer.
 #[test]
 fn all_gateways_shed_the_same_customers() {
-    let verdicts = |me: u16| {
-        let mut s = Settings { own_id: GatewayId(me), ..settings() };
-        s.plans = vec![plan(1e6, 1e6)];
-        let mut harness = GatewayHarness::new(s, 4);
+    let verdicts = |own_id: u16| {
+        let mut settings = settings_of(own_id, 3);
+        settings.plans = vec![plan(1e6, 1e6)];
+        let mut harness = GatewayHarness::new(settings, 4);
         for step in 0..400u64 {
             let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step % 40, 1.0);
             for backend in sent_to(&actions) {
-                let took = if step < 40 { 100_000 } else { 900_000 };
-                let (complete, outcome) = (true, Outcome::Ok);
-                let (metered, charged, report) = (None, None, None);
-                let attempt = 0;
-                harness.handle(Event::AttemptEnded(AttemptEnded {
-                    id,
-                    attempt,
-                    backend,
-                    outcome,
-                    answered: complete,
-                    elapsed: took,
-                    metered,
-                    charged_units: charged,
-                    load_report: report,
-                }));
+                let elapsed = if step < 40 { 100_000 } else { 900_000 };
+                harness.end_attempt_after(elapsed, id, 0, backend, Outcome::Ok);
             }
             harness.advance(20_000);
         }
-        (0..40).map(|n| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1)).collect::<Vec<_>>()
+        (0..40)
+            .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1))
+            .collect::<Vec<_>>()
     };
     let (here, there) = (verdicts(0), verdicts(1));
     assert_eq!(here, there);
-    assert!(here.contains(&true) && here.contains(&false), "half of amber passes on the third rung");
+    assert!(here.contains(&true) && here.contains(&false), "half of a priority passes in the third stage");
 }
 
 #[test]
 fn remaining_backends_do_not_take_over_the_load_of_removed_ones() {
-    let out = |left: u64| {
+    let in_flight = |backends: u64| {
         let mut harness = GatewayHarness::new(settings(), 12);
-        harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, (0..left).map(endpoint).collect()));
-        (0..200).map(|n| sent_to(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1).len()).sum::<usize>()
+        harness.update_endpoints(EndpointUpdate::Snapshot, backends);
+        (0..200)
+            .map(|customer| sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len())
+            .sum::<usize>()
     };
-    assert!(out(12) >= 12);
-    assert!(out(6) * 2 <= out(12) + 2, "{} out at 6 backends, {} at 12", out(6), out(12));
+    assert!(in_flight(12) >= 12);
+    assert!(
+        in_flight(6) * 2 <= in_flight(12) + 2,
+        "{} in flight at 6 backends, {} at 12",
+        in_flight(6),
+        in_flight(12)
+    );
 }
 
 /// Whom the concurrency limit rejects is drawn by customer and epoch, not by who comes last: a retry gets the
@@ -92,13 +76,14 @@
 #[test]
 fn the_concurrency_limit_rejects_the_same_customers_again() {
     let mut harness = GatewayHarness::new(settings(), 12);
-    let verdicts: Vec<bool> =
-        (0..80).map(|n| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, n, 1.0).1)).collect();
-    let first_refused = verdicts.iter().position(|r| *r).expect("the bound is full");
-    let last_taken = verdicts.iter().rposition(|r| !*r).expect("some are taken");
-    assert!(first_refused < last_taken, "the line is closed to some before it is full");
+    let verdicts: Vec<bool> = (0..80)
+        .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1))
+        .collect();
+    let first_rejected = verdicts.iter().position(|rejected| *rejected).expect("the limit is reached");
+    let last_admitted = verdicts.iter().rposition(|rejected| !*rejected).expect("some are admitted");
+    assert!(first_rejected < last_admitted, "some are rejected before the limit is reached");
     assert!(
-        is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, first_refused as u64, 1.0).1),
-        "asking again changes nothing"
+        is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, first_rejected as u64, 1.0).1),
+        "a retry changes nothing"
     );
 }
--- a/tests/gateway/outlier_detection.rs
+++ b/tests/gateway/outlier_detection.rs
@@ -1,7 +1,8 @@
 //! Ejection of backends that fail or stay silent.
 
-use crate::support::gateway::{endpoint, sent_to, settings, Fleet, GatewayHarness, SECOND, START};
-use crate::support::gateway::{IDEMPOTENT, NON_IDEMPOTENT, UNLIMITED};
+use crate::support::fleet::Fleet;
+use crate::support::gateway::{sent_to, GatewayHarness};
+use crate::support::settings::{settings, IDEMPOTENT, NON_IDEMPOTENT, SECOND, START, UNLIMITED};
 use ingress::*;
 
 /// A gateway that stalled handles all that arrived meanwhile before it takes the time of its own stall for
@@ -12,16 +13,16 @@
     let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
     assert_eq!(sent_to(&actions).len(), 1);
     harness.now += 2 * SECOND;
-    let woken = harness.handle(Event::ClientDisconnected(RequestId(99)));
-    assert!(!woken
+    let actions_after_stall = harness.handle(Event::ClientDisconnected(RequestId(99)));
+    assert!(!actions_after_stall
         .iter()
-        .any(|a| matches!(a, Action::Cancel { .. } | Action::Reject { .. } | Action::Send { .. })));
+        .any(|action| matches!(action, Action::Cancel { .. } | Action::Reject { .. } | Action::Send { .. })));
     harness.end_attempt(id, 0, BackendId(0), Outcome::Ok);
     harness.advance(100_000);
     assert_eq!(
         sent_to(&harness.request(IDEMPOTENT, UNLIMITED, 2, 1.0).1).len(),
         1,
-        "its answer had come: it is not resting"
+        "its answer had come: it is not ejected"
     );
 }
 
@@ -29,35 +30,66 @@
 #[test]
 fn timeouts_of_one_class_eject_a_backend_for_that_class_only() {
     let mut harness = GatewayHarness::new(settings(), 2);
-    for n in 0..40 {
-        let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 100 + n, 1.0); // never answered at backend 0
-        let silent = sent_to(&actions) == [BackendId(0)];
-        for backend in sent_to(&actions).into_iter().filter(|_| !silent) {
+    for customer in 0..40 {
+        let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 100 + customer, 1.0); // never answered at backend 0
+        let is_silent = sent_to(&actions) == [BackendId(0)];
+        for backend in sent_to(&actions).into_iter().filter(|_| !is_silent) {
             harness.end_attempt(id, 0, backend, Outcome::Ok);
         }
         harness.advance(400_000);
-        if silent {
+        if is_silent {
             harness.end_attempt(id, 0, BackendId(0), Outcome::TimedOut);
         }
-        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, n, 1.0);
+        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
         for backend in sent_to(&actions) {
             harness.end_attempt(id, 0, backend, Outcome::Ok);
         }
     }
-    let (mut once, mut safe) = ([0, 0], [0, 0]);
-    for n in 0..20 {
-        for (class, count) in [(2, &mut once), (0, &mut safe)] {
-            let (id, actions) = harness.request(class, UNLIMITED, n, 1.0);
+    let (mut non_idempotent, mut idempotent) = ([0, 0], [0, 0]);
+    for customer in 0..20 {
+        for (class, count) in [(NON_IDEMPOTENT, &mut non_idempotent), (IDEMPOTENT, &mut idempotent)] {
+            let (id, actions) = harness.request(class, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
                 count[backend.0 as usize] += 1;
-                if class == 0 || backend.0 == 1 {
+                if class == IDEMPOTENT || backend.0 == 1 {
                     harness.end_attempt(id, 0, backend, Outcome::Ok);
                 }
             }
         }
     }
-    assert!(once[0] <= 1 && once[1] >= 19, "{once:?}");
-    assert!(safe[0] >= 3, "{safe:?}");
+    assert!(non_idempotent[0] <= 1 && non_idempotent[1] >= 19, "{non_idempotent:?}");
+    assert!(idempotent[0] >= 3, "{idempotent:?}");
+}
+
+/// Attempts by where they were sent.
+#[derive(Default)]
+struct AttemptCounts {
+    answered: usize,
+    at_silent_backend: usize,
+}
+
+/// Executes the actions of a gateway, and those that follow from them. Backend 0 never answers, the others at once.
+fn execute_with_silent_backend(fleet: &mut Fleet, from: usize, actions: Vec<Action>) -> AttemptCounts {
+    let mut counts = AttemptCounts::default();
+    let mut queue: Vec<(usize, Action)> = actions.into_iter().map(|action| (from, action)).collect();
+    while let Some((at, action)) = queue.pop() {
+        match action {
+            Action::Send { backend: BackendId(0), .. } => counts.at_silent_backend += 1,
+            Action::Send { id, backend, .. } => {
+                counts.answered += 1;
+                let more = fleet.gateways[at].end_attempt(id, 0, backend, Outcome::Ok);
+                queue.extend(more.into_iter().map(|action| (at, action)));
+            }
+            Action::SendToPeer { to: Some(GatewayId(to)), bytes } => {
+                let to = usize::from(to);
+                let event = Event::PeerMessage { from: GatewayId(at as u16), bytes };
+                let more = fleet.gateways[to].handle(event);
+                queue.extend(more.into_iter().map(|action| (to, action)));
+            }
+            _ => {}
+        }
+    }
+    counts
 }
 
 /// Guards against each of a hundred gateways finding out for itself that a backend is silent: at a few
@@ -66,39 +98,23 @@
 fn a_hundred_gateways_share_observations_of_a_silent_backend() {
     let mut fleet = Fleet::new(100);
     for harness in &mut fleet.gateways {
-        harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, (0..30).map(endpoint).collect()));
+        harness.update_endpoints(EndpointUpdate::Snapshot, 30);
     }
     let (mut all, mut silent) = (0, 0);
-    for n in 0..2000usize {
-        for at in [n * 37 % 100, n * 41 % 100, n * 53 % 100, n * 61 % 100] {
-            let (_, actions) = fleet.gateways[at].request_from_set(
-                IDEMPOTENT,
-                UNLIMITED,
-                7000 + n as u64 * 31 % 400,
-                1.0,
-                100.0,
-            );
-            let held = fleet.gateways[at].advance(20_000); // its timers, too
-            let mut queue: Vec<(usize, Action)> = actions.into_iter().chain(held).map(|a| (at, a)).collect();
-            while let Some((at, action)) = queue.pop() {
-                match action {
-                    // The first five seconds are for learning.
-                    Action::Send { backend: BackendId(0), .. } => silent += usize::from(n >= 500),
-                    Action::Send { id, backend, .. } => {
-                        all += usize::from(n >= 500);
-                        let more = fleet.gateways[at].end_attempt(id, 0, backend, Outcome::Ok);
-                        queue.extend(more.into_iter().map(|a| (at, a)));
-                    }
-                    Action::SendToPeer { to: Some(to), bytes } => {
-                        let event = Event::PeerMessage { from: GatewayId(at as u16), bytes };
-                        let more = fleet.gateways[usize::from(to.0)].handle(event);
-                        queue.extend(more.into_iter().map(|a| (usize::from(to.0), a)));
-                    }
-                    _ => {}
-                }
+    for step in 0..2000usize {
+        for at in [step * 37 % 100, step * 41 % 100, step * 53 % 100, step * 61 % 100] {
+            let harness = &mut fleet.gateways[at];
+            let customer = 7000 + step as u64 * 31 % 400;
+            let (_, mut actions) = harness.request_from_set(IDEMPOTENT, UNLIMITED, customer, 1.0, 100.0);
+            actions.extend(harness.advance(20_000)); // its timers, too
+            let counts = execute_with_silent_backend(&mut fleet, at, actions);
+            // In the first five seconds the gateways observe it.
+            if step >= 500 {
+                all += counts.answered;
+                silent += counts.at_silent_backend;
             }
         }
-        let now = START + (n as u64 + 1) * 10_000;
+        let now = START + (step as u64 + 1) * 10_000;
         fleet.gateways.iter_mut().for_each(|harness| harness.now = harness.now.max(now));
     }
     assert!(
--- a/tests/gateway/rate_quota.rs
+++ b/tests/gateway/rate_quota.rs
@@ -1,7 +1,10 @@
 //! Customers' token buckets over a fleet.
 
-use crate::support::gateway::{endpoint, is_rejected, sent_to, settings, Fleet, GatewayHarness, SECOND};
-use crate::support::gateway::{IDEMPOTENT, RATE_QUOTA, UNLIMITED};
+use crate::support::fleet::Fleet;
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::settings::{
+    settings, settings_of, CONCURRENCY_QUOTA, IDEMPOTENT, RATE_QUOTA, SECOND, UNLIMITED,
+};
 use ingress::*;
 
 #[test]
@@ -10,13 +13,15 @@
     let (_, first) = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0);
     assert_eq!(sent_to(&first).len(), 1);
     let (_, second) = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0);
-    assert!(is_rejected(&second) && sent_to(&second).is_empty(), "an unseen customer starts with its share");
-    harness.advance(2 * SECOND); // and by then no more use of others is presumed
-
+    assert!(
+        is_rejected(&second) && sent_to(&second).is_empty(),
+        "a new customer starts with this gateway's share"
+    );
+    harness.advance(2 * SECOND); // and by then no more usage of others is assumed
     assert_eq!(
         sent_to(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0).1).len(),
         1,
-        "the store fills at the rate"
+        "the bucket is refilled at the rate"
     );
 }
 
@@ -26,25 +31,27 @@
 #[test]
 fn a_request_with_a_forged_plan_or_gateway_set_does_not_change_the_customers_record() {
     for forged_first in [false, true] {
-        let mut harness = GatewayHarness::new(Settings { gateway_count: 1, ..settings() }, 6);
-        let usual = |harness: &mut GatewayHarness| {
+        let mut harness = GatewayHarness::new(settings_of(0, 1), 6);
+        let send_genuine = |harness: &mut GatewayHarness| {
             let (id, actions) = harness.request_from_set(IDEMPOTENT, RATE_QUOTA, 9, 1.0, 1.0);
-            let to = sent_to(&actions);
-            to.iter().for_each(|b| drop(harness.end_attempt(id, 0, *b, Outcome::Ok)));
-            to.len()
+            let backends = sent_to(&actions);
+            backends.iter().for_each(|backend| drop(harness.end_attempt(id, 0, *backend, Outcome::Ok)));
+            backends.len()
         };
-        let forge = |harness: &mut GatewayHarness| {
+        let send_forged = |harness: &mut GatewayHarness| {
             let (id, actions) = harness.request_from_set(IDEMPOTENT, UNLIMITED, 9, 1.0, 1.0);
-            sent_to(&actions).iter().for_each(|b| drop(harness.end_attempt(id, 0, *b, Outcome::Ok)));
+            sent_to(&actions)
+                .iter()
+                .for_each(|backend| drop(harness.end_attempt(id, 0, *backend, Outcome::Ok)));
         };
         if forged_first {
-            forge(&mut harness);
+            send_forged(&mut harness);
         }
-        let mut sent: usize = (0..4).map(|_| usual(&mut harness)).sum();
+        let mut sent: usize = (0..4).map(|_| send_genuine(&mut harness)).sum();
         for _ in 0..3 {
             harness.advance(20_000);
-            forge(&mut harness);
-            sent += (0..4).map(|_| usual(&mut harness)).sum::<usize>();
+            send_forged(&mut harness);
+            sent += (0..4).map(|_| send_genuine(&mut harness)).sum::<usize>();
         }
         assert!((2..=7).contains(&sent), "{sent} of 16, with a burst of 6 and some forged ones");
     }
@@ -60,16 +67,8 @@
         for step in 0..300usize {
             used += 2.0 * fleet.request(step * 7 % 60, RATE_QUOTA, 2.0, 60.0, lose_every) as f64;
             if restart && step == 150 {
-                for me in 0..60u16 {
-                    let s = Settings { gateway_count: 60, own_id: GatewayId(me), ..settings() };
-                    let harness = &mut fleet.gateways[usize::from(me)];
-                    if me % 3 == 0 {
-                        harness.gateway = Gateway::new(s, 9, harness.now);
-                        harness.handle(Event::Endpoints(
-                            EndpointUpdate::CachedSnapshot,
-                            (0..6).map(endpoint).collect(),
-                        ));
-                    }
+                for own_id in (0..60u16).step_by(3) {
+                    fleet.gateways[usize::from(own_id)].restart(settings_of(own_id, 60), 9, 6);
                 }
             }
         }
@@ -83,23 +82,20 @@
 /// third was lost, and customers far inside their quota were rejected by gateways that had not heard of them.
 #[test]
 fn a_hundred_starting_gateways_need_two_messages_for_a_request_within_its_quota() {
-    for plan in [1, 3] {
+    for plan in [RATE_QUOTA, CONCURRENCY_QUOTA] {
         let mut fleet = Fleet::new(100);
         let mut sent = 0;
-        for n in 0..100usize {
-            let (at, customer) = (n * 37 % 100, 1000 + n as u64 % 20);
+        for number in 0..100usize {
+            let (at, customer) = (number * 37 % 100, 1000 + number as u64 % 20);
             let (_, actions) = fleet.gateways[at].request_from_set(IDEMPOTENT, plan, customer, 1.0, 100.0);
             sent += fleet.execute(at, actions, 0);
-            for n in 0..100 {
-                let actions = fleet.gateways[n].advance(20_000);
-                sent += fleet.execute(n, actions, 0);
-            }
+            sent += fleet.advance(20_000, 0);
         }
         assert_eq!(sent, 100, "five requests of each customer, far apart: plan {plan}");
-        // An end is told as well where attempts out are counted.
-        let each = if plan == 3 { 3 } else { 2 };
+        // Ends are sent as well where attempts in flight are counted.
+        let messages_per_request = if plan == CONCURRENCY_QUOTA { 3 } else { 2 };
         assert!(
-            fleet.messages_sent <= 100 * each,
+            fleet.messages_sent <= 100 * messages_per_request,
             "{} messages for 100 requests of plan {plan}",
             fleet.messages_sent
         );
@@ -126,27 +122,24 @@
     let before = sent_for_new_customer(&mut fleet, 5);
     assert!(before <= 3, "{before} of a burst of 6 before anything is known of the others");
     for at in 0..2 {
-        fleet.request(at, UNLIMITED, 1.0, 3.0, 0); // each is heard of
+        fleet.request(at, UNLIMITED, 1.0, 3.0, 0); // this makes each known to the others
     }
     let after = sent_for_new_customer(&mut fleet, 5);
-    assert!((4..=7).contains(&(before + after)), "{before} and {after}: what was held back, once");
+    assert!((4..=7).contains(&(before + after)), "{before} and {after}: withheld tokens are released once");
     assert!(
         (5..=7).contains(&sent_for_new_customer(&mut fleet, 6)),
-        "a customer met later has its whole store"
+        "a customer that comes later has its whole bucket"
     );
-    let s = Settings { own_id: GatewayId(2), ..settings() };
-    for n in 0..3 {
-        let actions = fleet.gateways[n].advance(2 * SECOND);
-        fleet.execute(n, actions, 0);
-    }
-    fleet.gateways[2].gateway = Gateway::new(s, 9, fleet.gateways[2].now);
-    fleet.gateways[2]
-        .handle(Event::Endpoints(EndpointUpdate::CachedSnapshot, (0..6).map(endpoint).collect()));
+    fleet.advance(2 * SECOND, 0);
+    fleet.gateways[2].restart(settings_of(2, 3), 9, 6);
     for at in 0..3 {
         fleet.request(at, UNLIMITED, 1.0, 3.0, 0);
     }
-    let reborn = sent_for_new_customer(&mut fleet, 7);
-    assert!(reborn <= 3, "{reborn} of a burst of 6 by one that knows nothing of the time before");
+    let after_restart = sent_for_new_customer(&mut fleet, 7);
+    assert!(
+        after_restart <= 3,
+        "{after_restart} of a burst of 6 by a gateway that knows nothing of the time before"
+    );
 }
 
 /// Guards against charging all usage of a gateway as new after it was silent on the customer for a while: on
@@ -154,20 +147,18 @@
 #[test]
 fn a_customer_that_returns_to_a_gateway_is_not_charged_for_past_usage() {
     let mut fleet = Fleet::new(3);
-    let ask = |fleet: &mut Fleet, at: usize, pause: Micros| {
+    let request_once = |fleet: &mut Fleet, at: usize, pause: Micros| {
         let (_, actions) = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0);
         let sent = fleet.execute(at, actions, 0);
-        for n in 0..3 {
-            let actions = fleet.gateways[n].advance(pause);
-            fleet.execute(n, actions, 0);
-        }
+        fleet.advance(pause, 0);
         sent
     };
-    let through =
-        |fleet: &mut Fleet, at, times, pause| (0..times).map(|_| ask(fleet, at, pause)).sum::<usize>();
+    let sent_of = |fleet: &mut Fleet, at, times, pause| {
+        (0..times).map(|_| request_once(fleet, at, pause)).sum::<usize>()
+    };
     // One unit a second, of two that the quota has: at one gateway, then at another, then at both.
-    assert!(through(&mut fleet, 0, 30, SECOND) >= 29);
-    assert_eq!(through(&mut fleet, 2, 30, SECOND), 30);
-    assert_eq!(through(&mut fleet, 0, 1, SECOND / 2), 1);
-    assert_eq!(through(&mut fleet, 2, 3, SECOND / 2), 3, "its store is all but full");
+    assert!(sent_of(&mut fleet, 0, 30, SECOND) >= 29);
+    assert_eq!(sent_of(&mut fleet, 2, 30, SECOND), 30);
+    assert_eq!(sent_of(&mut fleet, 0, 1, SECOND / 2), 1);
+    assert_eq!(sent_of(&mut fleet, 2, 3, SECOND / 2), 3, "its bucket is all but full");
 }
--- a/tests/gateway/retry.rs
+++ b/tests/gateway/retry.rs
@@ -1,7 +1,9 @@
 //! Retries by idempotency, and hedging.
 
-use crate::support::gateway::{endpoint, is_failed, is_rejected, sent_to, settings, GatewayHarness, SECOND};
-use crate::support::gateway::{IDEMPOTENT, KEYED, NON_IDEMPOTENT, UNLIMITED};
+use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness};
+use crate::support::settings::{
+    endpoint, settings, settings_of, IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, UNLIMITED,
+};
 use ingress::*;
 
 #[test]
@@ -10,7 +12,7 @@
     let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
     let backend = sent_to(&actions)[0];
     let later = harness.advance(2 * SECOND);
-    assert!(sent_to(&later).is_empty(), "no second copy of an unsafe request");
+    assert!(sent_to(&later).is_empty(), "a non-idempotent request is not hedged");
     let end = harness.end_attempt(id, 0, backend, Outcome::TimedOut);
     assert!(is_failed(&end) && !is_rejected(&end) && sent_to(&end).is_empty());
 }
@@ -19,10 +21,10 @@
 fn a_non_idempotent_request_is_retried_only_if_never_executed() {
     let mut harness = GatewayHarness::new(settings(), 4);
     let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
-    let again = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Rejected);
-    assert_eq!(sent_to(&again).len(), 1);
-    let end = harness.end_attempt(id, 1, sent_to(&again)[0], Outcome::Reset);
-    assert!(is_failed(&end) && !is_rejected(&end), "the second attempt may have run");
+    let retry = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Rejected);
+    assert_eq!(sent_to(&retry).len(), 1);
+    let end = harness.end_attempt(id, 1, sent_to(&retry)[0], Outcome::Reset);
+    assert!(is_failed(&end) && !is_rejected(&end), "the second attempt may have been executed");
 }
 
 #[test]
@@ -30,15 +32,15 @@
     let mut harness = GatewayHarness::new(settings(), 6);
     let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
     let first = sent_to(&actions)[0];
-    let again = harness.end_attempt(id, 0, first, Outcome::Error);
-    assert_eq!(sent_to(&again).len(), 1);
-    assert_eq!(sent_to(&again)[0].0 % 2, first.0 % 2, "same cell");
+    let retry = harness.end_attempt(id, 0, first, Outcome::Error);
+    assert_eq!(sent_to(&retry).len(), 1);
+    assert_eq!(sent_to(&retry)[0].0 % 2, first.0 % 2, "same cell");
 
-    let mut s = settings();
-    s.classes[usize::from(KEYED)].latency_objective = 4 * SECOND;
-    s.limits.hedging = false;
-    s.limits.cancellation = false;
-    let mut harness = GatewayHarness::new(s, 6);
+    let mut settings = settings();
+    settings.classes[usize::from(KEYED)].latency_objective = 4 * SECOND;
+    settings.limits.hedging = false;
+    settings.limits.cancellation = false;
+    let mut harness = GatewayHarness::new(settings, 6);
     let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
     harness.advance(2 * SECOND);
     let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Reset);
@@ -49,17 +51,21 @@
 /// attempt begins only then.
 #[test]
 fn a_keyed_retry_needs_time_to_connect_within_its_window() {
-    for (after, want) in [(1_600_000, 1), (1_800_000, 0)] {
-        let mut s = settings();
-        s.classes[usize::from(KEYED)].latency_objective = 4 * SECOND;
-        s.limits.hedging = false;
-        s.limits.cancellation = false;
-        let mut harness = GatewayHarness::new(s, 6);
+    for (delay, expected_retries) in [(1_600_000, 1), (1_800_000, 0)] {
+        let mut settings = settings();
+        settings.classes[usize::from(KEYED)].latency_objective = 4 * SECOND;
+        settings.limits.hedging = false;
+        settings.limits.cancellation = false;
+        let mut harness = GatewayHarness::new(settings, 6);
         let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
-        harness.advance(after);
+        harness.advance(delay);
         let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Reset);
-        assert_eq!(sent_to(&end).len(), want, "{after} us behind the first send, in a window of 2 s");
-        assert_eq!(is_failed(&end), want == 0);
+        assert_eq!(
+            sent_to(&end).len(),
+            expected_retries,
+            "{delay} us after the first attempt, in a window of 2 s"
+        );
+        assert_eq!(is_failed(&end), expected_retries == 0);
     }
 }
 
@@ -68,28 +74,29 @@
     let mut harness = GatewayHarness::new(settings(), 6);
     let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
     let first = sent_to(&actions)[0];
-    let gone: Vec<Endpoint> = (0..6).map(endpoint).filter(|l| l.cell != (first.0 % 2) as u16).collect();
-    harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, gone));
+    let remaining: Vec<Endpoint> =
+        (0..6).map(endpoint).filter(|endpoint| endpoint.cell != (first.0 % 2) as u16).collect();
+    harness.handle(Event::Endpoints(EndpointUpdate::Snapshot, remaining));
     let end = harness.end_attempt(id, 0, first, Outcome::Reset);
-    assert!(sent_to(&end).is_empty() && is_failed(&end), "nobody left who knows the key");
+    assert!(sent_to(&end).is_empty() && is_failed(&end), "no backend left that knows the key");
 }
 
 /// Guards against retry budgets that are harmless one by one: a hundred full ones were spent at once when all
 /// backends slowed down at a start, and kept them slow.
 #[test]
 fn hedging_of_a_hundred_gateways_does_not_double_the_load_of_slow_backends() {
-    let (mut first, mut further) = (0, 0);
-    for me in 0..100 {
-        let mut harness =
-            GatewayHarness::new(Settings { gateway_count: 100, own_id: GatewayId(me), ..settings() }, 200);
+    let (mut first_attempts, mut hedges) = (0, 0);
+    for own_id in 0..100 {
+        let mut harness = GatewayHarness::new(settings_of(own_id, 100), 200);
         let (_, early) = harness.request_from_set(IDEMPOTENT, UNLIMITED, 5, 1.0, 1.0);
-        first += sent_to(&early).len();
-        for n in 0..20 {
-            first += sent_to(&harness.request_from_set(IDEMPOTENT, UNLIMITED, 6 + n, 1.0, 1.0).1).len();
+        first_attempts += sent_to(&early).len();
+        for number in 0..20 {
+            first_attempts +=
+                sent_to(&harness.request_from_set(IDEMPOTENT, UNLIMITED, 6 + number, 1.0, 1.0).1).len();
         }
-        first += sent_to(&harness.advance(200_000)).len(); // held for a word that does not come
-        further += sent_to(&harness.advance(SECOND / 2)).len();
+        first_attempts += sent_to(&harness.advance(200_000)).len(); // waited for a grant that does not come
+        hedges += sent_to(&harness.advance(SECOND / 2)).len();
     }
-    assert!(first >= 1500, "{first} sent");
-    assert!((100..=450).contains(&further), "{further} second copies of {first} that stay silent");
+    assert!(first_attempts >= 1500, "{first_attempts} sent");
+    assert!((100..=450).contains(&hedges), "{hedges} hedges of {first_attempts} attempts that stay silent");
 }
