--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,13 +1,12 @@
 //! A gateway: the parts that own its state, and the bookkeeping that needs several of them. Nothing is
 //! decided here: that is the work of `crate::policy`.
 
-use crate::gossip::{incarnation_of, Body, Message};
 use crate::policy::{initial_baseline, report_interval, retry_budget, MAX_REPORTED_QUEUE_DEPTH};
 use crate::state::{
     BackendTable, DecayingRate, LatencyBaseline, LoadShedder, PeerTable, QuotaTable, RequestState,
 };
 use crate::state::{RequestTable, RetryBudget, RetryScope};
-use crate::{Action, AttemptEnded, BackendId, Class, CustomerId, Endpoint, EndpointUpdate, Event, GatewayId};
+use crate::{Action, AttemptEnded, BackendId, Class, CustomerId, Endpoint, EndpointUpdate, Event};
 use crate::{Idempotency, Micros, Outcome, Plan, Request, RequestId, Settings};
 
 /// One gateway's decisions. Feed it events with [`Gateway::handle`], and do what it asks.
@@ -97,7 +96,7 @@
     /// Whether every gateway of a customer owns its quota, and is sent reports; in a large fleet only one or
     /// two do, which are asked for grants.
     pub(crate) fn all_gateways_own_quotas(&self) -> bool {
-        self.quota.report_interval > 0
+        self.quota.all_gateways_own_quotas()
     }
 
     pub(crate) fn concurrency_limit(&self) -> f64 {
@@ -176,17 +175,6 @@
         }
     }
 
-    /// Sends a peer a message, with the latest latency samples.
-    pub(crate) fn send_message(&mut self, to: u16, body: Body, actions: &mut Vec<Action>) {
-        let samples = self.peers.take_samples();
-        let peer = self.peers.entry(to);
-        peer.sent_messages = peer.sent_messages.wrapping_add(1);
-        peer.next_send_at = self.now + self.quota.report_interval;
-        let incarnation = incarnation_of(self.started_at);
-        let message = Message { incarnation, sequence: peer.sent_messages, samples, body };
-        actions.push(Action::SendToPeer { to: Some(GatewayId(to)), bytes: message.encode() });
-    }
-
     pub(crate) fn schedule_wake_up(&mut self, now: Micros, interval: Micros, actions: &mut Vec<Action>) {
         self.next_wake_up_at = now + interval;
         actions.push(Action::SetTimer { delay: interval, token: 0 });
@@ -212,7 +200,7 @@
         if awaited {
             self.quota.stop_awaiting_grant(request.customer, id, true);
         } else if unsent {
-            self.charge(&request, -1.0);
+            self.charge(request.customer, -request.units);
             self.queue_usage_report(request.customer, false, actions);
         }
     }
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -3,6 +3,7 @@
 
 mod bytes;
 mod encoding;
+mod exchange;
 mod message;
 mod units;
 
--- a/src/gossip/encoding.rs
+++ b/src/gossip/encoding.rs
@@ -11,10 +11,10 @@
 //! | 4 | receiver's incarnation, before quota grants only |
 //! | 14 or 12 each | entries: usage reports or quota grants |
 //!
-//! A usage report has the customer and the attempts in flight (5 bytes), the total (2), the token level (1), the flags
-//! and the plan (1), the requested units (1), the start (2) and the size (2) of the gateway set. A quota grant has the
-//! customer and the attempts in flight (5), the receiver's total (2), the tokens (2), the rate (2) and the units of the
-//! hard limit (1).
+//! A usage report has the customer and the attempts in flight (5 bytes), the total (2), the token level (1),
+//! the flags and the plan (1), the requested units (1), the start (2) and the size (2) of the gateway set. A
+//! quota grant has the customer and the attempts in flight (5), the receiver's total (2), the tokens (2), the
+//! rate (2) and the units of the hard limit (1).
 
 use super::bytes::{ByteReader, ByteWriter};
 use super::units::{from_wire_units, latency_of_step, latency_step, to_wire_units};
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -3,7 +3,8 @@
 use super::TokenLevel;
 use crate::{CustomerId, Micros};
 
-/// A customer's usage, as one gateway counts it since its start. It goes to the owners of the customer's quota.
+/// A customer's usage, as one gateway counts it since its start. It goes to the owners of the customer's
+/// quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct UsageReport {
     /// The customer.
@@ -83,7 +84,8 @@
     pub body: Body,
 }
 
-/// The number that tells a gateway from the same gateway after a restart: the millisecond of its start, wrapping.
+/// The number that tells a gateway from the same gateway after a restart: the millisecond of its start,
+/// wrapping.
 pub fn incarnation_of(started_at: Micros) -> u32 {
     (started_at / 1000) as u32
 }
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -88,8 +88,7 @@
     pub(crate) fn admit(&mut self, id: RequestId, last: bool, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get(id) else { return };
         let (request, awaited) = (state.request, state.awaiting_grant);
-        let wait = self.wait_for_tokens(&request);
-        let seconds = wait.quota.into_iter().chain(wait.hard_limit).reduce(f64::max);
+        let seconds = self.wait_for_tokens(&request).longest();
         if seconds.is_some() && !last {
             return;
         }
@@ -117,7 +116,7 @@
     /// Charges an admitted request, and sends it as soon as a backend may take it.
     fn enqueue(&mut self, request: &Request, awaited: bool, actions: &mut Vec<Action>) {
         self.load_shedder.record_admission();
-        self.charge(request, 1.0);
+        self.charge(request.customer, request.units);
         if let Some(state) = self.requests.get_mut(request.id) {
             state.awaiting_grant = false;
         }
@@ -147,7 +146,7 @@
         let tokens = if self.all_gateways_own_quotas() { known } else { plan.burst };
         let remote_rate = plan.rate * (1.0 - 1.0 / set.size);
         let new = Customer { remote_rate, ..Customer::new(usize::from(request.plan), plan, tokens, now) };
-        self.record_identity(request.customer, set.start, set.size as u16, new);
+        self.record_identity(request.customer, set, new);
         let Some(customer) = self.quota.customers.get_mut(&request.customer) else { return true };
         let unseen = customer.last_seen_at == 0 || now - customer.last_seen_at > CUSTOMER_IDLE_TIME;
         customer.last_seen_at = now;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,427 +1,443 @@
-//! The quotas of customers over all gateways together: their stores, the homes that count for each, what
-//! gateways tell them of use, and their word. Decisions as in `control.rs`, which asks here for room.
+//! The quotas of customers over all gateways together: their token buckets, the gateways that own the quota
+//! of each customer and add up its usage, the reports of usage to the owners, and the owners' grants.
+
 use crate::{gossip::*, state::*, *};
 
-/// How long a home's word stands where it cannot be had anew. Past that a customer is let in: most are inside
-/// their quota, and a large fleet whose messages are lost would else refuse them all.
+/// How long a grant holds where no newer one comes. After that a customer is admitted: most are inside their
+/// quota, and a large fleet whose messages are lost would else reject them all.
 const GRANT_LIFETIME: Micros = 2_000_000;
-/// Share of what a home takes in that questions on one capped customer may be: past it they are thinned out.
+/// Requests for grants on one customer with a concurrency quota, as a share of the messages that its owner
+/// takes in; beyond it some are skipped.
 const MAX_GRANT_REQUEST_SHARE: f64 = 0.25;
-/// Besides a report interval: how long a peer's usage is under way, with losses.
+/// How long a peer's report is under way, losses included, besides the report interval.
 const REPORT_PROPAGATION_TIME: Micros = 350_000;
-/// Part of a hard limit that lies with two gateways, who hand it out on demand.
+/// Part of a hard limit that two gateways hold and grant on request.
 const POOLED_HARD_LIMIT: f64 = 0.5;
-/// Gateways that start within so many milliseconds of each other start a fleet.
+/// Gateways that start within so many milliseconds of each other have started together, as a fleet.
 const FLEET_START_WINDOW_MS: u32 = 1500;
-/// Memory of usage in seconds: longer than pauses, shorter than shifts.
+/// Time constant of rates of usage, in seconds: longer than pauses, shorter than shifts.
 pub(crate) const USAGE_RATE_TIME_CONSTANT: f64 = 2.0;
 /// A customer unseen for so long counts as new to load shedding; it is forgotten once its buckets are full.
 pub(crate) const CUSTOMER_IDLE_TIME: Micros = 10_000_000;
-/// Requests under another plan or set of gateways that a customer's record bears.
+/// Requests under another plan or set of gateways that a customer's record outlasts.
 const MAX_IDENTITY_CONFIDENCE: u8 = 8;
-/// Hard limit units that come later than this after the request for them lapse.
+/// Units of the hard limit that are granted later than this after the request for them lapse.
 const HARD_LIMIT_GRANT_LIFETIME: Micros = 250_000;
-
-/// Seconds until there may be tokens; none where there are enough now.
-pub(crate) struct TokenWait {
-    pub quota: Option<f64>,
-    pub hard_limit: Option<f64>,
-}
+/// Attempts of a peer that reports nothing count as in flight for so long.
+const REPORTED_IN_FLIGHT_LIFETIME: Micros = 1_500_000;
 
 impl Customer {
-    /// The part of the use that is this gateway's own, with a floor for those that begin.
-    pub(crate) fn own_share(&self, plan: &Plan) -> f64 {
+    /// This gateway's share of the customer's usage, with a floor for a gateway that sees little of it so
+    /// far.
+    fn own_share(&self, plan: &Plan) -> f64 {
         let floor = if self.is_quota_owner || self.granted_at > 0 { 0.1 } else { 1.0 };
-        let own = self.own_rate.max(plan.rate / self.gateway_set_size.max(1.0) * floor);
-        own / (own + self.remote_rate).max(1e-9)
+        let own_rate = self.own_rate.max(plan.rate / self.gateway_set.size.max(1.0) * floor);
+        own_rate / (own_rate + self.remote_rate).max(1e-9)
+    }
+
+    /// Refills the token buckets up to now.
+    pub(crate) fn refill(&mut self, plan: &Plan, now: Micros) {
+        let remaining = decay(self.refilled_at, now, USAGE_RATE_TIME_CONSTANT);
+        self.own_rate *= remaining;
+        let refill_rate = if self.is_quota_owner {
+            self.remote_rate *= remaining;
+            plan.rate
+        } else {
+            // Between two grants the usage of other gateways goes on unreported: it is taken off the refill.
+            (plan.rate - self.remote_rate).max(plan.rate * self.own_share(plan))
+        };
+        self.add_tokens(plan, refill_rate, now);
+    }
+
+    /// Seconds until the quota's bucket may have the units of a request, where peers have used some
+    /// unreported.
+    fn wait_for_rate(&self, plan: &Plan, unreported_units: f64, units: f64) -> Option<f64> {
+        // Peers' usage is taken off, up to their share of the tokens.
+        let peers_tokens = self.tokens.max(0.0) * (1.0 - self.own_share(plan));
+        let available = self.tokens - unreported_units.min(peers_tokens);
+        time_to_refill(available, units, plan.rate).filter(|_| plan.rate > 0.0)
+    }
+
+    /// Seconds until the hard limit's bucket may have the units of a request.
+    fn wait_for_hard_limit(&self, plan: &Plan, units: f64) -> Option<f64> {
+        let available = self.hard_limit_tokens + self.hard_limit_grant;
+        let refill_rate = plan.hard_limit_rate * self.hard_limit_fraction.max(0.01);
+        time_to_refill(available, units, refill_rate).filter(|_| plan.hard_limit_rate > 0.0)
+    }
+
+    /// Whether the record has to be kept: a customer that comes again starts with full buckets.
+    fn must_be_kept(&self, plan: &Plan, now: Micros) -> bool {
+        let in_use = self.in_flight > 0 || !self.awaiting_grant.is_empty();
+        in_use || now - self.last_seen_at <= 2 * CUSTOMER_IDLE_TIME.max(refill_time(plan))
+    }
+
+    /// At an owner: the units used through a gateway since its last report. The total of one that started
+    /// before this gateway may count usage of that time, too.
+    fn new_units(&mut self, plan: &Plan, last_total: u16, from_older: bool, report: &UsageReport) -> f64 {
+        let units = wrapping_delta(last_total, report.total_units);
+        if from_older && units.abs() > plan.burst / 4.0 {
+            // The peer's view of the bucket is all that is left to go by.
+            self.withheld_tokens -= units;
+            if let Some(tokens) = report.tokens_level.tokens(plan.burst) {
+                self.tokens = self.tokens.min((tokens - self.total_units).max(0.0));
+            }
+            return 0.0;
+        }
+        // A total that fell by more than can be given back was counted anew.
+        Some(units).filter(|units| *units >= -plan.burst).unwrap_or(0.0)
+    }
+
+    /// At an owner: the answer to a usage report, had it requested a grant. What is granted is charged at
+    /// once, since other gateways may ask before the next report comes.
+    fn grant(&mut self, plan: &Plan, usage: &mut GatewayUsage, report: &UsageReport) -> QuotaGrant {
+        let others_in_flight = self.in_flight_without(usage);
+        let has_tokens = plan.burst == 0.0 || self.tokens >= report.requested_units;
+        let has_concurrency = plan.concurrency_quota == 0
+            || others_in_flight + u32::from(report.in_flight) < plan.concurrency_quota;
+        let granted = report.requests_grant && has_tokens && has_concurrency;
+        let tokens = self.tokens;
+        self.reserve(usage, report, granted);
+        QuotaGrant {
+            customer: report.customer,
+            receiver_total: report.total_units,
+            tokens,
+            remote_rate: (self.own_rate + self.remote_rate - usage.rate).max(0.0),
+            remote_in_flight: others_in_flight.min(u32::from(MAX_REPORTED_IN_FLIGHT)) as u8,
+            hard_limit_grant: self.grant_hard_limit(report),
+        }
+    }
+
+    /// Units of the hard limit for a gateway. They are deducted here first: with a lost message they are
+    /// lost.
+    fn grant_hard_limit(&mut self, report: &UsageReport) -> f64 {
+        let requested = report.requests_grant && report.needs_hard_limit_grant;
+        let granted = requested && self.hard_limit_tokens >= report.requested_units;
+        let units = if granted { floor_to_wire_units(report.requested_units) } else { 0.0 };
+        self.hard_limit_tokens -= units;
+        units
+    }
+
+    /// Elsewhere: the bucket is as an owner says, less the usage that the owner cannot know of.
+    fn apply_grant(&mut self, plan: &Plan, grant: &QuotaGrant, now: Micros) {
+        self.remote_rate = grant.remote_rate;
+        self.remote_in_flight = u32::from(grant.remote_in_flight);
+        self.granted_at = now;
+        self.tokens = grant.tokens - wrapping_delta(grant.receiver_total, wrap_total(self.total_units));
+        // What the owner granted it has charged, too: it need not be reported again.
+        let had_tokens = plan.burst <= 0.0 || grant.tokens >= self.requested_units;
+        let in_flight = self.remote_in_flight + self.in_flight;
+        self.charged_by_owner =
+            had_tokens && (plan.concurrency_quota == 0 || in_flight < plan.concurrency_quota);
     }
 }
 
 impl Gateway {
-    /// Takes in what a request or a peer says of a customer's plan and set. The record keeps to what most
-    /// say: one that comes with the settings of another changes nothing, nor does the first for good.
-    pub(crate) fn record_identity(&mut self, id: CustomerId, first: u16, width: u16, new: Customer) {
-        let set = f64::from(width.clamp(1, self.settings.gateway_count));
+    /// Takes note of the plan and the gateways that a request or a report names for a customer. The record
+    /// keeps to what most of them say: one with another customer's settings changes nothing, nor is the first
+    /// one final.
+    pub(crate) fn record_identity(&mut self, id: CustomerId, set: GatewaySet, claimed: Customer) {
+        let set = set.in_whole_gateways(self.settings.gateway_count);
         match self.quota.customers.get_mut(&id) {
-            None => drop(self.quota.customers.insert(id, new)),
-            Some(c) if (c.plan, c.gateway_set_start, c.gateway_set_size) == (new.plan, first, set) => {
-                c.identity_confidence = (c.identity_confidence + 1).min(MAX_IDENTITY_CONFIDENCE);
-            }
-            Some(c) if c.identity_confidence > 0 => c.identity_confidence -= 1,
-            Some(c) => {
-                let old = std::mem::replace(c, new);
-                (c.awaiting_grant, c.in_flight, c.total_units) =
-                    (old.awaiting_grant, old.in_flight, old.total_units);
+            None => drop(self.quota.customers.insert(id, claimed)),
+            Some(customer) if customer.plan == claimed.plan && customer.gateway_set == set => {
+                let confidence = customer.identity_confidence + 1;
+                customer.identity_confidence = confidence.min(MAX_IDENTITY_CONFIDENCE);
             }
+            Some(customer) if customer.identity_confidence > 0 => customer.identity_confidence -= 1,
+            Some(customer) => customer.replace_identity(claimed),
         }
-        self.assign_owners(id, first, width);
+        self.assign_owners(id, set);
     }
 
-    /// Fixes, for good, a customer's homes and the part of its ceiling here: not to be given out twice.
-    pub(crate) fn assign_owners(&mut self, id: CustomerId, first: u16, width: u16) {
-        let (few, me, all, life) = (
-            self.quota.report_interval > 0,
-            self.settings.own_id.0,
-            self.settings.gateway_count,
-            self.now - self.started_at,
-        );
-        let Some(c) = self.quota.customers.get_mut(&id).filter(|c| c.quota_owners.is_empty()) else { return };
-        let (plan, set) = (&self.settings.plans[c.plan], u64::from(width.clamp(1, all)));
-        let at = |n: u64| ((u64::from(first) + n % set) % u64::from(all)) as u16;
-        let one = (hash(id.0) * set as f64) as u64;
-        let other = 1 + (hash(!id.0) * (set as f64 - 1.0)) as u64;
-        (c.gateway_set_start, c.gateway_set_size, c.hard_limit_owners) =
-            (first, set as f64, [at(one), at(one + other)]);
-        // In a large fleet one counts, and is asked before each request: messages are scarce.
-        // A ceiling lies with both.
-        let asked = if plan.hard_limit_rate > 0.0 { 2 } else { 1 };
-        c.quota_owners = if few { (0..set).map(at).collect() } else { c.hard_limit_owners[..asked].to_vec() };
-        c.quota_owners.dedup();
-        c.is_quota_owner = c.quota_owners.contains(&me);
-        // Half of the ceiling lies with two, who hand it out; each has some for when they are not heard.
-        let pools = c.hard_limit_owners.iter().filter(|p| **p == me).count() as f64;
-        c.hard_limit_fraction =
-            (1.0 - POOLED_HARD_LIMIT) / c.gateway_set_size + pools * POOLED_HARD_LIMIT / 2.0;
-        // It counts from nothing at this start: what went before is not known here.
-        c.hard_limit_tokens =
-            (plan.hard_limit_rate * life as f64 / SECOND).min(plan.hard_limit_burst) * c.hard_limit_fraction;
-    }
-
-    /// Fills a customer's stores up to now.
-    pub(crate) fn refill(&mut self, id: CustomerId) -> Option<&mut Customer> {
-        let now = self.now;
-        let c = self.quota.customers.get_mut(&id)?;
-        let plan = &self.settings.plans[c.plan];
-        let span = (now - c.refilled_at) as f64 / SECOND;
-        let keep = decay(c.refilled_at, now, USAGE_RATE_TIME_CONSTANT);
-        c.own_rate *= keep;
-        let mut filling = plan.rate;
-        if c.is_quota_owner {
-            c.remote_rate *= keep;
+    /// Assigns a customer's owners and this gateway's part of its hard limit, once: no part may be given out
+    /// twice.
+    fn assign_owners(&mut self, id: CustomerId, set: GatewaySet) {
+        let (own_id, gateway_count) = (self.settings.own_id.0, self.settings.gateway_count);
+        let age = (self.now - self.started_at) as f64;
+        let owned_by_all = self.all_gateways_own_quotas();
+        let unassigned = |customer: &&mut Customer| customer.quota_owners.is_empty();
+        let Some(customer) = self.quota.customers.get_mut(&id).filter(unassigned) else { return };
+        let plan = &self.settings.plans[customer.plan];
+        let first = (hash(id.0) * set.size) as u64;
+        let distance = 1 + (hash(!id.0) * (set.size - 1.0)) as u64;
+        customer.gateway_set = set;
+        customer.hard_limit_owners =
+            [first, first + distance].map(|position| set.member(position, gateway_count));
+        customer.quota_owners = if owned_by_all {
+            set.members(gateway_count)
         } else {
-            // Between two words of a home, the use that goes on unheard is taken off the filling.
-            filling = (plan.rate - c.remote_rate).max(plan.rate * c.own_share(plan));
-        }
-        c.tokens = (c.tokens + filling * span).min(plan.burst);
-        c.hard_limit_tokens = (c.hard_limit_tokens + plan.hard_limit_rate * c.hard_limit_fraction * span)
-            .min(plan.hard_limit_burst * c.hard_limit_fraction);
-        c.refilled_at = now;
-        Some(c)
+            // In a large fleet messages are scarce: one gateway owns the quota, or both that own a hard
+            // limit.
+            let owner_count = if plan.hard_limit_rate > 0.0 { 2 } else { 1 };
+            customer.hard_limit_owners[..owner_count].to_vec()
+        };
+        customer.quota_owners.dedup();
+        customer.is_quota_owner = customer.quota_owners.contains(&own_id);
+        // Each gateway has some of the hard limit for the time that it hears of no owner; the two hold the
+        // rest.
+        let owned = customer.hard_limit_owners.iter().filter(|owner| **owner == own_id).count() as f64;
+        customer.hard_limit_fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
+        // The bucket is taken to have been empty at this start: what was used before is not known here.
+        customer.hard_limit_tokens =
+            (plan.hard_limit_rate * age / SECOND).min(plan.hard_limit_burst) * customer.hard_limit_fraction;
     }
 
-    /// Seconds until the quota, and the ceiling, may have room; none where there is room now.
-    pub(crate) fn wait_for_tokens(&mut self, req: &Request) -> TokenWait {
-        self.refill(req.customer);
-        let c = &self.quota.customers[&req.customer];
-        let plan = &self.settings.plans[c.plan];
-        // A home in a large fleet is asked first: it knows of all. Elsewhere there is only its latest word.
-        let few = self.quota.report_interval > 0;
-        let unheard = if few {
-            c.remote_rate * (self.quota.report_interval + REPORT_PROPAGATION_TIME) as f64 / SECOND
+    /// How long a request has to wait for the tokens that it needs.
+    pub(crate) fn wait_for_tokens(&mut self, request: &Request) -> TokenWait {
+        self.quota.refill(request.customer, self.now, &self.settings.plans);
+        let customer = &self.quota.customers[&request.customer];
+        let plan = &self.settings.plans[customer.plan];
+        let owned_by_all = self.all_gateways_own_quotas();
+        let usage_known = owned_by_all || customer.is_quota_owner || self.is_recent(customer.granted_at);
+        // In a large fleet an owner is asked first. In a small one peers have used some since their last
+        // reports.
+        let report_age = self.quota.report_interval + REPORT_PROPAGATION_TIME;
+        let report_age = if owned_by_all { report_age } else { 0 };
+        let unreported_units = customer.remote_rate * report_age as f64 / SECOND;
+        let rate_wait = customer.wait_for_rate(plan, unreported_units, request.units).filter(|_| usage_known);
+        // Heavy users wait at every gateway for the same attempt to end: those that peers likely began count.
+        let unreported_attempts = (unreported_units / request.units.max(0.1)) as u32;
+        let in_flight = customer.in_flight + customer.remote_in_flight + unreported_attempts;
+        let at_concurrency_quota = if usage_known {
+            in_flight >= plan.concurrency_quota
         } else {
-            0.0
+            self.presumes_owners_overloaded(customer, plan, request)
         };
-        let recent = |at: Micros| self.now - at.min(self.now) < GRANT_LIFETIME;
-        let told = few || c.is_quota_owner || recent(c.granted_at);
-        // A home that talks, but not on this, is overrun by a customer with more than it may have out.
-        let talks = |h: &u16| self.peers.by_gateway.get(h).is_some_and(|p| recent(p.last_heard_at));
-        // One that was asked and not heard may be overrun as well, or down: some are let in, by lot, and the
-        // fewer the more it costs to be wrong.
-        let lot = hash(req.id.0 ^ self.started_at << 24) * (1.0 + plan.over_quota_cost) > 1.0;
-        let overrun = !told && c.grant_requested_at > 0 && (lot || c.quota_owners.iter().all(talks));
-        let mut quota = None;
-        if plan.rate > 0.0 {
-            // The room left, split by use heard; the peers' part is no more than what they pass unheard.
-            let room = c.tokens - unheard.min(c.tokens.max(0.0) * (1.0 - c.own_share(plan)));
-            if told && room + 1e-9 < req.units {
-                quota = Some((req.units - room) / plan.rate);
-            }
-        }
-        // Heavy users wait at every gateway for the same free place: what peers likely began unheard counts.
-        let open = c.in_flight + c.remote_in_flight + (unheard / req.units.max(0.1)) as u32;
-        if plan.concurrency_quota > 0 && (overrun || told && open >= plan.concurrency_quota) {
-            quota = Some(
-                quota.unwrap_or(0.0).max(self.latency_baselines[usize::from(req.class)].unloaded / SECOND),
-            );
+        let concurrency_wait = (plan.concurrency_quota > 0 && at_concurrency_quota).then(|| {
+            let answer_time = self.latency_baselines[usize::from(request.class)].unloaded / SECOND;
+            rate_wait.unwrap_or(0.0).max(answer_time)
+        });
+        TokenWait {
+            quota: concurrency_wait.or(rate_wait),
+            hard_limit: customer.wait_for_hard_limit(plan, request.units),
         }
-        let has = c.hard_limit_tokens + c.hard_limit_grant;
-        let short = plan.hard_limit_rate > 0.0 && has + 1e-9 < req.units;
-        let hard_limit =
-            short.then(|| (req.units - has) / (plan.hard_limit_rate * c.hard_limit_fraction.max(0.01)));
-        TokenWait { quota, hard_limit }
     }
 
-    /// Whether a question is better not put: a home that is asked more than it takes in loses the ends of
-    /// attempts and the words on others as well. Some are still put, by lot.
-    pub(crate) fn skips_grant_request(&mut self, req: &Request) -> bool {
+    /// Whether a time is within the lifetime of a grant.
+    fn is_recent(&self, time: Micros) -> bool {
+        self.now - time.min(self.now) < GRANT_LIFETIME
+    }
+
+    /// Whether owners that sent no grant are taken to be overloaded by a customer far beyond its concurrency
+    /// quota. Those that send other messages are; one that is silent may be down, which a lottery decides:
+    /// the more a wrong admission costs, the fewer requests win.
+    fn presumes_owners_overloaded(&self, customer: &Customer, plan: &Plan, request: &Request) -> bool {
+        let is_alive = |peer: &Peer| self.is_recent(peer.last_heard_at);
+        let draw = hash(request.id.0 ^ self.started_at << 24);
+        let loses = draw * (1.0 + plan.over_quota_cost) > 1.0;
+        let mut owners = customer.quota_owners.iter().map(|owner| self.peers.by_gateway.get(owner));
+        customer.grant_requested_at > 0 && (loses || owners.all(|owner| owner.is_some_and(is_alive)))
+    }
+
+    /// Whether a grant had better not be requested: an owner with more messages than it takes in loses
+    /// reports of other customers, too. A lottery leaves some requests.
+    pub(crate) fn skips_grant_request(&mut self, request: &Request) -> bool {
         self.random_state = self.random_state.wrapping_add(1);
-        let c = &self.quota.customers[&req.customer];
-        let capped = self.quota.report_interval == 0 && self.settings.plans[c.plan].concurrency_quota > 0;
-        let told = !c.is_quota_owner && self.now - c.granted_at.min(self.now) < GRANT_LIFETIME;
-        capped
-            && told
-            && hash(self.random_state) * c.remote_rate
-                > MAX_GRANT_REQUEST_SHARE * self.settings.limits.peer_messages_per_second
+        let customer = &self.quota.customers[&request.customer];
+        let has_concurrency_quota = self.settings.plans[customer.plan].concurrency_quota > 0;
+        let max_request_rate = MAX_GRANT_REQUEST_SHARE * self.settings.limits.peer_messages_per_second;
+        !self.all_gateways_own_quotas()
+            && has_concurrency_quota
+            && !customer.is_quota_owner
+            && self.is_recent(customer.granted_at)
+            && hash(self.random_state) * customer.remote_rate > max_request_rate
     }
 
-    /// Draws a request's units from the stores, or gives them back (`sign` -1) when it was never sent.
-    pub(crate) fn charge(&mut self, req: &Request, sign: f64) {
-        let Some(c) = self.quota.customers.get_mut(&req.customer) else { return };
-        let plan = &self.settings.plans[c.plan];
-        let units = req.units * sign;
-        c.tokens = (c.tokens - units).clamp(-plan.burst, plan.burst);
-        let granted = units.clamp(0.0, c.hard_limit_grant);
-        c.hard_limit_grant -= granted;
-        c.hard_limit_tokens =
-            (c.hard_limit_tokens - units + granted).min(plan.hard_limit_burst * c.hard_limit_fraction);
-        c.total_units += units;
-        c.own_rate = (c.own_rate + units / USAGE_RATE_TIME_CONSTANT).max(0.0);
+    /// Draws units from a customer's token buckets; negative units are given back.
+    pub(crate) fn charge(&mut self, id: CustomerId, units: f64) {
+        if let Some(customer) = self.quota.customers.get_mut(&id) {
+            customer.charge(&self.settings.plans[customer.plan], units, USAGE_RATE_TIME_CONSTANT);
+        }
     }
 
-    /// Puts a customer on the way to its homes.
-    pub(crate) fn queue_usage_report(&mut self, id: CustomerId, ask: bool, actions: &mut Vec<Action>) {
-        let Some(c) = self.quota.customers.get(&id).filter(|_| self.settings.limits.peer_messages) else {
+    /// Queues a report of a customer's usage to its owners, with or without a request for a grant.
+    pub(crate) fn queue_usage_report(&mut self, id: CustomerId, request: bool, actions: &mut Vec<Action>) {
+        let Some(customer) = self.quota.customers.get(&id) else { return };
+        if !self.settings.limits.peer_messages {
             return;
-        };
-        let (me, pools) = (self.settings.own_id.0, c.hard_limit_owners);
-        for home in c.quota_owners.clone().into_iter().filter(|h| *h != me) {
-            // Told twice: a lost end would hold a place for long. In a large fleet it costs another's word.
-            let times = if self.quota.report_interval > 0 { 2 } else { 1 };
-            let ask = ask && pools.contains(&home); // in a small fleet there are homes besides
-            self.peers.queue(home, id, OutboxEntry { retransmissions: times, requests_grant: ask });
-            if ask && (self.peers.entry(home).next_send_at <= self.now || self.quota.report_interval > 0) {
-                self.flush_outbox(home, actions);
+        }
+        let own_id = self.settings.own_id.0;
+        let hard_limit_owners = customer.hard_limit_owners;
+        let owned_by_all = self.all_gateways_own_quotas();
+        // Sent twice: a lost one would leave an attempt in flight for long. A large fleet has no messages to
+        // spare.
+        let retransmissions = if owned_by_all { 2 } else { 1 };
+        for owner in customer.quota_owners.clone().into_iter().filter(|owner| *owner != own_id) {
+            let requests_grant = request && hard_limit_owners.contains(&owner);
+            self.peers.queue(owner, id, OutboxEntry { retransmissions, requests_grant });
+            if requests_grant && (owned_by_all || self.peers.entry(owner).next_send_at <= self.now) {
+                self.flush_outbox(owner, actions);
             }
         }
     }
 
-    /// Sends a peer what waits for it, as much as a message holds.
-    pub(crate) fn flush_outbox(&mut self, to: u16, actions: &mut Vec<Action>) {
-        let Some(batch) = self.peers.next_batch(to) else { return };
-        let (mut uses, now, me) = (Vec::new(), self.now, self.settings.own_id.0);
-        for (customer, entry) in batch {
-            let plan = self.quota.customers.get(&customer).map(|c| &self.settings.plans[c.plan]);
-            let burst = plan.map_or(0.0, |plan| plan.burst);
-            let Some(c) = self.refill(customer) else { continue };
-            let known = c.is_quota_owner || now - c.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
-            // One of the two is asked for hard limit units, by lot: two grants would waste one.
-            let chosen = c.hard_limit_owners[usize::from(hash(now ^ customer.0) < 0.5)];
-            let asked = chosen == to || c.hard_limit_owners.contains(&me);
-            let report = c.usage_report(customer, known.then_some(burst));
-            uses.push(UsageReport {
-                requests_grant: entry.requests_grant,
-                needs_hard_limit_grant: entry.requests_grant && c.needs_hard_limit_grant && asked,
-                ..report
-            });
-        }
-        self.send_message(to, Body::UsageReports(uses), actions);
+    /// What a peer that owns a customer's quota is told of its usage.
+    pub(crate) fn report_to(&mut self, to: u16, id: CustomerId, entry: OutboxEntry) -> Option<UsageReport> {
+        let (now, own_id) = (self.now, self.settings.own_id.0);
+        let customer = self.quota.refill(id, now, &self.settings.plans)?;
+        let granted_lately = now - customer.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
+        let level_known = customer.is_quota_owner || granted_lately;
+        let burst = level_known.then_some(self.settings.plans[customer.plan].burst);
+        // One of the two is drawn to grant units of the hard limit: two grants would waste one.
+        let drawn = customer.hard_limit_owners[usize::from(hash(now ^ id.0) < 0.5)];
+        let is_granter = drawn == to || customer.hard_limit_owners.contains(&own_id);
+        Some(UsageReport {
+            requests_grant: entry.requests_grant,
+            needs_hard_limit_grant: entry.requests_grant && customer.needs_hard_limit_grant && is_granter,
+            ..customer.usage_report(id, burst)
+        })
     }
 
-    /// What is done once a second: what is long out is told again, what is old is forgotten.
+    /// Once a second: reports customers with attempts in flight again, and forgets what is old.
     pub(crate) fn sweep(&mut self, actions: &mut Vec<Action>) {
-        let (now, plans, few, mut again) =
-            (self.now, &self.settings.plans, self.quota.report_interval > 0, Vec::new());
+        let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
         if now < self.quota.next_sweep_at {
             return;
         }
         self.quota.next_sweep_at = now + SECOND as Micros;
-        self.quota.customers.retain(|id, c| {
-            let p = &plans[c.plan];
-            if p.concurrency_quota > 0 && c.is_quota_owner {
-                // Attempts of a peer that fell silent hold no place for ever.
-                c.usage_by_gateway
-                    .values_mut()
-                    .filter(|h| now - h.reported_at > 1_500_000)
-                    .for_each(|h| h.in_flight = 0);
-                c.remote_in_flight = c.usage_by_gateway.values().map(|h| u32::from(h.in_flight)).sum();
+        let mut with_attempts = Vec::new();
+        self.quota.customers.retain(|id, customer| {
+            let plan = &self.settings.plans[customer.plan];
+            if plan.concurrency_quota > 0 && customer.is_quota_owner {
+                customer.expire_reported_in_flight(now, REPORTED_IN_FLIGHT_LIFETIME);
             }
-            if p.concurrency_quota > 0 && c.in_flight > 0 {
-                again.push(*id);
+            if plan.concurrency_quota > 0 && customer.in_flight > 0 {
+                with_attempts.push(*id);
             }
-            // Their counts go on: once forgotten, all that one let through would pass for new.
-            c.usage_by_gateway.retain(|_, h| few || now - h.reported_at <= 2 * CUSTOMER_IDLE_TIME);
-            // Kept until both stores are full for sure: a customer met anew starts with full ones.
-            // Without a rate this is 0 / 0, a NaN, which the cast turns into 0.
-            let full = (p.burst / p.rate).max(p.hard_limit_burst / p.hard_limit_rate).clamp(0.0, 1e6);
-            c.in_flight > 0
-                || !c.awaiting_grant.is_empty()
-                || now - c.last_seen_at <= 2 * CUSTOMER_IDLE_TIME.max((full * SECOND) as Micros)
+            // Totals go on: once one is forgotten, all that was ever sent through its gateway would pass for
+            // new.
+            let is_kept = |usage: &GatewayUsage| now - usage.reported_at <= 2 * CUSTOMER_IDLE_TIME;
+            customer.usage_by_gateway.retain(|_, usage| owned_by_all || is_kept(usage));
+            customer.must_be_kept(plan, now)
         });
-        again.into_iter().for_each(|id| self.queue_usage_report(id, false, actions));
+        with_attempts.into_iter().for_each(|id| self.queue_usage_report(id, false, actions));
     }
 
+    /// Takes in a message from a peer.
     pub(crate) fn on_peer_message(&mut self, from: GatewayId, bytes: &[u8], actions: &mut Vec<Action>) {
-        let Some(m) = Message::decode(bytes) else { return };
-        let (now, mine) = (self.now, incarnation_of(self.started_at));
-        if from == self.settings.own_id || from.0 >= self.settings.gateway_count {
-            return;
-        }
-        let peer = self.peers.entry(from.0);
-        if peer.incarnation != m.incarnation {
-            if m.incarnation < peer.incarnation {
-                return; // from before its restart
-            }
-            // In a large fleet every peer is unknown to begin with.
-            let again = self.quota.report_interval > 0 || peer.incarnation > 0;
-            (peer.incarnation, peer.last_sequence) = (m.incarnation, m.sequence.wrapping_sub(1));
-            let mut untold = Vec::new(); // a home that starts knows nothing: it is told once
-            for (id, c) in &mut self.quota.customers {
-                if let Some(h) = c.usage_by_gateway.remove(&from.0) {
-                    c.remote_in_flight -= u32::from(h.in_flight).min(c.remote_in_flight);
-                }
-                if again && c.quota_owners.contains(&from.0) && now - c.last_seen_at < CUSTOMER_IDLE_TIME / 5
-                {
-                    untold.push(*id);
-                }
-            }
-            untold.into_iter().for_each(|id| self.peers.queue_single_report(from.0, id));
-        }
-        let peer = self.peers.entry(from.0);
-        if m.sequence.wrapping_sub(peer.last_sequence) as i16 <= 0 {
-            return; // a repeat, or overtaken
-        }
-        (peer.last_sequence, peer.last_heard_at) = (m.sequence, now);
-        self.release_withheld_tokens(mine);
-        for s in m.samples {
-            let class = usize::from(s.class);
-            let (backend, settings) = (self.backends.by_tag(s.backend_tag), self.settings.classes.get(class));
-            let (Some(backend), Some(settings)) = (backend, settings) else { continue };
-            let latency = s.relative_latency.map(|relative| relative * settings.latency_objective as f64);
-            self.record_observation(Observation { backend, class, latency, source: Source::Peer });
+        let Some((message, receipt)) = self.receive_message(from, bytes) else { return };
+        if let Receipt::NewIncarnation { restarted } = receipt {
+            self.on_new_incarnation(from.0, restarted);
         }
-        match m.body {
-            Body::UsageReports(uses) => {
-                let news =
-                    uses.into_iter().filter_map(|u| self.on_usage_report(from.0, m.incarnation >= mine, u));
-                let news: Vec<QuotaGrant> = news.collect();
-                if !news.is_empty() {
-                    let body = Body::QuotaGrants { receiver_incarnation: m.incarnation, grants: news };
+        let own_incarnation = incarnation_of(self.started_at);
+        self.release_withheld_tokens(own_incarnation);
+        self.record_peer_samples(&message.samples);
+        match message.body {
+            Body::UsageReports(reports) => {
+                let is_older = message.incarnation < own_incarnation;
+                let grants =
+                    reports.iter().filter_map(|report| self.on_usage_report(from.0, is_older, report));
+                let grants: Vec<QuotaGrant> = grants.collect();
+                if !grants.is_empty() {
+                    let body = Body::QuotaGrants { receiver_incarnation: message.incarnation, grants };
                     self.send_message(from.0, body, actions);
                 }
             }
-            // Only to the incarnation it was meant for, and by its number only once: a repeat mints nothing.
-            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != mine => {}
+            // Grants for an earlier incarnation of this gateway would count twice.
+            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != own_incarnation => {}
             Body::QuotaGrants { grants, .. } => {
-                grants.into_iter().for_each(|n| self.on_quota_grant(from.0, n, actions))
+                grants.iter().for_each(|grant| self.on_quota_grant(from.0, grant, actions));
             }
         }
     }
 
-    /// Where all turn out to have started with this one, stores were full then: what was held back of each,
-    /// lest a restart fill it anew, is given out once. One always past its quota would never get it.
-    pub(crate) fn release_withheld_tokens(&mut self, mine: u32) {
-        let all = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
-        if all
-            && self.quota.usage_known_since.is_some()
-            && self.peers.by_gateway.values().all(|p| p.incarnation.abs_diff(mine) <= FLEET_START_WINDOW_MS)
-        {
-            self.quota.usage_known_since = None;
-            self.quota
-                .customers
-                .values_mut()
-                .for_each(|c| c.tokens += std::mem::take(&mut c.withheld_tokens).max(0.0));
+    /// A peer that starts counts its usage anew. As an owner it knows nothing: it is told once.
+    fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
+        // In a large fleet every peer is unknown to begin with.
+        let reports_again = restarted || self.all_gateways_own_quotas();
+        let mut unreported = Vec::new();
+        for (id, customer) in &mut self.quota.customers {
+            customer.forget_usage_of(peer);
+            let is_active = self.now - customer.last_seen_at < CUSTOMER_IDLE_TIME / 5;
+            if reports_again && is_active && customer.quota_owners.contains(&peer) {
+                unreported.push(*id);
+            }
         }
+        unreported.into_iter().for_each(|id| self.peers.queue_single_report(peer, id));
     }
 
-    /// A gateway told its use of a customer; the answer if it asked.
-    pub(crate) fn on_usage_report(&mut self, from: u16, younger: bool, u: UsageReport) -> Option<QuotaGrant> {
-        let (now, life) = (self.now, self.quota.seconds_of_known_usage(self.now));
-        // Later one may have forgotten.
-        let young = self.quota.usage_known_since.is_none() && now - self.started_at < CUSTOMER_IDLE_TIME;
-        let plan = self.settings.plans.get(usize::from(u.plan))?;
-        let few = self.quota.report_interval > 0;
-        let (burst, cap) = (plan.burst, plan.concurrency_quota);
-        let told = u.tokens_level.tokens(burst);
-        let unknown = if few { (plan.rate * life).min(burst) } else { burst };
-        let level = told.filter(|_| !young).unwrap_or(unknown);
-        // A customer that never came here: the sender's view, or what was refilled since this start.
-        let new = Customer::new(usize::from(u.plan), plan, level, now);
-        self.record_identity(u.customer, u.gateway_set_start, u.gateway_set_size, new);
-        let c = self.refill(u.customer)?;
-        if c.plan != usize::from(u.plan) || !c.is_quota_owner {
-            return None; // not a home of this one
+    /// Once all gateways turn out to have started together, buckets were full then: what was withheld of
+    /// each, lest a restart refill it, is given out. A customer always beyond its quota would never get it
+    /// otherwise.
+    fn release_withheld_tokens(&mut self, own_incarnation: u32) {
+        let is_unreleased = self.quota.usage_known_since.is_some();
+        let all_known = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
+        if is_unreleased && all_known && self.peers.all_started_within(FLEET_START_WINDOW_MS, own_incarnation)
+        {
+            self.quota.release_withheld_tokens();
         }
-        c.last_seen_at = c.last_seen_at.max(now);
-        let known = c.usage_by_gateway.contains_key(&from);
-        let h = c.usage_by_gateway.entry(from).or_default();
-        let mut delta = wrapping_delta(h.reported_total, u.total_units);
-        if !known && !younger && !young && delta.abs() > burst / 4.0 {
-            // Its count is older than this start: its view of the store is what is left to go by.
-            (c.withheld_tokens, delta) = (c.withheld_tokens - delta, 0.0);
-            if let Some(told) = told {
-                c.tokens = c.tokens.min((told - c.total_units).max(0.0));
-            }
-        } else if delta < -burst {
-            delta = 0.0; // it counts anew
+    }
+
+    /// Whether this gateway started lately, and the whole fleet with it. Later a peer may have forgotten
+    /// customers.
+    fn fleet_just_started(&self) -> bool {
+        self.quota.usage_known_since.is_none() && self.now - self.started_at < CUSTOMER_IDLE_TIME
+    }
+
+    /// A peer, one that started before this gateway or not, reports its usage of a customer; the answer if it
+    /// requests a grant.
+    fn on_usage_report(&mut self, from: u16, is_older: bool, report: &UsageReport) -> Option<QuotaGrant> {
+        self.observe_reported_customer(report)?;
+        let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
+        let may_count_more = is_older && !self.fleet_just_started();
+        let plan = &self.settings.plans[usize::from(report.plan)];
+        let customer = self.quota.refill(report.customer, now, &self.settings.plans)?;
+        if customer.plan != usize::from(report.plan) || !customer.is_quota_owner {
+            return None;
         }
-        // What went on beyond the quota takes nothing: a home that is asked first owes nothing for it.
-        let least = if few { -burst } else { c.tokens.min(0.0) };
-        c.tokens = (c.tokens + h.granted_units - delta).clamp(least, burst);
-        h.rate = (h.rate * decay(h.reported_at, now, USAGE_RATE_TIME_CONSTANT)
-            + delta / USAGE_RATE_TIME_CONSTANT)
-            .max(0.0);
-        // Of a capped customer in a large fleet it is told how often it is asked for.
-        let asked = if few || cap == 0 { delta } else { f64::from(u8::from(u.requests_grant)) };
-        c.remote_rate = (c.remote_rate + asked / USAGE_RATE_TIME_CONSTANT).max(0.0);
-        let others = c.in_flight + c.remote_in_flight.saturating_sub(u32::from(h.in_flight));
-        // Where there is room it is taken as used at once: others ask before the asker's next message comes.
-        let free = u.requests_grant
-            && (burst == 0.0 || c.tokens >= u.requested_units)
-            && (cap == 0 || others + u32::from(u.in_flight) < cap);
-        let open = u.in_flight + u8::from(free && u.in_flight < 127);
-        c.remote_in_flight = others - c.in_flight + u32::from(open);
-        (h.reported_total, h.reported_at, h.in_flight) = (u.total_units, now, open);
-        let (level, its) = (c.tokens, h.rate);
-        h.granted_units = if free { u.requested_units } else { 0.0 };
-        c.tokens -= h.granted_units;
-        // Ceiling units are deducted here first: a lost message loses them.
-        let gift = if u.requests_grant && u.needs_hard_limit_grant && c.hard_limit_tokens >= u.requested_units
-        {
-            floor_to_wire_units(u.requested_units)
-        } else {
-            0.0
-        };
-        c.hard_limit_tokens -= gift;
-        let its = if few || cap == 0 { its } else { 0.0 };
-        let (rate, open) = ((c.own_rate + c.remote_rate - its).max(0.0), others.min(127) as u8);
-        let (customer, yours) = (u.customer, u.total_units);
-        u.requests_grant.then_some(QuotaGrant {
-            customer,
-            receiver_total: yours,
-            tokens: level,
-            remote_rate: rate,
-            remote_in_flight: open,
-            hard_limit_grant: gift,
-        })
+        customer.last_seen_at = customer.last_seen_at.max(now);
+        let known = customer.usage_by_gateway.get(&from).copied();
+        let mut usage = known.unwrap_or_default();
+        let may_count_more = may_count_more && known.is_none();
+        let units = customer.new_units(plan, usage.reported_total, may_count_more, report);
+        // Usage beyond the quota leaves no debt with an owner that is asked before each request.
+        let min_tokens = if owned_by_all { -plan.burst } else { customer.tokens.min(0.0) };
+        customer.tokens = (customer.tokens + usage.granted_units - units).clamp(min_tokens, plan.burst);
+        // With a concurrency quota in a large fleet the rate is that of requests for grants, the sender's
+        // included.
+        let counts_requests = !owned_by_all && plan.concurrency_quota > 0;
+        let counted = if counts_requests { f64::from(u8::from(report.requests_grant)) } else { units };
+        let counted_for_sender = if counts_requests { 0.0 } else { units };
+        usage.record(report.total_units, counted_for_sender, now, USAGE_RATE_TIME_CONSTANT);
+        customer.remote_rate = (customer.remote_rate + counted / USAGE_RATE_TIME_CONSTANT).max(0.0);
+        let grant = customer.grant(plan, &mut usage, report);
+        customer.usage_by_gateway.insert(from, usage);
+        report.requests_grant.then_some(grant)
     }
 
-    /// A home's word on a customer: the store is what it says, less what it cannot have heard.
-    pub(crate) fn on_quota_grant(&mut self, from: u16, n: QuotaGrant, actions: &mut Vec<Action>) {
-        let (now, me) = (self.now, self.settings.own_id.0);
-        let Some(plan) = self.quota.customers.get(&n.customer).map(|c| &self.settings.plans[c.plan]) else {
+    /// Takes note of a customer in a report; none if its plan is unknown. One that never came here has the
+    /// tokens that the peer says, or what has come since this start.
+    fn observe_reported_customer(&mut self, report: &UsageReport) -> Option<()> {
+        let plan = self.settings.plans.get(usize::from(report.plan))?;
+        let refilled = plan.rate * self.quota.seconds_of_known_usage(self.now);
+        let presumed = if self.all_gateways_own_quotas() { refilled.min(plan.burst) } else { plan.burst };
+        let reported = report.tokens_level.tokens(plan.burst).filter(|_| !self.fleet_just_started());
+        let tokens = reported.unwrap_or(presumed);
+        let claimed = Customer::new(usize::from(report.plan), plan, tokens, self.now);
+        let set = GatewaySet { start: report.gateway_set_start, size: report.gateway_set_size.into() };
+        self.record_identity(report.customer, set, claimed);
+        Some(())
+    }
+
+    /// An owner grants quota, or says that there is none: the requests that wait are decided again.
+    fn on_quota_grant(&mut self, from: u16, grant: &QuotaGrant, actions: &mut Vec<Action>) {
+        let (now, plans) = (self.now, &self.settings.plans);
+        let Some(customer) = self.quota.refill(grant.customer, now, plans) else { return };
+        if !customer.quota_owners.contains(&from) {
             return;
-        };
-        let (rated, cap) = (plan.burst > 0.0, plan.concurrency_quota);
-        let Some(c) = self.refill(n.customer).filter(|c| c.quota_owners.contains(&from)) else { return };
-        if !c.is_quota_owner {
-            (c.remote_rate, c.remote_in_flight, c.granted_at) =
-                (n.remote_rate, u32::from(n.remote_in_flight), now);
-            c.tokens = n.tokens - wrapping_delta(n.receiver_total, wrap_total(c.total_units));
-            // What was asked for is taken already where there was room: it need not be told again.
-            c.charged_by_owner = (!rated || n.tokens >= c.requested_units)
-                && (cap == 0 || u32::from(n.remote_in_flight) + c.in_flight < cap);
         }
-        c.owners_answered.push(from);
-        // A gift is for the request that waits: late ones lapse, or a full store would hold more than full.
-        if now - c.grant_requested_at < HARD_LIMIT_GRANT_LIFETIME {
-            c.hard_limit_grant += n.hard_limit_grant;
+        if !customer.is_quota_owner {
+            customer.apply_grant(&plans[customer.plan], grant, now);
+        }
+        customer.owners_answered.push(from);
+        // Units of the hard limit are for a request that waits: kept longer, they would overfill the bucket.
+        if now - customer.grant_requested_at < HARD_LIMIT_GRANT_LIFETIME {
+            customer.hard_limit_grant += grant.hard_limit_grant;
         }
-        let all = c
-            .hard_limit_owners
-            .iter()
-            .all(|h| *h == me || !c.quota_owners.contains(h) || c.owners_answered.contains(h));
-        for id in c.awaiting_grant.clone() {
-            self.admit(id, all, actions); // one home may know too little: only both say no
+        // One owner may have too little: a request is rejected only once both have said so.
+        let is_last = customer.hard_limit_owners_answered(self.settings.own_id.0);
+        for id in customer.awaiting_grant.clone() {
+            self.admit(id, is_last, actions);
         }
     }
 }
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -1,59 +1,94 @@
 //! What a gateway knows of a customer: its token buckets, its owners and the usage that gateways reported.
 
+use super::{decay, GatewaySet, SECOND};
 use crate::gossip::{wrap_total, TokenLevel, UsageReport, MAX_PLAN};
 use crate::{CustomerId, Micros, Plan, RequestId};
 use std::collections::BTreeMap;
 
-#[derive(Default)]
+/// The highest count of attempts in flight that gateways tell each other.
+pub const MAX_REPORTED_IN_FLIGHT: u8 = 127;
+/// Tokens that a bucket may lack because sums were rounded.
+const ROUNDING_MARGIN: f64 = 1e-9;
+/// The longest time that [`refill_time`] tells, in seconds.
+const MAX_REFILL_SECONDS: f64 = 1e6;
+
+/// What an owner knows of the usage through one other gateway.
+#[derive(Clone, Copy, Default)]
 pub struct GatewayUsage {
+    /// The total in the gateway's last report, see [`wrap_total`].
     pub reported_total: u16,
-    /// Units let through in its name before it told that it took them.
+    /// Units that were granted, and charged here, before the gateway reported them.
     pub granted_units: f64,
+    /// Units a second, of late.
     pub rate: f64,
     pub reported_at: Micros,
+    /// Attempts in flight, with one that was granted and isn't reported yet.
     pub in_flight: u8,
 }
 
+impl GatewayUsage {
+    /// Takes over a reported total, and the units that have come to it since the last report. The rate decays
+    /// with the time constant, in seconds.
+    pub fn record(&mut self, total: u16, units: f64, now: Micros, time_constant: f64) {
+        let remaining = decay(self.reported_at, now, time_constant);
+        self.rate = (self.rate * remaining + units / time_constant).max(0.0);
+        self.reported_total = total;
+        self.reported_at = now;
+    }
+}
+
+/// A customer's record at one gateway.
 #[derive(Default)]
 pub struct Customer {
     pub plan: usize,
-    /// The quota's store, as far as known here, and when it was last filled.
+    /// The gateways that serve the customer.
+    pub gateway_set: GatewaySet,
+    /// How many more requests and reports have agreed with the plan and the set than not, of late.
+    pub identity_confidence: u8,
+    /// Tokens in the quota's bucket, as far as known here.
     pub tokens: f64,
+    /// When both buckets were last refilled.
     pub refilled_at: Micros,
-    /// What the store held besides when it was met, if nobody had used it before.
+    /// What the quota's bucket would have held besides at the start of the record, had nobody used it before.
     pub withheld_tokens: f64,
-    /// This gateway's own share of the ceiling's store.
+    /// Tokens in this gateway's own part of the hard limit's bucket.
     pub hard_limit_tokens: f64,
-    /// Units sent on by this gateway since its start.
-    pub total_units: f64,
-    /// The two that hold most of the ceiling, this gateway's part of it, what it asked them for.
-    pub hard_limit_owners: [u16; 2],
+    /// This gateway's part of the hard limit.
     pub hard_limit_fraction: f64,
-    pub gateway_set_start: u16,
-    /// How many requests and peers more have agreed with its plan and set than not, of late.
-    pub identity_confidence: u8,
-    /// What is asked for: a request's units, and whether the ceiling lacks them, too.
-    pub requested_units: f64,
-    pub needs_hard_limit_grant: bool,
-    /// Ceiling units handed over for the requests that are held, and for those alone.
+    /// The two gateways that hold most of the hard limit and grant it.
+    pub hard_limit_owners: [u16; 2],
+    /// Units of the hard limit granted for the requests that wait, and for those alone.
     pub hard_limit_grant: f64,
+    /// Units sent on by this gateway since its start.
+    pub total_units: f64,
+    /// Units a second through this gateway, of late.
     pub own_rate: f64,
+    /// Attempts in flight from this gateway.
     pub in_flight: u32,
-    pub gateway_set_size: f64,
     pub last_seen_at: Micros,
-    /// The gateways that count this customer's use; whether this is one of them.
+    /// The gateways that add up the customer's usage.
     pub quota_owners: Vec<u16>,
+    /// Whether this gateway is one of the owners.
     pub is_quota_owner: bool,
-    /// At a home: what each gateway told, and the rate of others.
+    /// At an owner: what each gateway reported.
     pub usage_by_gateway: BTreeMap<u16, GatewayUsage>,
+    /// Units a second through all other gateways, of late.
     pub remote_rate: f64,
+    /// Attempts in flight from all other gateways.
     pub remote_in_flight: u32,
-    /// Elsewhere: when the homes told of it and were asked, who has answered.
+    /// Elsewhere: when an owner last sent a grant.
     pub granted_at: Micros,
+    /// When a grant was last requested.
     pub grant_requested_at: Micros,
+    /// The owners that have answered that request.
     pub owners_answered: Vec<u16>,
-    /// The home took what was asked for as used already.
+    /// The units that the grant is requested for.
+    pub requested_units: f64,
+    /// Whether the hard limit's bucket lacks them, too.
+    pub needs_hard_limit_grant: bool,
+    /// Whether the owner has charged the requested units already.
     pub charged_by_owner: bool,
+    /// The requests that wait for a grant.
     pub awaiting_grant: Vec<RequestId>,
 }
 
@@ -79,20 +114,102 @@
         self.total_units += correction;
     }
 
-    /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket goes along where
-    /// it is known, as a part of the plan's `burst`.
+    /// Takes over another plan and set of gateways. The requests in hand and the total go on.
+    pub fn replace_identity(&mut self, new: Customer) {
+        let old = std::mem::replace(self, new);
+        self.awaiting_grant = old.awaiting_grant;
+        self.in_flight = old.in_flight;
+        self.total_units = old.total_units;
+    }
+
+    /// Adds the tokens that have come since the last refill, as far as the buckets have room for them.
+    pub fn add_tokens(&mut self, plan: &Plan, refill_rate: f64, now: Micros) {
+        let elapsed = (now - self.refilled_at) as f64 / SECOND;
+        let fraction = self.hard_limit_fraction;
+        self.tokens = (self.tokens + refill_rate * elapsed).min(plan.burst);
+        self.hard_limit_tokens = (self.hard_limit_tokens + plan.hard_limit_rate * fraction * elapsed)
+            .min(plan.hard_limit_burst * fraction);
+        self.refilled_at = now;
+    }
+
+    /// Draws units from both buckets, from a grant first; negative units are given back. The rate of usage
+    /// decays with the time constant, in seconds.
+    pub fn charge(&mut self, plan: &Plan, units: f64, time_constant: f64) {
+        self.tokens = (self.tokens - units).clamp(-plan.burst, plan.burst);
+        let granted = units.clamp(0.0, self.hard_limit_grant);
+        self.hard_limit_grant -= granted;
+        self.hard_limit_tokens =
+            (self.hard_limit_tokens - units + granted).min(plan.hard_limit_burst * self.hard_limit_fraction);
+        self.total_units += units;
+        self.own_rate = (self.own_rate + units / time_constant).max(0.0);
+    }
+
+    /// Attempts in flight from all gateways but the one with this usage.
+    pub fn in_flight_without(&self, usage: &GatewayUsage) -> u32 {
+        self.in_flight + self.remote_in_flight.saturating_sub(u32::from(usage.in_flight))
+    }
+
+    /// At an owner: takes over the attempts in flight that a gateway reports. What it is granted counts
+    /// already: one more attempt, and the units that it requests.
+    pub fn reserve(&mut self, usage: &mut GatewayUsage, report: &UsageReport, granted: bool) {
+        let others_in_flight = self.in_flight_without(usage);
+        let is_countable = report.in_flight < MAX_REPORTED_IN_FLIGHT;
+        usage.in_flight = report.in_flight + u8::from(granted && is_countable);
+        self.remote_in_flight = others_in_flight - self.in_flight + u32::from(usage.in_flight);
+        usage.granted_units = if granted { report.requested_units } else { 0.0 };
+        self.tokens -= usage.granted_units;
+    }
+
+    /// Drops what a gateway reported before it started anew.
+    pub fn forget_usage_of(&mut self, gateway: u16) {
+        if let Some(usage) = self.usage_by_gateway.remove(&gateway) {
+            self.remote_in_flight -= u32::from(usage.in_flight).min(self.remote_in_flight);
+        }
+    }
+
+    /// Drops the attempts in flight of gateways whose last report is older than `lifetime`.
+    pub fn expire_reported_in_flight(&mut self, now: Micros, lifetime: Micros) {
+        for usage in self.usage_by_gateway.values_mut().filter(|usage| now - usage.reported_at > lifetime) {
+            usage.in_flight = 0;
+        }
+        self.remote_in_flight = self.usage_by_gateway.values().map(|usage| u32::from(usage.in_flight)).sum();
+    }
+
+    /// Whether each owner of the hard limit that this gateway can ask has answered its request.
+    pub fn hard_limit_owners_answered(&self, own_id: u16) -> bool {
+        self.hard_limit_owners.iter().all(|owner| {
+            *owner == own_id || !self.quota_owners.contains(owner) || self.owners_answered.contains(owner)
+        })
+    }
+
+    /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket
+    /// goes along where it is known, as a part of the plan's `burst`.
     pub fn usage_report(&self, customer: CustomerId, burst: Option<f64>) -> UsageReport {
         UsageReport {
             customer,
             plan: self.plan.min(MAX_PLAN) as u8,
             total_units: wrap_total(self.total_units),
-            in_flight: self.in_flight.min(127) as u8,
+            in_flight: self.in_flight.min(u32::from(MAX_REPORTED_IN_FLIGHT)) as u8,
             tokens_level: burst.map_or(TokenLevel::UNKNOWN, |burst| TokenLevel::of(self.tokens, burst)),
-            gateway_set_start: self.gateway_set_start,
-            gateway_set_size: self.gateway_set_size as u16,
+            gateway_set_start: self.gateway_set.start,
+            gateway_set_size: self.gateway_set.size as u16,
             requests_grant: false,
             requested_units: self.requested_units,
             needs_hard_limit_grant: false,
         }
     }
 }
+
+/// Seconds until a bucket with so many tokens has those for `units`; none if it has them now.
+pub fn time_to_refill(tokens: f64, units: f64, refill_rate: f64) -> Option<f64> {
+    let is_lacking = tokens + ROUNDING_MARGIN < units;
+    is_lacking.then(|| (units - tokens) / refill_rate)
+}
+
+/// The time in which both buckets of a plan refill from empty; a bucket that never does counts with some
+/// days.
+pub fn refill_time(plan: &Plan) -> Micros {
+    // Without any rate this is 0 / 0, a NaN, which the cast turns into 0.
+    let seconds = (plan.burst / plan.rate).max(plan.hard_limit_burst / plan.hard_limit_rate);
+    (seconds.clamp(0.0, MAX_REFILL_SECONDS) * SECOND) as Micros
+}
--- a/src/state/gateway_set.rs
+++ b/src/state/gateway_set.rs
@@ -3,10 +3,10 @@
 use crate::Request;
 
 /// A run of gateways by index; gateway 0 follows the last.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default, PartialEq)]
 pub struct GatewaySet {
     pub start: u16,
-    /// How many there are, at least 1.
+    /// How many there are, at least 1; a request may name a fraction.
     pub size: f64,
 }
 
@@ -20,4 +20,19 @@
         }
         GatewaySet { start: start.floor() as u16, size: request.gateway_set_size.clamp(1.0, most) }
     }
+
+    /// The set in whole gateways, one at least and no more than there are.
+    pub fn in_whole_gateways(self, gateway_count: u16) -> GatewaySet {
+        GatewaySet { size: f64::from((self.size as u16).clamp(1, gateway_count)), ..self }
+    }
+
+    /// The gateway at a position, counted round the set.
+    pub fn member(self, position: u64, gateway_count: u16) -> u16 {
+        ((u64::from(self.start) + position % self.size as u64) % u64::from(gateway_count)) as u16
+    }
+
+    /// All gateways of the set, in order.
+    pub fn members(self, gateway_count: u16) -> Vec<u16> {
+        (0..self.size as u64).map(|position| self.member(position, gateway_count)).collect()
+    }
 }
--- a/src/state/peer.rs
+++ b/src/state/peer.rs
@@ -12,31 +12,65 @@
     pub requests_grant: bool,
 }
 
-/// A sample on its way to the peers.
+/// A latency sample on its way to the peers.
 pub struct QueuedSample {
     /// How many more messages carry it.
     pub retransmissions: u8,
     pub sample: LatencySample,
 }
 
+/// What the incarnation and the sequence number of a message say of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// It is from before the peer's restart, a repeat, or overtaken by a later one.
+    Outdated,
+    /// It is the next one of the incarnation that was heard before.
+    Current,
+    /// It is the first one of an incarnation.
+    NewIncarnation {
+        /// Whether an earlier incarnation was heard.
+        restarted: bool,
+    },
+}
+
+/// A peer's record.
 #[derive(Default)]
 pub struct Peer {
+    /// The latest incarnation heard; 0 for none.
     pub incarnation: u32,
+    /// The sequence number of the last message received.
     pub last_sequence: u16,
+    /// Messages sent to it, wrapping.
     pub sent_messages: u16,
-    /// When it was last heard.
+    /// When a message was last received.
     pub last_heard_at: Micros,
-    /// When the next message may go.
+    /// When the next message may be sent.
     pub next_send_at: Micros,
-    /// Where the last message ended.
+    /// Where in the outbox the last message ended.
     pub last_sent: CustomerId,
-    /// Customers to tell it of: how many more times, and whether to ask.
+    /// The customers to report to it.
     pub outbox: BTreeMap<CustomerId, OutboxEntry>,
 }
 
 impl Peer {
-    /// Takes from the outbox what the next message carries. It goes round from where the last one ended: else the last
-    /// customers would never be sent when more change than fit.
+    /// Takes note of a message's incarnation and sequence number.
+    pub fn receive(&mut self, incarnation: u32, sequence: u16, now: Micros) -> Receipt {
+        let same_incarnation = incarnation == self.incarnation;
+        let overtaken = sequence.wrapping_sub(self.last_sequence) as i16 <= 0;
+        if incarnation < self.incarnation || (same_incarnation && overtaken) {
+            return Receipt::Outdated;
+        }
+        let restarted = self.incarnation > 0;
+        (self.incarnation, self.last_sequence, self.last_heard_at) = (incarnation, sequence, now);
+        if same_incarnation {
+            Receipt::Current
+        } else {
+            Receipt::NewIncarnation { restarted }
+        }
+    }
+
+    /// Takes from the outbox what the next message carries. It goes round from where the last one ended: else
+    /// the last customers would never be sent when more change than fit.
     pub fn next_batch(&mut self) -> Vec<(CustomerId, OutboxEntry)> {
         let rotated = self.outbox.range(self.last_sent..).chain(self.outbox.range(..self.last_sent));
         let batch: Vec<_> = rotated.take(MAX_USAGE_REPORTS).map(|(id, entry)| (*id, *entry)).collect();
--- a/src/state/peer_table.rs
+++ b/src/state/peer_table.rs
@@ -20,6 +20,11 @@
         self.by_gateway.entry(peer).or_default()
     }
 
+    /// Whether all peers with a record started within so many milliseconds of an incarnation.
+    pub fn all_started_within(&self, window_ms: u32, incarnation: u32) -> bool {
+        self.by_gateway.values().all(|peer| peer.incarnation.abs_diff(incarnation) <= window_ms)
+    }
+
     /// Puts a customer into a peer's outbox. A request for a grant that waits there already still goes.
     pub fn queue(&mut self, peer: u16, customer: CustomerId, entry: OutboxEntry) {
         let queued = self.entry(peer).outbox.entry(customer).or_default();
