--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -26,6 +26,9 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 
+/// The reply to a request that was not executed: trying again is harmless.
+pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
+
 /// Where a reply belongs.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplyHandle {
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -12,7 +12,7 @@
         loop {
             let idle = self.connections.iter().filter(|(_, connection)| connection.is_idle());
             // Those that never sent a command go first, except those of this very turn: descriptors are freed before
-            // it is known whether anybody waits for one, and what the latest client sends may still be on its way.
+            // it is known whether anybody waits for one, and what the latest client sends may not have arrived.
             // Many fall idle at one clock: of these the one accepted first goes.
             let order = |connection: &Connection| {
                 let is_spared = connection.has_sent_command() || connection.last_active_at >= now;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -23,7 +23,7 @@
 /// How long a client that keeps sending may take to read its last replies.
 const MAX_LINGER: Micros = 5_000_000;
 
-/// How far a connection is on the way to its end.
+/// How far the end of a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseState {
     /// Commands are accepted.
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Whether it is between two requests, with nothing under way in either direction.
+    /// Whether it is between two requests, with nothing left to be parsed or written.
     pub fn is_idle(&self) -> bool {
         !self.is_busy() && self.input.is_empty() && !self.is_closing() && !self.over_limit
     }
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -1,7 +1,7 @@
 //! Reading from connections and parsing their commands.
 
 use super::error::ClientError;
-use super::{ClientEvent, Clients, ReplyHandle};
+use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
 use crate::resp;
 use ingress::{Micros, RequestId};
@@ -13,6 +13,9 @@
 /// The most reads from one connection in a turn: a fast client must not hold up the others.
 const MAX_READS_PER_TURN: usize = 4;
 
+/// The reply to a `PING`.
+const PONG_REPLY: &[u8] = b"+PONG\r\n";
+
 /// When a connection has been read from enough.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadUntil {
@@ -148,13 +151,13 @@
         match Command::parse(bytes, &self.argument_ranges, &self.schema) {
             Some(Ok(_)) if connection.over_limit => {
                 connection.start_closing();
-                self.reply_immediately(key, b"-BUSY\r\n");
+                self.reply_immediately(key, BUSY_REPLY);
             }
             Some(Ok(command)) => self.accept_command(key, command),
             Some(Err(error)) => self.reject_command(key, ClientError::InvalidCommand(error)),
             None if bytes[self.argument_ranges[0].clone()].eq_ignore_ascii_case(b"PING") => {
                 connection.record_valid_command();
-                self.reply_immediately(key, b"+PONG\r\n");
+                self.reply_immediately(key, PONG_REPLY);
             }
             None => self.reject_command(key, ClientError::UnknownCommand),
         }
--- a/src/bin/ingress/event_loop/actions.rs
+++ b/src/bin/ingress/event_loop/actions.rs
@@ -1,8 +1,9 @@
 //! Executes what the policy asks for.
 
-use super::client_events::{BUSY_REPLY, FAILED_REPLY};
+use super::client_events::FAILED_REPLY;
 use super::timer_queue::Timer;
 use super::EventLoop;
+use crate::clients::BUSY_REPLY;
 use ingress::{Action, Event, Micros, Outcome, RequestId};
 use std::io::Write;
 
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -2,12 +2,10 @@
 
 use super::timer_queue::Timer;
 use super::EventLoop;
-use crate::clients::{AcceptOutcome, ClientError, ClientEvent, ReplyHandle};
+use crate::clients::{AcceptOutcome, ClientError, ClientEvent, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
 use ingress::{Event, Micros, RequestId};
 
-/// The reply to a request that was never sent to a backend: trying again is harmless.
-pub(super) const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
 /// The reply to a request that may have been executed.
 pub(super) const FAILED_REPLY: &[u8] = b"-ERR failed\r\n";
 
