Name the tests of the ingress program by the field's terms

Tests of the program on sockets spoke of copies called off, lines, places, news and backends that hang up, and had variables such as half, told, taken and n.

--- a/tests/ingress/backend_connections.rs
+++ b/tests/ingress/backend_connections.rs
@@ -8,10 +8,10 @@
 use std::thread;
 use std::time::Duration;
 
-/// Guards against serving a request with the copy of the answer before it: it came once the connection was in its
-/// pool again.
+/// Guards against replying to a request with the duplicate of the previous reply, which came once the
+/// connection was in its pool again.
 #[test]
-fn what_comes_behind_an_answer_serves_nobody() {
+fn bytes_after_a_reply_are_not_taken_for_the_next_reply() {
     let backend = Backend::start(|args| {
         let mut twice = value_reply(args);
         twice.extend_from_slice(&value_reply(args));
@@ -19,62 +19,63 @@
     });
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    for n in 0..200 {
+    for number in 0..200 {
         assert_eq!(
-            client.round_trip(&encode_request("refer", &format!("r{n}"), 2000)),
-            format!("value of r{n}")
+            client.round_trip(&encode_request("refer", &format!("r{number}"), 2000)),
+            format!("value of r{number}")
         );
-        thread::sleep(Duration::from_micros(n * 20));
+        thread::sleep(Duration::from_micros(number * 20));
     }
 }
 
-/// Guards against keeping connections that the backend has ended: what is written to one may have run.
+/// Guards against keeping connections that the backend has closed: what is written to one may have been
+/// executed.
 #[test]
-fn connections_that_a_backend_ended_are_not_used_again() {
+fn connections_closed_by_the_backend_are_not_reused() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    for n in 0..5 {
+    for closed in 0..5 {
         assert_eq!(
-            client.round_trip(&encode_request("refer", &format!("r{n}"), 2000)),
-            format!("value of r{n}")
+            client.round_trip(&encode_request("refer", &format!("r{closed}"), 2000)),
+            format!("value of r{closed}")
         );
         backend.set_close_when_idle(true);
-        wait_until("the backend hangs up", || backend.connections_closed() == n + 1);
+        wait_until("the backend closes the connection", || backend.connections_closed() == closed + 1);
         backend.set_close_when_idle(false);
         thread::sleep(Duration::from_millis(30));
     }
     assert_eq!(backend.command_count(), 5);
 }
 
-/// Guards against connections that are dead after a moment of idleness and say so only under the next request:
-/// a request that must not run twice fails with each. They are found out by how long they were idle.
+/// Guards against connections that are dead after a short idle time and are reset only at the next request: a
+/// non-idempotent request fails with each. They are detected by how long they were idle.
 #[test]
-fn connections_that_die_of_idleness_are_found_out() {
+fn connections_that_are_reset_after_idling_are_no_longer_reused() {
     let backend = Backend::start(reply_with_value);
     backend.set_reset_after_idle(Duration::from_millis(130));
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let mut ask = |pause| {
-        thread::sleep(Duration::from_millis(pause));
+    let mut is_served_after = |idle_ms| {
+        thread::sleep(Duration::from_millis(idle_ms));
         let id = new_request_id();
         client.round_trip(&encode_request("refer", &id, 2000)) == format!("value of {id}")
     };
-    let served = (0..30).filter(|_| ask(260)).count();
+    let served = (0..30).filter(|_| is_served_after(260)).count();
     assert!(served >= 22, "{served} of 30 served");
-    assert!((0..10).all(|_| ask(260)), "found out by now");
-    // Those that were idle for less are used on.
-    let before = backend.connections_opened();
-    assert!((0..10).filter(|_| ask(50)).count() >= 7);
-    assert!(backend.connections_opened() <= before + 7, "each request has a new one");
+    assert!((0..10).all(|_| is_served_after(260)), "detected by now");
+    // Those that were idle for less are still reused.
+    let opened_before = backend.connections_opened();
+    assert!((0..10).filter(|_| is_served_after(50)).count() >= 7);
+    assert!(backend.connections_opened() <= opened_before + 7, "each request has a new one");
 }
 
 #[test]
-fn idle_connections_are_closed_before_the_backend_does() {
+fn idle_connections_are_closed_after_the_keepalive_timeout() {
     let backend = Backend::start(reply_with_value);
     let mut setup = IngressSetup::with_backends(&[&backend]);
     setup.replace_setting("15000000", "1000000");
     let ingress = setup.start();
     assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
-    wait_until("it is closed", || backend.connections_closed() == 1);
+    wait_until("the connection is closed", || backend.connections_closed() == 1);
 }
--- a/tests/ingress/client_connections.rs
+++ b/tests/ingress/client_connections.rs
@@ -9,38 +9,38 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_request_whose_client_has_gone_is_called_off() {
+fn a_request_is_cancelled_when_its_client_disconnects() {
     let slow = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(300), value_reply(args)));
     let ingress = IngressSetup::with_backends(&[&slow]).start();
     let mut client = ingress.client();
     client.send(&encode_request("refer", "r1", 5000));
-    wait_until("it is sent", || slow.command_count() == 1);
+    wait_until("the request is sent", || slow.command_count() == 1);
     client.disconnect();
-    wait_until("it is called off", || slow.connections_closed() == 1);
+    wait_until("the attempt is cancelled", || slow.connections_closed() == 1);
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 5000)), "value of r2");
 }
 
 #[test]
-fn pipelined_requests_are_answered_in_their_order() {
+fn pipelined_requests_are_answered_in_order() {
     let backend = Backend::start(|args| match &args[2][..1] {
         "s" => BackendReply::Delayed(Duration::from_millis(150), value_reply(args)),
         _ => reply_with_value(args),
     });
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let bad = encode_command(&["GET", "x"]);
+    let invalid = encode_command(&["GET", "x"]);
     client.send(
         &[
             encode_request("save", "s1", 2000),
             encode_request("quote", "q2", 900),
-            bad,
+            invalid,
             encode_command(&["PING"]),
         ]
         .concat(),
     );
-    let answers: Vec<String> = (0..4).map(|_| client.read_reply()).collect();
-    assert_eq!(answers, ["value of s1", "value of q2", "-ERR unknown command", "+PONG"]);
-    // More than one connection's line holds: nothing is lost, nothing is out of order.
+    let replies: Vec<String> = (0..4).map(|_| client.read_reply()).collect();
+    assert_eq!(replies, ["value of s1", "value of q2", "-ERR unknown command", "+PONG"]);
+    // More than the pipeline of one connection holds: nothing is lost, nothing is out of order.
     let pings = 2000;
     client.send(&encode_command(&["PING"]).repeat(pings));
     client.send(&encode_request("quote", "q3", 900));
@@ -48,23 +48,25 @@
     assert_eq!(client.read_reply(), "value of q3");
 }
 
-/// Guards against a line that stops for good once it is full: requests then wait in the kernel, untold of.
+/// Guards against a pipeline that is read no further once it is full: requests then wait in the kernel
+/// without a reply.
 #[test]
-fn a_long_line_of_requests_is_read_to_its_end() {
+fn a_long_pipeline_is_read_to_its_end() {
     let slow = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(5), value_reply(args)));
     let ingress = IngressSetup::with_backends(&[&slow]).start();
     let mut client = ingress.client();
-    let requests: Vec<u8> = (0..600).flat_map(|n| encode_request("save", &format!("s{n}"), 3000)).collect();
+    let requests: Vec<u8> =
+        (0..600).flat_map(|number| encode_request("save", &format!("s{number}"), 3000)).collect();
     client.send(&requests);
-    for n in 0..600 {
-        let answer = client.read_reply();
-        assert!(answer == format!("value of s{n}") || answer.starts_with('-'), "{n}: {answer:?}");
+    for number in 0..600 {
+        let reply = client.read_reply();
+        assert!(reply == format!("value of s{number}") || reply.starts_with('-'), "{number}: {reply:?}");
     }
     assert_eq!(client.ping(), "+PONG");
 }
 
 #[test]
-fn a_request_that_comes_byte_by_byte_is_served() {
+fn a_request_that_arrives_byte_by_byte_is_served() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
@@ -75,22 +77,22 @@
     assert_eq!(client.read_reply(), "value of s1");
 }
 
-/// Guards against descriptors held by clients that say nothing, or never the whole of a command: each is owed an
-/// error or a close within 3 s. One that has spoken may stay.
+/// Guards against descriptors held by clients that send nothing, or never a complete command: each gets an
+/// error or a close within 3 s. One that has sent a command may stay.
 #[test]
-fn clients_that_say_nothing_whole_are_ended() {
+fn clients_without_a_complete_command_are_disconnected() {
     let ingress = IngressSetup::with_backends(&[]).start();
-    let (mut usual, mut silent, mut half) = (ingress.client(), ingress.client(), ingress.client());
+    let (mut active, mut silent, mut incomplete) = (ingress.client(), ingress.client(), ingress.client());
     let start = Instant::now();
-    assert_eq!(usual.ping(), "+PONG");
-    half.send(b"*4\r\n$8\r\nCALL");
-    assert!(half.read_reply().starts_with("-ERR"));
-    assert!(half.is_disconnected() && silent.is_disconnected());
+    assert_eq!(active.ping(), "+PONG");
+    incomplete.send(b"*4\r\n$8\r\nCALL");
+    assert!(incomplete.read_reply().starts_with("-ERR"));
+    assert!(incomplete.is_disconnected() && silent.is_disconnected());
     assert!(start.elapsed() < Duration::from_secs(5), "it took {:?}", start.elapsed());
-    assert_eq!(usual.ping(), "+PONG");
-    // Half a command is timed from its first byte, not from the last command.
+    assert_eq!(active.ping(), "+PONG");
+    // The timeout of an incomplete command begins with its first byte, not with the last command.
     let ping = encode_command(&["PING"]);
-    usual.send(&ping[..5]);
+    active.send(&ping[..5]);
     thread::sleep(Duration::from_millis(1200));
-    assert_eq!(usual.round_trip(&ping[5..]), "+PONG");
+    assert_eq!(active.round_trip(&ping[5..]), "+PONG");
 }
--- a/tests/ingress/discovery.rs
+++ b/tests/ingress/discovery.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 #[test]
-fn a_backend_that_drains_gets_nothing_new() {
+fn a_draining_backend_gets_no_new_requests() {
     let (one, two, discovery) =
         (Backend::start(reply_with_value), Backend::start(reply_with_value), DiscoveryServer::start());
     let mut setup = IngressSetup::with_backends(&[&one, &two]);
@@ -19,22 +19,22 @@
     reply_through(&ingress, "quote", &one);
     reply_through(&ingress, "quote", &two);
     discovery.publish_and_wait(one.endpoint_json("s-0", "draining"));
-    let before = one.command_count();
+    let commands_before = one.command_count();
     let mut client = ingress.client();
-    for n in 0..50 {
+    for number in 0..50 {
         assert_eq!(
-            client.round_trip(&encode_request("refer", &format!("d{n}"), 2000)),
-            format!("value of d{n}")
+            client.round_trip(&encode_request("refer", &format!("d{number}"), 2000)),
+            format!("value of d{number}")
         );
     }
-    assert_eq!(one.command_count(), before);
+    assert_eq!(one.command_count(), commands_before);
     wait_until("its idle connections are closed", || one.connections_closed() == one.connections_opened());
     discovery.publish_and_wait(one.endpoint_json("s-0", "up"));
     reply_through(&ingress, "quote", &one);
 }
 
 #[test]
-fn a_backend_that_moved_is_found_at_its_new_address() {
+fn a_backend_that_moved_is_used_at_its_new_address() {
     let (old, new, discovery) =
         (Backend::start(reply_with_value), Backend::start(reply_with_value), DiscoveryServer::start());
     let mut setup = IngressSetup::with_backends(&[&old]);
@@ -47,8 +47,9 @@
     assert_eq!((old.command_count(), new.command_count()), (1, 1));
 }
 
-/// Without discovery the list stays as it is; once it is back, what changed meanwhile is heard.
-fn survives(fail: impl Fn(&DiscoveryServer, bool)) {
+/// Without discovery the endpoint list stays as it is; once discovery is back, changes of the meantime
+/// arrive.
+fn assert_recovers_from(fail: impl Fn(&DiscoveryServer, bool)) {
     let (one, two, discovery) =
         (Backend::start(reply_with_value), Backend::start(reply_with_value), DiscoveryServer::start());
     let mut setup = IngressSetup::with_backends(&[&one]);
@@ -59,20 +60,20 @@
     discovery.publish(two.endpoint_json("s-1", "up"));
     thread::sleep(Duration::from_millis(500));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
-    assert_eq!(two.command_count(), 0, "nobody can have told of it");
-    let busy = ingress.cpu_centiseconds();
+    assert_eq!(two.command_count(), 0, "the ingress cannot know it yet");
+    let cpu_before = ingress.cpu_centiseconds();
     thread::sleep(Duration::from_millis(1000));
-    assert!(ingress.cpu_centiseconds() - busy < 50, "it is busy with asking");
+    assert!(ingress.cpu_centiseconds() - cpu_before < 50, "it spins");
     fail(&discovery, false);
     reply_through(&ingress, "quote", &two);
 }
 
 #[test]
-fn discovery_lost_and_back() {
-    survives(DiscoveryServer::set_down);
+fn the_ingress_recovers_from_discovery_that_was_down() {
+    assert_recovers_from(DiscoveryServer::set_down);
 }
 
 #[test]
-fn discovery_silent_and_back() {
-    survives(DiscoveryServer::set_silent);
+fn the_ingress_recovers_from_discovery_that_was_silent() {
+    assert_recovers_from(DiscoveryServer::set_silent);
 }
--- a/tests/ingress/forwarding.rs
+++ b/tests/ingress/forwarding.rs
@@ -1,4 +1,4 @@
-//! How requests and answers are forwarded, and when requests are rejected.
+//! How requests and replys are forwarded, and when requests are rejected.
 
 use crate::requests::is_rejected;
 use crate::support::backend::{reply_with_value, Backend, BackendReply};
@@ -9,73 +9,77 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn a_request_goes_on_as_it_came_and_the_value_comes_back_as_it_was_given() {
+fn a_request_and_its_value_are_forwarded_unchanged() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let asked = encode_command(&[
+    let request = encode_command(&[
         "CALL.POST",
         "00000000b4d65521",
         "9b1f03aa5c7e2d41",
         "c=save,t=starter,d=2480,k=5c0f6e1a,r=1,units=2,spread=1,first=0,new=x",
         "BO\r\nDY",
     ]);
-    assert_eq!(client.round_trip(&asked), "value of 9b1f03aa5c7e2d41");
-    let seen = backend.commands();
-    let [args] = &seen[..] else { panic!("one attempt: {seen:?}") };
+    assert_eq!(client.round_trip(&request), "value of 9b1f03aa5c7e2d41");
+    let commands = backend.commands();
+    let [args] = &commands[..] else { panic!("one attempt: {commands:?}") };
     assert_eq!(
         (&args[..3].join(" "), &args[4]),
         (&"CALL.POST 00000000b4d65521 9b1f03aa5c7e2d41".into(), &"BO\r\nDY".into())
     );
     let (before, rest) = args[3].split_once("d=").unwrap();
-    let (wait, after) = rest.split_once(',').unwrap();
+    let (wait_ms, after) = rest.split_once(',').unwrap();
     assert_eq!((before, after), ("c=save,t=starter,", "k=5c0f6e1a,r=1,units=2,spread=1,first=0,new=x"));
-    // It fits the attempt: no longer than the client waits, and not cut to nothing.
-    assert!((2000..=2480).contains(&wait.parse::<u32>().unwrap()), "d={wait}");
+    // The time left of this attempt: no longer than the client waits, and not cut to nothing.
+    assert!((2000..=2480).contains(&wait_ms.parse::<u32>().unwrap()), "d={wait_ms}");
 }
 
 #[test]
-fn one_connection_serves_requests_one_after_the_other() {
+fn an_idle_backend_connection_is_reused() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    for n in 0..20 {
+    for number in 0..20 {
         assert_eq!(
-            client.round_trip(&encode_request("quote", &format!("q{n}"), 900)),
-            format!("value of q{n}")
+            client.round_trip(&encode_request("quote", &format!("q{number}"), 900)),
+            format!("value of q{number}")
         );
-        thread::sleep(Duration::from_millis(40)); // a connection rests for a moment behind an answer
+        thread::sleep(Duration::from_millis(40)); // a connection is not reused for a moment after a reply
     }
-    assert_eq!(backend.connections_opened(), 1, "the newest idle connection is used again");
+    assert_eq!(backend.connections_opened(), 1, "the newest idle connection is reused");
 }
 
 #[test]
-fn beyond_the_quota_a_request_is_refused_at_once_and_told_when_to_come_back() {
+fn requests_over_the_quota_are_rejected_at_once_with_a_retry_after() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let mut refusals = Vec::new();
-    for n in 0..12 {
+    let mut rejections = Vec::new();
+    for number in 0..12 {
         let start = Instant::now();
-        let answer = client.round_trip(&encode_request_of(4711, "quote", &format!("q{n}"), 900));
-        if is_rejected(&answer) {
-            refusals.push((answer, start.elapsed()));
+        let reply = client.round_trip(&encode_request_of(4711, "quote", &format!("q{number}"), 900));
+        if is_rejected(&reply) {
+            rejections.push((reply, start.elapsed()));
         }
     }
-    assert!(refusals.len() >= 3, "a burst of 7 lets 12 through");
-    assert_eq!(backend.command_count(), 12 - refusals.len(), "what is refused reaches no backend");
-    for (answer, took) in refusals {
-        let pause: u32 = answer.trim_start_matches("-BUSY ").parse().unwrap_or_else(|_| panic!("{answer}"));
-        assert!((1..=2000).contains(&pause) && took < Duration::from_millis(450), "{answer} after {took:?}");
+    assert!(rejections.len() >= 3, "a burst of 7 admits 12");
+    assert_eq!(backend.command_count(), 12 - rejections.len(), "rejected requests reach no backend");
+    for (reply, elapsed) in rejections {
+        let retry_after: u32 =
+            reply.trim_start_matches("-BUSY ").parse().unwrap_or_else(|_| panic!("{reply}"));
+        assert!(
+            (1..=2000).contains(&retry_after) && elapsed < Duration::from_millis(450),
+            "{reply} after {elapsed:?}"
+        );
     }
 }
 
-/// Guards against losing a good value to a report that can't be read.
+/// Guards against losing a good value to a load report that cannot be read.
 #[test]
-fn a_value_is_kept_though_its_report_is_noise() {
+fn a_value_is_forwarded_despite_an_unreadable_load_report() {
     for load in ["$3\r\n=,=\r\n", "$9\r\nutil=-1e9\r\n", "$8\r\nutil=nan\r\n", ":7\r\n", "+x\r\n"] {
-        let answer = format!("*3\r\n$2\r\nok\r\n$-1\r\n{load}");
-        let backend = Backend::start(move |_| BackendReply::Bytes(answer.clone().into_bytes()));
+        let reply = format!("*3\r\n$2\r\nok\r\n$-1\r\n{load}");
+        let backend = Backend::start(move |_| BackendReply::Bytes(reply.clone().into_bytes()));
         let ingress = IngressSetup::with_backends(&[&backend]).start();
         assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "ok", "{load:?}");
     }
--- a/tests/ingress/protocol_errors.rs
+++ b/tests/ingress/protocol_errors.rs
@@ -9,11 +9,11 @@
 use std::time::Duration;
 
 #[test]
-fn a_bad_request_gets_an_error_and_the_connection_goes_on() {
+fn an_invalid_request_gets_an_error_and_keeps_its_connection() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let good = String::from_utf8(encode_request("quote", "q1", 900)).unwrap();
+    let valid = String::from_utf8(encode_request("quote", "q1", 900)).unwrap();
     for (from, to) in [
         ("c=quote", "c=quota"),
         ("t=starter", "t=stopper"),
@@ -22,21 +22,21 @@
         ("first=0", "fifth=0"),
         ("CALL.GET", "CALL.PUT"),
     ] {
-        let answer = client.round_trip(good.replace(from, to).as_bytes());
+        let answer = client.round_trip(valid.replace(from, to).as_bytes());
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
     assert_eq!(client.round_trip(&encode_request("quote", "q2", 900)), "value of q2");
-    assert_eq!(backend.command_count(), 1, "nothing bad reaches a backend");
+    assert_eq!(backend.command_count(), 1, "no invalid request reaches a backend");
 }
 
-/// Guards against requests that the module would keep in a usual customer's record, and a backend turn away.
+/// Guards against requests that the gateway would keep in a genuine customer's record, and a backend reject.
 #[test]
-fn what_is_out_of_range_reaches_no_backend() {
+fn a_request_with_a_value_out_of_range_reaches_no_backend() {
     let backend = Backend::start(reply_with_value);
     let mut setup = IngressSetup::with_backends(&[&backend]);
     setup.replace_setting("\"post_paid\"", "\"most_units\":4,\"post_paid\"");
     let ingress = setup.start();
-    let good = String::from_utf8(encode_request_of(4711, "quote", "q1", 900)).unwrap();
+    let valid = String::from_utf8(encode_request_of(4711, "quote", "q1", 900)).unwrap();
     for (from, to) in [
         ("units=1", "units=0"),
         ("units=1", "units=9"),
@@ -44,21 +44,22 @@
         ("spread=1", "spread=2"),
         ("first=0", "first=1"),
     ] {
-        let answer = ingress.client().round_trip(good.replace(from, to).as_bytes());
+        let answer = ingress.client().round_trip(valid.replace(from, to).as_bytes());
         assert!(answer.starts_with("-ERR"), "{to}: {answer}");
     }
-    assert_eq!(ingress.client().round_trip(good.as_bytes()), "value of q1");
+    assert_eq!(ingress.client().round_trip(valid.as_bytes()), "value of q1");
     assert_eq!(backend.command_count(), 1);
 }
 
-/// Guards against a second request under an id that is open: backends would take it for a copy of the first.
+/// Guards against a second request with the id of an open one: backends would take it for a copy of the
+/// first.
 #[test]
-fn an_id_that_is_open_already_is_an_error_and_does_not_disturb_the_first() {
+fn a_duplicate_request_id_is_an_error_and_does_not_disturb_the_first() {
     let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(400), value_reply(args)));
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut first = ingress.client();
     first.send(&encode_request("refer", "r1", 4000));
-    wait_until("it is sent", || backend.command_count() == 1);
+    wait_until("the request is sent", || backend.command_count() == 1);
     for id in ["r1", "r1"] {
         let answer = ingress.client().round_trip(&encode_request("refer", id, 4000));
         assert!(answer.starts_with("-ERR"), "{answer}");
@@ -70,9 +71,9 @@
     assert_eq!(backend.command_count(), 2);
 }
 
-/// Guards against a client that sends bad commands for as long as its connection stands.
+/// Guards against a client that sends invalid commands for as long as its connection is open.
 #[test]
-fn after_some_bad_commands_the_connection_is_closed() {
+fn a_connection_is_closed_after_several_invalid_commands() {
     let backend = Backend::start(reply_with_value);
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
@@ -83,9 +84,9 @@
     assert_eq!(ingress.client().round_trip(&encode_request("quote", "q2", 900)), "value of q2");
 }
 
-/// Guards against an error that a reset takes away: the client is still sending when the connection is given up.
+/// Guards against an error that a reset discards: the client is still sending when the connection is closed.
 #[test]
-fn a_huge_value_is_told_so_while_it_is_still_sent() {
+fn an_oversized_value_gets_an_error_while_it_is_still_being_sent() {
     let ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.send(b"*1\r\n$60000000\r\n");
@@ -97,19 +98,19 @@
 }
 
 #[test]
-fn malformed_input_gets_an_error_and_a_close_behind_what_was_asked_before() {
+fn malformed_input_gets_an_error_and_a_close_after_earlier_replies() {
     let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(100), value_reply(args)));
     let ingress = IngressSetup::with_backends(&[&backend]).start();
-    for bad in
+    for malformed in
         ["PING\r\n", "*1\r\n$70000\r\n", "*2000000000\r\n", "*1\r\n$-1\r\n", "*1\r\n$4\r\nPINGxx", "\0\0\0"]
     {
         let (mut client, id) = (ingress.client(), new_request_id());
         client.send(&encode_request("quote", &id, 900));
-        // What follows is more than the kernel would forgive at a close with unread bytes.
-        client.send(&[bad.as_bytes(), &[b'x'; 40_000]].concat());
-        assert_eq!(client.read_reply(), format!("value of {id}"), "{bad:?}");
-        assert!(client.read_reply().starts_with("-ERR protocol error"), "{bad:?}");
-        assert!(client.is_disconnected(), "{bad:?}");
+        // More bytes follow than a close may leave unread without a reset.
+        client.send(&[malformed.as_bytes(), &[b'x'; 40_000]].concat());
+        assert_eq!(client.read_reply(), format!("value of {id}"), "{malformed:?}");
+        assert!(client.read_reply().starts_with("-ERR protocol error"), "{malformed:?}");
+        assert!(client.is_disconnected(), "{malformed:?}");
     }
     assert_eq!(ingress.client().ping(), "+PONG");
 }
--- a/tests/ingress/reload.rs
+++ b/tests/ingress/reload.rs
@@ -8,9 +8,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Guards against SIGHUP for an end, and against news that wait for the old discovery's call to run out.
+/// Guards against taking SIGHUP for the end, and against changes that wait until the poll of the old
+/// discovery ends.
 #[test]
-fn on_sighup_the_watch_moves_to_where_the_new_file_says() {
+fn sighup_moves_the_watch_to_the_discovery_of_the_new_configuration() {
     let (one, two, three) = (
         Backend::start(reply_with_value),
         Backend::start(reply_with_value),
@@ -20,10 +21,10 @@
     let mut setup = IngressSetup::with_backends(&[&one]);
     setup.discovery = Some(old.address);
     let mut ingress = setup.start();
-    wait_until("the old one is asked", || old.poll_count() > 0);
+    wait_until("the old discovery is polled", || old.poll_count() > 0);
     old.set_silent(true);
     new.publish(two.endpoint_json("s-7", "up"));
-    // Half a file is none: the ingress serves on, and looks again by itself.
+    // Half a file is invalid: the ingress serves on, and reads it again by itself.
     setup.discovery = Some(new.address);
     let config = setup.config_json(ingress.address);
     ingress.write_config(&config[..config.len() / 2]);
@@ -32,8 +33,8 @@
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
     assert_eq!((one.command_count(), new.poll_count()), (1, 0));
     ingress.write_config(&config);
-    wait_until("the new one is asked", || new.poll_count() > 1);
-    // Its list is whole: who is not in it is gone. Later news come from there as well.
+    wait_until("the new discovery is polled", || new.poll_count() > 1);
+    // Its list is a snapshot: backends that are not in it are removed. Later changes come from there as well.
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r2", 2000)), "value of r2");
     assert_eq!((one.command_count(), two.command_count()), (1, 1));
     new.publish_and_wait(two.endpoint_json("s-7", "draining"));
@@ -43,25 +44,29 @@
     ingress.signal("TERM");
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
     let log = ingress.log();
-    assert_eq!(log.matches("reload: ").count(), 2, "a line for the bad file, one for the good: {log}");
+    assert_eq!(
+        log.matches("reload: ").count(),
+        2,
+        "a line for the invalid file, one for the valid one: {log}"
+    );
 }
 
-/// A signal behind a reading that failed does not wait for that one's pause.
+/// A signal after a failed reload does not wait for the backoff of that one.
 #[test]
-fn a_second_sighup_is_heeded_at_once() {
+fn a_second_sighup_reloads_at_once() {
     let (one, two, new) =
         (Backend::start(reply_with_value), Backend::start(reply_with_value), DiscoveryServer::start());
     let mut setup = IngressSetup::with_backends(&[&one]);
     let ingress = setup.start();
     ingress.write_config("{");
     ingress.signal("HUP");
-    thread::sleep(Duration::from_millis(3400)); // by now the pause is 2 s, and just begun
+    thread::sleep(Duration::from_millis(3400)); // by now the backoff is 2 s, and has just begun
     new.publish(two.endpoint_json("s-7", "up"));
     setup.discovery = Some(new.address);
     ingress.write_config(&setup.config_json(ingress.address));
     let start = Instant::now();
     ingress.signal("HUP");
-    wait_until("the new one is asked", || new.poll_count() > 1);
+    wait_until("the new discovery is polled", || new.poll_count() > 1);
     assert!(start.elapsed() < Duration::from_millis(1300));
     assert_eq!(ingress.client().round_trip(&encode_request("refer", "r1", 2000)), "value of r1");
 }
--- a/tests/ingress/shutdown.rs
+++ b/tests/ingress/shutdown.rs
@@ -10,26 +10,26 @@
 use std::time::{Duration, Instant};
 
 #[test]
-fn told_to_stop_it_serves_all_that_was_taken_and_those_who_still_come() {
+fn shutdown_serves_accepted_requests_and_new_connections() {
     let backend = Backend::start(|args| BackendReply::Delayed(Duration::from_millis(400), value_reply(args)));
     let mut ingress = IngressSetup::with_backends(&[&backend]).start();
     let idle = ingress.client();
-    let mut taken: Vec<Client> = (0..8).map(|_| ingress.client()).collect();
-    for (n, client) in taken.iter_mut().enumerate().take(4) {
-        client.send(&encode_request("refer", &format!("r{n}"), 2500));
+    let mut accepted: Vec<Client> = (0..8).map(|_| ingress.client()).collect();
+    for (number, client) in accepted.iter_mut().enumerate().take(4) {
+        client.send(&encode_request("refer", &format!("r{number}"), 2500));
     }
-    wait_until("they are with the backend", || backend.command_count() == 4);
+    wait_until("the requests are sent", || backend.command_count() == 4);
     let start = Instant::now();
     ingress.signal("TERM");
-    for (n, client) in taken.iter_mut().enumerate().skip(4) {
-        client.send(&encode_request("refer", &format!("r{n}"), 2500));
+    for (number, client) in accepted.iter_mut().enumerate().skip(4) {
+        client.send(&encode_request("refer", &format!("r{number}"), 2500));
     }
     thread::sleep(Duration::from_millis(200));
     let mut late = ingress.client();
     assert_eq!(late.ping(), "+PONG");
     late.send(&encode_request("refer", "late", 2500));
-    for (n, client) in taken.iter_mut().enumerate() {
-        assert_eq!(client.read_reply(), format!("value of r{n}"));
+    for (number, client) in accepted.iter_mut().enumerate() {
+        assert_eq!(client.read_reply(), format!("value of r{number}"));
     }
     assert_eq!(late.read_reply(), "value of late");
     assert!(
@@ -41,9 +41,10 @@
     assert!(!ingress.log().contains("panicked"));
 }
 
-/// Guards against a port that is closed while clients still come, who have not heard that it stops: each was refused.
+/// Guards against a listener that is closed while clients still connect, which have not heard of the
+/// shutdown: each was refused.
 #[test]
-fn told_to_stop_it_accepts_for_as_long_as_clients_come() {
+fn shutdown_accepts_connections_while_clients_still_come() {
     let backend = Backend::start(reply_with_value);
     let mut ingress = IngressSetup::with_backends(&[&backend]).start();
     ingress.signal("TERM");
@@ -62,27 +63,27 @@
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
 
-/// Guards against a request that is still out when SIGKILL comes, 0.7 s after the longest deadline but no later
-/// than 3.7 s: by then it has failed, or it is lost.
+/// Guards against a request that is still in flight when SIGKILL comes, 0.7 s after the longest deadline but
+/// no later than 3.7 s: by then it has failed, or it is lost.
 #[test]
-fn what_is_still_out_when_the_time_to_stop_is_over_has_failed() {
+fn requests_in_flight_at_the_end_of_the_shutdown_grace_period_fail() {
     let silent = Backend::start(|_| BackendReply::Nothing);
     let mut ingress = IngressSetup::with_backends(&[&silent]).start();
     let mut client = ingress.client();
     client.send(&encode_request("refer", "r1", 7900));
-    wait_until("it is sent", || silent.command_count() == 1);
+    wait_until("the request is sent", || silent.command_count() == 1);
     let start = Instant::now();
     ingress.signal("TERM");
     assert_eq!(client.read_reply(), "-ERR failed");
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
-    let took = start.elapsed();
-    assert!(took > Duration::from_secs(3), "it gave up after {took:?}");
-    assert!(took < Duration::from_millis(6000), "it took {took:?}");
+    let elapsed = start.elapsed();
+    assert!(elapsed > Duration::from_secs(3), "it gave up after {elapsed:?}");
+    assert!(elapsed < Duration::from_millis(6000), "it took {elapsed:?}");
 }
 
-/// A client that never ends its request must not keep a stopping ingress.
+/// A client that never completes its request must not keep the ingress from stopping.
 #[test]
-fn half_a_request_does_not_hold_up_the_end() {
+fn an_incomplete_request_does_not_delay_shutdown() {
     let mut ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.send(b"*4\r\n$8\r\nCALL");
@@ -91,19 +92,20 @@
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
 
-/// Guards against waiting for a client that asks and never reads, until the ingress is killed with others' answers.
+/// Guards against waiting for a client that sends commands and never reads, until the ingress is killed with
+/// others' replies.
 #[test]
-fn answers_that_nobody_reads_do_not_hold_up_the_end() {
+fn unread_replies_do_not_delay_shutdown() {
     let mut ingress = IngressSetup::with_backends(&[]).start();
     let mut client = ingress.client();
     client.stream.set_nonblocking(true).unwrap();
-    let (pings, mut stuck) = (encode_command(&["PING"]).repeat(10_000), None);
+    let (pings, mut blocked_since) = (encode_command(&["PING"]).repeat(10_000), None);
     wait_until("both directions are full", || match std::io::Write::write(&mut client.stream, &pings) {
         Ok(_) => {
-            stuck = None;
+            blocked_since = None;
             false
         }
-        Err(_) => stuck.get_or_insert_with(Instant::now).elapsed() > Duration::from_millis(500),
+        Err(_) => blocked_since.get_or_insert_with(Instant::now).elapsed() > Duration::from_millis(500),
     });
     ingress.signal("TERM");
     let start = Instant::now();
--- a/tests/ingress/startup.rs
+++ b/tests/ingress/startup.rs
@@ -5,7 +5,7 @@
 use crate::support::client::encode_request;
 use crate::support::ingress::{built_program, IngressProcess, IngressSetup};
 
-/// The command in deploy/balancer.toml; `.ci/run` hands it in.
+/// The command in deploy/balancer.toml; `.ci/run` passes it.
 #[test]
 #[ignore = "wants the command in INGRESS_RUN"]
 fn the_deploy_command_starts() {
@@ -18,9 +18,9 @@
 }
 
 #[test]
-fn a_bad_configuration_is_told_by_its_key() {
-    let at = unused_address();
-    let good = IngressSetup::with_backends(&[]).config_json(at);
+fn an_invalid_configuration_is_reported_by_its_key() {
+    let address = unused_address();
+    let valid = IngressSetup::with_backends(&[]).config_json(address);
     for (from, to, key) in [
         ("\"quota_rate\":1.5", "\"quota_rate\":\"much\"", "contracts.0.quota_rate"),
         ("\"tick_us\":4000,", "", "tick_us"),
@@ -32,7 +32,7 @@
         ("\"peers\":false", "\"peers\":true", "peers"),
         ("{", "", "JSON"),
     ] {
-        let mut ingress = IngressProcess::spawn(&good.replacen(from, to, 1), at, &built_program());
+        let mut ingress = IngressProcess::spawn(&valid.replacen(from, to, 1), address, &built_program());
         assert_eq!(ingress.wait_for_exit().code(), Some(1), "{key}");
         let log = ingress.log();
         assert!(log.contains(key) && log.lines().count() == 1, "{key}: {log}");
--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -47,8 +47,11 @@
 impl IngressSetup {
     /// An ingress that knows these backends, and no discovery.
     pub fn with_backends(backends: &[&Backend]) -> IngressSetup {
-        let known_endpoints =
-            backends.iter().enumerate().map(|(n, b)| b.endpoint_json(&format!("s-{n}"), "up")).collect();
+        let known_endpoints = backends
+            .iter()
+            .enumerate()
+            .map(|(index, backend)| backend.endpoint_json(&format!("s-{index}"), "up"))
+            .collect();
         let settings = SETTINGS.replace("PEERS", "false");
         IngressSetup {
             known_endpoints,
@@ -84,7 +87,8 @@
 
     /// Starts the program as it was built for the tests, and waits until it is ready.
     pub fn start(&self) -> IngressProcess {
-        let limit = self.system_descriptor_limit.map_or(String::new(), |n| format!("ulimit -n {n}; "));
+        let limit =
+            self.system_descriptor_limit.map_or(String::new(), |limit| format!("ulimit -n {limit}; "));
         self.start_with(&(limit + &built_program()))
     }
 
