--- a/tests/ingress/peers.rs
+++ b/tests/ingress/peers.rs
@@ -5,58 +5,85 @@
 use crate::support::client::encode_request;
 use crate::support::ingress::IngressSetup;
 use crate::support::wait::{wait_until, WAIT_LIMIT};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
+/// The UDP side of a peer, or of a host that is none.
+struct PeerSocket {
+    socket: UdpSocket,
+    /// Where the ingress receives the messages of its peers.
+    ingress: SocketAddr,
+}
+
+impl PeerSocket {
+    fn bind(ingress: SocketAddr) -> PeerSocket {
+        let socket = UdpSocket::bind(unused_address()).unwrap();
+        socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        PeerSocket { socket, ingress }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.socket.local_addr().unwrap()
+    }
+
+    /// The next message of the ingress, if one comes within the timeout.
+    fn receive(&self) -> Option<Vec<u8>> {
+        let mut buffer = [0; 2000];
+        let (length, from) = self.socket.recv_from(&mut buffer).ok()?;
+        assert!(from == self.ingress && length <= 256, "{length} bytes from {from}");
+        Some(buffer[..length].to_vec())
+    }
+
+    fn send(&self, message: &[u8]) {
+        self.socket.send_to(message, self.ingress).unwrap();
+    }
+}
+
+/// Whether a message from this socket makes the ingress send the peer an answer.
+fn brings_answer(from: &PeerSocket, message: &[u8], peer: &PeerSocket) -> bool {
+    from.send(message);
+    (0..5).filter_map(|_| peer.receive()).any(|answer| answer[1] & 3 == 1)
+}
+
+/// A usage report with the flag that asks for an answer.
+fn with_answer_requested(mut report: Vec<u8>) -> Vec<u8> {
+    let first = 9 + 4 * usize::from(report[1] >> 2);
+    report[first + 8] |= 2;
+    report
+}
+
 #[test]
-fn peers_are_known_by_their_address_and_told_in_short() {
+fn peers_are_recognised_by_address_and_messages_are_small() {
     let backend = Backend::start(reply_with_value);
     let mut setup = IngressSetup::with_backends(&[&backend]);
-    let udp = || {
-        let socket = UdpSocket::bind(unused_address()).unwrap();
-        socket.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
-        socket
-    };
-    let (peer, stranger, own) = (udp(), udp(), unused_address());
+    let own = unused_address();
+    let (peer, stranger) = (PeerSocket::bind(own), PeerSocket::bind(own));
     setup.replace_setting("\"may_probe\":true,\"peers\":false", "\"may_probe\":true,\"peers\":true");
     setup.replace_setting("\"n_instances\":1", "\"n_instances\":2");
-    setup.extra_keys = format!(
-        r#""peer_listen":"{own}","peers":["{own}","{}"],"peers_all":"{}","#,
-        peer.local_addr().unwrap(),
-        peer.local_addr().unwrap()
-    );
+    setup.extra_keys =
+        format!(r#""peer_listen":"{own}","peers":["{own}","{0}"],"peers_all":"{0}","#, peer.address());
     let ingress = setup.start();
-    let hear = |socket: &UdpSocket| {
-        let mut buf = [0; 2000];
-        socket.recv_from(&mut buf).ok().map(|(n, from)| {
-            assert!(from == own && n <= 256, "{n} bytes from {from}");
-            buf[..n].to_vec()
-        })
-    };
-    // A request of a customer with both for gateways: its use is told to the other one.
+    // A request of a customer whose set has both gateways: its usage is reported to the peer.
     let mut client = ingress.client();
-    let asked =
+    let request =
         String::from_utf8(encode_request("quote", "q1", 900)).unwrap().replace("spread=1", "spread=2");
     let start = Instant::now();
-    client.send(asked.as_bytes());
-    let mut told = None;
-    wait_until("the peer is told", || {
-        told = hear(&peer).filter(|m| m[1] & 3 == 0 && m[8] > 0);
-        told.is_some() || start.elapsed() > WAIT_LIMIT
+    client.send(request.as_bytes());
+    let mut report = None;
+    wait_until("the peer gets a report", || {
+        report = peer.receive().filter(|message| message[1] & 3 == 0 && message[8] > 0);
+        report.is_some() || start.elapsed() > WAIT_LIMIT
     });
     assert_eq!(client.read_reply(), "value of q1");
-    // The same message, asking for news, brings an answer if it comes from the peer, and only then.
-    let mut question = told.unwrap();
-    let first = 9 + 4 * usize::from(question[1] >> 2);
-    question[first + 8] |= 2;
-    let answered = |from: &UdpSocket, bytes: &[u8]| {
-        from.send_to(bytes, own).unwrap();
-        (0..5).filter_map(|_| hear(&peer)).any(|m| m[1] & 3 == 1)
-    };
-    while hear(&peer).is_some() {}
-    assert!(!answered(&stranger, &question), "a stranger was believed");
-    assert!(!answered(&peer, &question[..question.len() - 1]), "half a message was believed");
-    assert!(!answered(&peer, &[&question[..], &[0; 1000]].concat()), "a long message was believed");
-    assert!(answered(&peer, &question), "the peer was not heard");
+    // The same message, asking for an answer, brings one if it comes from the peer, and only then.
+    let message = with_answer_requested(report.unwrap());
+    while peer.receive().is_some() {}
+    assert!(!brings_answer(&stranger, &message, &peer), "a stranger was believed");
+    assert!(!brings_answer(&peer, &message[..message.len() - 1], &peer), "half a message was believed");
+    assert!(
+        !brings_answer(&peer, &[&message[..], &[0; 1000]].concat(), &peer),
+        "a long message was believed"
+    );
+    assert!(brings_answer(&peer, &message, &peer), "the peer was not heard");
     assert_eq!(client.round_trip(&encode_request("quote", "q2", 900)), "value of q2");
 }
