Document the private items of the gateway's state and policy

Cause: 115 private items of the module's own files had no doc comment, and the choice of a backend counted by way of a conditional reference.

Change: a sentence for each item whose name leaves a question; the counts are two plain sums; an index is called one.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -12,24 +12,35 @@
 /// One gateway's decisions. Feed it events with [`Gateway::handle`], and do what it asks.
 #[derive(Default)]
 pub struct Gateway {
+    /// What the deployment permits and wants.
     pub(crate) settings: Settings,
     /// How many gateways there are, at least 1.
     pub(crate) fleet_size: u64,
     /// Counted up for each draw; the seed is its first value.
     pub(crate) random_state: u64,
+    /// The host's clock at the latest event; it never goes back.
     pub(crate) now: Micros,
+    /// When this process started; peers know it as its incarnation.
     pub(crate) started_at: Micros,
+    /// When the timer that was last set is due.
     pub(crate) next_wake_up_at: Micros,
     /// When the host last went on after it had stood still: latencies found with that event say nothing.
     pub(crate) resumed_at: Micros,
+    /// When discovery is to be polled next, where it has to be.
     pub(crate) next_poll_at: Micros,
+    /// Requests that are not finished, and their queue.
     pub(crate) requests: RequestTable,
+    /// Customers and their token buckets.
     pub(crate) quota: QuotaTable,
+    /// Other gateways, and what waits to be sent to them.
     pub(crate) peers: PeerTable,
+    /// Backends, their health and the index of the ready ones.
     pub(crate) backends: BackendTable,
     /// By class.
     pub(crate) latency_baselines: Vec<LatencyBaseline>,
+    /// Pressure, shedding stage and concurrency limit.
     pub(crate) load_shedder: LoadShedder,
+    /// Retries that may still be sent.
     pub(crate) retry_budget: RetryBudget,
     /// Attempts sent by this gateway.
     pub(crate) send_rate: DecayingRate,
@@ -38,14 +49,19 @@
 /// What the concurrency limit of a gateway is computed from.
 #[derive(Clone, Copy)]
 pub(crate) struct GatewayLoad {
+    /// Attempts of this gateway in flight.
     pub in_flight: u32,
+    /// Backends that take work.
     pub ready_backends: usize,
+    /// Gateways that share them.
     pub fleet_size: u64,
 }
 
 /// What the end of an attempt means for others.
 pub(crate) struct SettledAttempt {
+    /// Where the attempt went.
     pub backend: BackendId,
+    /// Whose request it was.
     pub customer: CustomerId,
     /// The request has its final answer.
     pub answered: bool,
@@ -75,6 +91,7 @@
         }
     }
 
+    /// What is in flight, and what it may be spread over.
     pub(crate) fn load(&self) -> GatewayLoad {
         GatewayLoad {
             in_flight: self.requests.in_flight,
@@ -99,14 +116,17 @@
         self.quota.all_gateways_own_quotas()
     }
 
+    /// Attempts that this gateway may have in flight now.
     pub(crate) fn concurrency_limit(&self) -> f64 {
         self.load_shedder.concurrency_limit(self.load())
     }
 
+    /// Has load shedding take in how an answer compares with a normal one.
     pub(crate) fn record_pressure(&mut self, ratio: f64) {
         self.load_shedder.record_pressure(self.now, ratio, self.load());
     }
 
+    /// Hands an event to the concern that decides on it.
     pub(crate) fn dispatch_event(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Request(request) => self.on_request(request, actions),
@@ -129,6 +149,7 @@
         self.resumed_at = now;
     }
 
+    /// Looks at all that depends on time alone, in a fixed order.
     pub(crate) fn on_wake_up(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
         while let Some(id) = self.requests.next_due(now) {
@@ -158,6 +179,7 @@
         }
     }
 
+    /// Takes an endpoint list or a change of it; queued requests may then find a backend.
     fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>, actions: &mut Vec<Action>) {
         match update {
             EndpointUpdate::PollFailed => return self.on_poll_failed(),
@@ -175,11 +197,13 @@
         }
     }
 
+    /// Asks the host to wake this gateway after an interval.
     pub(crate) fn schedule_wake_up(&mut self, now: Micros, interval: Micros, actions: &mut Vec<Action>) {
         self.next_wake_up_at = now + interval;
         actions.push(Action::SetTimer { delay: interval, token: 0 });
     }
 
+    /// Gives a request its final answer; the advice to come again is cut to what the settings allow.
     pub(crate) fn reject(&self, id: RequestId, retry_after: Micros, actions: &mut Vec<Action>) {
         let limits = &self.settings.limits;
         let most = if limits.retry_after { limits.max_retry_after } else { 0 };
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -14,6 +14,7 @@
 const REJECTION_FRESHNESS: Micros = 500_000;
 
 impl Gateway {
+    /// Rejects a new request, admits it, or holds it until its quota owners have answered.
     pub(crate) fn on_request(&mut self, mut request: Request, actions: &mut Vec<Action>) {
         if self.requests.contains(request.id) {
             return; // delivered twice: the first one gets the answer
@@ -154,6 +155,7 @@
         unseen
     }
 
+    /// Two wake-ups: with less time left a request cannot be held.
     fn min_queue_time(&self) -> Micros {
         2 * WAKE_UP_TICKS * self.settings.tick
     }
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -58,6 +58,7 @@
         self.next_poll_at = self.next_poll_at.min(retry_at);
     }
 
+    /// Takes in how an attempt ended, and retries or answers a request that has none left in flight.
     pub(crate) fn on_attempt_ended(&mut self, ended: &AttemptEnded, actions: &mut Vec<Action>) {
         if let Some(class) = self.requests.get(ended.id).map(|state| usize::from(state.request.class)) {
             self.record_outcome(ended, class);
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -22,6 +22,7 @@
 
 /// The part of the ready backends that one choice looks at.
 struct Subset {
+    /// All backends that take work.
     ready: usize,
     /// Healthy candidates to compare.
     wanted: usize,
@@ -47,6 +48,7 @@
         self.wanted < self.ready
     }
 
+    /// Backends looked at before the choice gives up: those not drawn count, too.
     fn steps(&self) -> usize {
         if self.is_sampled() {
             4 * self.size
@@ -108,7 +110,8 @@
             if candidate.cost < best_cost {
                 (best, best_cost) = (Some(backend.endpoint.backend), candidate.cost);
             }
-            *if candidate.suspect { &mut suspect } else { &mut healthy } += 1;
+            suspect += usize::from(candidate.suspect);
+            healthy += usize::from(!candidate.suspect);
             if healthy >= subset.wanted || suspect > 4 * subset.wanted {
                 break;
             }
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -112,6 +112,7 @@
         }
     }
 
+    /// The stage for now, one up or down at most.
     fn next_stage(&self, now: Micros) -> usize {
         let since = now - self.stage_changed_at;
         // Rejections alone hold no alert up: shedding causes them, and the fleet may be idle behind them.
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -34,6 +34,7 @@
 const BASELINE_SAMPLES: f64 = 20.0;
 
 impl Health {
+    /// Takes it out of the choice for a while, which doubles with each ejection in a row.
     pub(crate) fn eject(&mut self, now: Micros) {
         self.ejected_until = now + (BASE_EJECTION_TIME << self.consecutive_ejections.min(3));
         self.consecutive_ejections = self.consecutive_ejections.saturating_add(1);
@@ -89,6 +90,7 @@
         self.peers.queue_sample(sample, retransmissions);
     }
 
+    /// Compares a latency with what the class usually takes, and follows both.
     fn record_latency(&mut self, seen: &Observation) {
         let Some(latency) = seen.latency else { return };
         let Some(backend) = self.backends.get_mut(seen.backend) else { return };
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -33,6 +33,7 @@
         sent
     }
 
+    /// Whether a further attempt is safe, could still be in time, and is within the limits.
     fn may_retry(&self, id: RequestId) -> bool {
         let Some(state) = self.requests.get(id) else { return false };
         let class = self.class_of(&state.request);
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -75,6 +75,7 @@
 }
 
 impl SettingsError {
+    /// A word at a path that is none of those known there.
     fn unknown_value(key: &str, value: &str) -> SettingsError {
         SettingsError::UnknownValue { key: key.to_string(), value: value.to_string() }
     }
@@ -99,10 +100,12 @@
         Ok(SettingsReader(map))
     }
 
+    /// The value at a path as it came.
     fn text(&self, key: &str) -> Result<&str, SettingsError> {
         self.0.get(key).map(String::as_str).ok_or_else(|| SettingsError::Missing { key: key.to_string() })
     }
 
+    /// The number at a path, finite and from 0 up.
     fn number(&self, key: &str) -> Result<f64, SettingsError> {
         let text = self.text(key)?;
         match text.parse::<f64>() {
@@ -120,6 +123,7 @@
         }
     }
 
+    /// The whole number at a path, `max` at most.
     fn whole_number(&self, key: &str, max: u64) -> Result<u64, SettingsError> {
         let text = self.text(key)?;
         match text.parse::<u64>() {
@@ -133,6 +137,7 @@
         self.whole_number(key, MAX_MICROS)
     }
 
+    /// The truth value at a path.
     fn flag(&self, key: &str) -> Result<bool, SettingsError> {
         match self.text(key)? {
             "true" => Ok(true),
@@ -154,8 +159,9 @@
         Ok(count)
     }
 
-    fn class(&self, i: u64) -> Result<Class, SettingsError> {
-        let key = |name: &str| format!("grades.{i}.{name}");
+    /// The request class at an index.
+    fn class(&self, index: u64) -> Result<Class, SettingsError> {
+        let key = |name: &str| format!("grades.{index}.{name}");
         let idempotency = match self.text(&key("effect"))? {
             "repeatable" => Idempotency::Idempotent,
             "once" => Idempotency::NonIdempotent,
@@ -181,8 +187,9 @@
         })
     }
 
-    fn plan(&self, i: u64) -> Result<Plan, SettingsError> {
-        let key = |name: &str| format!("contracts.{i}.{name}");
+    /// The plan at an index.
+    fn plan(&self, index: u64) -> Result<Plan, SettingsError> {
+        let key = |name: &str| format!("contracts.{index}.{name}");
         Ok(Plan {
             rate: self.number(&key("quota_rate"))?,
             burst: self.number(&key("burst"))?,
@@ -196,6 +203,7 @@
         })
     }
 
+    /// What the deployment permits.
     fn limits(&self) -> Result<Limits, SettingsError> {
         Ok(Limits {
             max_attempts: self.whole_number("limits.most_tries", u64::from(u32::MAX))? as u32,
@@ -212,6 +220,7 @@
         })
     }
 
+    /// The figures of the rules.
     fn rules(&self) -> Result<Rules, SettingsError> {
         Ok(Rules {
             answer_slack: self.micros("rules.answer_slack_us")?,
@@ -224,6 +233,7 @@
         })
     }
 
+    /// How the endpoint list comes.
     fn discovery(&self) -> Result<Discovery, SettingsError> {
         match self.text("membership_mode")? {
             "ask" => Ok(Discovery::Poll),
@@ -232,6 +242,7 @@
         }
     }
 
+    /// What the weights of endpoints mean.
     fn size_meaning(&self) -> Result<SizeMeaning, SettingsError> {
         match self.text("weights")? {
             "none" => Ok(SizeMeaning::None),
@@ -243,8 +254,10 @@
 
     /// What the module is told at its start.
     pub fn settings(&self) -> Result<Settings, SettingsError> {
-        let classes = (0..self.count("grades")?).map(|i| self.class(i)).collect::<Result<Vec<_>, _>>()?;
-        let plans = (0..self.count("contracts")?).map(|i| self.plan(i)).collect::<Result<Vec<_>, _>>()?;
+        let classes =
+            (0..self.count("grades")?).map(|index| self.class(index)).collect::<Result<Vec<_>, _>>()?;
+        let plans =
+            (0..self.count("contracts")?).map(|index| self.plan(index)).collect::<Result<Vec<_>, _>>()?;
         Ok(Settings {
             gateway_count: self.whole_number("n_instances", MAX_COUNT)? as u16,
             own_id: GatewayId(self.whole_number("slot_no", MAX_COUNT)? as u16),
--- a/src/state/arithmetic.rs
+++ b/src/state/arithmetic.rs
@@ -25,7 +25,9 @@
 /// Events a second, of which old ones count less and less.
 #[derive(Default)]
 pub struct DecayingRate {
+    /// As of the latest event.
     per_second: f64,
+    /// When that was.
     updated_at: Micros,
 }
 
@@ -45,7 +47,9 @@
 /// A mean in which new samples have a weight, and which falls to 0 by itself.
 #[derive(Clone, Default)]
 pub struct DecayingAverage {
+    /// As of the latest sample.
     value: f64,
+    /// When that was.
     updated_at: Micros,
 }
 
--- a/src/state/backend.rs
+++ b/src/state/backend.rs
@@ -11,16 +11,20 @@
     pub failures: DecayingAverage,
     /// When it last answered, with whatever outcome.
     pub last_heard_at: Micros,
+    /// Until then it is chosen last.
     pub ejected_until: Micros,
+    /// Ejections since the last good answer.
     pub consecutive_ejections: u32,
 }
 
 /// A backend that is ready, or that attempts are still in flight at.
 #[derive(Default)]
 pub struct Backend {
+    /// Its latest entry of the endpoint list.
     pub endpoint: Endpoint,
     /// Its capacity relative to others, 1 where the list does not say.
     pub size: f64,
+    /// It is listed as taking work.
     pub ready: bool,
     /// Attempts of this gateway in flight there.
     pub in_flight: u32,
@@ -30,7 +34,9 @@
     pub health: Vec<Health>,
     /// Requests waiting there as last reported.
     pub reported_queue_depth: f64,
+    /// When that was reported.
     pub reported_at: Micros,
+    /// When attempts were sent there, within the overload window.
     recent_sends: VecDeque<Micros>,
 }
 
@@ -49,6 +55,7 @@
         floor + (1.0 - floor) * self.age(now) as f64 / rules.slow_start_duration as f64
     }
 
+    /// The time since its process started.
     fn age(&self, now: Micros) -> Micros {
         now.saturating_sub(self.endpoint.started_at)
     }
--- a/src/state/backend_table.rs
+++ b/src/state/backend_table.rs
@@ -8,7 +8,9 @@
 /// The backends of a gateway, and what is made from their list.
 #[derive(Default)]
 pub struct BackendTable {
+    /// Those that are ready, and those with attempts in flight.
     backends: BTreeMap<BackendId, Backend>,
+    /// The ready ones by the short names that messages use.
     by_tag: BTreeMap<u32, BackendId>,
     /// The ready ones, in an order of this gateway's own.
     pub ready: EndpointIndex,
@@ -16,8 +18,11 @@
     pub ready_capacity: f64,
     /// Whether backends of a zone could be connected to.
     pub zone_health: BTreeMap<u8, Health>,
+    /// The gateway whose table this is.
     own_id: GatewayId,
+    /// How many request classes there are.
     classes: usize,
+    /// Whether the sizes of endpoints count.
     sizes_are_capacities: bool,
 }
 
@@ -32,10 +37,12 @@
         }
     }
 
+    /// A backend's record.
     pub fn get(&self, id: BackendId) -> Option<&Backend> {
         self.backends.get(&id)
     }
 
+    /// A backend's record, to change.
     pub fn get_mut(&mut self, id: BackendId) -> Option<&mut Backend> {
         self.backends.get_mut(&id)
     }
@@ -92,6 +99,7 @@
         backend.ready = endpoint.availability == Availability::Ready;
     }
 
+    /// Indexes all that is ready.
     fn rebuild_index(&mut self) {
         let ready = || self.backends.values().filter(|backend| backend.ready);
         let ready_ids = || ready().map(|backend| backend.endpoint.backend);
@@ -100,6 +108,7 @@
         self.ready = EndpointIndex::of(ready_ids().map(|id| (self.index_key(id), id)).collect());
     }
 
+    /// Takes a backend that is no longer ready out of the index.
     fn remove_from_index(&mut self, id: BackendId) {
         self.ready.remove(self.index_key(id), id);
         let tag = backend_tag(id.0);
--- a/src/state/endpoint_index.rs
+++ b/src/state/endpoint_index.rs
@@ -9,7 +9,9 @@
 /// Backends in the order of a key each, kept in parts: a change moves the entries of one part only.
 #[derive(Default)]
 pub struct EndpointIndex {
+    /// Each sorted, none empty, and none behind a later one.
     parts: Vec<Vec<(u64, BackendId)>>,
+    /// Entries of all parts.
     len: usize,
 }
 
--- a/src/state/gateway_set.rs
+++ b/src/state/gateway_set.rs
@@ -5,6 +5,7 @@
 /// A run of gateways by index; gateway 0 follows the last.
 #[derive(Clone, Copy, Default, PartialEq)]
 pub struct GatewaySet {
+    /// The first of them.
     pub start: u16,
     /// How many there are, at least 1; a request may name a fraction.
     pub size: f64,
--- a/src/state/latency.rs
+++ b/src/state/latency.rs
@@ -11,5 +11,6 @@
     pub unloaded: f64,
     /// Answers seen.
     pub sample_count: f64,
+    /// When the latest answer came.
     pub updated_at: Micros,
 }
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -6,8 +6,11 @@
 pub struct Attempt {
     /// The backend's entry of the endpoint list at the send.
     pub endpoint: Endpoint,
+    /// When the host was asked to send it.
     pub sent_at: Micros,
+    /// Its end has not been told.
     pub in_flight: bool,
+    /// The host was asked to cancel it.
     pub cancelled: bool,
     /// The outcome proved that the backend never executed it.
     pub never_executed: bool,
@@ -16,8 +19,11 @@
 /// A request from its arrival until its last attempt has ended.
 #[derive(Default)]
 pub struct RequestState {
+    /// As it came, but for the plan, which is its customer's.
     pub request: Request,
+    /// When it came.
     pub arrived_at: Micros,
+    /// By their number.
     pub attempts: Vec<Attempt>,
     /// Its final answer has been given.
     pub answered: bool,
--- a/src/state/request_table.rs
+++ b/src/state/request_table.rs
@@ -8,35 +8,43 @@
 /// The requests of a gateway.
 #[derive(Default)]
 pub struct RequestTable {
+    /// By their names.
     requests: BTreeMap<RequestId, RequestState>,
     /// Admitted requests that wait for a backend, in the order in which they came.
     pub queue: VecDeque<RequestId>,
+    /// When to look at which request, the earliest first.
     checks: BinaryHeap<Reverse<(Micros, RequestId)>>,
     /// Attempts in flight, of all requests.
     pub in_flight: u32,
 }
 
 impl RequestTable {
+    /// Whether a request is not finished.
     pub fn contains(&self, id: RequestId) -> bool {
         self.requests.contains_key(&id)
     }
 
+    /// A request's state.
     pub fn get(&self, id: RequestId) -> Option<&RequestState> {
         self.requests.get(&id)
     }
 
+    /// A request's state, to change.
     pub fn get_mut(&mut self, id: RequestId) -> Option<&mut RequestState> {
         self.requests.get_mut(&id)
     }
 
+    /// All requests that are not finished.
     pub fn iter(&self) -> impl Iterator<Item = &RequestState> {
         self.requests.values()
     }
 
+    /// Adds a request.
     pub fn insert(&mut self, state: RequestState) {
         self.requests.insert(state.request.id, state);
     }
 
+    /// Forgets a request.
     pub fn remove(&mut self, id: RequestId) {
         self.requests.remove(&id);
     }
--- a/src/state/retry_budget.rs
+++ b/src/state/retry_budget.rs
@@ -3,7 +3,9 @@
 /// The retries that a gateway may still send.
 #[derive(Default)]
 pub struct RetryBudget {
+    /// Retries that may be sent now.
     tokens: f64,
+    /// The most that may be saved up.
     burst: f64,
     /// Retries that a first attempt earns.
     ratio: f64,
@@ -20,6 +22,7 @@
         self.tokens = (self.tokens + self.ratio).min(self.burst);
     }
 
+    /// Whether a retry may be sent now.
     pub fn allows_retry(&self) -> bool {
         self.tokens >= 1.0
     }
--- a/src/state/retry_scope.rs
+++ b/src/state/retry_scope.rs
@@ -4,6 +4,7 @@
 
 /// Where the next attempt of a request may go.
 pub enum RetryScope {
+    /// To any backend.
     Anywhere,
     /// Where the idempotency key is known from the attempt that went to an endpoint.
     Within(IdempotencyScope, Endpoint),
