Split the usage reports and the grants off the quota decisions

Cause: quota.rs had 443 lines with two concerns: the buckets of a customer, and what gateways tell each other of them. No line of code changes.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -8,6 +8,7 @@
 mod outlier_detection;
 mod quota;
 mod retry;
+mod usage_reports;
 
 pub(crate) use gateway::report_interval;
 pub(crate) use load_balancing::MAX_REPORTED_QUEUE_DEPTH;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -1,7 +1,7 @@
 //! The quotas of customers over all gateways together: their token buckets, the gateways that own the quota
-//! of each customer and add up its usage, the reports of usage to the owners, and the owners' grants.
+//! of each customer and add up its usage, and how long a request has to wait for tokens.
 
-use crate::{gossip::*, state::*, *};
+use crate::{state::*, *};
 
 /// How long a grant holds where no newer one comes. After that a customer is admitted: most are inside their
 /// quota, and a large fleet whose messages are lost would else reject them all.
@@ -13,22 +13,17 @@
 const REPORT_PROPAGATION_TIME: Micros = 350_000;
 /// Part of a hard limit that two gateways hold and grant on request.
 const POOLED_HARD_LIMIT: f64 = 0.5;
-/// Gateways that start within so many milliseconds of each other have started together, as a fleet.
-const FLEET_START_WINDOW_MS: u32 = 1500;
 /// Time constant of rates of usage, in seconds: longer than pauses, shorter than shifts.
 pub(crate) const USAGE_RATE_TIME_CONSTANT: f64 = 2.0;
 /// A customer unseen for so long counts as new to load shedding; it is forgotten once its buckets are full.
 pub(crate) const CUSTOMER_IDLE_TIME: Micros = 10_000_000;
 /// Requests under another plan or set of gateways that a customer's record outlasts.
 const MAX_IDENTITY_CONFIDENCE: u8 = 8;
-/// Units of the hard limit that are granted later than this after the request for them lapse.
-const HARD_LIMIT_GRANT_LIFETIME: Micros = 250_000;
 /// Attempts of a peer that reports nothing count as in flight for so long.
 const REPORTED_IN_FLIGHT_LIFETIME: Micros = 1_500_000;
 
 impl Customer {
-    /// This gateway's share of the customer's usage, with a floor for a gateway that sees little of it so
-    /// far.
+    /// This gateway's share of the customer's usage, with a floor for a gateway that sees little of it.
     fn own_share(&self, plan: &Plan) -> f64 {
         let floor = if self.is_quota_owner || self.granted_at > 0 { 0.1 } else { 1.0 };
         let own_rate = self.own_rate.max(plan.rate / self.gateway_set.size.max(1.0) * floor);
@@ -70,65 +65,6 @@
         let in_use = self.in_flight > 0 || !self.awaiting_grant.is_empty();
         in_use || now - self.last_seen_at <= 2 * CUSTOMER_IDLE_TIME.max(refill_time(plan))
     }
-
-    /// At an owner: the units used through a gateway since its last report. The total of one that started
-    /// before this gateway may count usage of that time, too.
-    fn new_units(&mut self, plan: &Plan, last_total: u16, from_older: bool, report: &UsageReport) -> f64 {
-        let units = wrapping_delta(last_total, report.total_units);
-        if from_older && units.abs() > plan.burst / 4.0 {
-            // The peer's view of the bucket is all that is left to go by.
-            self.withheld_tokens -= units;
-            if let Some(tokens) = report.tokens_level.tokens(plan.burst) {
-                self.tokens = self.tokens.min((tokens - self.total_units).max(0.0));
-            }
-            return 0.0;
-        }
-        // A total that fell by more than can be given back was counted anew.
-        Some(units).filter(|units| *units >= -plan.burst).unwrap_or(0.0)
-    }
-
-    /// At an owner: the answer to a usage report, had it requested a grant. What is granted is charged at
-    /// once, since other gateways may ask before the next report comes.
-    fn grant(&mut self, plan: &Plan, usage: &mut GatewayUsage, report: &UsageReport) -> QuotaGrant {
-        let others_in_flight = self.in_flight_without(usage);
-        let has_tokens = plan.burst == 0.0 || self.tokens >= report.requested_units;
-        let has_concurrency = plan.concurrency_quota == 0
-            || others_in_flight + u32::from(report.in_flight) < plan.concurrency_quota;
-        let granted = report.requests_grant && has_tokens && has_concurrency;
-        let tokens = self.tokens;
-        self.reserve(usage, report, granted);
-        QuotaGrant {
-            customer: report.customer,
-            receiver_total: report.total_units,
-            tokens,
-            remote_rate: (self.own_rate + self.remote_rate - usage.rate).max(0.0),
-            remote_in_flight: others_in_flight.min(u32::from(MAX_REPORTED_IN_FLIGHT)) as u8,
-            hard_limit_grant: self.grant_hard_limit(report),
-        }
-    }
-
-    /// Units of the hard limit for a gateway. They are deducted here first: with a lost message they are
-    /// lost.
-    fn grant_hard_limit(&mut self, report: &UsageReport) -> f64 {
-        let requested = report.requests_grant && report.needs_hard_limit_grant;
-        let granted = requested && self.hard_limit_tokens >= report.requested_units;
-        let units = if granted { floor_to_wire_units(report.requested_units) } else { 0.0 };
-        self.hard_limit_tokens -= units;
-        units
-    }
-
-    /// Elsewhere: the bucket is as an owner says, less the usage that the owner cannot know of.
-    fn apply_grant(&mut self, plan: &Plan, grant: &QuotaGrant, now: Micros) {
-        self.remote_rate = grant.remote_rate;
-        self.remote_in_flight = u32::from(grant.remote_in_flight);
-        self.granted_at = now;
-        self.tokens = grant.tokens - wrapping_delta(grant.receiver_total, wrap_total(self.total_units));
-        // What the owner granted it has charged, too: it need not be reported again.
-        let had_tokens = plan.burst <= 0.0 || grant.tokens >= self.requested_units;
-        let in_flight = self.remote_in_flight + self.in_flight;
-        self.charged_by_owner =
-            had_tokens && (plan.concurrency_quota == 0 || in_flight < plan.concurrency_quota);
-    }
 }
 
 impl Gateway {
@@ -250,44 +186,6 @@
         }
     }
 
-    /// Queues a report of a customer's usage to its owners, with or without a request for a grant.
-    pub(crate) fn queue_usage_report(&mut self, id: CustomerId, request: bool, actions: &mut Vec<Action>) {
-        let Some(customer) = self.quota.customers.get(&id) else { return };
-        if !self.settings.limits.peer_messages {
-            return;
-        }
-        let own_id = self.settings.own_id.0;
-        let hard_limit_owners = customer.hard_limit_owners;
-        let owned_by_all = self.all_gateways_own_quotas();
-        // Sent twice: a lost one would leave an attempt in flight for long. A large fleet has no messages to
-        // spare.
-        let retransmissions = if owned_by_all { 2 } else { 1 };
-        for owner in customer.quota_owners.clone().into_iter().filter(|owner| *owner != own_id) {
-            let requests_grant = request && hard_limit_owners.contains(&owner);
-            self.peers.queue(owner, id, OutboxEntry { retransmissions, requests_grant });
-            if requests_grant && (owned_by_all || self.peers.entry(owner).next_send_at <= self.now) {
-                self.flush_outbox(owner, actions);
-            }
-        }
-    }
-
-    /// What a peer that owns a customer's quota is told of its usage.
-    pub(crate) fn report_to(&mut self, to: u16, id: CustomerId, entry: OutboxEntry) -> Option<UsageReport> {
-        let (now, own_id) = (self.now, self.settings.own_id.0);
-        let customer = self.quota.refill(id, now, &self.settings.plans)?;
-        let granted_lately = now - customer.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
-        let level_known = customer.is_quota_owner || granted_lately;
-        let burst = level_known.then_some(self.settings.plans[customer.plan].burst);
-        // One of the two is drawn to grant units of the hard limit: two grants would waste one.
-        let drawn = customer.hard_limit_owners[usize::from(hash(now ^ id.0) < 0.5)];
-        let is_granter = drawn == to || customer.hard_limit_owners.contains(&own_id);
-        Some(UsageReport {
-            requests_grant: entry.requests_grant,
-            needs_hard_limit_grant: entry.requests_grant && customer.needs_hard_limit_grant && is_granter,
-            ..customer.usage_report(id, burst)
-        })
-    }
-
     /// Once a second: reports customers with attempts in flight again, and forgets what is old.
     pub(crate) fn sweep(&mut self, actions: &mut Vec<Action>) {
         let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
@@ -312,132 +210,4 @@
         });
         with_attempts.into_iter().for_each(|id| self.queue_usage_report(id, false, actions));
     }
-
-    /// Takes in a message from a peer.
-    pub(crate) fn on_peer_message(&mut self, from: GatewayId, bytes: &[u8], actions: &mut Vec<Action>) {
-        let Some((message, receipt)) = self.receive_message(from, bytes) else { return };
-        if let Receipt::NewIncarnation { restarted } = receipt {
-            self.on_new_incarnation(from.0, restarted);
-        }
-        let own_incarnation = incarnation_of(self.started_at);
-        self.release_withheld_tokens(own_incarnation);
-        self.record_peer_samples(&message.samples);
-        match message.body {
-            Body::UsageReports(reports) => {
-                let is_older = message.incarnation < own_incarnation;
-                let grants =
-                    reports.iter().filter_map(|report| self.on_usage_report(from.0, is_older, report));
-                let grants: Vec<QuotaGrant> = grants.collect();
-                if !grants.is_empty() {
-                    let body = Body::QuotaGrants { receiver_incarnation: message.incarnation, grants };
-                    self.send_message(from.0, body, actions);
-                }
-            }
-            // Grants for an earlier incarnation of this gateway would count twice.
-            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != own_incarnation => {}
-            Body::QuotaGrants { grants, .. } => {
-                grants.iter().for_each(|grant| self.on_quota_grant(from.0, grant, actions));
-            }
-        }
-    }
-
-    /// A peer that starts counts its usage anew. As an owner it knows nothing: it is told once.
-    fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
-        // In a large fleet every peer is unknown to begin with.
-        let reports_again = restarted || self.all_gateways_own_quotas();
-        let mut unreported = Vec::new();
-        for (id, customer) in &mut self.quota.customers {
-            customer.forget_usage_of(peer);
-            let is_active = self.now - customer.last_seen_at < CUSTOMER_IDLE_TIME / 5;
-            if reports_again && is_active && customer.quota_owners.contains(&peer) {
-                unreported.push(*id);
-            }
-        }
-        unreported.into_iter().for_each(|id| self.peers.queue_single_report(peer, id));
-    }
-
-    /// Once all gateways turn out to have started together, buckets were full then: what was withheld of
-    /// each, lest a restart refill it, is given out. A customer always beyond its quota would never get it
-    /// otherwise.
-    fn release_withheld_tokens(&mut self, own_incarnation: u32) {
-        let is_unreleased = self.quota.usage_known_since.is_some();
-        let all_known = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
-        if is_unreleased && all_known && self.peers.all_started_within(FLEET_START_WINDOW_MS, own_incarnation)
-        {
-            self.quota.release_withheld_tokens();
-        }
-    }
-
-    /// Whether this gateway started lately, and the whole fleet with it. Later a peer may have forgotten
-    /// customers.
-    fn fleet_just_started(&self) -> bool {
-        self.quota.usage_known_since.is_none() && self.now - self.started_at < CUSTOMER_IDLE_TIME
-    }
-
-    /// A peer, one that started before this gateway or not, reports its usage of a customer; the answer if it
-    /// requests a grant.
-    fn on_usage_report(&mut self, from: u16, is_older: bool, report: &UsageReport) -> Option<QuotaGrant> {
-        self.observe_reported_customer(report)?;
-        let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
-        let may_count_more = is_older && !self.fleet_just_started();
-        let plan = &self.settings.plans[usize::from(report.plan)];
-        let customer = self.quota.refill(report.customer, now, &self.settings.plans)?;
-        if customer.plan != usize::from(report.plan) || !customer.is_quota_owner {
-            return None;
-        }
-        customer.last_seen_at = customer.last_seen_at.max(now);
-        let known = customer.usage_by_gateway.get(&from).copied();
-        let mut usage = known.unwrap_or_default();
-        let may_count_more = may_count_more && known.is_none();
-        let units = customer.new_units(plan, usage.reported_total, may_count_more, report);
-        // Usage beyond the quota leaves no debt with an owner that is asked before each request.
-        let min_tokens = if owned_by_all { -plan.burst } else { customer.tokens.min(0.0) };
-        customer.tokens = (customer.tokens + usage.granted_units - units).clamp(min_tokens, plan.burst);
-        // With a concurrency quota in a large fleet the rate is that of requests for grants, the sender's
-        // included.
-        let counts_requests = !owned_by_all && plan.concurrency_quota > 0;
-        let counted = if counts_requests { f64::from(u8::from(report.requests_grant)) } else { units };
-        let counted_for_sender = if counts_requests { 0.0 } else { units };
-        usage.record(report.total_units, counted_for_sender, now, USAGE_RATE_TIME_CONSTANT);
-        customer.remote_rate = (customer.remote_rate + counted / USAGE_RATE_TIME_CONSTANT).max(0.0);
-        let grant = customer.grant(plan, &mut usage, report);
-        customer.usage_by_gateway.insert(from, usage);
-        report.requests_grant.then_some(grant)
-    }
-
-    /// Takes note of a customer in a report; none if its plan is unknown. One that never came here has the
-    /// tokens that the peer says, or what has come since this start.
-    fn observe_reported_customer(&mut self, report: &UsageReport) -> Option<()> {
-        let plan = self.settings.plans.get(usize::from(report.plan))?;
-        let refilled = plan.rate * self.quota.seconds_of_known_usage(self.now);
-        let presumed = if self.all_gateways_own_quotas() { refilled.min(plan.burst) } else { plan.burst };
-        let reported = report.tokens_level.tokens(plan.burst).filter(|_| !self.fleet_just_started());
-        let tokens = reported.unwrap_or(presumed);
-        let claimed = Customer::new(usize::from(report.plan), plan, tokens, self.now);
-        let set = GatewaySet { start: report.gateway_set_start, size: report.gateway_set_size.into() };
-        self.record_identity(report.customer, set, claimed);
-        Some(())
-    }
-
-    /// An owner grants quota, or says that there is none: the requests that wait are decided again.
-    fn on_quota_grant(&mut self, from: u16, grant: &QuotaGrant, actions: &mut Vec<Action>) {
-        let (now, plans) = (self.now, &self.settings.plans);
-        let Some(customer) = self.quota.refill(grant.customer, now, plans) else { return };
-        if !customer.quota_owners.contains(&from) {
-            return;
-        }
-        if !customer.is_quota_owner {
-            customer.apply_grant(&plans[customer.plan], grant, now);
-        }
-        customer.owners_answered.push(from);
-        // Units of the hard limit are for a request that waits: kept longer, they would overfill the bucket.
-        if now - customer.grant_requested_at < HARD_LIMIT_GRANT_LIFETIME {
-            customer.hard_limit_grant += grant.hard_limit_grant;
-        }
-        // One owner may have too little: a request is rejected only once both have said so.
-        let is_last = customer.hard_limit_owners_answered(self.settings.own_id.0);
-        for id in customer.awaiting_grant.clone() {
-            self.admit(id, is_last, actions);
-        }
-    }
 }
