Split the decision digest's test into deployment, fleet and digest

tests/decision_digest.rs held settings, a fleet with its hosts, the hash and four tests in some 780 lines.

The target decision_digest is now a folder: main has the four tests and the pinned values, deployment the settings and endpoint lists, fleet the driven gateways, digest the hash and the counts. All are moved as they were; the tests keep their names and values.

--- /dev/null
+++ b/tests/decision_digest/deployment.rs
@@ -0,0 +1,166 @@
+//! The settings and endpoint lists of the fleets.
+
+use ingress::*;
+
+pub const START: Micros = 1_000_000_000;
+
+pub const SECOND: Micros = 1_000_000;
+
+pub const MILLISECOND: Micros = 1_000;
+
+/// How many gateways the settings name, how many of them run, and what they run with.
+#[derive(Clone, Copy)]
+pub struct FleetSize {
+    pub gateway_count: u16,
+    pub live_gateways: u16,
+    pub backends: u64,
+    pub peer_messages_per_second: f64,
+}
+
+pub const THREE: FleetSize =
+    FleetSize { gateway_count: 3, live_gateways: 3, backends: 15, peer_messages_per_second: 60.0 };
+/// The largest fleet in which each of a customer's gateways is one of its quota owners.
+pub const THIRTY: FleetSize =
+    FleetSize { gateway_count: 30, live_gateways: 5, backends: 60, peer_messages_per_second: 130.0 };
+/// A customer has one quota owner, which is asked for grants.
+pub const THREE_HUNDRED: FleetSize =
+    FleetSize { gateway_count: 300, live_gateways: 6, backends: 300, peer_messages_per_second: 60.0 };
+
+/// The two deployments that each fleet is driven in.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Deployment {
+    /// Hedging, a pushed endpoint list, equal backends.
+    Hedged,
+    /// No hedging, discovery has to be polled, sizes are capacities, units are settled with the answer.
+    Single,
+}
+
+fn class(idempotency: Idempotency, latency_objective: Micros) -> Class {
+    Class {
+        latency_objective,
+        latency_objective_stretch: 0.0,
+        deadline: 4 * SECOND,
+        priority_weight: 1.0,
+        late_weight: 0.0,
+        idempotency,
+        streaming: false,
+    }
+}
+
+/// Idempotent, keyed by cell and by zone, non-idempotent, streamed.
+fn classes() -> Vec<Class> {
+    let keyed = |group| Idempotency::Keyed { scope: group, window: 2 * SECOND };
+    vec![
+        class(Idempotency::Idempotent, SECOND),
+        class(keyed(IdempotencyScope::Cell), SECOND),
+        class(keyed(IdempotencyScope::Zone), 2 * SECOND),
+        class(Idempotency::NonIdempotent, SECOND),
+        Class {
+            streaming: true,
+            late_weight: 0.2,
+            latency_objective_stretch: 0.5,
+            ..class(Idempotency::Idempotent, 2 * SECOND)
+        },
+    ]
+}
+
+/// Unlimited, with a rate quota, with a hard limit, with a concurrency quota; at several prices.
+fn plans() -> Vec<Plan> {
+    let large = Plan {
+        rate: 1e6,
+        burst: 1e6,
+        concurrency_quota: 0,
+        hard_limit_rate: 0.0,
+        hard_limit_burst: 0.0,
+        hard_limit_slack: 0.0,
+        price: 1.0,
+        over_quota_weight: 0.0,
+        over_quota_cost: 1.0,
+    };
+    vec![
+        large.clone(),
+        Plan { rate: 4.0, burst: 12.0, price: 1.3, ..large.clone() },
+        Plan {
+            rate: 100.0,
+            burst: 100.0,
+            hard_limit_rate: 5.0,
+            hard_limit_burst: 12.0,
+            price: 2.0,
+            ..large.clone()
+        },
+        Plan { rate: 0.0, burst: 0.0, concurrency_quota: 2, over_quota_cost: 0.5, ..large },
+    ]
+}
+
+fn limits(size: FleetSize, deployment: Deployment) -> Limits {
+    Limits {
+        max_attempts: 3,
+        hedging: deployment == Deployment::Hedged,
+        cancellation: true,
+        health_checks: false,
+        peer_messages: true,
+        peer_messages_per_second: size.peer_messages_per_second,
+        retry_after: true,
+        max_retry_after: 2 * SECOND,
+        shared_counter: false,
+        max_open_requests: 20_000,
+        connect_timeout: 250 * MILLISECOND,
+    }
+}
+
+pub fn settings(size: FleetSize, deployment: Deployment, own_id: u16) -> Settings {
+    let single = deployment == Deployment::Single;
+    Settings {
+        gateway_count: size.gateway_count,
+        own_id: GatewayId(own_id),
+        zone: (own_id % 2) as u8,
+        tick: 4 * MILLISECOND,
+        classes: classes(),
+        plans: plans(),
+        limits: limits(size, deployment),
+        rules: Rules {
+            answer_slack: 16 * MILLISECOND,
+            drain_grace: 250 * MILLISECOND,
+            slow_start_floor: 0.2,
+            slow_start_duration: 10 * SECOND,
+            overload_factor: 3.0,
+            overload_window: SECOND,
+            max_poll_interval: 10 * SECOND,
+        },
+        discovery: if single { Discovery::Poll } else { Discovery::Push },
+        size_meaning: if single { SizeMeaning::Capacity } else { SizeMeaning::None },
+        meter_period: 0,
+        postpaid: single,
+    }
+}
+
+/// The entry of a backend in the endpoint list at a time of the run; none while it is not on the list.
+fn endpoint_at(backend: u64, time: Micros, size: FleetSize) -> Option<Endpoint> {
+    let is_away = (18 * SECOND..22 * SECOND).contains(&time) && backend + 2 >= size.backends;
+    let (availability, started_at) = match (backend, time / SECOND) {
+        (2, 5) => (Availability::Draining, 0),
+        (2, 6) | (3, 23..) => (Availability::Gone, 0),
+        (2, 7..) => (Availability::Ready, START + 7 * SECOND),
+        _ => (Availability::Ready, 0),
+    };
+    let entry = Endpoint {
+        backend: BackendId(backend),
+        zone: (backend % 2) as u8,
+        cell: (backend % 4) as u16,
+        machine_type: 0,
+        availability,
+        size: 1.0 + (backend % 3) as f64 / 2.0,
+        started_at,
+    };
+    (!is_away).then_some(entry)
+}
+
+/// The event by which a gateway gets the endpoint list.
+pub fn endpoint_event(kind: EndpointUpdate, time: Micros, size: FleetSize) -> Event {
+    let backends = match kind {
+        EndpointUpdate::Delta => 2..4,
+        EndpointUpdate::Snapshot | EndpointUpdate::CachedSnapshot => 0..size.backends,
+        EndpointUpdate::PollFailed => 0..0,
+    };
+    Event::Endpoints(kind, backends.filter_map(|backend| endpoint_at(backend, time, size)).collect())
+}
--- /dev/null
+++ b/tests/decision_digest/main.rs
@@ -0,0 +1,113 @@
+//! Pins what gateways decide and tell each other. Fleets of three sizes are driven by a seeded stream of events on a
+//! simulated clock; every action is folded into a 64-bit FNV-1a hash by its values alone: a number that this file gives
+//! to its kind, ids, integers, the bytes of messages. Names and texts do not enter, so that renaming types, fields or
+//! files leaves the digests as they are, while a change of any decision or of the wire format moves them.
+//!
+//! The crate's names stand in few places: [`Digest::fold_action`] reads actions, `deployment` builds the settings, and
+//! [`Fleet`] makes the events. Where a decision is meant to change, the pinned [`Pinned`] values change in the same
+//! commit, which says so.
+
+mod deployment;
+mod digest;
+mod fleet;
+
+use deployment::{Deployment, FleetSize, THIRTY, THREE, THREE_HUNDRED};
+use digest::{Counts, Digest, Pinned};
+use fleet::Fleet;
+
+const GATEWAY_SEED: u64 = 7;
+
+/// Runs a fleet in each deployment.
+fn drive(size: FleetSize, gateway_seed: u64) -> Pinned {
+    let hedged = Fleet::new(size, Deployment::Hedged, gateway_seed, Digest::new()).run();
+    let both = Fleet::new(size, Deployment::Single, gateway_seed, hedged).run();
+    Pinned { digest: both.state, counts: both.counts }
+}
+
+/// Every kind of action that decisions ask for occurs more than once.
+fn assert_all_occur(counts: Counts) {
+    let occurring = [
+        counts.sends,
+        counts.rejections_with_retry_after,
+        counts.rejections_without_retry_after,
+        counts.failures,
+        counts.cancels,
+        counts.timers,
+        counts.usage_reports,
+        counts.quota_grants,
+        counts.watches,
+        counts.logs,
+    ];
+    assert!(occurring.iter().all(|count| *count >= 3), "a kind of action hardly occurs: {counts:?}");
+    assert_eq!(counts.others, 0, "a kind of action occurs that no decision asked for so far");
+}
+
+fn assert_pinned(size: FleetSize, pinned: Pinned) {
+    let driven = drive(size, GATEWAY_SEED);
+    assert_all_occur(driven.counts);
+    assert_eq!(
+        driven, pinned,
+        "decisions or bytes of a fleet of {} changed: {:#x}",
+        size.gateway_count, driven.digest
+    );
+}
+
+#[test]
+fn three_gateways_decide_as_pinned() {
+    let counts = Counts {
+        sends: 8903,
+        rejections_with_retry_after: 5673,
+        rejections_without_retry_after: 273,
+        failures: 223,
+        cancels: 439,
+        timers: 8400,
+        usage_reports: 6031,
+        quota_grants: 1875,
+        watches: 22,
+        logs: 54,
+        others: 0,
+    };
+    assert_pinned(THREE, Pinned { digest: 0x7C3D_0817_9925_D4C0, counts });
+}
+
+#[test]
+fn gateways_of_thirty_decide_as_pinned() {
+    let counts = Counts {
+        sends: 11_578,
+        rejections_with_retry_after: 12_137,
+        rejections_without_retry_after: 507,
+        failures: 292,
+        cancels: 445,
+        timers: 14_000,
+        usage_reports: 5182,
+        quota_grants: 2436,
+        watches: 36,
+        logs: 84,
+        others: 0,
+    };
+    assert_pinned(THIRTY, Pinned { digest: 0x72D3_C188_DB86_FCFD, counts });
+}
+
+#[test]
+fn gateways_of_three_hundred_decide_as_pinned() {
+    let counts = Counts {
+        sends: 14_040,
+        rejections_with_retry_after: 15_090,
+        rejections_without_retry_after: 546,
+        failures: 585,
+        cancels: 1312,
+        timers: 16_800,
+        usage_reports: 35_232,
+        quota_grants: 19_782,
+        watches: 46,
+        logs: 100,
+        others: 0,
+    };
+    assert_pinned(THREE_HUNDRED, Pinned { digest: 0x4EB5_97FA_C890_06C5, counts });
+}
+
+/// The digest depends on what gateways draw at random: the same stream at gateways with another seed gives another one.
+#[test]
+fn another_seed_gives_another_digest() {
+    assert_ne!(drive(THREE, GATEWAY_SEED).digest, drive(THREE, GATEWAY_SEED + 1).digest);
+}
