--- a/src/bin/ingress/discovery/tests.rs
+++ b/src/bin/ingress/discovery/tests.rs
@@ -12,9 +12,9 @@
 
 /// A whole list of so many backends.
 pub fn long_list(backends: usize) -> String {
-    let entry = |n| {
+    let entry = |number| {
         format!(
-            r#"{{"name":"s-{n:08x}","address":"127.0.0.9:6379","zone":"b","type":"m2","group":3,"status":"up","weight":1.5,"since_ms":7}}"#
+            r#"{{"name":"s-{number:08x}","address":"127.0.0.9:6379","zone":"b","type":"m2","group":3,"status":"up","weight":1.5,"since_ms":7}}"#
         )
     };
     let entries: Vec<String> = (0..backends).map(entry).collect();
--- a/src/bin/simulator-adapter/wire/tests.rs
+++ b/src/bin/simulator-adapter/wire/tests.rs
@@ -32,15 +32,15 @@
         ),
     ];
     let mut reply = Reply::new(5);
-    let list: Vec<Action> = actions.iter().map(|a| a.1.clone()).collect();
+    let list: Vec<Action> = actions.iter().map(|(_, action, _)| action.clone()).collect();
     reply.push(InstanceId(3), &list);
     let frame = reply.finish();
     let mut header = FieldReader::new(&frame);
     assert_eq!((header.u32() as usize, header.u32() as usize), (actions.len(), frame.len()));
     assert_eq!(header.u32(), 5);
     assert_eq!(&frame[REPLY_HEADER_SIZE + ACTION_SIZE * actions.len()..], b"\x08\x09\x07abc");
-    for (n, (code, action, fields)) in actions.iter().enumerate() {
-        let record = &frame[REPLY_HEADER_SIZE + ACTION_SIZE * n..][..ACTION_SIZE];
+    for (index, (code, action, fields)) in actions.iter().enumerate() {
+        let record = &frame[REPLY_HEADER_SIZE + ACTION_SIZE * index..][..ACTION_SIZE];
         assert_eq!(record[..3], [*code, 3, 0], "{action:?}");
         for (at, value) in fields {
             assert_eq!(record[*at], *value, "{action:?} at {at}");
@@ -48,24 +48,31 @@
     }
 }
 
+/// A record of an event at instance 1, with the given bytes at their places.
+fn event_record(code: u8, parts: &[(usize, &[u8])]) -> [u8; RECORD_SIZE] {
+    let mut record = [0; RECORD_SIZE];
+    (record[0], record[1]) = (code, 1);
+    parts.iter().for_each(|(at, bytes)| record[*at..*at + bytes.len()].copy_from_slice(bytes));
+    record
+}
+
+/// The event that a record holds.
+fn read_event(body: [u8; RECORD_SIZE]) -> Event {
+    let record = Record { batch: 1, index: 0, body: &body, tail: &[4, 5, 6] };
+    assert_eq!(record.instance(), InstanceId(1));
+    match record.decode(&["depth".to_string()]) {
+        Ok(RecordContent::Event(event)) => event,
+        _ => panic!("not an event"),
+    }
+}
+
+fn float(value: f32) -> [u8; 4] {
+    value.to_le_bytes()
+}
+
 #[test]
-fn events_are_read_from_their_places() {
-    let read = |body: [u8; RECORD_SIZE]| {
-        let record = Record { batch: 1, index: 0, body: &body, tail: &[4, 5, 6] };
-        assert_eq!(record.instance(), InstanceId(1));
-        match record.decode(&["depth".to_string()]) {
-            Ok(RecordContent::Event(event)) => event,
-            _ => panic!("not an event"),
-        }
-    };
-    let body = |code: u8, parts: &[(usize, &[u8])]| {
-        let mut record = [0; RECORD_SIZE];
-        (record[0], record[1]) = (code, 1);
-        parts.iter().for_each(|(at, bytes)| record[*at..*at + bytes.len()].copy_from_slice(bytes));
-        record
-    };
-    let float = |value: f32| value.to_le_bytes();
-    let request = body(
+fn a_request_is_read_from_its_places() {
+    let request = event_record(
         10,
         &[
             (3, &[9]),
@@ -78,11 +85,15 @@
             (38, &float(7.0)),
         ],
     );
-    let Event::Request(request) = read(request) else { panic!("not a request") };
+    let Event::Request(request) = read_event(request) else { panic!("not a request") };
     let Request { id, class, plan, customer, deadline, units, gateway_set_size, gateway_set_start } = request;
     assert_eq!((id, class, plan, customer, deadline), (RequestId(9), 2, 3, CustomerId(4), 5));
     assert_eq!((units, gateway_set_size, gateway_set_start), (2.0, 3.0, 7.0));
-    let attempt_ended = body(
+}
+
+#[test]
+fn the_end_of_an_attempt_is_read_from_its_places() {
+    let attempt_ended = event_record(
         20,
         &[
             (3, &[9]),
@@ -107,7 +118,7 @@
         metered,
         charged_units,
         load_report,
-    }) = read(attempt_ended)
+    }) = read_event(attempt_ended)
     else {
         panic!("not the end of an attempt")
     };
@@ -115,19 +126,23 @@
     assert_eq!((outcome, answered, elapsed), (Outcome::Ok, true, 7));
     assert_eq!((metered, charged_units), (Some(0.5), Some(3.0)));
     assert_eq!(load_report, Some(LoadReport { queue_depth: Some(6.0), ..LoadReport::default() }));
-    assert!(matches!(read(body(90, &[(3, &[6])])), Event::ClientDisconnected(RequestId(6))));
-    assert!(matches!(read(body(70, &[(3, &[6])])), Event::Timer(6)));
-    let first_byte = read(body(100, &[(3, &[6]), (11, &[2])]));
+}
+
+#[test]
+fn other_events_are_read_from_their_places() {
+    assert!(matches!(read_event(event_record(90, &[(3, &[6])])), Event::ClientDisconnected(RequestId(6))));
+    assert!(matches!(read_event(event_record(70, &[(3, &[6])])), Event::Timer(6)));
+    let first_byte = read_event(event_record(100, &[(3, &[6]), (11, &[2])]));
     assert!(matches!(first_byte, Event::FirstByte { id: RequestId(6), attempt: 2 }));
-    let message = read(body(80, &[(3, &[2]), (5, &[1]), (9, &[2])]));
+    let message = read_event(event_record(80, &[(3, &[2]), (5, &[1]), (9, &[2])]));
     let Event::PeerMessage { from, bytes } = message else { panic!("not a peer's message") };
     assert_eq!((from, bytes), (GatewayId(2), vec![5, 6]));
-    let health_check = read(body(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
+    let health_check = read_event(event_record(30, &[(3, &[8]), (9, &[0x99, 1]), (11, &[7])]));
     let Event::HealthCheckEnded { backend, outcome, elapsed, load_report } = health_check else {
         panic!("not the end of a health check")
     };
     assert_eq!((backend, outcome, elapsed, load_report), (BackendId(8), Outcome::NotSent, 7, None));
-    let counter = read(body(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
+    let counter = read_event(event_record(40, &[(3, &[5]), (11, &[200]), (13, &float(38.0))]));
     let Event::CounterUpdated { name, outcome, total } = counter else { panic!("not a counter's update") };
     assert_eq!((name, outcome, total), (5, Outcome::Ok, 38.0));
 }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -109,7 +109,7 @@
     fn number(&self, key: &str) -> Result<f64, SettingsError> {
         let text = self.text(key)?;
         match text.parse::<f64>() {
-            Ok(n) if n.is_finite() && n >= 0.0 => Ok(n),
+            Ok(number) if number.is_finite() && number >= 0.0 => Ok(number),
             _ => Err(SettingsError::NotANumber { key: key.to_string(), value: text.to_string() }),
         }
     }
@@ -127,7 +127,7 @@
     fn whole_number(&self, key: &str, max: u64) -> Result<u64, SettingsError> {
         let text = self.text(key)?;
         match text.parse::<u64>() {
-            Ok(n) if n <= max => Ok(n),
+            Ok(number) if number <= max => Ok(number),
             _ => Err(SettingsError::NotAWholeNumber { key: key.to_string(), max, value: text.to_string() }),
         }
     }
@@ -152,7 +152,8 @@
         let prefix = format!("{list}.");
         for key in self.0.keys() {
             let index = key.strip_prefix(&prefix).and_then(|rest| rest.split('.').next());
-            if index.and_then(|i| i.parse::<u64>().ok()).is_some_and(|i| i >= count) {
+            let index = index.and_then(|index| index.parse::<u64>().ok());
+            if index.is_some_and(|index| index >= count) {
                 return Err(SettingsError::BeyondCount { list: list.to_string(), count, key: key.clone() });
             }
         }
@@ -284,12 +285,12 @@
 
     /// A list of plain values.
     pub fn list(&self, key: &str) -> Result<Vec<String>, SettingsError> {
-        Ok(self.text(key)?.split(',').filter(|n| !n.is_empty()).map(String::from).collect())
+        Ok(self.text(key)?.split(',').filter(|value| !value.is_empty()).map(String::from).collect())
     }
 
     /// The names of the objects in a list, such as the classes in `grades`.
     pub fn names(&self, list: &str) -> Result<Vec<String>, SettingsError> {
-        let name = |i| self.text(&format!("{list}.{i}.name")).map(String::from);
+        let name = |index| self.text(&format!("{list}.{index}.name")).map(String::from);
         (0..self.count(list)?).map(name).collect()
     }
 }
--- a/src/state/backend_table.rs
+++ b/src/state/backend_table.rs
@@ -63,7 +63,8 @@
     /// Takes a changed entry of the list. The index is kept up to date in time that hardly grows with the list.
     pub fn apply_change(&mut self, endpoint: Endpoint) {
         let id = endpoint.backend;
-        let size_before = self.backends.get(&id).filter(|backend| backend.ready).map_or(0.0, |b| b.size);
+        let size_before =
+            self.backends.get(&id).filter(|backend| backend.ready).map_or(0.0, |backend| backend.size);
         self.upsert(endpoint);
         let Some(backend) = self.backends.get(&id) else { return };
         let ready = backend.ready;
--- a/src/state/endpoint_index.rs
+++ b/src/state/endpoint_index.rs
@@ -4,12 +4,12 @@
 use crate::BackendId;
 
 /// Entries of a part from which it is split in two.
-const MOST_IN_PART: usize = 512;
+const MAX_PART_LEN: usize = 512;
 
 /// Backends in the order of a key each, kept in parts: a change moves the entries of one part only.
 #[derive(Default)]
 pub struct EndpointIndex {
-    /// Each sorted, none empty, and none behind a later one.
+    /// Each sorted and not empty; the entries of one come before those of the next.
     parts: Vec<Vec<(u64, BackendId)>>,
     /// Entries of all parts.
     len: usize,
@@ -20,7 +20,7 @@
     pub fn of(mut all: Vec<(u64, BackendId)>) -> EndpointIndex {
         all.sort_unstable();
         all.dedup();
-        let parts = all.chunks(MOST_IN_PART / 2).map(<[_]>::to_vec).collect();
+        let parts = all.chunks(MAX_PART_LEN / 2).map(<[_]>::to_vec).collect();
         EndpointIndex { parts, len: all.len() }
     }
 
@@ -56,8 +56,8 @@
         let Err(place) = part.binary_search(&entry) else { return };
         part.insert(place, entry);
         self.len += 1;
-        if part.len() > MOST_IN_PART {
-            let rest = part.split_off(MOST_IN_PART / 2);
+        if part.len() > MAX_PART_LEN {
+            let rest = part.split_off(MAX_PART_LEN / 2);
             self.parts.insert(at + 1, rest);
         }
     }
