Give a customer's request for a grant and its share of the hard limit types of their own

Cause: Customer had 27 fields, of which ten were about a request for a grant and this gateway's part of the hard limit. Change: GrantRequest and HardLimitShare, with methods that need only their own state; the times in which buckets refill stand in state/token_bucket.rs. No sum changes its order.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -37,7 +37,7 @@
         let freshness = if over_rate_quota { REJECTION_FRESHNESS } else { yes_freshness };
         let granted_ago = self.now - customer.granted_at.min(self.now);
         let known = customer.is_quota_owner || granted_ago < freshness;
-        let elsewhere = customer.hard_limit_owners != [self.settings.own_id.0; 2];
+        let elsewhere = customer.hard_limit.owners != [self.settings.own_id.0; 2];
         let needs_grant = wait.hard_limit.is_some() && wait.quota.is_none() && elsewhere;
         if !self.can_be_queued(&state, self.now) || (known && !needs_grant) {
             self.requests.insert(state);
@@ -58,10 +58,10 @@
         let requests = if self.all_gateways_own_quotas() { 1 } else { 2 };
         self.requests.check_at(now + self.grant_wait(request, now) / requests, request.id);
         let Some(customer) = self.quota.customers.get_mut(&request.customer) else { return };
-        customer.awaiting_grant.push(request.id);
-        let first = customer.awaiting_grant.len() == 1;
-        if first || now - customer.grant_requested_at > GRANT_FRESHNESS || at_once {
-            customer.request_grant(now, request.units, hard_limit);
+        customer.grant_request.waiting.push(request.id);
+        let first = customer.grant_request.waiting.len() == 1;
+        if first || now - customer.grant_request.requested_at > GRANT_FRESHNESS || at_once {
+            customer.grant_request.start(now, request.units, hard_limit);
             self.queue_usage_report(request.customer, true, actions);
         }
     }
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -55,14 +55,13 @@
 
     /// Seconds until the hard limit's bucket may have the units of a request.
     fn wait_for_hard_limit(&self, plan: &Plan, units: f64) -> Option<f64> {
-        let available = self.hard_limit_tokens + self.hard_limit_grant;
-        let refill_rate = plan.hard_limit_rate * self.hard_limit_fraction.max(0.01);
-        time_to_refill(available, units, refill_rate).filter(|_| plan.hard_limit_rate > 0.0)
+        let refill_rate = plan.hard_limit_rate * self.hard_limit.fraction.max(0.01);
+        self.hard_limit.time_until(units, refill_rate).filter(|_| plan.hard_limit_rate > 0.0)
     }
 
     /// Whether the record has to be kept: a customer that comes again starts with full buckets.
     fn must_be_kept(&self, plan: &Plan, now: Micros) -> bool {
-        let in_use = self.in_flight > 0 || !self.awaiting_grant.is_empty();
+        let in_use = self.in_flight > 0 || !self.grant_request.waiting.is_empty();
         in_use || now - self.last_seen_at <= 2 * CUSTOMER_IDLE_TIME.max(refill_time(plan))
     }
 }
@@ -97,7 +96,7 @@
         let first = (hash(id.0) * set.size) as u64;
         let distance = 1 + (hash(!id.0) * (set.size - 1.0)) as u64;
         customer.gateway_set = set;
-        customer.hard_limit_owners =
+        customer.hard_limit.owners =
             [first, first + distance].map(|position| set.member(position, gateway_count));
         customer.quota_owners = if owned_by_all {
             set.members(gateway_count)
@@ -105,17 +104,17 @@
             // In a large fleet messages are scarce: one gateway owns the quota, or both that own a hard
             // limit.
             let owner_count = if plan.hard_limit_rate > 0.0 { 2 } else { 1 };
-            customer.hard_limit_owners[..owner_count].to_vec()
+            customer.hard_limit.owners[..owner_count].to_vec()
         };
         customer.quota_owners.dedup();
         customer.is_quota_owner = customer.quota_owners.contains(&own_id);
         // Each gateway has some of the hard limit for the time that it hears of no owner; the two hold the
         // rest.
-        let owned = customer.hard_limit_owners.iter().filter(|owner| **owner == own_id).count() as f64;
-        customer.hard_limit_fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
+        let owned = customer.hard_limit.owners.iter().filter(|owner| **owner == own_id).count() as f64;
+        customer.hard_limit.fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
         // The bucket is taken to have been empty at this start: what was used before is not known here.
-        customer.hard_limit_tokens =
-            (plan.hard_limit_rate * age / SECOND).min(plan.hard_limit_burst) * customer.hard_limit_fraction;
+        customer.hard_limit.tokens =
+            (plan.hard_limit_rate * age / SECOND).min(plan.hard_limit_burst) * customer.hard_limit.fraction;
     }
 
     /// How long a request has to wait for the tokens that it needs.
@@ -162,7 +161,7 @@
         let draw = hash(request.id.0 ^ self.started_at << 24);
         let loses = draw * (1.0 + plan.over_quota_cost) > 1.0;
         let mut owners = customer.quota_owners.iter().map(|owner| self.peers.by_gateway.get(owner));
-        customer.grant_requested_at > 0 && (loses || owners.all(|owner| owner.is_some_and(is_alive)))
+        customer.grant_request.requested_at > 0 && (loses || owners.all(|owner| owner.is_some_and(is_alive)))
     }
 
     /// Whether a grant had better not be requested: an owner with more messages than it takes in loses
--- a/src/policy/usage_reports.rs
+++ b/src/policy/usage_reports.rs
@@ -50,9 +50,9 @@
     /// lost.
     fn grant_hard_limit(&mut self, report: &UsageReport) -> f64 {
         let requested = report.requests_grant && report.needs_hard_limit_grant;
-        let granted = requested && self.hard_limit_tokens >= report.requested_units;
+        let granted = requested && self.hard_limit.tokens >= report.requested_units;
         let units = if granted { floor_to_wire_units(report.requested_units) } else { 0.0 };
-        self.hard_limit_tokens -= units;
+        self.hard_limit.tokens -= units;
         units
     }
 
@@ -63,9 +63,9 @@
         self.granted_at = now;
         self.tokens = grant.tokens - wrapping_delta(grant.receiver_total, wrap_total(self.total_units));
         // What the owner granted it has charged, too: it need not be reported again.
-        let had_tokens = plan.burst <= 0.0 || grant.tokens >= self.requested_units;
+        let had_tokens = plan.burst <= 0.0 || grant.tokens >= self.grant_request.units;
         let in_flight = self.remote_in_flight + self.in_flight;
-        self.charged_by_owner =
+        self.grant_request.charged_by_owner =
             had_tokens && (plan.concurrency_quota == 0 || in_flight < plan.concurrency_quota);
     }
 }
@@ -78,7 +78,7 @@
             return;
         }
         let own_id = self.settings.own_id.0;
-        let hard_limit_owners = customer.hard_limit_owners;
+        let hard_limit_owners = customer.hard_limit.owners;
         let owned_by_all = self.all_gateways_own_quotas();
         // Sent twice: a lost one would leave an attempt in flight for long. A large fleet has no messages to
         // spare.
@@ -100,11 +100,13 @@
         let level_known = customer.is_quota_owner || granted_lately;
         let burst = level_known.then_some(self.settings.plans[customer.plan].burst);
         // One of the two is drawn to grant units of the hard limit: two grants would waste one.
-        let drawn = customer.hard_limit_owners[usize::from(hash(now ^ id.0) < 0.5)];
-        let is_granter = drawn == to || customer.hard_limit_owners.contains(&own_id);
+        let drawn = customer.hard_limit.owners[usize::from(hash(now ^ id.0) < 0.5)];
+        let is_granter = drawn == to || customer.hard_limit.owners.contains(&own_id);
         Some(UsageReport {
             requests_grant: entry.requests_grant,
-            needs_hard_limit_grant: entry.requests_grant && customer.needs_hard_limit_grant && is_granter,
+            needs_hard_limit_grant: entry.requests_grant
+                && customer.grant_request.needs_hard_limit
+                && is_granter,
             ..customer.usage_report(id, burst)
         })
     }
@@ -225,14 +227,14 @@
         if !customer.is_quota_owner {
             customer.apply_grant(&plans[customer.plan], grant, now);
         }
-        customer.owners_answered.push(from);
+        customer.grant_request.answered_by.push(from);
         // Units of the hard limit are for a request that waits: kept longer, they would overfill the bucket.
-        if now - customer.grant_requested_at < HARD_LIMIT_GRANT_LIFETIME {
-            customer.hard_limit_grant += grant.hard_limit_grant;
+        if now - customer.grant_request.requested_at < HARD_LIMIT_GRANT_LIFETIME {
+            customer.hard_limit.granted += grant.hard_limit_grant;
         }
         // One owner may have too little: a request is rejected only once both have said so.
         let is_last = customer.hard_limit_owners_answered(self.settings.own_id.0);
-        for id in customer.awaiting_grant.clone() {
+        for id in customer.grant_request.waiting.clone() {
             self.admit(id, is_last, actions);
         }
     }
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -1,16 +1,12 @@
 //! What a gateway knows of a customer: its token buckets, its owners and the usage that gateways reported.
 
-use super::{decay, GatewaySet, SECOND};
+use super::{decay, GatewaySet, GrantRequest, HardLimitShare, SECOND};
 use crate::gossip::{wrap_total, TokenLevel, UsageReport, MAX_PLAN};
-use crate::{CustomerId, Micros, Plan, RequestId};
+use crate::{CustomerId, Micros, Plan};
 use std::collections::BTreeMap;
 
 /// The highest count of attempts in flight that gateways tell each other.
 pub const MAX_REPORTED_IN_FLIGHT: u8 = 127;
-/// Tokens that a bucket may lack because sums were rounded.
-const ROUNDING_MARGIN: f64 = 1e-9;
-/// The longest time that [`refill_time`] tells, in seconds.
-const MAX_REFILL_SECONDS: f64 = 1e6;
 
 /// What an owner knows of the usage through one other gateway.
 #[derive(Clone, Copy, Default)]
@@ -51,14 +47,8 @@
     pub refilled_at: Micros,
     /// What the quota's bucket would have held besides at the start of the record, had nobody used it before.
     pub withheld_tokens: f64,
-    /// Tokens in this gateway's own part of the hard limit's bucket.
-    pub hard_limit_tokens: f64,
-    /// This gateway's part of the hard limit.
-    pub hard_limit_fraction: f64,
-    /// The two gateways that hold most of the hard limit and grant it.
-    pub hard_limit_owners: [u16; 2],
-    /// Units of the hard limit granted for the requests that wait, and for those alone.
-    pub hard_limit_grant: f64,
+    /// This gateway's share of the hard limit.
+    pub hard_limit: HardLimitShare,
     /// Units sent on by this gateway since its start.
     pub total_units: f64,
     /// Units a second through this gateway, of late.
@@ -78,18 +68,8 @@
     pub remote_in_flight: u32,
     /// Elsewhere: when an owner last sent a grant.
     pub granted_at: Micros,
-    /// When a grant was last requested.
-    pub grant_requested_at: Micros,
-    /// The owners that have answered that request.
-    pub owners_answered: Vec<u16>,
-    /// The units that the grant is requested for.
-    pub requested_units: f64,
-    /// Whether the hard limit's bucket lacks them, too.
-    pub needs_hard_limit_grant: bool,
-    /// Whether the owner has charged the requested units already.
-    pub charged_by_owner: bool,
-    /// The requests that wait for a grant.
-    pub awaiting_grant: Vec<RequestId>,
+    /// The last request for a grant, and who waits for it.
+    pub grant_request: GrantRequest,
 }
 
 impl Customer {
@@ -99,14 +79,6 @@
         Customer { plan: plan_index, tokens, withheld_tokens, refilled_at: now, ..Customer::default() }
     }
 
-    /// Notes what its owners are asked for.
-    pub fn request_grant(&mut self, now: Micros, units: f64, hard_limit: bool) {
-        self.grant_requested_at = now;
-        self.owners_answered.clear();
-        self.requested_units = units;
-        self.needs_hard_limit_grant = hard_limit;
-    }
-
     /// Notes the end of an attempt, and by how much its true units are more than were charged.
     pub fn end_attempt(&mut self, correction: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -117,7 +89,7 @@
     /// Takes over another plan and set of gateways. The requests in hand and the total go on.
     pub fn replace_identity(&mut self, new: Customer) {
         let old = std::mem::replace(self, new);
-        self.awaiting_grant = old.awaiting_grant;
+        self.grant_request.waiting = old.grant_request.waiting;
         self.in_flight = old.in_flight;
         self.total_units = old.total_units;
     }
@@ -125,21 +97,16 @@
     /// Adds the tokens that have come since the last refill, as far as the buckets have room for them.
     pub fn add_tokens(&mut self, plan: &Plan, refill_rate: f64, now: Micros) {
         let elapsed = (now - self.refilled_at) as f64 / SECOND;
-        let fraction = self.hard_limit_fraction;
         self.tokens = (self.tokens + refill_rate * elapsed).min(plan.burst);
-        self.hard_limit_tokens = (self.hard_limit_tokens + plan.hard_limit_rate * fraction * elapsed)
-            .min(plan.hard_limit_burst * fraction);
+        self.hard_limit.refill(plan, elapsed);
         self.refilled_at = now;
     }
 
-    /// Draws units from both buckets, from a grant first; negative units are given back. The rate of usage
-    /// decays with the time constant, in seconds.
+    /// Draws units from both buckets; negative units are given back. The rate of usage decays with the time
+    /// constant, in seconds.
     pub fn charge(&mut self, plan: &Plan, units: f64, time_constant: f64) {
         self.tokens = (self.tokens - units).clamp(-plan.burst, plan.burst);
-        let granted = units.clamp(0.0, self.hard_limit_grant);
-        self.hard_limit_grant -= granted;
-        self.hard_limit_tokens =
-            (self.hard_limit_tokens - units + granted).min(plan.hard_limit_burst * self.hard_limit_fraction);
+        self.hard_limit.charge(plan, units);
         self.total_units += units;
         self.own_rate = (self.own_rate + units / time_constant).max(0.0);
     }
@@ -177,9 +144,9 @@
 
     /// Whether each owner of the hard limit that this gateway can ask has answered its request.
     pub fn hard_limit_owners_answered(&self, own_id: u16) -> bool {
-        self.hard_limit_owners.iter().all(|owner| {
-            *owner == own_id || !self.quota_owners.contains(owner) || self.owners_answered.contains(owner)
-        })
+        let has_answered = |owner: &u16| self.grant_request.answered_by.contains(owner);
+        let can_be_asked = |owner: &u16| *owner != own_id && self.quota_owners.contains(owner);
+        self.hard_limit.owners.iter().all(|owner| !can_be_asked(owner) || has_answered(owner))
     }
 
     /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket
@@ -194,22 +161,8 @@
             gateway_set_start: self.gateway_set.start,
             gateway_set_size: self.gateway_set.size as u16,
             requests_grant: false,
-            requested_units: self.requested_units,
+            requested_units: self.grant_request.units,
             needs_hard_limit_grant: false,
         }
     }
 }
-
-/// Seconds until a bucket with so many tokens has those for `units`; none if it has them now.
-pub fn time_to_refill(tokens: f64, units: f64, refill_rate: f64) -> Option<f64> {
-    let is_lacking = tokens + ROUNDING_MARGIN < units;
-    is_lacking.then(|| (units - tokens) / refill_rate)
-}
-
-/// The time in which both buckets of a plan refill from empty; a bucket that never does counts with some
-/// days.
-pub fn refill_time(plan: &Plan) -> Micros {
-    // Without any rate this is 0 / 0, a NaN, which the cast turns into 0.
-    let seconds = (plan.burst / plan.rate).max(plan.hard_limit_burst / plan.hard_limit_rate);
-    (seconds.clamp(0.0, MAX_REFILL_SECONDS) * SECOND) as Micros
-}
--- a/src/state/quota_table.rs
+++ b/src/state/quota_table.rs
@@ -31,7 +31,7 @@
     /// Whether an owner of the customer's quota has charged its request already; told once.
     pub fn take_owner_charge(&mut self, customer: CustomerId) -> bool {
         let customer = self.customers.get_mut(&customer);
-        customer.is_some_and(|customer| std::mem::take(&mut customer.charged_by_owner))
+        customer.is_some_and(|customer| std::mem::take(&mut customer.grant_request.charged_by_owner))
     }
 
     /// Refills a customer's token buckets up to now.
@@ -53,9 +53,9 @@
     /// one.
     pub fn stop_awaiting_grant(&mut self, customer: CustomerId, id: RequestId, awaited: bool) {
         if let Some(customer) = self.customers.get_mut(&customer).filter(|_| awaited) {
-            customer.awaiting_grant.retain(|waiting| *waiting != id);
-            if customer.awaiting_grant.is_empty() {
-                customer.hard_limit_grant = 0.0;
+            customer.grant_request.waiting.retain(|waiting| *waiting != id);
+            if customer.grant_request.waiting.is_empty() {
+                customer.hard_limit.granted = 0.0;
             }
         }
     }
--- /dev/null
+++ b/src/state/token_bucket.rs
@@ -0,0 +1,23 @@
+//! Times in which the token buckets of a plan refill.
+
+use super::SECOND;
+use crate::{Micros, Plan};
+
+/// Tokens that a bucket may lack because sums were rounded.
+const ROUNDING_MARGIN: f64 = 1e-9;
+/// The longest time that [`refill_time`] tells, in seconds.
+const MAX_REFILL_SECONDS: f64 = 1e6;
+
+/// Seconds until a bucket with so many tokens has those for `units`; none if it has them now.
+pub fn time_to_refill(tokens: f64, units: f64, refill_rate: f64) -> Option<f64> {
+    let is_lacking = tokens + ROUNDING_MARGIN < units;
+    is_lacking.then(|| (units - tokens) / refill_rate)
+}
+
+/// The time in which both buckets of a plan refill from empty; a bucket that never does counts with some
+/// days.
+pub fn refill_time(plan: &Plan) -> Micros {
+    // Without any rate this is 0 / 0, a NaN, which the cast turns into 0.
+    let seconds = (plan.burst / plan.rate).max(plan.hard_limit_burst / plan.hard_limit_rate);
+    (seconds.clamp(0.0, MAX_REFILL_SECONDS) * SECOND) as Micros
+}
