Build the decision digest's settings from the shared builders

The classes, plans, limits and rules of the decision digest stood in tests/decision_digest and, but for a few fields, in support::settings.

deployment takes class, plan, limits, rules, START and SECOND from support::settings and names what differs.

--- a/tests/decision_digest/deployment.rs
+++ b/tests/decision_digest/deployment.rs
@@ -1,11 +1,8 @@
 //! The settings and endpoint lists of the fleets.
 
+use crate::support::settings::{class, limits, plan, rules, SECOND, START};
 use ingress::*;
 
-pub const START: Micros = 1_000_000_000;
-
-pub const SECOND: Micros = 1_000_000;
-
 pub const MILLISECOND: Micros = 1_000;
 
 /// How many gateways the settings name, how many of them run, and what they run with.
@@ -35,79 +32,42 @@
     Single,
 }
 
-fn class(idempotency: Idempotency, latency_objective: Micros) -> Class {
-    Class {
-        latency_objective,
-        latency_objective_stretch: 0.0,
-        deadline: 4 * SECOND,
-        priority_weight: 1.0,
-        late_weight: 0.0,
-        idempotency,
-        streaming: false,
-    }
-}
-
 /// Idempotent, keyed by cell and by zone, non-idempotent, streamed.
 fn classes() -> Vec<Class> {
-    let keyed = |group| Idempotency::Keyed { scope: group, window: 2 * SECOND };
+    let keyed = |scope| Idempotency::Keyed { scope, window: 2 * SECOND };
     vec![
-        class(Idempotency::Idempotent, SECOND),
-        class(keyed(IdempotencyScope::Cell), SECOND),
-        class(keyed(IdempotencyScope::Zone), 2 * SECOND),
-        class(Idempotency::NonIdempotent, SECOND),
+        class(Idempotency::Idempotent),
+        class(keyed(IdempotencyScope::Cell)),
+        Class { latency_objective: 2 * SECOND, ..class(keyed(IdempotencyScope::Zone)) },
+        class(Idempotency::NonIdempotent),
         Class {
             streaming: true,
             late_weight: 0.2,
+            latency_objective: 2 * SECOND,
             latency_objective_stretch: 0.5,
-            ..class(Idempotency::Idempotent, 2 * SECOND)
+            ..class(Idempotency::Idempotent)
         },
     ]
 }
 
 /// Unlimited, with a rate quota, with a hard limit, with a concurrency quota; at several prices.
 fn plans() -> Vec<Plan> {
-    let large = Plan {
-        rate: 1e6,
-        burst: 1e6,
-        concurrency_quota: 0,
-        hard_limit_rate: 0.0,
-        hard_limit_burst: 0.0,
-        hard_limit_slack: 0.0,
-        price: 1.0,
-        over_quota_weight: 0.0,
-        over_quota_cost: 1.0,
-    };
+    let unlimited = plan(1e6, 1e6);
     vec![
-        large.clone(),
-        Plan { rate: 4.0, burst: 12.0, price: 1.3, ..large.clone() },
+        unlimited.clone(),
+        Plan { rate: 4.0, burst: 12.0, price: 1.3, ..unlimited.clone() },
         Plan {
             rate: 100.0,
             burst: 100.0,
             hard_limit_rate: 5.0,
             hard_limit_burst: 12.0,
             price: 2.0,
-            ..large.clone()
+            ..unlimited.clone()
         },
-        Plan { rate: 0.0, burst: 0.0, concurrency_quota: 2, over_quota_cost: 0.5, ..large },
+        Plan { rate: 0.0, burst: 0.0, concurrency_quota: 2, over_quota_cost: 0.5, ..unlimited },
     ]
 }
 
-fn limits(size: FleetSize, deployment: Deployment) -> Limits {
-    Limits {
-        max_attempts: 3,
-        hedging: deployment == Deployment::Hedged,
-        cancellation: true,
-        health_checks: false,
-        peer_messages: true,
-        peer_messages_per_second: size.peer_messages_per_second,
-        retry_after: true,
-        max_retry_after: 2 * SECOND,
-        shared_counter: false,
-        max_open_requests: 20_000,
-        connect_timeout: 250 * MILLISECOND,
-    }
-}
-
 pub fn settings(size: FleetSize, deployment: Deployment, own_id: u16) -> Settings {
     let single = deployment == Deployment::Single;
     Settings {
@@ -117,16 +77,12 @@
         tick: 4 * MILLISECOND,
         classes: classes(),
         plans: plans(),
-        limits: limits(size, deployment),
-        rules: Rules {
-            answer_slack: 16 * MILLISECOND,
-            drain_grace: 250 * MILLISECOND,
-            slow_start_floor: 0.2,
-            slow_start_duration: 10 * SECOND,
-            overload_factor: 3.0,
-            overload_window: SECOND,
-            max_poll_interval: 10 * SECOND,
+        limits: Limits {
+            hedging: deployment == Deployment::Hedged,
+            peer_messages_per_second: size.peer_messages_per_second,
+            ..limits()
         },
+        rules: rules(),
         discovery: if single { Discovery::Poll } else { Discovery::Push },
         size_meaning: if single { SizeMeaning::Capacity } else { SizeMeaning::None },
         meter_period: 0,
--- a/tests/decision_digest/fleet.rs
+++ b/tests/decision_digest/fleet.rs
@@ -1,7 +1,8 @@
 //! Gateways with their hosts, clients, backends and network, driven by a seeded stream of events.
 
-use crate::deployment::{endpoint_event, settings, Deployment, FleetSize, MILLISECOND, SECOND, START};
+use crate::deployment::{endpoint_event, settings, Deployment, FleetSize, MILLISECOND};
 use crate::digest::Digest;
+use crate::support::settings::{SECOND, START};
 use ingress::*;
 use std::collections::BTreeMap;
 
--- a/tests/decision_digest/main.rs
+++ b/tests/decision_digest/main.rs
@@ -7,6 +7,9 @@
 //! [`Fleet`] makes the events. Where a decision is meant to change, the pinned [`Pinned`] values change in the same
 //! commit, which says so.
 
+#[path = "../support/mod.rs"]
+mod support;
+
 mod deployment;
 mod digest;
 mod fleet;
