Word the comments of quota, gossip and their records in the field's terms

Cause: comments spoke of rooms and of gateways that tell and hear, and private fields had none. Change: comments alone.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -1,5 +1,5 @@
-//! Gossip: the messages that gateways send each other about the usage of customers and the latency of backends, and
-//! their bytes. What a gateway tells and what it makes of a message is decided in `policy`.
+//! Gossip: the messages that gateways send each other about the usage of customers and the latency of
+//! backends, and their bytes. What a gateway reports and how it acts on a message is decided in `policy`.
 
 mod bytes;
 mod encoding;
--- a/src/gossip/bytes.rs
+++ b/src/gossip/bytes.rs
@@ -4,6 +4,7 @@
 
 /// Low bits of the five bytes that hold a customer's id and a count.
 const CUSTOMER_BITS: u64 = 33;
+/// Selects the customer's id.
 const CUSTOMER_MASK: u64 = (1 << CUSTOMER_BITS) - 1;
 /// The highest count in the bits above the id.
 const MAX_COUNT: u8 = 127;
--- a/src/gossip/encoding.rs
+++ b/src/gossip/encoding.rs
@@ -26,20 +26,30 @@
 const USAGE_REPORTS_KIND: u8 = 0;
 /// The kind of a body of quota grants.
 const QUOTA_GRANTS_KIND: u8 = 1;
+/// Low bits of the byte that holds the kind and the count of samples.
 const KIND_BITS: u32 = 2;
+/// Selects the kind.
 const KIND_MASK: u8 = (1 << KIND_BITS) - 1;
+/// Low bits of the byte that holds a sample's latency step and class.
 const LATENCY_STEP_BITS: u32 = 5;
+/// Selects the latency step.
 const LATENCY_STEP_MASK: u8 = (1 << LATENCY_STEP_BITS) - 1;
 /// The flag of a usage report that requests units of the hard limit.
 const HARD_LIMIT_FLAG: u8 = 1;
 /// The flag of a usage report that requests a grant.
 const GRANT_FLAG: u8 = 2;
+/// Low bits of the byte that holds a usage report's flags and plan.
 const FLAG_BITS: u32 = 2;
 
+/// Bytes before the samples.
 const HEADER_BYTES: usize = 9;
+/// Bytes of a sample.
 const SAMPLE_BYTES: usize = 4;
+/// Bytes of the receiver's incarnation.
 const INCARNATION_BYTES: usize = 4;
+/// Bytes of a usage report.
 const USAGE_REPORT_BYTES: usize = 14;
+/// Bytes of a quota grant.
 const QUOTA_GRANT_BYTES: usize = 12;
 /// The most bytes that a message may have.
 const MAX_MESSAGE_BYTES: usize = 256;
@@ -122,12 +132,14 @@
 }
 
 impl LatencySample {
+    /// Appends the bytes.
     fn encode(&self, writer: &mut ByteWriter) {
         writer.u24(self.backend_tag);
         let class = self.class.min(MAX_CLASS as u8);
         writer.u8(class << LATENCY_STEP_BITS | latency_step(self.relative_latency));
     }
 
+    /// Reads what [`Self::encode`] wrote; none if it is cut off.
     fn decode(reader: &mut ByteReader) -> Option<LatencySample> {
         let backend_tag = reader.u24()?;
         let class_and_step = reader.u8()?;
@@ -138,6 +150,7 @@
 }
 
 impl UsageReport {
+    /// Appends the bytes.
     fn encode(&self, writer: &mut ByteWriter) {
         let grant_flag = if self.requests_grant { GRANT_FLAG } else { 0 };
         let hard_limit_flag = if self.needs_hard_limit_grant { HARD_LIMIT_FLAG } else { 0 };
@@ -150,6 +163,7 @@
         writer.u16(self.gateway_set_size);
     }
 
+    /// Reads what [`Self::encode`] wrote; none if it is cut off.
     fn decode(reader: &mut ByteReader) -> Option<UsageReport> {
         let (customer, in_flight) = reader.customer_and_count()?;
         let total_units = reader.u16()?;
@@ -171,6 +185,7 @@
 }
 
 impl QuotaGrant {
+    /// Appends the bytes.
     fn encode(&self, writer: &mut ByteWriter) {
         writer.customer_and_count(self.customer, self.remote_in_flight);
         writer.u16(self.receiver_total);
@@ -179,6 +194,7 @@
         writer.u8(to_wire_units(self.hard_limit_grant) as u8);
     }
 
+    /// Reads what [`Self::encode`] wrote; none if it is cut off.
     fn decode(reader: &mut ByteReader) -> Option<QuotaGrant> {
         let (customer, remote_in_flight) = reader.customer_and_count()?;
         Some(QuotaGrant {
--- a/src/gossip/units.rs
+++ b/src/gossip/units.rs
@@ -1,4 +1,4 @@
-//! The representation of quantities in messages: units in quarters, levels and latencies in steps.
+//! The representation of quantities in messages: units as quarters, token levels and latencies as steps.
 
 /// Messages count units in quarters.
 const WIRE_UNITS_PER_UNIT: f64 = 4.0;
@@ -6,7 +6,7 @@
 const LEVEL_STEPS: f64 = 254.0;
 /// The smallest divisor, for a bucket that holds nothing, and the smallest latency, which has a logarithm.
 const SMALLEST: f64 = 1e-9;
-/// Latencies are told in steps of a fifth of an octave ...
+/// Latencies are sent in steps of a fifth of an octave ...
 const LATENCY_STEPS_PER_OCTAVE: f64 = 5.0;
 /// ... from five octaves below the latency objective ...
 const OCTAVES_BELOW_OBJECTIVE: f64 = 5.0;
@@ -45,23 +45,25 @@
 pub struct TokenLevel(u8);
 
 impl TokenLevel {
-    /// The sender has not been told.
+    /// The sender does not know the level.
     pub const UNKNOWN: TokenLevel = TokenLevel(u8::MAX);
 
-    /// The level of a bucket with room for `burst`; an overdrawn one counts as empty.
+    /// The level of a bucket with a capacity of `burst`; an overdrawn one counts as empty.
     pub fn of(tokens: f64, burst: f64) -> TokenLevel {
         TokenLevel((tokens / burst.max(SMALLEST) * LEVEL_STEPS).clamp(0.0, LEVEL_STEPS) as u8)
     }
 
-    /// The tokens in a bucket with room for `burst`, if the level is known.
+    /// The tokens in a bucket with a capacity of `burst`, if the level is known.
     pub fn tokens(self, burst: f64) -> Option<f64> {
         (self != TokenLevel::UNKNOWN).then(|| f64::from(self.0) / LEVEL_STEPS * burst)
     }
 
+    /// The level that a message's byte stands for.
     pub(super) fn from_byte(byte: u8) -> TokenLevel {
         TokenLevel(byte)
     }
 
+    /// The level as a byte of a message.
     pub(super) fn to_byte(self) -> u8 {
         self.0
     }
--- a/src/gossip/units/tests.rs
+++ b/src/gossip/units/tests.rs
@@ -18,6 +18,6 @@
     assert_eq!(TokenLevel::of(10.0, 10.0).tokens(10.0), Some(10.0));
     assert_eq!(TokenLevel::of(20.0, 10.0).tokens(10.0), Some(10.0), "more than full is full");
     assert_eq!(TokenLevel::of(-1.0, 10.0).tokens(10.0), Some(0.0), "overdrawn is empty");
-    assert_eq!(TokenLevel::of(5.0, 0.0).to_byte(), 254, "a bucket without room");
+    assert_eq!(TokenLevel::of(5.0, 0.0).to_byte(), 254, "a bucket without capacity");
     assert_eq!(TokenLevel::UNKNOWN.tokens(10.0), None);
 }
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -4,12 +4,12 @@
 use crate::{state::*, *};
 
 /// How long a grant holds where no newer one comes. After that a customer is admitted: most are inside their
-/// quota, and a large fleet whose messages are lost would else reject them all.
+/// quota, and a large fleet whose messages are lost would otherwise reject them all.
 const GRANT_LIFETIME: Micros = 2_000_000;
-/// Requests for grants on one customer with a concurrency quota, as a share of the messages that its owner
-/// takes in; beyond it some are skipped.
+/// Requests for grants for one customer with a concurrency quota, as a share of the messages that its owner
+/// can receive; beyond it some are skipped.
 const MAX_GRANT_REQUEST_SHARE: f64 = 0.25;
-/// How long a peer's report is under way, losses included, besides the report interval.
+/// Delay of a peer's report, lost ones included, in addition to the report interval.
 const REPORT_PROPAGATION_TIME: Micros = 350_000;
 /// Part of a hard limit that two gateways hold and grant on request.
 const POOLED_HARD_LIMIT: f64 = 0.5;
@@ -108,7 +108,7 @@
         };
         customer.quota_owners.dedup();
         customer.is_quota_owner = customer.quota_owners.contains(&own_id);
-        // Each gateway has some of the hard limit for the time that it hears of no owner; the two hold the
+        // Each gateway has some of the hard limit for when no owner answers; the two owners hold the
         // rest.
         let owned = customer.hard_limit.owners.iter().filter(|owner| **owner == own_id).count() as f64;
         customer.hard_limit.fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
--- a/src/policy/usage_reports.rs
+++ b/src/policy/usage_reports.rs
@@ -92,7 +92,7 @@
         }
     }
 
-    /// What a peer that owns a customer's quota is told of its usage.
+    /// The report of a customer's usage to a peer that owns its quota.
     pub(crate) fn report_to(&mut self, to: u16, id: CustomerId, entry: OutboxEntry) -> Option<UsageReport> {
         let (now, own_id) = (self.now, self.settings.own_id.0);
         let customer = self.quota.refill(id, now, &self.settings.plans)?;
@@ -111,7 +111,7 @@
         })
     }
 
-    /// Takes in a message from a peer.
+    /// Handles a message from a peer.
     pub(crate) fn on_peer_message(&mut self, from: GatewayId, bytes: &[u8], actions: &mut Vec<Action>) {
         let Some((message, receipt)) = self.receive_message(from, bytes) else { return };
         if let Receipt::NewIncarnation { restarted } = receipt {
@@ -139,7 +139,8 @@
         }
     }
 
-    /// A peer that starts counts its usage anew. As an owner it knows nothing: it is told once.
+    /// A peer that starts counts its usage anew. As an owner it knows nothing, and gets one report of each
+    /// customer.
     fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
         // In a large fleet every peer is unknown to begin with.
         let reports_again = restarted || self.all_gateways_own_quotas();
@@ -154,9 +155,8 @@
         unreported.into_iter().for_each(|id| self.peers.queue_single_report(peer, id));
     }
 
-    /// Once all gateways turn out to have started together, buckets were full then: what was withheld of
-    /// each, lest a restart refill it, is given out. A customer always beyond its quota would never get it
-    /// otherwise.
+    /// If all gateways started together, all buckets were full then: the tokens withheld in case this was a
+    /// restart are released. A customer that is always beyond its quota would never get them otherwise.
     fn release_withheld_tokens(&mut self, own_incarnation: u32) {
         let is_unreleased = self.quota.usage_known_since.is_some();
         let all_known = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
@@ -188,7 +188,7 @@
         let mut usage = known.unwrap_or_default();
         let may_count_more = may_count_more && known.is_none();
         let units = customer.new_units(plan, usage.reported_total, may_count_more, report);
-        // Usage beyond the quota leaves no debt with an owner that is asked before each request.
+        // Usage beyond the quota leaves no debt at an owner whose grant is requested before each request.
         let min_tokens = if owned_by_all { -plan.burst } else { customer.tokens.min(0.0) };
         customer.tokens = (customer.tokens + usage.granted_units - units).clamp(min_tokens, plan.burst);
         // With a concurrency quota in a large fleet the rate is that of requests for grants, the sender's
--- a/src/state/customer.rs
+++ b/src/state/customer.rs
@@ -5,7 +5,7 @@
 use crate::{CustomerId, Micros, Plan};
 use std::collections::BTreeMap;
 
-/// The highest count of attempts in flight that gateways tell each other.
+/// The highest count of attempts in flight that a message carries.
 pub const MAX_REPORTED_IN_FLIGHT: u8 = 127;
 
 /// What an owner knows of the usage through one other gateway.
@@ -17,6 +17,7 @@
     pub granted_units: f64,
     /// Units a second, of late.
     pub rate: f64,
+    /// When the last report came.
     pub reported_at: Micros,
     /// Attempts in flight, with one that was granted and isn't reported yet.
     pub in_flight: u8,
@@ -36,6 +37,7 @@
 /// A customer's record at one gateway.
 #[derive(Default)]
 pub struct Customer {
+    /// Index of the plan.
     pub plan: usize,
     /// The gateways that serve the customer.
     pub gateway_set: GatewaySet,
@@ -45,7 +47,8 @@
     pub tokens: f64,
     /// When both buckets were last refilled.
     pub refilled_at: Micros,
-    /// What the quota's bucket would have held besides at the start of the record, had nobody used it before.
+    /// Tokens that were missing in the quota's bucket when the record was made, because usage before this
+    /// gateway's start is not known.
     pub withheld_tokens: f64,
     /// This gateway's share of the hard limit.
     pub hard_limit: HardLimitShare,
@@ -55,6 +58,7 @@
     pub own_rate: f64,
     /// Attempts in flight from this gateway.
     pub in_flight: u32,
+    /// When a request or a report last named the customer; 0 for never.
     pub last_seen_at: Micros,
     /// The gateways that add up the customer's usage.
     pub quota_owners: Vec<u16>,
@@ -94,7 +98,7 @@
         self.total_units = old.total_units;
     }
 
-    /// Adds the tokens that have come since the last refill, as far as the buckets have room for them.
+    /// Adds the tokens since the last refill, up to the capacity of the buckets.
     pub fn add_tokens(&mut self, plan: &Plan, refill_rate: f64, now: Micros) {
         let elapsed = (now - self.refilled_at) as f64 / SECOND;
         self.tokens = (self.tokens + refill_rate * elapsed).min(plan.burst);
@@ -127,7 +131,7 @@
         self.tokens -= usage.granted_units;
     }
 
-    /// Drops what a gateway reported before it started anew.
+    /// Drops what a gateway reported before it restarted.
     pub fn forget_usage_of(&mut self, gateway: u16) {
         if let Some(usage) = self.usage_by_gateway.remove(&gateway) {
             self.remote_in_flight -= u32::from(usage.in_flight).min(self.remote_in_flight);
@@ -149,8 +153,8 @@
         self.hard_limit.owners.iter().all(|owner| !can_be_asked(owner) || has_answered(owner))
     }
 
-    /// The usage that its owners are told, without a request for a grant. The level of the quota's bucket
-    /// goes along where it is known, as a part of the plan's `burst`.
+    /// A report of its usage, without a request for a grant. The level of the quota's bucket, as a part of
+    /// the plan's `burst`, is included where it is known.
     pub fn usage_report(&self, customer: CustomerId, burst: Option<f64>) -> UsageReport {
         UsageReport {
             customer,
--- a/src/state/hard_limit_share.rs
+++ b/src/state/hard_limit_share.rs
@@ -18,7 +18,7 @@
 }
 
 impl HardLimitShare {
-    /// Adds the tokens of so many seconds, as far as the bucket has room for them.
+    /// Adds the tokens of so many seconds, up to the bucket's capacity.
     pub fn refill(&mut self, plan: &Plan, seconds: f64) {
         self.tokens = (self.tokens + plan.hard_limit_rate * self.fraction * seconds)
             .min(plan.hard_limit_burst * self.fraction);
--- a/src/state/peer.rs
+++ b/src/state/peer.rs
@@ -1,14 +1,15 @@
-//! What a gateway knows of a peer, and what it is still to be sent.
+//! What a gateway knows of a peer, and what waits to be sent to it.
 
 use crate::gossip::{LatencySample, MAX_USAGE_REPORTS};
 use crate::{CustomerId, Micros};
 use std::collections::BTreeMap;
 
-/// What a peer is still to be sent about a customer.
+/// A customer whose usage waits to be reported to a peer.
 #[derive(Clone, Copy, Default)]
 pub struct OutboxEntry {
     /// How many more messages carry it.
     pub retransmissions: u8,
+    /// Whether the next message requests a grant.
     pub requests_grant: bool,
 }
 
@@ -16,6 +17,7 @@
 pub struct QueuedSample {
     /// How many more messages carry it.
     pub retransmissions: u8,
+    /// The sample.
     pub sample: LatencySample,
 }
 
@@ -24,11 +26,11 @@
 pub enum Receipt {
     /// It is from before the peer's restart, a repeat, or overtaken by a later one.
     Outdated,
-    /// It is the next one of the incarnation that was heard before.
+    /// It is a newer one of the incarnation that is known.
     Current,
     /// It is the first one of an incarnation.
     NewIncarnation {
-        /// Whether an earlier incarnation was heard.
+        /// Whether an earlier incarnation was known.
         restarted: bool,
     },
 }
@@ -36,7 +38,7 @@
 /// A peer's record.
 #[derive(Default)]
 pub struct Peer {
-    /// The latest incarnation heard; 0 for none.
+    /// The latest incarnation known; 0 for none.
     pub incarnation: u32,
     /// The sequence number of the last message received.
     pub last_sequence: u16,
@@ -69,8 +71,8 @@
         }
     }
 
-    /// Takes from the outbox what the next message carries. It goes round from where the last one ended: else
-    /// the last customers would never be sent when more change than fit.
+    /// Takes from the outbox what the next message carries. It goes round from where the last one ended:
+    /// otherwise the last customers would never be sent when more change than fit.
     pub fn next_batch(&mut self) -> Vec<(CustomerId, OutboxEntry)> {
         let rotated = self.outbox.range(self.last_sent..).chain(self.outbox.range(..self.last_sent));
         let batch: Vec<_> = rotated.take(MAX_USAGE_REPORTS).map(|(id, entry)| (*id, *entry)).collect();
--- a/src/state/peer_table.rs
+++ b/src/state/peer_table.rs
@@ -8,14 +8,16 @@
 /// The peers of a gateway, their outboxes, and the latency samples that go along with any message.
 #[derive(Default)]
 pub struct PeerTable {
+    /// The record of each peer.
     pub by_gateway: BTreeMap<u16, Peer>,
     /// Peers with something in their outbox.
     with_outbox: BTreeSet<u16>,
+    /// Samples for the next messages, failures first, and the latest before older ones.
     latency_samples: VecDeque<QueuedSample>,
 }
 
 impl PeerTable {
-    /// The record of a peer, a new one if it was never heard.
+    /// The record of a peer, a new one if there was none.
     pub fn entry(&mut self, peer: u16) -> &mut Peer {
         self.by_gateway.entry(peer).or_default()
     }
--- a/src/state/quota_table.rs
+++ b/src/state/quota_table.rs
@@ -7,12 +7,14 @@
 /// The quotas of all customers, as far as one gateway knows them.
 #[derive(Default)]
 pub struct QuotaTable {
+    /// The record of each customer seen lately.
     pub customers: BTreeMap<CustomerId, Customer>,
     /// Since when all usage of customers is known: this start; none where all gateways started with this one.
     pub usage_known_since: Option<Micros>,
     /// Time between usage reports where every gateway of a customer owns its quota; 0 in a fleet too large
     /// for that.
     pub report_interval: Micros,
+    /// When old records are next removed.
     pub next_sweep_at: Micros,
 }
 
@@ -28,7 +30,7 @@
         self.usage_known_since.map_or(f64::MAX, |since| (now - since) as f64 / SECOND)
     }
 
-    /// Whether an owner of the customer's quota has charged its request already; told once.
+    /// Whether an owner of the customer's quota has charged its request already. The answer is yes only once.
     pub fn take_owner_charge(&mut self, customer: CustomerId) -> bool {
         let customer = self.customers.get_mut(&customer);
         customer.is_some_and(|customer| std::mem::take(&mut customer.grant_request.charged_by_owner))
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -5,7 +5,7 @@
 
 /// Tokens that a bucket may lack because sums were rounded.
 const ROUNDING_MARGIN: f64 = 1e-9;
-/// The longest time that [`refill_time`] tells, in seconds.
+/// The longest time that [`refill_time`] returns, in seconds.
 const MAX_REFILL_SECONDS: f64 = 1e6;
 
 /// Seconds until a bucket with so many tokens has those for `units`; none if it has them now.
--- a/src/state/token_wait.rs
+++ b/src/state/token_wait.rs
@@ -3,9 +3,9 @@
 /// Seconds until the token buckets of a customer may have what a request needs; none where they have it now.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TokenWait {
-    /// Until the quota, on the rate or on attempts in flight, may have room.
+    /// Until the quota, on the rate or on attempts in flight, may allow the request.
     pub quota: Option<f64>,
-    /// Until the hard limit may have room.
+    /// Until the hard limit may allow the request.
     pub hard_limit: Option<f64>,
 }
 
