--- a/src/state/gateway_set.rs
+++ b/src/state/gateway_set.rs
@@ -37,3 +37,6 @@
         (0..self.size as u64).map(|position| self.member(position, gateway_count)).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/hard_limit_share.rs
+++ b/src/state/hard_limit_share.rs
@@ -36,3 +36,6 @@
         time_to_refill(self.tokens + self.granted, units, refill_rate)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/state/peer.rs
+++ b/src/state/peer.rs
@@ -85,3 +85,6 @@
         batch
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/state/peer/tests.rs
@@ -0,0 +1,38 @@
+//! Tests of [`super`].
+
+use super::*;
+
+#[test]
+fn repeats_and_overtaken_messages_are_outdated() {
+    let mut peer = Peer::default();
+    assert_eq!(peer.receive(5, 65_535, 10), Receipt::NewIncarnation { restarted: false });
+    assert_eq!(peer.receive(5, 65_535, 20), Receipt::Outdated, "a repeat");
+    assert_eq!(peer.receive(5, 65_534, 30), Receipt::Outdated, "overtaken");
+    assert_eq!(peer.last_heard_at, 10);
+    assert_eq!(peer.receive(5, 0, 40), Receipt::Current, "the sequence number wrapped");
+    assert_eq!(peer.last_heard_at, 40);
+}
+
+#[test]
+fn a_restarted_peer_counts_its_messages_anew() {
+    let mut peer = Peer::default();
+    assert_eq!(peer.receive(5, 100, 10), Receipt::NewIncarnation { restarted: false });
+    assert_eq!(peer.receive(6, 1, 20), Receipt::NewIncarnation { restarted: true });
+    assert_eq!(peer.receive(5, 101, 30), Receipt::Outdated, "from before the restart");
+    assert_eq!(peer.receive(6, 2, 40), Receipt::Current);
+}
+
+#[test]
+fn batches_go_round_an_outbox_with_more_than_a_message_holds() {
+    let count = MAX_USAGE_REPORTS as u64 + 1;
+    let entry = OutboxEntry { retransmissions: 2, requests_grant: true };
+    let outbox = (0..count).map(|id| (CustomerId(id), entry)).collect();
+    let mut peer = Peer { outbox, ..Peer::default() };
+    let first = peer.next_batch();
+    assert_eq!(first.len(), MAX_USAGE_REPORTS);
+    assert!(first.iter().all(|(_, entry)| entry.requests_grant));
+    let second = peer.next_batch();
+    assert_eq!(second[0].0, CustomerId(count - 1), "the customer that did not fit");
+    assert!(second[0].1.requests_grant);
+    assert!(!second[1].1.requests_grant, "a grant is requested once");
+}
