Name the tuned constants of the quota decisions and shorten their comments

Cause: five tuned numbers stood bare in the code. Change: MIN_OWN_RATE, MIN_HARD_LIMIT_FRACTION, MAX_FIRST_UNITS, LEVEL_FRESHNESS and ACTIVE_CUSTOMER_TIME, with the values as they were; a quarter in place of a division by four is exact. Comments that ran over by a word are shorter.

--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -11,6 +11,10 @@
 const MAX_GRANT_REQUEST_SHARE: f64 = 0.25;
 /// Delay of a peer's report, lost ones included, in addition to the report interval.
 const REPORT_PROPAGATION_TIME: Micros = 350_000;
+/// Least own rate of a gateway, as a part of its even share, where the usage of others is known.
+const MIN_OWN_RATE: f64 = 0.1;
+/// Least share of a hard limit that a wait is reckoned with.
+const MIN_HARD_LIMIT_FRACTION: f64 = 0.01;
 /// Part of a hard limit that two gateways hold and grant on request.
 const POOLED_HARD_LIMIT: f64 = 0.5;
 /// Time constant of rates of usage, in seconds: longer than pauses, shorter than shifts.
@@ -25,7 +29,7 @@
 impl Customer {
     /// This gateway's share of the customer's usage, with a floor for a gateway that sees little of it.
     fn own_share(&self, plan: &Plan) -> f64 {
-        let floor = if self.is_quota_owner || self.granted_at > 0 { 0.1 } else { 1.0 };
+        let floor = if self.is_quota_owner || self.granted_at > 0 { MIN_OWN_RATE } else { 1.0 };
         let own_rate = self.own_rate.max(plan.rate / self.gateway_set.size.max(1.0) * floor);
         own_rate / (own_rate + self.remote_rate).max(1e-9)
     }
@@ -44,8 +48,7 @@
         self.add_tokens(plan, refill_rate, now);
     }
 
-    /// Seconds until the quota's bucket may have the units of a request, where peers have used some
-    /// unreported.
+    /// Seconds until the quota's bucket may have a request's units, where peers used some unreported.
     fn wait_for_rate(&self, plan: &Plan, unreported_units: f64, units: f64) -> Option<f64> {
         // Peers' usage is taken off, up to their share of the tokens.
         let peers_tokens = self.tokens.max(0.0) * (1.0 - self.own_share(plan));
@@ -55,7 +58,7 @@
 
     /// Seconds until the hard limit's bucket may have the units of a request.
     fn wait_for_hard_limit(&self, plan: &Plan, units: f64) -> Option<f64> {
-        let refill_rate = plan.hard_limit_rate * self.hard_limit.fraction.max(0.01);
+        let refill_rate = plan.hard_limit_rate * self.hard_limit.fraction.max(MIN_HARD_LIMIT_FRACTION);
         self.hard_limit.time_until(units, refill_rate).filter(|_| plan.hard_limit_rate > 0.0)
     }
 
@@ -68,8 +71,7 @@
 
 impl Gateway {
     /// Takes note of the plan and the gateways that a request or a report names for a customer. The record
-    /// keeps to what most of them say: one with another customer's settings changes nothing, nor is the first
-    /// one final.
+    /// keeps to what most of them say, whatever the first or a single one says.
     pub(crate) fn record_identity(&mut self, id: CustomerId, set: GatewaySet, claimed: Customer) {
         let set = set.in_whole_gateways(self.settings.gateway_count);
         match self.quota.customers.get_mut(&id) {
@@ -84,8 +86,7 @@
         self.assign_owners(id, set);
     }
 
-    /// Assigns a customer's owners and this gateway's part of its hard limit, once: no part may be given out
-    /// twice.
+    /// Assigns a customer's owners and this gateway's share of its hard limit, once and for all.
     fn assign_owners(&mut self, id: CustomerId, set: GatewaySet) {
         let (own_id, gateway_count) = (self.settings.own_id.0, self.settings.gateway_count);
         let age = (self.now - self.started_at) as f64;
@@ -101,15 +102,13 @@
         customer.quota_owners = if owned_by_all {
             set.members(gateway_count)
         } else {
-            // In a large fleet messages are scarce: one gateway owns the quota, or both that own a hard
-            // limit.
+            // In a large fleet messages are scarce: one gateway owns the quota, two a hard limit.
             let owner_count = if plan.hard_limit_rate > 0.0 { 2 } else { 1 };
             customer.hard_limit.owners[..owner_count].to_vec()
         };
         customer.quota_owners.dedup();
         customer.is_quota_owner = customer.quota_owners.contains(&own_id);
-        // Each gateway has some of the hard limit for when no owner answers; the two owners hold the
-        // rest.
+        // Each gateway has some of the hard limit for when no owner answers; the owners hold the rest.
         let owned = customer.hard_limit.owners.iter().filter(|owner| **owner == own_id).count() as f64;
         customer.hard_limit.fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
         // The bucket is taken to have been empty at this start: what was used before is not known here.
@@ -124,8 +123,7 @@
         let plan = &self.settings.plans[customer.plan];
         let owned_by_all = self.all_gateways_own_quotas();
         let usage_known = owned_by_all || customer.is_quota_owner || self.is_recent(customer.granted_at);
-        // In a large fleet an owner is asked first. In a small one peers have used some since their last
-        // reports.
+        // A small fleet asks no owner first: peers have used some units since their last reports.
         let report_age = self.quota.report_interval + REPORT_PROPAGATION_TIME;
         let report_age = if owned_by_all { report_age } else { 0 };
         let unreported_units = customer.remote_rate * report_age as f64 / SECOND;
@@ -164,8 +162,8 @@
         customer.grant_request.requested_at > 0 && (loses || owners.all(|owner| owner.is_some_and(is_alive)))
     }
 
-    /// Whether a grant had better not be requested: an owner with more messages than it takes in loses
-    /// reports of other customers, too. A lottery leaves some requests.
+    /// Whether a grant had better not be requested: an owner that gets more messages than it can receive
+    /// loses those on other customers, too. A lottery leaves some.
     pub(crate) fn skips_grant_request(&mut self, request: &Request) -> bool {
         self.random_state = self.random_state.wrapping_add(1);
         let customer = &self.quota.customers[&request.customer];
@@ -201,8 +199,7 @@
             if plan.concurrency_quota > 0 && customer.in_flight > 0 {
                 with_attempts.push(*id);
             }
-            // Totals go on: once one is forgotten, all that was ever sent through its gateway would pass for
-            // new.
+            // A small fleet keeps old totals: without one all that a gateway ever sent would seem new.
             let is_kept = |usage: &GatewayUsage| now - usage.reported_at <= 2 * CUSTOMER_IDLE_TIME;
             customer.usage_by_gateway.retain(|_, usage| owned_by_all || is_kept(usage));
             customer.must_be_kept(plan, now)
--- a/src/policy/usage_reports.rs
+++ b/src/policy/usage_reports.rs
@@ -6,6 +6,12 @@
 
 /// Gateways that start within so many milliseconds of each other have started together, as a fleet.
 const FLEET_START_WINDOW_MS: u32 = 1500;
+/// Most units, as a part of the burst, that the first report of an older gateway may be believed to add.
+const MAX_FIRST_UNITS: f64 = 0.25;
+/// How long after a grant a gateway reports the level of a bucket.
+const LEVEL_FRESHNESS: Micros = CUSTOMER_IDLE_TIME / 10;
+/// A customer seen within this time is reported to an owner that starts.
+const ACTIVE_CUSTOMER_TIME: Micros = CUSTOMER_IDLE_TIME / 5;
 /// Units of the hard limit that are granted later than this after the request for them lapse.
 const HARD_LIMIT_GRANT_LIFETIME: Micros = 250_000;
 
@@ -14,7 +20,7 @@
     /// before this gateway may count usage of that time, too.
     fn new_units(&mut self, plan: &Plan, last_total: u16, from_older: bool, report: &UsageReport) -> f64 {
         let units = wrapping_delta(last_total, report.total_units);
-        if from_older && units.abs() > plan.burst / 4.0 {
+        if from_older && units.abs() > plan.burst * MAX_FIRST_UNITS {
             // The peer's view of the bucket is all that is left to go by.
             self.withheld_tokens -= units;
             if let Some(tokens) = report.tokens_level.tokens(plan.burst) {
@@ -46,8 +52,7 @@
         }
     }
 
-    /// Units of the hard limit for a gateway. They are deducted here first: with a lost message they are
-    /// lost.
+    /// Units of the hard limit for a gateway, deducted here first: a lost message loses them.
     fn grant_hard_limit(&mut self, report: &UsageReport) -> f64 {
         let requested = report.requests_grant && report.needs_hard_limit_grant;
         let granted = requested && self.hard_limit.tokens >= report.requested_units;
@@ -72,7 +77,7 @@
 
 impl Gateway {
     /// Queues a report of a customer's usage to its owners, with or without a request for a grant.
-    pub(crate) fn queue_usage_report(&mut self, id: CustomerId, request: bool, actions: &mut Vec<Action>) {
+    pub(crate) fn queue_usage_report(&mut self, id: CustomerId, grant: bool, actions: &mut Vec<Action>) {
         let Some(customer) = self.quota.customers.get(&id) else { return };
         if !self.settings.limits.peer_messages {
             return;
@@ -80,11 +85,10 @@
         let own_id = self.settings.own_id.0;
         let hard_limit_owners = customer.hard_limit.owners;
         let owned_by_all = self.all_gateways_own_quotas();
-        // Sent twice: a lost one would leave an attempt in flight for long. A large fleet has no messages to
-        // spare.
+        // Sent twice: a lost report leaves an attempt in flight for long. A large fleet cannot afford it.
         let retransmissions = if owned_by_all { 2 } else { 1 };
         for owner in customer.quota_owners.clone().into_iter().filter(|owner| *owner != own_id) {
-            let requests_grant = request && hard_limit_owners.contains(&owner);
+            let requests_grant = grant && hard_limit_owners.contains(&owner);
             self.peers.queue(owner, id, OutboxEntry { retransmissions, requests_grant });
             if requests_grant && (owned_by_all || self.peers.entry(owner).next_send_at <= self.now) {
                 self.flush_outbox(owner, actions);
@@ -96,7 +100,7 @@
     pub(crate) fn report_to(&mut self, to: u16, id: CustomerId, entry: OutboxEntry) -> Option<UsageReport> {
         let (now, own_id) = (self.now, self.settings.own_id.0);
         let customer = self.quota.refill(id, now, &self.settings.plans)?;
-        let granted_lately = now - customer.granted_at.min(now) < CUSTOMER_IDLE_TIME / 10;
+        let granted_lately = now - customer.granted_at.min(now) < LEVEL_FRESHNESS;
         let level_known = customer.is_quota_owner || granted_lately;
         let burst = level_known.then_some(self.settings.plans[customer.plan].burst);
         // One of the two is drawn to grant units of the hard limit: two grants would waste one.
@@ -139,15 +143,14 @@
         }
     }
 
-    /// A peer that starts counts its usage anew. As an owner it knows nothing, and gets one report of each
-    /// customer.
+    /// A peer that starts counts its usage anew, and knows nothing as an owner: it gets one report each.
     fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
         // In a large fleet every peer is unknown to begin with.
         let reports_again = restarted || self.all_gateways_own_quotas();
         let mut unreported = Vec::new();
         for (id, customer) in &mut self.quota.customers {
             customer.forget_usage_of(peer);
-            let is_active = self.now - customer.last_seen_at < CUSTOMER_IDLE_TIME / 5;
+            let is_active = self.now - customer.last_seen_at < ACTIVE_CUSTOMER_TIME;
             if reports_again && is_active && customer.quota_owners.contains(&peer) {
                 unreported.push(*id);
             }
@@ -166,14 +169,13 @@
         }
     }
 
-    /// Whether this gateway started lately, and the whole fleet with it. Later a peer may have forgotten
-    /// customers.
+    /// Whether the whole fleet started lately. Later a peer may have forgotten customers.
     fn fleet_just_started(&self) -> bool {
         self.quota.usage_known_since.is_none() && self.now - self.started_at < CUSTOMER_IDLE_TIME
     }
 
-    /// A peer, one that started before this gateway or not, reports its usage of a customer; the answer if it
-    /// requests a grant.
+    /// Handles a peer's usage report; the answer if it requests a grant. An older peer started before this
+    /// gateway.
     fn on_usage_report(&mut self, from: u16, is_older: bool, report: &UsageReport) -> Option<QuotaGrant> {
         self.observe_reported_customer(report)?;
         let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
@@ -191,8 +193,7 @@
         // Usage beyond the quota leaves no debt at an owner whose grant is requested before each request.
         let min_tokens = if owned_by_all { -plan.burst } else { customer.tokens.min(0.0) };
         customer.tokens = (customer.tokens + usage.granted_units - units).clamp(min_tokens, plan.burst);
-        // With a concurrency quota in a large fleet the rate is that of requests for grants, the sender's
-        // included.
+        // With a concurrency quota in a large fleet requests for grants are counted, the sender's included.
         let counts_requests = !owned_by_all && plan.concurrency_quota > 0;
         let counted = if counts_requests { f64::from(u8::from(report.requests_grant)) } else { units };
         let counted_for_sender = if counts_requests { 0.0 } else { units };
