--- a/tests/decision_digest/deployment.rs
+++ b/tests/decision_digest/deployment.rs
@@ -3,6 +3,7 @@
 use crate::support::settings::{class, limits, plan, rules, SECOND, START};
 use ingress::*;
 
+/// A millisecond, in the unit of [`Micros`].
 pub const MILLISECOND: Micros = 1_000;
 
 /// How many gateways the settings name, how many of them run, and what they run with.
@@ -14,6 +15,7 @@
     pub peer_messages_per_second: f64,
 }
 
+/// Every gateway of the fleet runs, and owns the quota of each customer.
 pub const THREE: FleetSize =
     FleetSize { gateway_count: 3, live_gateways: 3, backends: 15, peer_messages_per_second: 60.0 };
 /// The largest fleet in which each of a customer's gateways is one of its quota owners.
@@ -68,6 +70,7 @@
     ]
 }
 
+/// The settings of one gateway.
 pub fn settings(size: FleetSize, deployment: Deployment, own_id: u16) -> Settings {
     let single = deployment == Deployment::Single;
     Settings {
--- a/tests/decision_digest/fleet.rs
+++ b/tests/decision_digest/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::{endpoint_event, settings, Deployment, FleetSize, MILLISECOND};
 use crate::digest::Digest;
+use crate::random::Random;
 use crate::support::settings::{SECOND, START};
 use ingress::*;
 use std::collections::BTreeMap;
@@ -32,31 +33,6 @@
     kind: EndpointUpdate,
 }
 
-/// splitmix64.
-struct Random(u64);
-
-impl Random {
-    fn next(&mut self) -> u64 {
-        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut mixed = self.0;
-        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        mixed ^ (mixed >> 31)
-    }
-
-    fn below(&mut self, bound: u64) -> u64 {
-        self.next() % bound
-    }
-
-    fn percent(&mut self, share: u64) -> bool {
-        self.below(100) < share
-    }
-
-    fn between(&mut self, least: Micros, most: Micros) -> Micros {
-        least + self.below(most - least)
-    }
-}
-
 /// An attempt, as the host sees it.
 struct Attempt {
     backend: BackendId,
@@ -131,7 +107,7 @@
             deployment,
             gateway_seed,
             now: START,
-            random: Random(EVENT_SEED + u64::from(size.gateway_count)),
+            random: Random::new(EVENT_SEED + u64::from(size.gateway_count)),
             hosts: Vec::new(),
             scheduled: BTreeMap::new(),
             sequence: 0,
@@ -377,7 +353,8 @@
     /// Removes a request that is answered and has no attempt in flight.
     fn remove_if_finished(&mut self, gateway: u16, id: RequestId) {
         let pending = &mut self.hosts[usize::from(gateway)].pending;
-        let over = |pending: &Pending| pending.answered && pending.attempts.iter().all(|a| !a.in_flight);
+        let over =
+            |pending: &Pending| pending.answered && pending.attempts.iter().all(|attempt| !attempt.in_flight);
         if pending.get(&id).is_some_and(over) {
             pending.remove(&id);
         }
--- a/tests/decision_digest/main.rs
+++ b/tests/decision_digest/main.rs
@@ -13,6 +13,7 @@
 mod deployment;
 mod digest;
 mod fleet;
+mod random;
 
 use deployment::{Deployment, FleetSize, THIRTY, THREE, THREE_HUNDRED};
 use digest::{Counts, Digest, Pinned};
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -100,7 +100,8 @@
     let (backend, gate) = gated_backend();
     let ingress = IngressSetup::with_backends(&[&backend]).start();
     let mut client = ingress.client();
-    let requests: Vec<u8> = (0..400).flat_map(|n| encode_request("refer", &format!("r{n}"), 7000)).collect();
+    let requests: Vec<u8> =
+        (0..400).flat_map(|number| encode_request("refer", &format!("r{number}"), 7000)).collect();
     client.send(&requests);
     wait_until("the concurrency limit is reached", || backend.command_count() == 10);
     ingress.wait_until_input_is_processed();
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -11,10 +11,13 @@
 
 /// What a backend sends for a command.
 pub enum BackendReply {
+    /// These bytes at once.
     Bytes(Vec<u8>),
+    /// These bytes after a delay.
     Delayed(Duration, Vec<u8>),
     /// The first so many bytes, and a moment later the rest.
     InTwoParts(usize, Vec<u8>),
+    /// Keeps the connection open without a reply.
     Nothing,
     /// Closes the connection.
     Disconnect,
@@ -53,6 +56,7 @@
 }
 
 impl Backend {
+    /// Starts a backend on a port of its own.
     pub fn start(reply: impl Fn(&[String]) -> BackendReply + Send + Sync + 'static) -> Backend {
         Backend::on(TcpListener::bind("127.0.0.1:0").unwrap(), reply)
     }
@@ -90,14 +94,17 @@
         self.commands().iter().map(|command| command[2].clone()).collect()
     }
 
+    /// How many commands came so far.
     pub fn command_count(&self) -> usize {
         self.state.commands.lock().unwrap().len()
     }
 
+    /// How many connections were opened so far.
     pub fn connections_opened(&self) -> usize {
         self.state.connections_opened.load(Ordering::SeqCst)
     }
 
+    /// How many of them are closed, by either side.
     pub fn connections_closed(&self) -> usize {
         self.state.connections_closed.load(Ordering::SeqCst)
     }
@@ -191,6 +198,7 @@
 }
 
 impl UnreachableBackend {
+    /// Fills the accept queue of a listener.
     pub fn new() -> UnreachableBackend {
         let stream = || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         let socket = stream();
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -12,6 +12,7 @@
 }
 
 impl Client {
+    /// Connects to an ingress.
     pub fn connect(to: SocketAddr) -> Client {
         let stream = TcpStream::connect(to).unwrap();
         stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
@@ -19,6 +20,7 @@
         Client { stream }
     }
 
+    /// Sends bytes as they are.
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).unwrap();
     }
--- a/tests/support/discovery.rs
+++ b/tests/support/discovery.rs
@@ -126,6 +126,7 @@
 }
 
 impl DiscoveryServer {
+    /// Starts with an empty endpoint list.
     pub fn start() -> DiscoveryServer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -12,6 +12,7 @@
 }
 
 impl Fleet {
+    /// So many gateways, with the settings that all tests share.
     pub fn new(gateways: u16) -> Fleet {
         let harness = |own_id| GatewayHarness::new(settings_of(own_id, gateways), 6);
         Fleet { gateways: (0..gateways).map(harness).collect(), messages_sent: 0 }
--- a/tests/support/settings.rs
+++ b/tests/support/settings.rs
@@ -5,15 +5,17 @@
 /// When gateways under test start.
 pub const START: Micros = 1_000_000_000;
 
+/// A second, in the unit of [`Micros`].
 pub const SECOND: Micros = 1_000_000;
 
-/// The classes of [`settings`].
+/// Index of a class of [`settings`], retried at will.
 pub const IDEMPOTENT: u8 = 0;
-/// Keyed by cell for 2 s.
+/// Its idempotency key is known in a cell for 2 s.
 pub const KEYED: u8 = 1;
+/// Retried only if never executed.
 pub const NON_IDEMPOTENT: u8 = 2;
 
-/// The plans of [`settings`].
+/// Index of a plan of [`settings`], with a quota that no test reaches.
 pub const UNLIMITED: u16 = 0;
 /// 2 units a second, a burst of 6.
 pub const RATE_QUOTA: u16 = 1;
