Return a request and its actions from the driven gateway as a struct

GatewayHarness::request returned a pair, which 70 lines of tests took apart by position or by .1.

SubmittedRequest has id and actions. Assertions are as they were.

--- a/tests/gateway/admission.rs
+++ b/tests/gateway/admission.rs
@@ -1,6 +1,6 @@
 //! Final answers: deadlines, disconnects and malformed events.
 
-use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness};
+use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{settings, IDEMPOTENT, NON_IDEMPOTENT, RATE_QUOTA, SECOND, START, UNLIMITED};
 use ingress::*;
 
@@ -56,19 +56,19 @@
     let requests: Vec<_> =
         (0..12).map(|customer| harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0)).collect();
     let (in_flight, others): (Vec<_>, Vec<_>) =
-        requests.iter().partition(|(_, actions)| !sent_to(actions).is_empty());
-    let waiting: Vec<_> = others.into_iter().filter(|(_, actions)| !is_rejected(actions)).collect();
+        requests.iter().partition(|request| !sent_to(&request.actions).is_empty());
+    let waiting: Vec<_> = others.into_iter().filter(|request| !is_rejected(&request.actions)).collect();
     assert!(
         !in_flight.is_empty() && !waiting.is_empty(),
         "{} in flight, {} waiting",
         in_flight.len(),
         waiting.len()
     );
-    for (id, _) in &waiting {
-        assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
+    for request in &waiting {
+        assert!(sent_to(&harness.handle(Event::ClientDisconnected(request.id))).is_empty());
     }
-    for (id, actions) in &in_flight {
-        let after_end = harness.end_attempt(*id, 0, sent_to(actions)[0], Outcome::Ok);
+    for request in &in_flight {
+        let after_end = harness.end_attempt(request.id, 0, sent_to(&request.actions)[0], Outcome::Ok);
         assert!(sent_to(&after_end).is_empty(), "sent for a client that had disconnected");
     }
     assert!(sent_to(&harness.advance(SECOND)).is_empty());
@@ -79,11 +79,13 @@
     let mut harness = GatewayHarness::new(Settings { gateway_count: 100, ..settings }, 6);
     let requests: Vec<_> =
         (0..20).map(|customer| harness.request(NON_IDEMPOTENT, RATE_QUOTA, customer, 1.0)).collect();
-    let waiting: Vec<_> =
-        requests.iter().filter(|(_, actions)| sent_to(actions).is_empty() && !is_rejected(actions)).collect();
+    let waiting: Vec<_> = requests
+        .iter()
+        .filter(|request| sent_to(&request.actions).is_empty() && !is_rejected(&request.actions))
+        .collect();
     assert!(waiting.len() > 5, "{} of 20 are waiting", waiting.len());
-    for (id, _) in &waiting {
-        assert!(sent_to(&harness.handle(Event::ClientDisconnected(*id))).is_empty());
+    for request in &waiting {
+        assert!(sent_to(&harness.handle(Event::ClientDisconnected(request.id))).is_empty());
     }
     assert!(sent_to(&harness.advance(SECOND)).is_empty());
 }
@@ -91,7 +93,7 @@
 /// The attempt in flight fails behind the disconnect, which would bring a retry.
 fn disconnects_before_the_attempt_fails(settings: Settings) {
     let mut harness = GatewayHarness::new(settings, 6);
-    let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
     harness.handle(Event::ClientDisconnected(id));
     let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::ConnectFailed);
     assert!(sent_to(&end).is_empty() && sent_to(&harness.advance(SECOND)).is_empty());
@@ -100,7 +102,7 @@
 #[test]
 fn an_attempt_that_ends_after_a_disconnect_gets_no_final_answer() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
     harness.handle(Event::ClientDisconnected(id));
     let late = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::TimedOut);
     assert!(!is_rejected(&late) && !is_failed(&late) && sent_to(&late).is_empty());
--- a/tests/gateway/concurrency_quota.rs
+++ b/tests/gateway/concurrency_quota.rs
@@ -1,7 +1,9 @@
 //! Quotas on attempts in flight, and the owners that grant them.
 
 use crate::support::fleet::Fleet;
-use crate::support::gateway::{is_failed, is_rejected, sent_messages, sent_to, GatewayHarness};
+use crate::support::gateway::{
+    is_failed, is_rejected, sent_messages, sent_to, GatewayHarness, SubmittedRequest,
+};
 use crate::support::settings::{
     settings, settings_of, CONCURRENCY_QUOTA, IDEMPOTENT, NON_IDEMPOTENT, SECOND, START, UNLIMITED,
 };
@@ -10,16 +12,16 @@
 #[test]
 fn a_concurrency_quota_counts_cancelled_attempts_until_they_end() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let (id, actions) = harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0);
-    assert_eq!(sent_to(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).1).len(), 1);
-    assert!(is_rejected(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).1));
+    let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0);
+    assert_eq!(sent_to(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).actions).len(), 1);
+    assert!(is_rejected(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).actions));
     harness.handle(Event::ClientDisconnected(id));
     assert!(
-        is_rejected(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).1),
+        is_rejected(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).actions),
         "cancelled, yet still in flight"
     );
     harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Cancelled);
-    assert_eq!(sent_to(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).1).len(), 1);
+    assert_eq!(sent_to(&harness.request(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0).actions).len(), 1);
 }
 
 /// Guards against an attempt at a slow backend that occupies one of a customer's few places for as long as
@@ -37,17 +39,21 @@
         };
         actions.iter().find_map(expiry)
     };
-    let (id, actions) = harness.request_from_set(NON_IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 1.0);
+    let SubmittedRequest { id, actions } =
+        harness.request_from_set(NON_IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 1.0);
     assert_eq!(expires_at(&actions), Some(START + SECOND), "a quota of two, an objective of a second");
     assert_eq!(
-        expires_at(&harness.request_from_set(NON_IDEMPOTENT, UNLIMITED, 6, 1.0, 1.0).1),
+        expires_at(&harness.request_from_set(NON_IDEMPOTENT, UNLIMITED, 6, 1.0, 1.0).actions),
         Some(0),
         "without a quota it lasts as long as the client waits"
     );
     harness.advance(SECOND + 20_000);
     let ended = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::TimedOut);
     assert!(is_failed(&ended), "it fails at once, not at the deadline");
-    assert_eq!(sent_to(&harness.request_from_set(NON_IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 1.0).1).len(), 1);
+    assert_eq!(
+        sent_to(&harness.request_from_set(NON_IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 1.0).actions).len(),
+        1
+    );
 }
 
 /// Guards against admitting every request of a customer with a concurrency quota where its quota owner is not
@@ -61,7 +67,8 @@
         let mut harness = GatewayHarness::new(settings, 200);
         let (mut sent, mut waited) = (0, 0);
         for customer in 0..400 {
-            let (id, at_once) = harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, customer, 1.0, 300.0);
+            let SubmittedRequest { id, actions: at_once } =
+                harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, customer, 1.0, 300.0);
             if !sent_to(&at_once).is_empty() {
                 continue; // this gateway is the quota owner
             }
@@ -89,10 +96,11 @@
         GatewayHarness::new(settings, 200)
     };
     let mut harness = harness_of(0);
-    let owner = sent_messages(&harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 100.0).1)
-        .first()
-        .expect("its quota owner is asked")
-        .0;
+    let owner =
+        sent_messages(&harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 100.0).actions)
+            .first()
+            .expect("its quota owner is asked")
+            .0;
     assert_eq!(sent_to(&harness.advance(200_000)).len(), 1, "its quota owner was never heard");
     harness.now += 3 * SECOND;
     // Another customer with the same quota owner, and its answer for that one.
@@ -101,7 +109,7 @@
         let messages = sent_messages(
             &harness
                 .request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, other_customers.next().unwrap(), 1.0, 100.0)
-                .1,
+                .actions,
         );
         if let Some((_, bytes)) = messages.into_iter().next().filter(|message| message.0 == owner) {
             break bytes;
@@ -114,7 +122,7 @@
     let (_, bytes) = answers.into_iter().next().expect("its answer");
     harness.handle(Event::PeerMessage { from: owner, bytes });
     harness.advance(300_000);
-    let (id, _) = harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 100.0);
+    let id = harness.request_from_set(IDEMPOTENT, CONCURRENCY_QUOTA, 5, 1.0, 100.0).id;
     let later = harness.advance(300_000);
     assert!(later
         .iter()
--- a/tests/gateway/gossip.rs
+++ b/tests/gateway/gossip.rs
@@ -1,6 +1,6 @@
 //! Usage reports between gateways.
 
-use crate::support::gateway::{is_rejected, sent_messages, sent_to, GatewayHarness};
+use crate::support::gateway::{is_rejected, sent_messages, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{settings, settings_of, IDEMPOTENT, RATE_QUOTA, SECOND, UNLIMITED};
 use ingress::*;
 
@@ -19,7 +19,7 @@
         harness.handle(Event::PeerMessage { from: GatewayId(1), bytes: bytes.clone() });
     }
     // 6 units less 0.5 here and 5 there: no room for a request of 3, though this gateway sent half a unit.
-    assert!(is_rejected(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 3.0).1));
+    assert!(is_rejected(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 3.0).actions));
 }
 
 #[test]
@@ -28,7 +28,7 @@
     let mut reported = std::collections::BTreeSet::new();
     for _ in 0..20 {
         for customer in 0..100 {
-            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
+            let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
                 harness.end_attempt(id, 0, backend, Outcome::Ok);
             }
--- a/tests/gateway/hard_limit.rs
+++ b/tests/gateway/hard_limit.rs
@@ -1,7 +1,7 @@
 //! Hard limits, which hold even where gateways hear nothing of each other.
 
 use crate::support::fleet::Fleet;
-use crate::support::gateway::{sent_to, GatewayHarness};
+use crate::support::gateway::{sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{settings_of, HARD_LIMIT, IDEMPOTENT};
 use ingress::*;
 
@@ -16,7 +16,7 @@
                 let mut sent = 0;
                 for second in 0..10 {
                     for _ in 0..10 {
-                        let (id, mut actions) =
+                        let SubmittedRequest { id, mut actions } =
                             harness.request_from_set(IDEMPOTENT, HARD_LIMIT, 5, 1.0, f64::from(gateways));
                         actions.extend(harness.advance(100_000));
                         for backend in sent_to(&actions) {
--- a/tests/gateway/load_balancing.rs
+++ b/tests/gateway/load_balancing.rs
@@ -1,6 +1,6 @@
 //! Choice of a backend: draining, slow start and subsets.
 
-use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{endpoint, settings, settings_of, IDEMPOTENT, SECOND, START, UNLIMITED};
 use ingress::*;
 
@@ -10,14 +10,14 @@
     let draining = Endpoint { availability: Availability::Draining, ..endpoint(0) };
     harness.handle(Event::Endpoints(EndpointUpdate::Delta, vec![draining]));
     for customer in 0..20 {
-        let (_, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
+        let actions = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions;
         assert!(sent_to(&actions).iter().all(|backend| *backend == BackendId(1)));
     }
     harness.handle(Event::Endpoints(
         EndpointUpdate::Delta,
         vec![Endpoint { availability: Availability::Gone, ..endpoint(1) }],
     ));
-    let (_, waiting) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let waiting = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0).actions;
     assert!(sent_to(&waiting).is_empty());
     let later = harness.advance(SECOND);
     assert!(sent_to(&later).is_empty() && is_rejected(&later), "it waits, then is rejected in time");
@@ -34,11 +34,11 @@
             vec![Endpoint { started_at: START, ..endpoint(0) }],
         ));
         for customer in 0..20 {
-            sent_at_once += sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len();
+            sent_at_once += sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions).len();
         }
         for customer in 0..200 {
             sent_later += sent_to(&harness.advance(100_000)).len()
-                + sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len();
+                + sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions).len();
         }
     }
     assert!(sent_at_once <= 6, "{sent_at_once} sent at once to a backend that has just started");
@@ -56,7 +56,7 @@
         let mut harness = GatewayHarness::new(settings_of(own_id, gateways), backends);
         for customer in 0..2_000 {
             harness.now += 1_000;
-            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
+            let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
                 *attempts_by_backend.entry(backend).or_insert(0u64) += 1;
                 harness.end_attempt(id, 0, backend, Outcome::Ok);
--- a/tests/gateway/load_shedding.rs
+++ b/tests/gateway/load_shedding.rs
@@ -1,6 +1,6 @@
 //! Shedding stages and the concurrency limit.
 
-use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{plan, settings, settings_of, IDEMPOTENT, UNLIMITED};
 use ingress::*;
 
@@ -10,7 +10,7 @@
     let mut log = Vec::new();
     for step in 0..800u64 {
         let is_slow = (100..300).contains(&step);
-        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step, 1.0);
+        let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, step, 1.0);
         if let Some(backend) = sent_to(&actions).first() {
             let elapsed = if is_slow { 900_000 } else { 100_000 };
             harness.end_attempt_after(elapsed, id, 0, *backend, Outcome::Ok);
@@ -37,7 +37,7 @@
         settings.plans = vec![plan(1e6, 1e6)];
         let mut harness = GatewayHarness::new(settings, 4);
         for step in 0..400u64 {
-            let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, step % 40, 1.0);
+            let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, step % 40, 1.0);
             for backend in sent_to(&actions) {
                 let elapsed = if step < 40 { 100_000 } else { 900_000 };
                 harness.end_attempt_after(elapsed, id, 0, backend, Outcome::Ok);
@@ -45,7 +45,7 @@
             harness.advance(20_000);
         }
         (0..40)
-            .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1))
+            .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions))
             .collect::<Vec<_>>()
     };
     let (here, there) = (verdicts(0), verdicts(1));
@@ -59,7 +59,7 @@
         let mut harness = GatewayHarness::new(settings(), 12);
         harness.update_endpoints(EndpointUpdate::Snapshot, backends);
         (0..200)
-            .map(|customer| sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1).len())
+            .map(|customer| sent_to(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions).len())
             .sum::<usize>()
     };
     assert!(in_flight(12) >= 12);
@@ -77,13 +77,13 @@
 fn the_concurrency_limit_rejects_the_same_customers_again() {
     let mut harness = GatewayHarness::new(settings(), 12);
     let verdicts: Vec<bool> = (0..80)
-        .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).1))
+        .map(|customer| is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0).actions))
         .collect();
     let first_rejected = verdicts.iter().position(|rejected| *rejected).expect("the limit is reached");
     let last_admitted = verdicts.iter().rposition(|rejected| !*rejected).expect("some are admitted");
     assert!(first_rejected < last_admitted, "some are rejected before the limit is reached");
     assert!(
-        is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, first_rejected as u64, 1.0).1),
+        is_rejected(&harness.request(IDEMPOTENT, UNLIMITED, first_rejected as u64, 1.0).actions),
         "a retry changes nothing"
     );
 }
--- a/tests/gateway/outlier_detection.rs
+++ b/tests/gateway/outlier_detection.rs
@@ -1,7 +1,7 @@
 //! Ejection of backends that fail or stay silent.
 
 use crate::support::fleet::Fleet;
-use crate::support::gateway::{sent_to, GatewayHarness};
+use crate::support::gateway::{sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{settings, IDEMPOTENT, NON_IDEMPOTENT, SECOND, START, UNLIMITED};
 use ingress::*;
 
@@ -10,7 +10,7 @@
 #[test]
 fn a_stall_of_the_gateway_ejects_no_backend() {
     let mut harness = GatewayHarness::new(settings(), 1);
-    let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, 1, 1.0);
     assert_eq!(sent_to(&actions).len(), 1);
     harness.now += 2 * SECOND;
     let actions_after_stall = harness.handle(Event::ClientDisconnected(RequestId(99)));
@@ -20,7 +20,7 @@
     harness.end_attempt(id, 0, BackendId(0), Outcome::Ok);
     harness.advance(100_000);
     assert_eq!(
-        sent_to(&harness.request(IDEMPOTENT, UNLIMITED, 2, 1.0).1).len(),
+        sent_to(&harness.request(IDEMPOTENT, UNLIMITED, 2, 1.0).actions).len(),
         1,
         "its answer had come: it is not ejected"
     );
@@ -31,7 +31,8 @@
 fn timeouts_of_one_class_eject_a_backend_for_that_class_only() {
     let mut harness = GatewayHarness::new(settings(), 2);
     for customer in 0..40 {
-        let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 100 + customer, 1.0); // never answered at backend 0
+        let SubmittedRequest { id, actions } =
+            harness.request(NON_IDEMPOTENT, UNLIMITED, 100 + customer, 1.0); // never answered at backend 0
         let is_silent = sent_to(&actions) == [BackendId(0)];
         for backend in sent_to(&actions).into_iter().filter(|_| !is_silent) {
             harness.end_attempt(id, 0, backend, Outcome::Ok);
@@ -40,7 +41,7 @@
         if is_silent {
             harness.end_attempt(id, 0, BackendId(0), Outcome::TimedOut);
         }
-        let (id, actions) = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
+        let SubmittedRequest { id, actions } = harness.request(IDEMPOTENT, UNLIMITED, customer, 1.0);
         for backend in sent_to(&actions) {
             harness.end_attempt(id, 0, backend, Outcome::Ok);
         }
@@ -48,7 +49,7 @@
     let (mut non_idempotent, mut idempotent) = ([0, 0], [0, 0]);
     for customer in 0..20 {
         for (class, count) in [(NON_IDEMPOTENT, &mut non_idempotent), (IDEMPOTENT, &mut idempotent)] {
-            let (id, actions) = harness.request(class, UNLIMITED, customer, 1.0);
+            let SubmittedRequest { id, actions } = harness.request(class, UNLIMITED, customer, 1.0);
             for backend in sent_to(&actions) {
                 count[backend.0 as usize] += 1;
                 if class == IDEMPOTENT || backend.0 == 1 {
@@ -105,7 +106,7 @@
         for at in [step * 37 % 100, step * 41 % 100, step * 53 % 100, step * 61 % 100] {
             let harness = &mut fleet.gateways[at];
             let customer = 7000 + step as u64 * 31 % 400;
-            let (_, mut actions) = harness.request_from_set(IDEMPOTENT, UNLIMITED, customer, 1.0, 100.0);
+            let mut actions = harness.request_from_set(IDEMPOTENT, UNLIMITED, customer, 1.0, 100.0).actions;
             actions.extend(harness.advance(20_000)); // its timers, too
             let counts = execute_with_silent_backend(&mut fleet, at, actions);
             // In the first five seconds the gateways observe it.
--- a/tests/gateway/rate_quota.rs
+++ b/tests/gateway/rate_quota.rs
@@ -1,7 +1,7 @@
 //! Customers' token buckets over a fleet.
 
 use crate::support::fleet::Fleet;
-use crate::support::gateway::{is_rejected, sent_to, GatewayHarness};
+use crate::support::gateway::{is_rejected, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{
     settings, settings_of, CONCURRENCY_QUOTA, IDEMPOTENT, RATE_QUOTA, SECOND, UNLIMITED,
 };
@@ -10,16 +10,16 @@
 #[test]
 fn requests_within_the_quota_are_sent_and_beyond_it_rejected() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let (_, first) = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0);
+    let first = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0).actions;
     assert_eq!(sent_to(&first).len(), 1);
-    let (_, second) = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0);
+    let second = harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0).actions;
     assert!(
         is_rejected(&second) && sent_to(&second).is_empty(),
         "a new customer starts with this gateway's share"
     );
     harness.advance(2 * SECOND); // and by then no more usage of others is assumed
     assert_eq!(
-        sent_to(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0).1).len(),
+        sent_to(&harness.request(IDEMPOTENT, RATE_QUOTA, 9, 1.0).actions).len(),
         1,
         "the bucket is refilled at the rate"
     );
@@ -33,13 +33,15 @@
     for forged_first in [false, true] {
         let mut harness = GatewayHarness::new(settings_of(0, 1), 6);
         let send_genuine = |harness: &mut GatewayHarness| {
-            let (id, actions) = harness.request_from_set(IDEMPOTENT, RATE_QUOTA, 9, 1.0, 1.0);
+            let SubmittedRequest { id, actions } =
+                harness.request_from_set(IDEMPOTENT, RATE_QUOTA, 9, 1.0, 1.0);
             let backends = sent_to(&actions);
             backends.iter().for_each(|backend| drop(harness.end_attempt(id, 0, *backend, Outcome::Ok)));
             backends.len()
         };
         let send_forged = |harness: &mut GatewayHarness| {
-            let (id, actions) = harness.request_from_set(IDEMPOTENT, UNLIMITED, 9, 1.0, 1.0);
+            let SubmittedRequest { id, actions } =
+                harness.request_from_set(IDEMPOTENT, UNLIMITED, 9, 1.0, 1.0);
             sent_to(&actions)
                 .iter()
                 .for_each(|backend| drop(harness.end_attempt(id, 0, *backend, Outcome::Ok)));
@@ -87,7 +89,7 @@
         let mut sent = 0;
         for number in 0..100usize {
             let (at, customer) = (number * 37 % 100, 1000 + number as u64 % 20);
-            let (_, actions) = fleet.gateways[at].request_from_set(IDEMPOTENT, plan, customer, 1.0, 100.0);
+            let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, plan, customer, 1.0, 100.0).actions;
             sent += fleet.execute(at, actions, 0);
             sent += fleet.advance(20_000, 0);
         }
@@ -107,7 +109,7 @@
 fn sent_for_new_customer(fleet: &mut Fleet, customer: u64) -> usize {
     let mut sent = 0;
     for _ in 0..10 {
-        let (_, actions) = fleet.gateways[2].request_from_set(IDEMPOTENT, RATE_QUOTA, customer, 1.0, 3.0);
+        let actions = fleet.gateways[2].request_from_set(IDEMPOTENT, RATE_QUOTA, customer, 1.0, 3.0).actions;
         sent += fleet.execute(2, actions, 0);
     }
     sent
@@ -148,7 +150,7 @@
 fn a_customer_that_returns_to_a_gateway_is_not_charged_for_past_usage() {
     let mut fleet = Fleet::new(3);
     let request_once = |fleet: &mut Fleet, at: usize, pause: Micros| {
-        let (_, actions) = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0);
+        let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0).actions;
         let sent = fleet.execute(at, actions, 0);
         fleet.advance(pause, 0);
         sent
--- a/tests/gateway/retry.rs
+++ b/tests/gateway/retry.rs
@@ -1,6 +1,6 @@
 //! Retries by idempotency, and hedging.
 
-use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness};
+use crate::support::gateway::{is_failed, is_rejected, sent_to, GatewayHarness, SubmittedRequest};
 use crate::support::settings::{
     endpoint, settings, settings_of, IDEMPOTENT, KEYED, NON_IDEMPOTENT, SECOND, UNLIMITED,
 };
@@ -9,7 +9,7 @@
 #[test]
 fn a_non_idempotent_request_fails_after_a_timeout_without_a_retry() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
     let backend = sent_to(&actions)[0];
     let later = harness.advance(2 * SECOND);
     assert!(sent_to(&later).is_empty(), "a non-idempotent request is not hedged");
@@ -20,7 +20,7 @@
 #[test]
 fn a_non_idempotent_request_is_retried_only_if_never_executed() {
     let mut harness = GatewayHarness::new(settings(), 4);
-    let (id, actions) = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(NON_IDEMPOTENT, UNLIMITED, 1, 1.0);
     let retry = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Rejected);
     assert_eq!(sent_to(&retry).len(), 1);
     let end = harness.end_attempt(id, 1, sent_to(&retry)[0], Outcome::Reset);
@@ -30,7 +30,7 @@
 #[test]
 fn a_keyed_retry_stays_in_its_cell_and_window() {
     let mut harness = GatewayHarness::new(settings(), 6);
-    let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(KEYED, UNLIMITED, 1, 1.0);
     let first = sent_to(&actions)[0];
     let retry = harness.end_attempt(id, 0, first, Outcome::Error);
     assert_eq!(sent_to(&retry).len(), 1);
@@ -41,7 +41,7 @@
     settings.limits.hedging = false;
     settings.limits.cancellation = false;
     let mut harness = GatewayHarness::new(settings, 6);
-    let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(KEYED, UNLIMITED, 1, 1.0);
     harness.advance(2 * SECOND);
     let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Reset);
     assert!(sent_to(&end).is_empty() && is_failed(&end) && !is_rejected(&end), "outside the window");
@@ -57,7 +57,7 @@
         settings.limits.hedging = false;
         settings.limits.cancellation = false;
         let mut harness = GatewayHarness::new(settings, 6);
-        let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
+        let SubmittedRequest { id, actions } = harness.request(KEYED, UNLIMITED, 1, 1.0);
         harness.advance(delay);
         let end = harness.end_attempt(id, 0, sent_to(&actions)[0], Outcome::Reset);
         assert_eq!(
@@ -72,7 +72,7 @@
 #[test]
 fn a_keyed_retry_keeps_to_its_cell_after_its_first_backend_is_removed() {
     let mut harness = GatewayHarness::new(settings(), 6);
-    let (id, actions) = harness.request(KEYED, UNLIMITED, 1, 1.0);
+    let SubmittedRequest { id, actions } = harness.request(KEYED, UNLIMITED, 1, 1.0);
     let first = sent_to(&actions)[0];
     let remaining: Vec<Endpoint> =
         (0..6).map(endpoint).filter(|endpoint| endpoint.cell != (first.0 % 2) as u16).collect();
@@ -88,11 +88,11 @@
     let (mut first_attempts, mut hedges) = (0, 0);
     for own_id in 0..100 {
         let mut harness = GatewayHarness::new(settings_of(own_id, 100), 200);
-        let (_, early) = harness.request_from_set(IDEMPOTENT, UNLIMITED, 5, 1.0, 1.0);
+        let early = harness.request_from_set(IDEMPOTENT, UNLIMITED, 5, 1.0, 1.0).actions;
         first_attempts += sent_to(&early).len();
         for number in 0..20 {
             first_attempts +=
-                sent_to(&harness.request_from_set(IDEMPOTENT, UNLIMITED, 6 + number, 1.0, 1.0).1).len();
+                sent_to(&harness.request_from_set(IDEMPOTENT, UNLIMITED, 6 + number, 1.0, 1.0).actions).len();
         }
         first_attempts += sent_to(&harness.advance(200_000)).len(); // waited for a grant that does not come
         hedges += sent_to(&harness.advance(SECOND / 2)).len();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -46,7 +46,7 @@
 
     /// A request at one gateway, of a customer of its own, and 20 ms at all of them. Returns how many attempts were sent.
     pub fn request(&mut self, at: usize, plan: u16, units: f64, set_size: f64, lose_every: u64) -> usize {
-        let (_, actions) = self.gateways[at].request_from_set(IDEMPOTENT, plan, 5, units, set_size);
+        let actions = self.gateways[at].request_from_set(IDEMPOTENT, plan, 5, units, set_size).actions;
         let sent = self.execute(at, actions, lose_every);
         sent + self.advance(20_000, lose_every)
     }
--- a/tests/support/gateway.rs
+++ b/tests/support/gateway.rs
@@ -3,6 +3,12 @@
 use super::settings::{endpoint, SECOND, START};
 use ingress::*;
 
+/// A request that a gateway got, and what it asked for at once.
+pub struct SubmittedRequest {
+    pub id: RequestId,
+    pub actions: Vec<Action>,
+}
+
 /// A gateway with its clock.
 pub struct GatewayHarness {
     pub gateway: Gateway,
@@ -49,7 +55,7 @@
     }
 
     /// A request that draws so many units, of a customer with a set of three gateways.
-    pub fn request(&mut self, class: u8, plan: u16, customer: u64, units: f64) -> (RequestId, Vec<Action>) {
+    pub fn request(&mut self, class: u8, plan: u16, customer: u64, units: f64) -> SubmittedRequest {
         self.request_from_set(class, plan, customer, units, 3.0)
     }
 
@@ -61,7 +67,7 @@
         customer: u64,
         units: f64,
         set_size: f64,
-    ) -> (RequestId, Vec<Action>) {
+    ) -> SubmittedRequest {
         let id = RequestId(self.next_request_id);
         self.next_request_id += 1;
         let deadline = self.now + 4 * SECOND;
@@ -77,7 +83,7 @@
             gateway_set_size: set_size,
             gateway_set_start,
         };
-        (id, self.handle(Event::Request(request)))
+        SubmittedRequest { id, actions: self.handle(Event::Request(request)) }
     }
 
     /// Ends an attempt that took 100 ms.
