--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -40,7 +40,9 @@
 
 /// The ingress: its sockets, the policy, and what is under way.
 pub struct EventLoop {
+    /// Tells which sockets are ready.
     poll: Poll,
+    /// The exact time, for what is shorter than a tick.
     clock: Clock,
     /// The time that the policy is given.
     now: Micros,
@@ -52,13 +54,17 @@
     connect_timeout: Micros,
     /// The most attempts of one request.
     max_attempts: usize,
+    /// Who may have the next file descriptor.
     descriptors: DescriptorBudget,
+    /// The policy.
     gateway: Gateway,
     /// The events that the policy has not handled yet, in their order.
     pending_events: VecDeque<Event>,
     /// A buffer for the actions that the policy asks for.
     actions: Vec<Action>,
+    /// Connections of clients, and the replies owed to them.
     clients: Clients,
+    /// Connections to backends.
     backends: Backends,
     /// The watch on the endpoint list.
     watch: Watch,
@@ -66,13 +72,17 @@
     reload: Reload,
     /// None where the settings allow no messages between gateways.
     peers: Option<PeerSocket>,
+    /// SIGTERM, SIGINT and SIGHUP as they come.
     signals: Signals,
+    /// Requests that are open on the network side.
     requests: RequestTable,
+    /// What is to be done at which time.
     timers: TimerQueue,
     /// More connections may wait to be accepted.
     accept_pending: bool,
     /// More messages of peers may wait to be received.
     peer_messages_pending: bool,
+    /// How far the graceful shutdown has come.
     shutdown: Shutdown,
 }
 
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -10,9 +10,13 @@
 /// An attempt, as reported to the policy.
 #[derive(Clone, Copy)]
 struct AttemptRecord {
+    /// The request.
     id: RequestId,
+    /// The number of the attempt, from 0.
     number: u16,
+    /// Where it went.
     backend: BackendId,
+    /// How long it was in flight.
     elapsed: Micros,
 }
 
--- a/src/bin/ingress/event_loop/request_table.rs
+++ b/src/bin/ingress/event_loop/request_table.rs
@@ -51,12 +51,14 @@
 
 /// The id of a request that has ended.
 struct EndedId {
+    /// When the id may come again.
     forget_at: Micros,
     id_hash: IdHash,
 }
 
 /// The open requests of all clients.
 pub struct RequestTable {
+    /// Those with no final reply, or with an attempt in flight.
     requests: HashMap<RequestId, OpenRequest>,
     /// The ids of the open requests, and of those that ended a short while ago.
     known_ids: HashSet<IdHash>,
--- a/src/bin/ingress/event_loop/shutdown.rs
+++ b/src/bin/ingress/event_loop/shutdown.rs
@@ -42,6 +42,7 @@
 
 /// The graceful shutdown.
 pub struct Shutdown {
+    /// How far it has come.
     pub(super) phase: Phase,
     /// How long requests are served after the signal.
     reply_time: Micros,
--- a/src/bin/ingress/event_loop/source.rs
+++ b/src/bin/ingress/event_loop/source.rs
@@ -52,6 +52,7 @@
 /// A socket that the poll has found ready.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadySocket {
+    /// As the poll reported it.
     token: Token,
     /// There is room to write.
     pub writable: bool,
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -29,7 +29,9 @@
 /// What the event loop polls from its start on.
 struct Sockets {
     poll: Poll,
+    /// Where clients connect.
     listener: TcpListener,
+    /// Where messages of peers come in; none where the settings allow none.
     peers: Option<PeerSocket>,
     signals: Signals,
 }
--- a/src/bin/ingress/event_loop/timer_queue.rs
+++ b/src/bin/ingress/event_loop/timer_queue.rs
@@ -40,6 +40,7 @@
 /// The timers that are set, the earliest first.
 #[derive(Default)]
 pub struct TimerQueue {
+    /// The earliest first; of those due at one time, the earlier variant.
     heap: BinaryHeap<Reverse<(Micros, Timer)>>,
 }
 
--- a/src/bin/ingress/peers.rs
+++ b/src/bin/ingress/peers.rs
@@ -13,7 +13,9 @@
 
 /// The socket for messages to and from peers.
 pub struct PeerSocket {
+    /// Bound to this ingress's own address.
     socket: UdpSocket,
+    /// Where the others are.
     addresses: PeerAddresses,
 }
 
