--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! Decides for an admission gateway of a service sold by plan: which requests to let in, which backend
+//! Decides for an admission gateway of a service sold by plan: which requests to admit, which backend
 //! gets them, when to try again, what to tell the peers. It does no input or output and reads no clock: the
 //! host feeds [`Event`]s with the time and carries out the [`Action`]s that come back, in their order.
 //!
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -10,7 +10,7 @@
 const MAX_QUEUE_SHARE: f64 = 0.3;
 /// Age up to which a grant need not be requested again, and the longest wait for one.
 const GRANT_FRESHNESS: Micros = 100_000;
-/// The same for an owner's word that there are no tokens.
+/// The same for a grant by which there were no tokens.
 const REJECTION_FRESHNESS: Micros = 500_000;
 
 impl Gateway {
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -172,7 +172,7 @@
     }
 
     /// When an attempt is given up; 0 for the client's deadline. Past its objective an attempt may earn
-    /// nothing, but goes on holding one of its customer's few places. In a small fleet the clients that come
+    /// nothing, but still counts towards its customer's concurrency quota. In a small fleet clients that come
     /// again would cost more.
     fn attempt_expiry(&self, id: RequestId) -> Micros {
         let Some(state) = self.requests.get(id) else { return 0 };
--- a/src/state/endpoint_index.rs
+++ b/src/state/endpoint_index.rs
@@ -29,7 +29,7 @@
         self.len
     }
 
-    /// The one at a place, counted from 0.
+    /// The one at a position, counted from 0.
     pub fn get(&self, mut place: usize) -> Option<BackendId> {
         for part in &self.parts {
             if let Some((_, id)) = part.get(place) {
@@ -45,7 +45,7 @@
         self.parts.partition_point(|part| part.first().is_some_and(|first| first <= entry)).saturating_sub(1)
     }
 
-    /// Puts one in its place, if it is not there.
+    /// Inserts one, if it is not there.
     pub fn insert(&mut self, key: u64, id: BackendId) {
         let entry = (key, id);
         let at = self.part(&entry);
