--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,12 +2,10 @@
 //! decided here: that is the work of `crate::policy`.
 
 use crate::policy::{initial_baseline, report_interval, retry_budget, MAX_REPORTED_QUEUE_DEPTH};
-use crate::state::{
-    BackendTable, DecayingRate, LatencyBaseline, LoadShedder, PeerTable, QuotaTable, RequestState,
-};
-use crate::state::{RequestTable, RetryBudget, RetryScope};
+use crate::state::{BackendTable, DecayingRate, LatencyBaseline, LoadShedder, PeerTable, QuotaTable};
+use crate::state::{RequestTable, RetryBudget};
 use crate::{Action, AttemptEnded, BackendId, Class, CustomerId, Endpoint, EndpointUpdate, Event};
-use crate::{Idempotency, Micros, Outcome, Plan, Request, RequestId, Settings};
+use crate::{Micros, Outcome, Plan, Request, RequestId, Settings};
 
 /// One gateway's decisions. Feed it events with [`Gateway::handle`], and do what it asks.
 #[derive(Default)]
@@ -139,16 +137,6 @@
         }
     }
 
-    /// Goes on after the host stood still: what is overdue by now is answered at once, and all that came
-    /// meanwhile is read before any backend is judged by it.
-    pub(crate) fn resume(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let unsent = self.requests.iter().filter(|state| state.attempts.is_empty());
-        let overdue = unsent.filter(|state| !self.can_be_queued(state, now));
-        let overdue: Vec<RequestId> = overdue.map(|state| state.request.id).collect();
-        overdue.into_iter().for_each(|id| self.reject_or_fail(id, actions));
-        self.resumed_at = now;
-    }
-
     /// Looks at all that depends on time alone, in a fixed order.
     pub(crate) fn on_wake_up(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
@@ -167,18 +155,6 @@
         self.poll_discovery(actions);
     }
 
-    /// Sends queued requests, in their order, while there is capacity.
-    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
-        while let Some(id) = self.requests.queue.front().copied() {
-            let waits = self.requests.get(id).is_some_and(RequestState::awaits_attempt);
-            let saturated = f64::from(self.requests.in_flight) >= self.concurrency_limit();
-            if waits && (saturated || !self.send_attempt(id, actions)) {
-                return;
-            }
-            self.requests.queue.pop_front();
-        }
-    }
-
     /// Takes an endpoint list or a change of it; queued requests may then find a backend.
     fn on_endpoints(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>, actions: &mut Vec<Action>) {
         match update {
@@ -229,17 +205,6 @@
         }
     }
 
-    /// Where the next attempt of a request may go; none if an idempotency key may be forgotten by then.
-    pub(crate) fn retry_scope(&self, state: &RequestState) -> Option<RetryScope> {
-        let Idempotency::Keyed { scope, window } = self.class_of(&state.request).idempotency else {
-            return Some(RetryScope::Anywhere);
-        };
-        let Some(first) = state.first_possibly_executed() else { return Some(RetryScope::Anywhere) };
-        // An attempt begins once its connection is up: by then, too, the window has to be open.
-        let latest = self.now + self.settings.tick + self.settings.limits.connect_timeout;
-        (latest < first.sent_at + window).then_some(RetryScope::Within(scope, first.endpoint))
-    }
-
     /// Notes that an attempt of a request goes to a backend.
     pub(crate) fn begin_attempt(&mut self, id: RequestId, backend: BackendId) {
         let Some(state) = self.requests.get_mut(id) else { return };
--- a/src/gossip/exchange.rs
+++ b/src/gossip/exchange.rs
@@ -1,7 +1,7 @@
 //! A gateway's exchange of messages with its peers: what waits for a peer is sent, what comes is checked for
 //! its form and order, and latency samples are recorded.
 
-use super::{incarnation_of, Body, LatencySample, Message};
+use super::{incarnation_of, Body, LatencySample, Message, QuotaGrant};
 use crate::state::{Observation, Receipt, Source};
 use crate::{Action, Gateway, GatewayId};
 
@@ -45,4 +45,32 @@
             self.record_observation(Observation { backend, class, latency, source: Source::Peer });
         }
     }
+
+    /// Handles a message from a peer.
+    pub(crate) fn on_peer_message(&mut self, from: GatewayId, bytes: &[u8], actions: &mut Vec<Action>) {
+        let Some((message, receipt)) = self.receive_message(from, bytes) else { return };
+        if let Receipt::NewIncarnation { restarted } = receipt {
+            self.on_new_incarnation(from.0, restarted);
+        }
+        let own_incarnation = incarnation_of(self.started_at);
+        self.release_withheld_tokens(own_incarnation);
+        self.record_peer_samples(&message.samples);
+        match message.body {
+            Body::UsageReports(reports) => {
+                let is_older = message.incarnation < own_incarnation;
+                let grants =
+                    reports.iter().filter_map(|report| self.on_usage_report(from.0, is_older, report));
+                let grants: Vec<QuotaGrant> = grants.collect();
+                if !grants.is_empty() {
+                    let body = Body::QuotaGrants { receiver_incarnation: message.incarnation, grants };
+                    self.send_message(from.0, body, actions);
+                }
+            }
+            // Grants for an earlier incarnation of this gateway would count twice.
+            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != own_incarnation => {}
+            Body::QuotaGrants { grants, .. } => {
+                grants.iter().for_each(|grant| self.on_quota_grant(from.0, grant, actions));
+            }
+        }
+    }
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -13,4 +13,5 @@
 pub(crate) use gateway::report_interval;
 pub(crate) use load_balancing::MAX_REPORTED_QUEUE_DEPTH;
 pub(crate) use outlier_detection::initial_baseline;
+pub(crate) use quota::{MAX_REFILL_SECONDS, ROUNDING_MARGIN};
 pub(crate) use retry::retry_budget;
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -20,7 +20,7 @@
             return; // delivered twice: the first one gets the answer
         }
         // With less than two wake-ups left nothing can be held, watched or served: answered at once.
-        if !self.settings.accepts(&request) || request.deadline < self.now + self.min_queue_time() {
+        if !self.is_valid(&request) || request.deadline < self.now + self.min_queue_time() {
             return self.reject(request.id, 0, actions);
         }
         let unseen = self.observe_customer(&mut request);
@@ -53,8 +53,7 @@
     /// Holds a request until the quota owners have answered, or for as long as that may take.
     fn await_grant(&mut self, request: &Request, hard_limit: bool, at_once: bool, actions: &mut Vec<Action>) {
         let now = self.now;
-        // In a large fleet the grant is requested twice: one message lost must not admit what is over its
-        // quota.
+        // In a large fleet it is requested twice: one lost message must not admit what is over its quota.
         let requests = if self.all_gateways_own_quotas() { 1 } else { 2 };
         self.requests.check_at(now + self.grant_wait(request, now) / requests, request.id);
         let Some(customer) = self.quota.customers.get_mut(&request.customer) else { return };
@@ -84,8 +83,7 @@
         self.queue_usage_report(customer, true, actions);
     }
 
-    /// Admits a request if there are tokens and capacity. Without tokens, one that awaits a grant goes on
-    /// doing so until the `last` answer.
+    /// Admits a request if there are tokens and capacity; without tokens one may wait for the `last` grant.
     pub(crate) fn admit(&mut self, id: RequestId, last: bool, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get(id) else { return };
         let (request, awaited) = (state.request, state.awaiting_grant);
@@ -93,8 +91,7 @@
         if seconds.is_some() && !last {
             return;
         }
-        // The fuller the queue, the fewer customers may join it; the same ones for an epoch, as in load
-        // shedding.
+        // The fuller the queue, the fewer customers may join it; the same ones for a shedding epoch.
         let limit = self.concurrency_limit();
         let queue_fill = self.requests.queue.len() as f64 / (limit * MAX_QUEUE_SHARE);
         let saturated = f64::from(self.requests.in_flight) >= limit;
@@ -176,4 +173,23 @@
         }
         overdue
     }
+
+    /// Sends queued requests, in their order, while there is capacity.
+    pub(crate) fn dispatch(&mut self, actions: &mut Vec<Action>) {
+        while let Some(id) = self.requests.queue.front().copied() {
+            let waits = self.requests.get(id).is_some_and(RequestState::awaits_attempt);
+            let saturated = f64::from(self.requests.in_flight) >= self.concurrency_limit();
+            if waits && (saturated || !self.send_attempt(id, actions)) {
+                return;
+            }
+            self.requests.queue.pop_front();
+        }
+    }
+
+    /// Whether a request names a class and a plan that there are, and a sensible number of units.
+    fn is_valid(&self, request: &Request) -> bool {
+        let known_class = usize::from(request.class) < self.settings.classes.len();
+        let known_plan = usize::from(request.plan) < self.settings.plans.len();
+        known_class && known_plan && request.units.is_finite() && request.units >= 0.0
+    }
 }
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -77,8 +77,7 @@
         self.dispatch(actions);
     }
 
-    /// The final answer of a request that is not served: rejected where trying again is harmless, else
-    /// failed.
+    /// The final answer of a request that is not served: rejected where that is harmless, else failed.
     pub(crate) fn reject_or_fail(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get(id) else { return };
         let harmless = match self.class_of(&state.request).idempotency {
@@ -92,4 +91,13 @@
         }
         self.close_request(id, actions);
     }
+
+    /// Goes on after the host stood still: what is overdue is answered first, and no latency counts.
+    pub(crate) fn resume(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        let unsent = self.requests.iter().filter(|state| state.attempts.is_empty());
+        let overdue = unsent.filter(|state| !self.can_be_queued(state, now));
+        let overdue: Vec<RequestId> = overdue.map(|state| state.request.id).collect();
+        overdue.into_iter().for_each(|id| self.reject_or_fail(id, actions));
+        self.resumed_at = now;
+    }
 }
--- a/src/policy/load_balancing.rs
+++ b/src/policy/load_balancing.rs
@@ -82,8 +82,7 @@
         let share = backend.slow_start_share(self.now, rules);
         let budget = rules.overload_factor * share * fair_sends * SLOW_START_MARGIN;
         let budget = budget.max(1.0 / self.fleet_size as f64);
-        // Drawn by each gateway at times of its own, and for longer than a window: the window slides, and
-        // whoever wins in any part of it sends.
+        // Drawn by each gateway at its own times, and for longer than the window, since the window slides.
         let own_id = u64::from(self.settings.own_id.0);
         let period = window * LOTTERY_WINDOWS;
         let round = (self.now + (hash(own_id) * period as f64) as u64) / period;
--- a/src/policy/load_shedding.rs
+++ b/src/policy/load_shedding.rs
@@ -4,8 +4,7 @@
 use crate::state::{decay, hash, LoadShedder, SECOND};
 use crate::{Action, CustomerId, Micros, Plan, Request};
 
-/// Share of customers on ordinary plans that passes, by stage (paper, table I); customers unseen so far are
-/// cut from stage 2 on.
+/// Share of customers on ordinary plans that passes, by stage (paper, table I).
 const STAGE_ADMITTED_SHARE: [f64; 4] = [1.0, 0.9, 0.7, 0.5];
 /// The stage that only the customers on the dearest plan pass.
 const LAST_STAGE: usize = 4;
@@ -76,8 +75,7 @@
         }
     }
 
-    /// Attempts that this gateway may have in flight: those left when backends fall must not inherit their
-    /// load.
+    /// Attempts that may be in flight: the backends left when others fall must not inherit their load.
     pub(crate) fn concurrency_limit(&self, load: GatewayLoad) -> f64 {
         (self.concurrency_per_backend * load.ready_backends as f64 / load.fleet_size as f64).max(1.0)
     }
@@ -95,12 +93,7 @@
         let stage = self.next_stage(now);
         if stage != self.stage {
             self.stage_changed_at = now;
-            let (from, pressure, limit) = (self.stage, self.pressure, self.concurrency_limit(load));
-            actions.push(Action::Log(format!(
-                "load_shedding: stage changed, from={from}, to={stage}, pressure={pressure:.2}, \
-                 concurrency_limit={limit:.0}, in_flight={}",
-                load.in_flight
-            )));
+            actions.push(self.stage_change(stage, self.concurrency_limit(load), load.in_flight));
             self.stage = stage;
         }
         // One reduction in a memory of the pressure: answers sent before it must not cause the next one.
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -73,8 +73,7 @@
         }
     }
 
-    /// Has peers told of an observation, in a large fleet. Failures go first: they are few, and all should
-    /// know.
+    /// Has peers told of an observation, in a large fleet: many know of a failure before they meet it.
     fn queue_sample(&mut self, seen: &Observation) {
         if self.all_gateways_own_quotas() || seen.class > MAX_CLASS {
             return;
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -6,8 +6,7 @@
 /// How long a grant holds where no newer one comes. After that a customer is admitted: most are inside their
 /// quota, and a large fleet whose messages are lost would otherwise reject them all.
 const GRANT_LIFETIME: Micros = 2_000_000;
-/// Requests for grants for one customer with a concurrency quota, as a share of the messages that its owner
-/// can receive; beyond it some are skipped.
+/// Share of an owner's messages that requests for grants on one capped customer may be; others are skipped.
 const MAX_GRANT_REQUEST_SHARE: f64 = 0.25;
 /// Delay of a peer's report, lost ones included, in addition to the report interval.
 const REPORT_PROPAGATION_TIME: Micros = 350_000;
@@ -26,6 +25,11 @@
 /// Attempts of a peer that reports nothing count as in flight for so long.
 const REPORTED_IN_FLIGHT_LIFETIME: Micros = 1_500_000;
 
+/// Tokens that a bucket may lack because sums were rounded.
+pub(crate) const ROUNDING_MARGIN: f64 = 1e-9;
+/// The longest time, in seconds, that buckets are taken to need to refill.
+pub(crate) const MAX_REFILL_SECONDS: f64 = 1e6;
+
 impl Customer {
     /// This gateway's share of the customer's usage, with a floor for a gateway that sees little of it.
     fn own_share(&self, plan: &Plan) -> f64 {
@@ -162,8 +166,7 @@
         customer.grant_request.requested_at > 0 && (loses || owners.all(|owner| owner.is_some_and(is_alive)))
     }
 
-    /// Whether a grant had better not be requested: an owner that gets more messages than it can receive
-    /// loses those on other customers, too. A lottery leaves some.
+    /// Whether a grant had better not be requested: an overloaded owner loses other messages, too.
     pub(crate) fn skips_grant_request(&mut self, request: &Request) -> bool {
         self.random_state = self.random_state.wrapping_add(1);
         let customer = &self.quota.customers[&request.customer];
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,6 +1,6 @@
 //! Further attempts: the retry budget, idempotency, and hedged requests.
 
-use crate::state::{Observation, RetryBudget, Source};
+use crate::state::{Observation, RequestState, RetryBudget, RetryScope, Source};
 use crate::{Action, Gateway, Idempotency, Micros, RequestId};
 
 /// Share of the useful duration after which an attempt at a silent backend is retried elsewhere.
@@ -91,4 +91,15 @@
             self.retry(id, actions);
         }
     }
+
+    /// Where the next attempt of a request may go; none if an idempotency key may be forgotten by then.
+    pub(crate) fn retry_scope(&self, state: &RequestState) -> Option<RetryScope> {
+        let Idempotency::Keyed { scope, window } = self.class_of(&state.request).idempotency else {
+            return Some(RetryScope::Anywhere);
+        };
+        let Some(first) = state.first_possibly_executed() else { return Some(RetryScope::Anywhere) };
+        // An attempt begins once its connection is up: by then, too, the window has to be open.
+        let latest = self.now + self.settings.tick + self.settings.limits.connect_timeout;
+        (latest < first.sent_at + window).then_some(RetryScope::Within(scope, first.endpoint))
+    }
 }
--- a/src/policy/usage_reports.rs
+++ b/src/policy/usage_reports.rs
@@ -115,36 +115,8 @@
         })
     }
 
-    /// Handles a message from a peer.
-    pub(crate) fn on_peer_message(&mut self, from: GatewayId, bytes: &[u8], actions: &mut Vec<Action>) {
-        let Some((message, receipt)) = self.receive_message(from, bytes) else { return };
-        if let Receipt::NewIncarnation { restarted } = receipt {
-            self.on_new_incarnation(from.0, restarted);
-        }
-        let own_incarnation = incarnation_of(self.started_at);
-        self.release_withheld_tokens(own_incarnation);
-        self.record_peer_samples(&message.samples);
-        match message.body {
-            Body::UsageReports(reports) => {
-                let is_older = message.incarnation < own_incarnation;
-                let grants =
-                    reports.iter().filter_map(|report| self.on_usage_report(from.0, is_older, report));
-                let grants: Vec<QuotaGrant> = grants.collect();
-                if !grants.is_empty() {
-                    let body = Body::QuotaGrants { receiver_incarnation: message.incarnation, grants };
-                    self.send_message(from.0, body, actions);
-                }
-            }
-            // Grants for an earlier incarnation of this gateway would count twice.
-            Body::QuotaGrants { receiver_incarnation, .. } if receiver_incarnation != own_incarnation => {}
-            Body::QuotaGrants { grants, .. } => {
-                grants.iter().for_each(|grant| self.on_quota_grant(from.0, grant, actions));
-            }
-        }
-    }
-
     /// A peer that starts counts its usage anew, and knows nothing as an owner: it gets one report each.
-    fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
+    pub(crate) fn on_new_incarnation(&mut self, peer: u16, restarted: bool) {
         // In a large fleet every peer is unknown to begin with.
         let reports_again = restarted || self.all_gateways_own_quotas();
         let mut unreported = Vec::new();
@@ -160,7 +132,7 @@
 
     /// If all gateways started together, all buckets were full then: the tokens withheld in case this was a
     /// restart are released. A customer that is always beyond its quota would never get them otherwise.
-    fn release_withheld_tokens(&mut self, own_incarnation: u32) {
+    pub(crate) fn release_withheld_tokens(&mut self, own_incarnation: u32) {
         let is_unreleased = self.quota.usage_known_since.is_some();
         let all_known = self.peers.by_gateway.len() as u64 + 1 == self.fleet_size;
         if is_unreleased && all_known && self.peers.all_started_within(FLEET_START_WINDOW_MS, own_incarnation)
@@ -174,9 +146,13 @@
         self.quota.usage_known_since.is_none() && self.now - self.started_at < CUSTOMER_IDLE_TIME
     }
 
-    /// Handles a peer's usage report; the answer if it requests a grant. An older peer started before this
-    /// gateway.
-    fn on_usage_report(&mut self, from: u16, is_older: bool, report: &UsageReport) -> Option<QuotaGrant> {
+    /// Handles the usage report of a peer, started earlier or not; the answer if it requests a grant.
+    pub(crate) fn on_usage_report(
+        &mut self,
+        from: u16,
+        is_older: bool,
+        report: &UsageReport,
+    ) -> Option<QuotaGrant> {
         self.observe_reported_customer(report)?;
         let (now, owned_by_all) = (self.now, self.all_gateways_own_quotas());
         let may_count_more = is_older && !self.fleet_just_started();
@@ -219,7 +195,7 @@
     }
 
     /// An owner grants quota, or says that there is none: the requests that wait are decided again.
-    fn on_quota_grant(&mut self, from: u16, grant: &QuotaGrant, actions: &mut Vec<Action>) {
+    pub(crate) fn on_quota_grant(&mut self, from: u16, grant: &QuotaGrant, actions: &mut Vec<Action>) {
         let (now, plans) = (self.now, &self.settings.plans);
         let Some(customer) = self.quota.refill(grant.customer, now, plans) else { return };
         if !customer.quota_owners.contains(&from) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,7 +3,7 @@
 
 mod reader;
 
-use crate::{GatewayId, Micros, Request};
+use crate::{GatewayId, Micros};
 pub use reader::{SettingsError, SettingsReader};
 
 /// Which backends recognise the idempotency key of a request that they have seen before.
@@ -171,12 +171,3 @@
     /// Units are guesses, settled with the answer.
     pub postpaid: bool,
 }
-
-impl Settings {
-    /// Whether a request names a class and a plan that there are, and a sensible number of units.
-    pub(crate) fn accepts(&self, request: &Request) -> bool {
-        let known_class = usize::from(request.class) < self.classes.len();
-        let known_plan = usize::from(request.plan) < self.plans.len();
-        known_class && known_plan && request.units.is_finite() && request.units >= 0.0
-    }
-}
--- a/src/state/load_shedder.rs
+++ b/src/state/load_shedder.rs
@@ -1,6 +1,6 @@
 //! What load shedding remembers.
 
-use crate::Micros;
+use crate::{Action, Micros};
 
 /// Follows the pressure that answers show, and decides by it whom to shed and how much may be in flight.
 #[derive(Default)]
@@ -20,3 +20,14 @@
     /// When the limit was last reduced.
     pub limit_reduced_at: Micros,
 }
+
+impl LoadShedder {
+    /// The log line of a change to a stage.
+    pub fn stage_change(&self, to: usize, concurrency_limit: f64, in_flight: u32) -> Action {
+        let (from, pressure) = (self.stage, self.pressure);
+        Action::Log(format!(
+            "load_shedding: stage changed, from={from}, to={to}, pressure={pressure:.2}, \
+             concurrency_limit={concurrency_limit:.0}, in_flight={in_flight}"
+        ))
+    }
+}
