Add a library that has an ingress's system calls fail by a plan

Cause: nothing in the repository could make reads short, accepts fail or the wall clock step, so three suspects of docs/INVARIANTS.md had no test. fault-plan is the plan, fault-shim the LD_PRELOAD library, the one place with unsafe code. Without a plan every call goes through unchanged.

--- /dev/null
+++ b/fault-plan/src/tests.rs
@@ -0,0 +1,31 @@
+//! Tests of [`super`].
+
+use super::*;
+
+#[test]
+fn a_plan_survives_the_environment() {
+    let plan = FaultPlan {
+        seed: 7,
+        faults: vec![Fault { kind: FaultKind::ShortRead, probability: 0.25, from_ms: 10, until_ms: 20 }],
+        clock_steps: vec![ClockStep { at_ms: 3000, by_ms: -3_600_000 }],
+    };
+    assert_eq!(FaultPlan::from_json(&plan.to_json()).unwrap(), plan);
+    assert!(FaultPlan::from_json("{\"seed\":1,\"faults\":[{\"kind\":\"none\"}]}").is_err());
+}
+
+#[test]
+fn faults_are_met_between_their_times_only() {
+    let fault =
+        |from_ms, until_ms| Fault { from_ms, until_ms, ..Fault::always(FaultKind::FailedAccept, 0.5) };
+    let plan = FaultPlan { faults: vec![fault(10, 30), fault(20, 30)], ..FaultPlan::default() };
+    let at = |elapsed| plan.probability(FaultKind::FailedAccept, elapsed);
+    assert_eq!([at(9), at(10), at(20), at(30)], [0.0, 0.5, 1.0, 0.0]);
+    assert_eq!(plan.probability(FaultKind::FailedSocket, 20), 0.0);
+}
+
+#[test]
+fn steps_of_the_clock_add_up() {
+    let step = |at_ms, by_ms| ClockStep { at_ms, by_ms };
+    let plan = FaultPlan { clock_steps: vec![step(10, 500), step(20, -800)], ..FaultPlan::default() };
+    assert_eq!([9, 10, 20].map(|elapsed| plan.clock_offset_ms(elapsed)), [0, 500, -300]);
+}
--- /dev/null
+++ b/fault-shim/src/lib.rs
@@ -0,0 +1,215 @@
+//! A library for `LD_PRELOAD`: it stands in front of the C library's system calls and has some of them fail, as the plan
+//! in the environment says (see [`fault_plan`]). Without a plan each call goes through unchanged.
+//!
+//! Only faults that Linux documents are made up, and only on the process that loads the library: no descriptor, file or
+//! clock outside of it is touched. Reads and writes fail on TCP connections over IPv4 only, so that the pipes and files
+//! of the process work on.
+
+mod decision;
+mod real;
+
+use decision::{draw_errno, draw_length, is_met, wall_clock_offset_ms};
+use fault_plan::FaultKind;
+use libc::{c_int, c_void, clockid_t, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+
+/// Nanoseconds in a millisecond.
+const NANOS_PER_MILLI: i64 = 1_000_000;
+/// Nanoseconds in a second.
+const NANOS_PER_SECOND: i64 = 1_000_000_000;
+/// The most bytes of a read or write that is made short.
+const MAX_SHORT_LENGTH: usize = 16;
+
+/// Has the calling function fail with an error number.
+fn fail(errno: c_int) -> c_int {
+    // SAFETY: the location is this thread's own and always valid.
+    unsafe { *libc::__errno_location() = errno };
+    -1
+}
+
+/// Whether a descriptor is a TCP socket over IPv4.
+fn is_tcp(descriptor: c_int) -> bool {
+    let option = |name: c_int| {
+        let mut value: c_int = 0;
+        let mut length = size_of::<c_int>() as socklen_t;
+        let place = (&raw mut value).cast::<c_void>();
+        // SAFETY: value and length are locals that outlive the call, and length is the size of value.
+        let result = unsafe { libc::getsockopt(descriptor, libc::SOL_SOCKET, name, place, &raw mut length) };
+        (result == 0).then_some(value)
+    };
+    option(libc::SO_DOMAIN) == Some(libc::AF_INET) && option(libc::SO_TYPE) == Some(libc::SOCK_STREAM)
+}
+
+/// How many of the wanted bytes a read or write may move.
+fn allowed_length(kind: FaultKind, wanted: size_t) -> size_t {
+    if wanted > 1 && is_met(kind) {
+        wanted.min(draw_length(MAX_SHORT_LENGTH))
+    } else {
+        wanted
+    }
+}
+
+/// Stands in front of `recv`.
+///
+/// # Safety
+/// As for `recv`: `buffer` has room for `length` bytes.
+#[no_mangle]
+pub unsafe extern "C" fn recv(
+    descriptor: c_int,
+    buffer: *mut c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let mut length = length;
+    if is_tcp(descriptor) {
+        if is_met(FaultKind::InterruptedRead) {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        length = allowed_length(FaultKind::ShortRead, length);
+    }
+    // SAFETY: the caller's promise; the length has not grown.
+    unsafe { real::recv()(descriptor, buffer, length, flags) }
+}
+
+/// Stands in front of `send`.
+///
+/// # Safety
+/// As for `send`: `buffer` holds `length` bytes.
+#[no_mangle]
+pub unsafe extern "C" fn send(
+    descriptor: c_int,
+    buffer: *const c_void,
+    length: size_t,
+    flags: c_int,
+) -> ssize_t {
+    let mut length = length;
+    if is_tcp(descriptor) {
+        if is_met(FaultKind::InterruptedWrite) {
+            return fail(libc::EINTR) as ssize_t;
+        }
+        if is_met(FaultKind::NoBufferForWrite) {
+            return fail(libc::ENOBUFS) as ssize_t;
+        }
+        if is_met(FaultKind::ZeroWrite) {
+            return 0;
+        }
+        length = allowed_length(FaultKind::ShortWrite, length);
+    }
+    // SAFETY: the caller's promise; the length has not grown.
+    unsafe { real::send()(descriptor, buffer, length, flags) }
+}
+
+/// Stands in front of `write`; only the log, on standard error, fails.
+///
+/// # Safety
+/// As for `write`: `buffer` holds `length` bytes.
+#[no_mangle]
+pub unsafe extern "C" fn write(descriptor: c_int, buffer: *const c_void, length: size_t) -> ssize_t {
+    if descriptor == libc::STDERR_FILENO && is_met(FaultKind::FailedLog) {
+        return fail(draw_errno(&[libc::ENOSPC, libc::EIO])) as ssize_t;
+    }
+    // SAFETY: the caller's promise, passed on unchanged.
+    unsafe { real::write()(descriptor, buffer, length) }
+}
+
+/// Stands in front of `accept4`.
+///
+/// # Safety
+/// As for `accept4`: `address` and `length` are null or valid.
+#[no_mangle]
+pub unsafe extern "C" fn accept4(
+    descriptor: c_int,
+    address: *mut sockaddr,
+    length: *mut socklen_t,
+    flags: c_int,
+) -> c_int {
+    if is_met(FaultKind::FailedAccept) {
+        const ERRORS: [c_int; 6] =
+            [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::EMFILE, libc::ENOMEM, libc::EINTR];
+        return fail(draw_errno(&ERRORS));
+    }
+    // SAFETY: the caller's promise, passed on unchanged.
+    unsafe { real::accept4()(descriptor, address, length, flags) }
+}
+
+/// Stands in front of `socket`.
+///
+/// # Safety
+/// As for `socket`, which asks for nothing.
+#[no_mangle]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    if domain == libc::AF_INET && is_met(FaultKind::FailedSocket) {
+        return fail(draw_errno(&[libc::EMFILE, libc::ENFILE, libc::ENOBUFS]));
+    }
+    // SAFETY: the call takes no memory of ours.
+    unsafe { real::socket()(domain, kind, protocol) }
+}
+
+/// Stands in front of `connect`.
+///
+/// # Safety
+/// As for `connect`: `address` points to `length` bytes.
+#[no_mangle]
+pub unsafe extern "C" fn connect(descriptor: c_int, address: *const sockaddr, length: socklen_t) -> c_int {
+    if is_tcp(descriptor) && is_met(FaultKind::FailedConnect) {
+        return fail(draw_errno(&[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EINTR]));
+    }
+    // SAFETY: the caller's promise, passed on unchanged.
+    unsafe { real::connect()(descriptor, address, length) }
+}
+
+/// Stands in front of `epoll_wait`.
+///
+/// # Safety
+/// As for `epoll_wait`: `events` has room for `capacity` events.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_wait(
+    descriptor: c_int,
+    events: *mut epoll_event,
+    capacity: c_int,
+    timeout: c_int,
+) -> c_int {
+    if is_met(FaultKind::InterruptedWait) {
+        return fail(libc::EINTR);
+    }
+    // SAFETY: the caller's promise, passed on unchanged.
+    unsafe { real::epoll_wait()(descriptor, events, capacity, timeout) }
+}
+
+/// Stands in front of `epoll_ctl`; only the registration of a TCP socket fails.
+///
+/// # Safety
+/// As for `epoll_ctl`: `event` is null or valid.
+#[no_mangle]
+pub unsafe extern "C" fn epoll_ctl(
+    poll: c_int,
+    operation: c_int,
+    descriptor: c_int,
+    event: *mut epoll_event,
+) -> c_int {
+    if operation == libc::EPOLL_CTL_ADD && is_tcp(descriptor) && is_met(FaultKind::FailedRegistration) {
+        return fail(libc::ENOMEM);
+    }
+    // SAFETY: the caller's promise, passed on unchanged.
+    unsafe { real::epoll_ctl()(poll, operation, descriptor, event) }
+}
+
+/// Stands in front of `clock_gettime`: the wall clock is stepped, the others run on.
+///
+/// # Safety
+/// As for `clock_gettime`: `time` is valid.
+#[no_mangle]
+pub unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
+    // SAFETY: the caller's promise, passed on unchanged.
+    let result = unsafe { real::clock_gettime()(clock, time) };
+    if result == 0 && clock == libc::CLOCK_REALTIME {
+        let offset = wall_clock_offset_ms();
+        if offset != 0 {
+            // SAFETY: the call has filled in the time, which the caller promised to be valid.
+            let time = unsafe { &mut *time };
+            let nanos = time.tv_sec * NANOS_PER_SECOND + time.tv_nsec + offset * NANOS_PER_MILLI;
+            time.tv_sec = nanos.div_euclid(NANOS_PER_SECOND);
+            time.tv_nsec = nanos.rem_euclid(NANOS_PER_SECOND);
+        }
+    }
+    result
+}
--- /dev/null
+++ b/tests/support/fault_shim.rs
@@ -0,0 +1,29 @@
+//! The library that has system calls of an ingress fail.
+
+use fault_plan::{FaultPlan, PLAN_VARIABLE};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::OnceLock;
+
+/// Where the library is, built for the tests.
+fn library() -> &'static PathBuf {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
+        let build = ["build", "--quiet", "--locked", "--package", "fault-shim"];
+        let status = Command::new(env!("CARGO"))
+            .args(build)
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .env_remove("LD_PRELOAD")
+            .status();
+        assert!(status.unwrap().success(), "fault-shim is built");
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_ingress"));
+        let target = program.ancestors().nth(2).unwrap();
+        target.join("debug").join("libfault_shim.so")
+    })
+}
+
+/// The shell commands that have the next program load the library and carry a plan out.
+pub fn exports(plan: &FaultPlan) -> String {
+    let library = library().display();
+    format!("export {PLAN_VARIABLE}='{}'; export LD_PRELOAD='{library}'; ", plan.to_json())
+}
--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -4,7 +4,9 @@
 use super::backend::Backend;
 use super::client::Client;
 use super::discovery::endpoint_list_json;
+use super::fault_shim;
 use super::wait::wait_until;
+use fault_plan::FaultPlan;
 use std::io::Read;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
@@ -40,6 +42,8 @@
     /// A limit set by the system, below the one in the configuration.
     pub system_descriptor_limit: Option<usize>,
     settings: String,
+    /// System calls that are to fail.
+    pub faults: Option<FaultPlan>,
     /// More keys of the configuration, as JSON.
     pub extra_keys: String,
 }
@@ -60,6 +64,7 @@
             memory_limit_mb: 192,
             system_descriptor_limit: None,
             settings,
+            faults: None,
             extra_keys: String::new(),
         }
     }
@@ -89,7 +94,8 @@
     pub fn start(&self) -> IngressProcess {
         let limit =
             self.system_descriptor_limit.map_or(String::new(), |limit| format!("ulimit -n {limit}; "));
-        self.start_with(&(limit + &built_program()))
+        let faults = self.faults.as_ref().map_or(String::new(), fault_shim::exports);
+        self.start_with(&(limit + &faults + &built_program()))
     }
 
     /// Starts an ingress by a shell command, and waits until it is ready.
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod backend;
 pub mod client;
 pub mod discovery;
+pub mod fault_shim;
 pub mod fleet;
 pub mod gateway;
 pub mod ingress;
