--- /dev/null
+++ b/tests/system_call_faults.rs
@@ -0,0 +1,89 @@
+//! The ingress where system calls fail in ways that Linux documents, and where the wall clock is stepped.
+
+mod support;
+
+use fault_plan::{ClockStep, FaultKind, FaultPlan};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use support::backend::{reply_with_value, value_reply, Backend, BackendReply};
+use support::client::{encode_request, Client};
+use support::discovery::DiscoveryServer;
+use support::ingress::IngressSetup;
+
+/// Guards against taking a short read for an empty socket: the poll reports each arrival once, and what is left in the
+/// socket then waits for the next one, which may not come.
+#[test]
+fn requests_are_answered_though_every_read_is_short() {
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.faults = Some(FaultPlan::single(FaultKind::ShortRead, 1.0));
+    let ingress = setup.start();
+    let mut client = ingress.client();
+    for number in 0..40 {
+        let id = format!("r{number}");
+        assert_eq!(client.round_trip(&encode_request("refer", &id, 5000)), format!("value of {id}"));
+    }
+}
+
+/// Guards against closing clients that have just connected, whose first command is on its way, when accepting fails for
+/// a moment.
+#[test]
+fn new_clients_are_served_though_accepting_fails_for_a_moment() {
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.faults = Some(FaultPlan::single(FaultKind::FailedAccept, 0.5));
+    let ingress = setup.start();
+    let mut clients: Vec<Client> = (0..24).map(|_| ingress.client()).collect();
+    ingress.wait_until_input_is_processed();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("r{number}");
+        assert_eq!(client.round_trip(&encode_request("quote", &id, 900)), format!("value of {id}"));
+    }
+}
+
+/// How many requests are sent at once.
+const WAVE: usize = 8;
+
+/// Sends so many requests, a wave of them at once, and reads the replies.
+fn send_waves(clients: &mut [Client], waves: usize, name: &str) {
+    for wave in 0..waves {
+        let id = |number: usize| format!("{name}-{wave}-{number}");
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&encode_request("quote", &id(number), 2000));
+        }
+        for (number, client) in clients.iter_mut().enumerate() {
+            assert_eq!(client.read_reply(), format!("value of {}", id(number)));
+        }
+    }
+}
+
+/// Steps the ingress's wall clock, has a backend start by the clock as it is then, and returns how many requests it gets
+/// of those that it shares with a warm one.
+fn requests_at_restarted_backend(step_ms: i64, waves: usize) -> usize {
+    let step_at = Duration::from_millis(500);
+    let working =
+        || Backend::start(|args| BackendReply::Delayed(Duration::from_millis(10), value_reply(args)));
+    let (warm, restarted, discovery) = (working(), working(), DiscoveryServer::start());
+    let mut setup = IngressSetup::with_backends(&[&warm]);
+    setup.discovery = Some(discovery.address);
+    let steps = vec![ClockStep { at_ms: step_at.as_millis() as u64, by_ms: step_ms }];
+    setup.faults = Some(FaultPlan { clock_steps: steps, ..FaultPlan::default() });
+    let ingress = setup.start();
+    // The step is behind the start of the process: at the latest so long after it answered.
+    thread::sleep(step_at);
+    let mut clients: Vec<Client> = (0..WAVE).map(|_| ingress.client()).collect();
+    send_waves(&mut clients, 4, "before");
+    let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    let entry = restarted.endpoint_json("s-1", "up");
+    let entry = entry.replace("\"since_ms\":0", &format!("\"since_ms\":{}", unix_time + step_ms));
+    discovery.publish_and_wait(entry);
+    send_waves(&mut clients, waves, "after");
+    restarted.command_count()
+}
+
+/// Guards against judging the age of a backend by a clock reading from before a step: a cold one looks an hour old.
+#[test]
+fn a_backend_is_cold_after_its_start_though_the_clock_was_set_back() {
+    let sent = requests_at_restarted_backend(-3_600_000, 10);
+    assert!(sent <= WAVE * 10 / 4, "{sent} of {} went to the cold backend", WAVE * 10);
+}
