--- /dev/null
+++ b/src/audit/request.rs
@@ -0,0 +1,103 @@
+//! What was done for one request.
+
+use super::{Auditor, ViolationKind};
+use crate::{BackendId, Idempotency, Micros, Outcome};
+
+/// How much more time than the client has left a backend may be told.
+const TIME_SLACK: Micros = 150_000;
+/// How long after its client gave up a final answer is still no violation.
+const ANSWER_SLACK: Micros = 50_000;
+
+/// An attempt whose first byte was written.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptBegun {
+    /// The attempt's number, from 0.
+    pub number: u16,
+    /// Where it went.
+    pub backend: BackendId,
+    /// When it began.
+    pub at: Micros,
+    /// The time that the backend was told to have for it.
+    pub time_told: Micros,
+}
+
+/// An attempt that has begun.
+struct BegunAttempt {
+    number: u16,
+    begun_at: Micros,
+    in_flight: bool,
+    may_have_executed: bool,
+}
+
+/// The record of one request, from its arrival until its last attempt has ended.
+pub struct RequestAudit {
+    idempotency: Idempotency,
+    /// When its client gives up.
+    client_deadline: Micros,
+    /// It has its final answer, or its client has gone.
+    has_ended: bool,
+    begun: Vec<BegunAttempt>,
+}
+
+impl RequestAudit {
+    /// A request of a class, whose client gives up at a time.
+    pub fn new(auditor: &Auditor, class: usize, client_deadline: Micros) -> RequestAudit {
+        // A class that is not known is judged by the strictest rule.
+        let idempotency = auditor.rules.idempotency.get(class).copied();
+        let idempotency = idempotency.unwrap_or(Idempotency::NonIdempotent);
+        RequestAudit { idempotency, client_deadline, has_ended: false, begun: Vec::new() }
+    }
+
+    /// Notes an attempt that has begun, and returns what it violates.
+    pub fn attempt_begun(&mut self, auditor: &Auditor, begun: &AttemptBegun) -> Vec<ViolationKind> {
+        let rules = &auditor.rules;
+        let in_flight = self.begun.iter().any(|earlier| earlier.in_flight);
+        let may_have_executed = self.begun.iter().any(|earlier| earlier.may_have_executed);
+        let only_once = self.idempotency == Idempotency::NonIdempotent;
+        let time_left = self.client_deadline.saturating_sub(begun.at);
+        let checks = [
+            (self.has_ended, ViolationKind::AttemptAfterEnd),
+            (only_once && may_have_executed && !in_flight, ViolationKind::UnsafeRepeat),
+            (in_flight && (only_once || !rules.hedging), ViolationKind::ConcurrentAttempts),
+            (self.is_key_expired(begun.at), ViolationKind::KeyExpired),
+            (usize::from(begun.number) >= rules.max_attempts, ViolationKind::TooManyAttempts),
+            (begun.time_told > time_left + TIME_SLACK, ViolationKind::TimeOverstated),
+            (auditor.is_closed(begun.backend, begun.at), ViolationKind::ClosedBackend),
+        ];
+        self.begun.push(BegunAttempt {
+            number: begun.number,
+            begun_at: begun.at,
+            in_flight: true,
+            may_have_executed: true,
+        });
+        checks.into_iter().filter(|(violated, _)| *violated).map(|(_, kind)| kind).collect()
+    }
+
+    /// Whether the key of an earlier attempt that may have been executed is forgotten.
+    fn is_key_expired(&self, now: Micros) -> bool {
+        let Idempotency::Keyed { window, .. } = self.idempotency else { return false };
+        let first = self.begun.iter().find(|earlier| earlier.may_have_executed);
+        first.is_some_and(|first| now > first.begun_at + window)
+    }
+
+    /// Notes how an attempt has ended. One that never began has no record.
+    pub fn attempt_ended(&mut self, number: u16, outcome: Outcome) -> Option<ViolationKind> {
+        let attempt = self.begun.iter_mut().find(|attempt| attempt.number == number)?;
+        let was_in_flight = std::mem::replace(&mut attempt.in_flight, false);
+        attempt.may_have_executed = !outcome.never_executed();
+        (!was_in_flight).then_some(ViolationKind::UnexpectedEnd)
+    }
+
+    /// Notes that the client has gone.
+    pub fn client_gone(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Notes the final answer.
+    pub fn answered(&mut self, now: Micros) -> Option<ViolationKind> {
+        if std::mem::replace(&mut self.has_ended, true) {
+            return Some(ViolationKind::SecondAnswer);
+        }
+        (now > self.client_deadline + ANSWER_SLACK).then_some(ViolationKind::LateAnswer)
+    }
+}
--- /dev/null
+++ b/src/audit/tests.rs
@@ -0,0 +1,126 @@
+//! Tests of [`super`].
+
+use super::*;
+use crate::{IdempotencyScope, Outcome, RequestId};
+
+const IDEMPOTENT: usize = 0;
+const KEYED: usize = 1;
+const NON_IDEMPOTENT: usize = 2;
+const WINDOW: Micros = 2_000_000;
+const GRACE: Micros = 250_000;
+const DEADLINE: Micros = 10_000_000;
+const BACKEND: BackendId = BackendId(7);
+
+/// An auditor of a deployment that allows three attempts.
+fn auditor(hedging: bool) -> Auditor {
+    let keyed = Idempotency::Keyed { scope: IdempotencyScope::Fleet, window: WINDOW };
+    Auditor::new(AuditRules {
+        idempotency: vec![Idempotency::Idempotent, keyed, Idempotency::NonIdempotent],
+        hedging,
+        max_attempts: 3,
+        drain_grace: GRACE,
+    })
+}
+
+/// An attempt that tells the backend the time that the client has left.
+fn begun(number: u16, at: Micros) -> AttemptBegun {
+    AttemptBegun { number, backend: BACKEND, at, time_told: DEADLINE - at }
+}
+
+#[test]
+fn a_request_that_keeps_the_rules_violates_nothing() {
+    let auditor = auditor(false);
+    let mut request = RequestAudit::new(&auditor, NON_IDEMPOTENT, DEADLINE);
+    assert_eq!(request.attempt_begun(&auditor, &begun(0, 0)), []);
+    assert_eq!(request.attempt_ended(0, Outcome::Rejected), None);
+    assert_eq!(request.attempt_begun(&auditor, &begun(1, 10)), []);
+    assert_eq!(request.attempt_ended(1, Outcome::Ok), None);
+    assert_eq!(request.answered(DEADLINE), None);
+}
+
+#[test]
+fn second_attempts_are_judged_by_class_and_settings() {
+    for (hedging, class, in_flight, expected) in [
+        (true, IDEMPOTENT, true, vec![]),
+        (false, IDEMPOTENT, true, vec![ViolationKind::ConcurrentAttempts]),
+        (true, NON_IDEMPOTENT, true, vec![ViolationKind::ConcurrentAttempts]),
+        (true, NON_IDEMPOTENT, false, vec![ViolationKind::UnsafeRepeat]),
+        (true, KEYED, false, vec![]),
+    ] {
+        let auditor = auditor(hedging);
+        let mut request = RequestAudit::new(&auditor, class, DEADLINE);
+        request.attempt_begun(&auditor, &begun(0, 0));
+        if !in_flight {
+            request.attempt_ended(0, Outcome::Reset);
+        }
+        assert_eq!(request.attempt_begun(&auditor, &begun(1, 10)), expected, "{class} {hedging}");
+    }
+}
+
+#[test]
+fn a_key_is_known_for_its_window_from_the_first_attempt_that_may_have_run() {
+    let auditor = auditor(true);
+    let mut request = RequestAudit::new(&auditor, KEYED, DEADLINE);
+    request.attempt_begun(&auditor, &begun(0, 0));
+    request.attempt_ended(0, Outcome::ConnectFailed);
+    request.attempt_begun(&auditor, &begun(1, 100));
+    request.attempt_ended(1, Outcome::TimedOut);
+    assert_eq!(request.attempt_begun(&auditor, &begun(2, WINDOW + 100)), []);
+    assert_eq!(request.attempt_begun(&auditor, &begun(2, WINDOW + 101)), [ViolationKind::KeyExpired]);
+}
+
+#[test]
+fn attempts_after_the_end_beyond_the_limit_or_with_too_much_time_are_seen() {
+    let auditor = auditor(true);
+    let mut request = RequestAudit::new(&auditor, IDEMPOTENT, DEADLINE);
+    assert_eq!(request.attempt_begun(&auditor, &begun(3, 0)), [ViolationKind::TooManyAttempts]);
+    let overstated = AttemptBegun { time_told: DEADLINE + 150_001, ..begun(1, 0) };
+    assert_eq!(request.attempt_begun(&auditor, &overstated), [ViolationKind::TimeOverstated]);
+    request.client_gone();
+    assert_eq!(request.attempt_begun(&auditor, &begun(2, 0)), [ViolationKind::AttemptAfterEnd]);
+}
+
+#[test]
+fn answers_are_counted_and_timed() {
+    let auditor = auditor(true);
+    let mut request = RequestAudit::new(&auditor, IDEMPOTENT, DEADLINE);
+    assert_eq!(request.answered(DEADLINE + 50_001), Some(ViolationKind::LateAnswer));
+    assert_eq!(request.answered(DEADLINE), Some(ViolationKind::SecondAnswer));
+}
+
+#[test]
+fn an_attempt_ends_once() {
+    let auditor = auditor(true);
+    let mut request = RequestAudit::new(&auditor, IDEMPOTENT, DEADLINE);
+    assert_eq!(request.attempt_ended(0, Outcome::NotSent), None, "it never began");
+    request.attempt_begun(&auditor, &begun(0, 0));
+    assert_eq!(request.attempt_ended(0, Outcome::Error), None);
+    assert_eq!(request.attempt_ended(0, Outcome::Error), Some(ViolationKind::UnexpectedEnd));
+}
+
+#[test]
+fn a_closed_backend_is_sent_nothing_after_the_grace_period() {
+    let mut auditor = auditor(true);
+    let begin = |auditor: &Auditor, at| {
+        RequestAudit::new(auditor, IDEMPOTENT, DEADLINE).attempt_begun(auditor, &begun(0, at))
+    };
+    auditor.backend_listed(BACKEND, Availability::Draining, 1000);
+    auditor.backend_listed(BACKEND, Availability::Gone, 5000);
+    assert_eq!(begin(&auditor, 1000 + GRACE), []);
+    assert_eq!(begin(&auditor, 1001 + GRACE), [ViolationKind::ClosedBackend]);
+    auditor.backend_listed(BACKEND, Availability::Ready, 6000);
+    assert_eq!(begin(&auditor, 1001 + GRACE), []);
+    // Others that close later make it forget those that closed long ago.
+    auditor.backend_listed(BACKEND, Availability::Gone, 7000);
+    auditor.backend_listed(BackendId(8), Availability::Gone, 7000 + CLOSED_BACKEND_RETENTION);
+    assert_eq!((auditor.closed_since.len(), auditor.closing_order.len()), (1, 1));
+}
+
+#[test]
+fn a_burst_of_violations_is_counted_and_logged_once() {
+    let mut auditor = auditor(true);
+    let violation = Violation { kind: ViolationKind::NoAnswer, request: Some(RequestId(1)) };
+    let logged = [0, 10, LOG_INTERVAL - 1, LOG_INTERVAL].map(|now| auditor.count(violation, now));
+    assert_eq!(logged, [true, false, false, true]);
+    assert_eq!(auditor.counts().collect::<Vec<_>>(), [(ViolationKind::NoAnswer, 4)]);
+}
--- /dev/null
+++ b/src/audit/violation.rs
@@ -0,0 +1,64 @@
+//! The kinds of violations.
+
+use crate::RequestId;
+
+/// Which invariant was violated. Their numbers in `docs/INVARIANTS.md` stand in brackets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViolationKind {
+    /// A request got a second final answer (R1).
+    SecondAnswer,
+    /// A request got its final answer after its client gave up (R2).
+    LateAnswer,
+    /// The process ends with a request that has no answer (R2).
+    NoAnswer,
+    /// A client's connection was closed with replies owed that the client waits for (R3).
+    ClosedWithRepliesOwed,
+    /// An attempt began for a request that has its answer, or whose client has gone (A1).
+    AttemptAfterEnd,
+    /// An attempt began though an earlier one may have been executed (A2).
+    UnsafeRepeat,
+    /// An attempt began beside one in flight where that is not allowed (A3).
+    ConcurrentAttempts,
+    /// An attempt began after the window of its idempotency key (A4).
+    KeyExpired,
+    /// A request had more attempts than are allowed (A5).
+    TooManyAttempts,
+    /// A backend was told more time than the client has left (A6).
+    TimeOverstated,
+    /// An attempt has ended that was not in flight (A8).
+    UnexpectedEnd,
+    /// An attempt began at a backend that takes no new work (B1).
+    ClosedBackend,
+}
+
+impl ViolationKind {
+    /// All kinds.
+    pub const ALL: [ViolationKind; 12] = [
+        ViolationKind::SecondAnswer,
+        ViolationKind::LateAnswer,
+        ViolationKind::NoAnswer,
+        ViolationKind::ClosedWithRepliesOwed,
+        ViolationKind::AttemptAfterEnd,
+        ViolationKind::UnsafeRepeat,
+        ViolationKind::ConcurrentAttempts,
+        ViolationKind::KeyExpired,
+        ViolationKind::TooManyAttempts,
+        ViolationKind::TimeOverstated,
+        ViolationKind::UnexpectedEnd,
+        ViolationKind::ClosedBackend,
+    ];
+
+    /// Whether a machine that stands still for a while can bring it about in a program without a fault.
+    pub fn depends_on_speed(self) -> bool {
+        self == ViolationKind::LateAnswer
+    }
+}
+
+/// A violation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// What was violated.
+    pub kind: ViolationKind,
+    /// The request; none where it belongs to a connection as a whole.
+    pub request: Option<RequestId>,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 //! ```
 
 mod action;
+pub mod audit;
 pub mod backoff;
 
 mod endpoint;
@@ -64,6 +65,7 @@
 pub use event::{AttemptEnded, Event, LoadReport, Outcome, Request};
 pub use gateway::Gateway;
 pub use identifiers::{BackendId, CustomerId, GatewayId, RequestId};
+pub use policy::permissions;
 pub use settings::{
     Class, Discovery, Idempotency, IdempotencyScope, Limits, Plan, Rules, Settings, SettingsError,
     SettingsReader, SizeMeaning,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -6,6 +6,7 @@
 mod load_balancing;
 mod load_shedding;
 mod outlier_detection;
+pub mod permissions;
 mod quota;
 mod retry;
 mod usage_reports;
--- /dev/null
+++ b/src/policy/permissions.rs
@@ -0,0 +1,221 @@
+//! The one place of each rule on what may be done now: start an attempt, repeat it with its key, begin to write it, send
+//! to a backend, use a connection again, close a client's connection. The policy and the host both ask here, and get a
+//! typed reason for a yes and for a no. [`crate::audit`] checks afterwards what was done.
+
+use crate::{Availability, Idempotency, Micros};
+use thiserror::Error;
+
+/// What kind of attempt may be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptKind {
+    /// The request's first one.
+    First,
+    /// A further one, with none in flight.
+    Retry,
+    /// A further one beside one in flight.
+    Hedge,
+}
+
+/// Why an attempt may not be started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum AttemptRefusal {
+    /// No answer is owed any more.
+    #[error("the request is answered, or its client has gone")]
+    Answered,
+    /// The settings allow no further attempt.
+    #[error("there were as many attempts as are allowed")]
+    AttemptLimit,
+    /// An earlier attempt may have been executed, and the class may not be executed again.
+    #[error("an earlier attempt may have been executed")]
+    MayHaveExecuted,
+    /// An earlier attempt is in flight, and the settings allow no second one beside it.
+    #[error("an attempt is in flight")]
+    InFlight,
+    /// The backends may have forgotten the idempotency key by the time the attempt begins.
+    #[error("the idempotency key may be forgotten")]
+    KeyExpired,
+}
+
+/// What is known of a request that wants an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptFacts {
+    /// Whether it may be executed again.
+    pub idempotency: Idempotency,
+    /// Whether the settings allow two attempts in flight together.
+    pub hedging: bool,
+    /// The most attempts of a request.
+    pub max_attempts: usize,
+    /// Its attempts so far.
+    pub attempts: usize,
+    /// Those of them that are in flight.
+    pub in_flight: usize,
+    /// Whether one of them was or may have been executed.
+    pub may_have_executed: bool,
+    /// It has its final answer, or its client has gone.
+    pub answered: bool,
+}
+
+/// Whether a request may have an attempt now.
+pub fn may_start_attempt(facts: &AttemptFacts) -> Result<AttemptKind, AttemptRefusal> {
+    if facts.answered {
+        return Err(AttemptRefusal::Answered);
+    }
+    if facts.attempts >= facts.max_attempts {
+        return Err(AttemptRefusal::AttemptLimit);
+    }
+    if facts.idempotency == Idempotency::NonIdempotent && facts.may_have_executed {
+        return Err(AttemptRefusal::MayHaveExecuted);
+    }
+    match (facts.attempts, facts.in_flight) {
+        (0, _) => Ok(AttemptKind::First),
+        (_, 0) => Ok(AttemptKind::Retry),
+        _ if facts.hedging => Ok(AttemptKind::Hedge),
+        _ => Err(AttemptRefusal::InFlight),
+    }
+}
+
+/// Whether an attempt that begins at `begins_by` at the latest meets backends that know the key of the attempt that was
+/// first sent, at `first_sent_at`.
+pub fn may_repeat_key(
+    window: Micros,
+    first_sent_at: Micros,
+    begins_by: Micros,
+) -> Result<(), AttemptRefusal> {
+    if begins_by < first_sent_at.saturating_add(window) {
+        Ok(())
+    } else {
+        Err(AttemptRefusal::KeyExpired)
+    }
+}
+
+/// Why the first byte of an attempt may not be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum WriteRefusal {
+    /// No answer is owed any more.
+    #[error("the request is answered, or its client has gone")]
+    Answered,
+    /// The attempt's time is over.
+    #[error("the attempt's time is over")]
+    Expired,
+    /// The connection took longer to come up than the policy counted on.
+    #[error("the connection came up too late")]
+    ConnectedTooLate,
+}
+
+/// What is known of an attempt whose first byte could be written.
+#[derive(Clone, Copy, Debug)]
+pub struct WriteFacts {
+    /// The time.
+    pub now: Micros,
+    /// When the attempt is given up.
+    pub expires_at: Micros,
+    /// By when the policy counts on its beginning.
+    pub begins_by: Micros,
+    /// The request has its final answer, or its client has gone.
+    pub answered: bool,
+}
+
+/// Whether the first byte of an attempt may be written now.
+pub fn may_begin_writing(facts: &WriteFacts) -> Result<(), WriteRefusal> {
+    if facts.answered {
+        Err(WriteRefusal::Answered)
+    } else if facts.now >= facts.expires_at {
+        Err(WriteRefusal::Expired)
+    } else if facts.now > facts.begins_by {
+        Err(WriteRefusal::ConnectedTooLate)
+    } else {
+        Ok(())
+    }
+}
+
+/// Why a backend may be sent nothing new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BackendRefusal {
+    /// It finishes its work.
+    #[error("the backend is draining")]
+    Draining,
+    /// It was taken away, or was never listed.
+    #[error("the backend is not listed")]
+    NotListed,
+}
+
+/// Whether a backend that is listed as this, or not at all, may be sent something new.
+pub fn may_send_to(listed: Option<Availability>) -> Result<(), BackendRefusal> {
+    match listed {
+        Some(Availability::Ready) => Ok(()),
+        Some(Availability::Draining) => Err(BackendRefusal::Draining),
+        Some(Availability::Gone) | None => Err(BackendRefusal::NotListed),
+    }
+}
+
+/// Why an idle connection may not be used now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum ReuseRefusal {
+    /// Stray bytes of the last exchange may still come.
+    #[error("it has not rested for long enough")]
+    TooFresh,
+    /// The backend may have closed it.
+    #[error("it was idle for too long")]
+    TooOld,
+}
+
+/// How long a connection may be idle and be used.
+#[derive(Clone, Copy, Debug)]
+pub struct ReuseLimits {
+    /// At the least.
+    pub min_idle_time: Micros,
+    /// Less than this.
+    pub max_idle_time: Micros,
+}
+
+/// Whether a connection that was idle for so long may carry the next command.
+pub fn may_reuse_connection(idle_time: Micros, limits: ReuseLimits) -> Result<(), ReuseRefusal> {
+    if idle_time < limits.min_idle_time {
+        Err(ReuseRefusal::TooFresh)
+    } else if idle_time >= limits.max_idle_time {
+        Err(ReuseRefusal::TooOld)
+    } else {
+        Ok(())
+    }
+}
+
+/// Why a client's connection has to stay open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum CloseRefusal {
+    /// Replies are owed, or not written yet.
+    #[error("replies are owed")]
+    RepliesOwed,
+    /// Part of a command has come, or more may be waiting to be read.
+    #[error("a command may have come")]
+    InputPending,
+    /// Its end has begun already.
+    #[error("it is closing")]
+    Closing,
+}
+
+/// What is known of a client's connection.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientConnectionFacts {
+    /// It awaits or is being sent a reply.
+    pub is_busy: bool,
+    /// Something was received and not parsed, or is to be read yet.
+    pub has_input: bool,
+    /// Its end has begun.
+    pub is_closing: bool,
+}
+
+/// Whether a client's connection may be closed now without a word, as between two requests.
+pub fn may_close_client(facts: ClientConnectionFacts) -> Result<(), CloseRefusal> {
+    if facts.is_busy {
+        Err(CloseRefusal::RepliesOwed)
+    } else if facts.has_input {
+        Err(CloseRefusal::InputPending)
+    } else if facts.is_closing {
+        Err(CloseRefusal::Closing)
+    } else {
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,5 +1,6 @@
 //! Further attempts: the retry budget, idempotency, and hedged requests.
 
+use super::permissions::{may_repeat_key, may_start_attempt, AttemptFacts};
 use crate::state::{Observation, RequestState, RetryBudget, RetryScope, Source};
 use crate::{Action, Gateway, Idempotency, Micros, RequestId};
 
@@ -37,14 +38,22 @@
     fn may_retry(&self, id: RequestId) -> bool {
         let Some(state) = self.requests.get(id) else { return false };
         let class = self.class_of(&state.request);
-        let limits = &self.settings.limits;
-        let safe =
-            class.idempotency != Idempotency::NonIdempotent || state.first_possibly_executed().is_none();
         let objective_ends_at = state.arrived_at + class.latency_objective;
         let useful = self.now + self.settings.tick < objective_ends_at.min(state.request.deadline);
-        let attempts_left = (state.attempts.len() as u32) < limits.max_attempts;
-        let single = state.attempts_in_flight() == 0 || limits.hedging;
-        safe && useful && attempts_left && single
+        useful && may_start_attempt(&self.attempt_facts(state)).is_ok()
+    }
+
+    /// What permissions are asked by for a request.
+    fn attempt_facts(&self, state: &RequestState) -> AttemptFacts {
+        AttemptFacts {
+            idempotency: self.class_of(&state.request).idempotency,
+            hedging: self.settings.limits.hedging,
+            max_attempts: self.settings.limits.max_attempts as usize,
+            attempts: state.attempts.len(),
+            in_flight: state.attempts_in_flight(),
+            may_have_executed: state.first_possibly_executed().is_some(),
+            answered: state.answered,
+        }
     }
 
     /// Looks again at a request that awaits a grant, or whose attempt may be silent or late.
@@ -100,6 +109,7 @@
         let Some(first) = state.first_possibly_executed() else { return Some(RetryScope::Anywhere) };
         // An attempt begins once its connection is up: by then, too, the window has to be open.
         let latest = self.now + self.settings.tick + self.settings.limits.connect_timeout;
-        (latest < first.sent_at + window).then_some(RetryScope::Within(scope, first.endpoint))
+        may_repeat_key(window, first.sent_at, latest).ok()?;
+        Some(RetryScope::Within(scope, first.endpoint))
     }
 }
