Read sockets until nothing is left, however short a read is

Cause: ReadStep::Drained (backends/connection.rs) and ReadUntil::ShortRead (clients/reading.rs) took a read that did not fill the buffer for an empty socket. The poll is edge-triggered: what was left waited for the next arrival. Seen with every read short: no request of 40 answered. Ruled out: interrupted reads and waits, which are tried again. Change: only a read that finds nothing, or the end, ends a turn; for clients also the turn's bound, behind which the connection is queued.

--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -9,7 +9,7 @@
 mod pool;
 mod reply;
 
-pub use assignment::{AssignedConnection, Assignment, CommandState, Completion, ConnectionId, Readiness};
+pub use assignment::{AssignedConnection, Assignment, CommandState, Completion, ConnectionId};
 pub use pool::Backends;
 
 #[cfg(test)]
--- a/src/bin/ingress/backends/assignment.rs
+++ b/src/bin/ingress/backends/assignment.rs
@@ -25,15 +25,6 @@
     Sent,
 }
 
-/// What the poll reported about a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Readiness {
-    /// There may be room to write.
-    pub writable: bool,
-    /// The backend has closed its end, or the connection has an error.
-    pub closed: bool,
-}
-
 /// Identifies a connection for as long as it lives: keys are used again, serial numbers are not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionId {
--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -38,10 +38,8 @@
 /// What a single read came to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadStep {
-    /// Bytes came, fewer than there was room for: that was all for now.
-    Drained,
-    /// Bytes came, and more may be waiting.
-    MoreLikely,
+    /// Bytes came, and more may be waiting, however few they were.
+    Received,
     /// A signal came in between.
     Interrupted,
     /// Nothing is there yet.
@@ -117,11 +115,7 @@
                     self.reply_started_at = now;
                 }
                 self.received.extend_from_slice(&buffer[..count]);
-                if count < buffer.len() {
-                    ReadStep::Drained
-                } else {
-                    ReadStep::MoreLikely
-                }
+                ReadStep::Received
             }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => ReadStep::Interrupted,
             Err(error) if is_not_ready(&error) => ReadStep::Blocked,
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -3,7 +3,7 @@
 use super::connection::{Connection, ReadStep};
 use super::idle_reuse::IdleReuse;
 use super::reply::{self, ExchangeResult};
-use super::{AssignedConnection, Assignment, Backends, CommandState, Completion, ConnectionId, Readiness};
+use super::{AssignedConnection, Assignment, Backends, CommandState, Completion, ConnectionId};
 use crate::resp;
 use ingress::{BackendId, Micros, Outcome};
 use mio::Registry;
@@ -22,15 +22,6 @@
     Unusable,
 }
 
-/// How far a connection is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadUntil {
-    /// Until nothing more is there; the poll reports what comes later.
-    Drained,
-    /// To the end of the connection, which is known to be near.
-    Ended,
-}
-
 impl Backends {
     /// Begins an attempt or a health check with the command that `encode` appends. Returns none if it has failed, which is
     /// among the completions.
@@ -104,18 +95,18 @@
         }
     }
 
-    /// Does what a connection is ready for. If it falls idle, that is at `now`.
-    pub fn on_ready(&mut self, key: usize, now: Micros, readiness: Readiness) {
+    /// Does what a connection is ready for, which is `writable` where there is room to write. If it falls idle, that is at
+    /// `now`.
+    pub fn on_ready(&mut self, key: usize, now: Micros, writable: bool) {
         let Some(connection) = self.connections.get_mut(key) else { return };
-        if readiness.writable && !connection.is_connected && connection.stream.peer_addr().is_ok() {
+        if writable && !connection.is_connected && connection.stream.peer_addr().is_ok() {
             connection.is_connected = true;
         }
-        if readiness.writable && connection.command_state() == CommandState::Unsent {
+        if writable && connection.command_state() == CommandState::Unsent {
             self.write(key);
         }
         if self.connections.contains(key) {
-            let until = if readiness.closed { ReadUntil::Ended } else { ReadUntil::Drained };
-            self.read(key, now, until);
+            self.read(key, now);
         }
     }
 
@@ -128,7 +119,7 @@
         // The backend may have said why before the connection broke, for instance that it has too many.
         let id = ConnectionId { key, serial: connection.serial };
         let assigned_at = connection.state_since;
-        self.read(key, assigned_at, ReadUntil::Ended);
+        self.read(key, assigned_at);
         if self.connection(id).is_some() {
             let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
             self.complete(key, result, Some(assigned_at));
@@ -136,21 +127,18 @@
         }
     }
 
-    /// Reads what has come.
-    fn read(&mut self, key: usize, now: Micros, until: ReadUntil) {
+    /// Reads what has come, until nothing more is there or the connection has ended: the poll tells of each arrival once.
+    fn read(&mut self, key: usize, now: Micros) {
         for _ in 0..MAX_READS_PER_TURN {
             let step = self.connections[key].read_once(&mut self.read_buffer, now);
             match step {
                 ReadStep::Interrupted => {}
                 ReadStep::Blocked => return,
                 ReadStep::Ended => return self.fail(key, now),
-                ReadStep::Drained | ReadStep::MoreLikely => {
+                ReadStep::Received => {
                     if self.process_received(key, now) == Usability::Unusable {
                         return self.remove(key);
                     }
-                    if step == ReadStep::Drained && until == ReadUntil::Drained {
-                        return;
-                    }
                 }
             }
         }
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -41,8 +41,7 @@
         let registry = self.poll.registry();
         let assigned = self.backends.assign(registry, BACKEND, attempt(request), now, encode).unwrap();
         while self.backends.is_unsent(assigned.connection) {
-            let readiness = Readiness { writable: true, closed: false };
-            self.backends.on_ready(assigned.connection.key, now, readiness);
+            self.backends.on_ready(assigned.connection.key, now, true);
         }
         assigned.connection
     }
@@ -53,7 +52,7 @@
             if let Some(completion) = self.backends.completions.pop() {
                 return completion;
             }
-            self.backends.on_ready(connection.key, now, Readiness { writable: false, closed: false });
+            self.backends.on_ready(connection.key, now, false);
         }
         panic!("nothing has ended");
     }
@@ -102,7 +101,7 @@
     let assigned = rig.backends.assign(registry, BACKEND, attempt(1), START, encode).unwrap();
     let connection = assigned.connection;
     let peer = rig.listener.accept().unwrap().0;
-    rig.backends.on_ready(connection.key, START, Readiness { writable: true, closed: false });
+    rig.backends.on_ready(connection.key, START, true);
     assert_eq!(assigned.command, CommandState::Unsent);
     assert!(rig.backends.connections[connection.key].is_connected);
     assert!(rig.backends.is_unsent(connection));
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -2,7 +2,6 @@
 
 use super::connection::Connection;
 use super::error::ClientError;
-use super::reading::ReadUntil;
 use super::{Accepting, ClientEvent, Clients};
 use ingress::Micros;
 
@@ -51,7 +50,7 @@
         }
         for key in self.keys_of(|connection| connection.is_linger_over(now)) {
             // A client over the limit may have sent its request by now: once it is told so, the next call closes it.
-            self.read(key, now, ReadUntil::WouldBlock);
+            self.read(key, now);
             let connection = self.connections.get(key);
             if connection.is_some_and(|connection| connection.is_shut_down() || connection.output.is_empty())
             {
@@ -68,7 +67,7 @@
         not_reading.into_iter().for_each(|key| self.remove(key));
         for key in overdue {
             // The rest may have arrived by now.
-            self.read(key, now, ReadUntil::WouldBlock);
+            self.read(key, now);
             let connection = self.connections.get_mut(key);
             let Some(connection) = connection.filter(|connection| connection.is_command_overdue(now)) else {
                 continue;
@@ -95,7 +94,7 @@
 
     /// Closes an idle connection unless a command has arrived on it that was not read yet.
     fn close_if_silent(&mut self, key: usize, now: Micros) {
-        self.read(key, now, ReadUntil::WouldBlock);
+        self.read(key, now);
         if self.connections.get(key).is_some_and(Connection::is_idle) {
             self.remove(key);
         }
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -16,15 +16,6 @@
 /// The reply to a `PING`.
 const PONG_REPLY: &[u8] = b"+PONG\r\n";
 
-/// When a connection has been read from enough.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadUntil {
-    /// A read did not fill the buffer: there was no more, and the poll will tell of what comes later.
-    ShortRead,
-    /// A read found nothing, or the end of the connection.
-    WouldBlock,
-}
-
 /// Whether a connection may be read from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Intake {
@@ -41,7 +32,7 @@
         if writable && !connection.output.is_empty() {
             self.queue_for_write(key);
         }
-        self.read(key, now, ReadUntil::ShortRead);
+        self.read(key, now);
     }
 
     /// Handles a connection that the client has closed or half-closed: the client has gone, and what it sent is not
@@ -57,7 +48,7 @@
         for key in std::mem::take(&mut self.read_queue) {
             if let Some(connection) = self.connections.get_mut(key) {
                 connection.queued_for_read = false;
-                self.read(key, now, ReadUntil::WouldBlock);
+                self.read(key, now);
             }
         }
     }
@@ -65,19 +56,21 @@
     /// Reads from all connections, whether or not their sockets showed as ready.
     pub fn read_all(&mut self, now: Micros) {
         let keys: Vec<usize> = self.connections.iter().map(|(key, _)| key).collect();
-        keys.into_iter().for_each(|key| self.read(key, now, ReadUntil::WouldBlock));
+        keys.into_iter().for_each(|key| self.read(key, now));
     }
 
     /// Reads from a connection and accounts for the memory that this takes.
-    pub(super) fn read(&mut self, key: usize, now: Micros, until: ReadUntil) {
+    pub(super) fn read(&mut self, key: usize, now: Micros) {
         if self.connections.contains(key) {
-            self.read_and_parse(key, now, until);
+            self.read_and_parse(key, now);
             self.enforce_memory_limit(key);
         }
     }
 
-    /// Reads from a connection and parses its commands, within the bound of a turn.
-    fn read_and_parse(&mut self, key: usize, now: Micros, until: ReadUntil) {
+    /// Reads from a connection and parses its commands, within the bound of a turn. A read that does not fill the buffer
+    /// does not say that nothing is left, and the poll tells of each arrival once: only a read that finds nothing ends
+    /// it before that bound.
+    fn read_and_parse(&mut self, key: usize, now: Micros) {
         for _ in 0..MAX_READS_PER_TURN {
             if self.parse_commands(key, now) == Intake::Paused {
                 self.connections[key].reading_paused = true;
@@ -92,12 +85,6 @@
                 Err(_) => return self.remove(key),
             };
             connection.receive(&self.read_buffer[..received], now);
-            if received < READ_BUFFER_LEN && until == ReadUntil::ShortRead {
-                if !connection.is_closing() {
-                    self.parse_and_update_pause(key, now);
-                }
-                return;
-            }
         }
         if self.parse_and_update_pause(key, now) == Intake::Open {
             self.queue_for_read(key);
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -18,7 +18,7 @@
 mod timer_queue;
 mod timers;
 
-use crate::backends::{Backends, Readiness};
+use crate::backends::Backends;
 use crate::clients::Clients;
 use crate::discovery::Watch;
 use crate::peers::PeerSocket;
@@ -168,7 +168,7 @@
 
     /// Does what one socket is ready for.
     fn process_socket(&mut self, socket: &ReadySocket) {
-        let &ReadySocket { writable, closed, .. } = socket;
+        let writable = socket.writable;
         match socket.source() {
             Source::Discovery => {} // is always the first to be handled
             Source::Listener => self.accept_pending = true,
@@ -179,7 +179,7 @@
                     self.update_remaining_time(key);
                 }
                 // The exact time: how long a connection has to rest is less than a tick.
-                self.backends.on_ready(key, self.clock.now(), Readiness { writable, closed });
+                self.backends.on_ready(key, self.clock.now(), writable);
                 self.run_policy();
             }
             Source::Client(key) => {
