Bound a backend's reply by its bytes, not by the reads that it takes

Cause: MAX_READS_PER_TURN in backends/exchange.rs took a connection that had eight reads in a turn for one that sends without end, and failed a good reply that came in short pieces (seen: the fourth of 40 requests with every read short). The same mistake elsewhere: clients' reads are bounded by reads too, but are taken up again; peers' datagrams likewise; discovery reads to the end.

--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -8,8 +8,8 @@
 use ingress::{BackendId, Micros, Outcome};
 use mio::Registry;
 
-/// Reads from one connection in a turn: more than the longest reply needs.
-const MAX_READS_PER_TURN: usize = 8;
+/// The most bytes of a reply that is waited for. The parser gives up far earlier; this bounds a turn whatever it does.
+const MAX_REPLY_BYTES: usize = 256 * 1024;
 /// A failure this soon after the assignment says that the connection was dead already.
 const IMMEDIATE_FAILURE: Micros = 10_000;
 
@@ -129,7 +129,7 @@
 
     /// Reads what has come, until nothing more is there or the connection has ended: the poll tells of each arrival once.
     fn read(&mut self, key: usize, now: Micros) {
-        for _ in 0..MAX_READS_PER_TURN {
+        while self.connections[key].received.len() <= MAX_REPLY_BYTES {
             let step = self.connections[key].read_once(&mut self.read_buffer, now);
             match step {
                 ReadStep::Interrupted => {}
--- a/tests/system_call_faults.rs
+++ b/tests/system_call_faults.rs
@@ -87,3 +87,16 @@
     let sent = requests_at_restarted_backend(-3_600_000, 10);
     assert!(sent <= WAVE * 10 / 4, "{sent} of {} went to the cold backend", WAVE * 10);
 }
+
+/// Guards against a reply that is given up since it takes many reads.
+#[test]
+fn a_long_reply_is_taken_though_every_read_is_short() {
+    let value = "v".repeat(60_000);
+    let reply = format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len());
+    let backend = Backend::start(move |_| BackendReply::Bytes(reply.clone().into_bytes()));
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.faults = Some(FaultPlan::single(FaultKind::ShortRead, 1.0));
+    let ingress = setup.start();
+    let reply = ingress.client().round_trip(&encode_request("refer", "r1", 5000));
+    assert!(reply == value, "{} bytes, beginning with {:.40}", reply.len(), reply);
+}
