Close no client for a moment's failure of accept

Cause: Clients::accept (clients/accepting.rs) called close_longest_idle on any error but two, and that takes connections that never sent a command first, also one whose first command is on its way. Seen: with every other accept failing, a client that had just connected was closed with no answer. Ruled out: the descriptor budget, which was far from full.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -120,6 +120,8 @@
     events: VecDeque<ClientEvent>,
     /// When the latest connection was accepted.
     pub last_accepted_at: Micros,
+    /// Since when every attempt to accept a connection has failed.
+    accept_failing_since: Option<Micros>,
 }
 
 impl Clients {
@@ -147,6 +149,7 @@
             memory: MemoryBudget::new(memory_limit),
             events: VecDeque::new(),
             last_accepted_at: 0,
+            accept_failing_since: None,
         }
     }
 
--- a/src/bin/ingress/clients/accepting.rs
+++ b/src/bin/ingress/clients/accepting.rs
@@ -5,10 +5,25 @@
 use ingress::Micros;
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
-use std::io::ErrorKind;
+use std::io::{self, ErrorKind};
 
 /// The most connections accepted in a turn.
 const MAX_ACCEPTS_PER_TURN: usize = 64;
+/// How long accepting has to fail until idle connections are closed for it: several tries, since a moment's failure is
+/// no reason to close anybody.
+const ACCEPT_FAILURE_PATIENCE: Micros = 100_000;
+
+/// Whether accepting failed for the connection that was to be accepted alone: Linux also reports errors that the
+/// connection met before.
+fn concerns_one_connection(error: &io::Error) -> bool {
+    use ErrorKind::{
+        ConnectionAborted, HostUnreachable, Interrupted, NetworkDown, NetworkUnreachable, TimedOut,
+    };
+    matches!(
+        error.kind(),
+        ConnectionAborted | Interrupted | HostUnreachable | NetworkDown | NetworkUnreachable | TimedOut
+    )
+}
 
 impl Clients {
     /// Accepts waiting connections for as long as `capacity` finds a descriptor for one more.
@@ -25,19 +40,33 @@
             }
             let Some(listener) = &self.listener else { return AcceptOutcome::Drained };
             match listener.accept() {
-                Ok((stream, _)) => self.add(stream, registry, capacity, now),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return AcceptOutcome::Drained,
-                // The connection ended before it was accepted.
-                Err(error)
-                    if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
-                // Out of descriptors or memory in spite of the limits: closing an idle connection may help.
-                Err(_) if self.close_longest_idle(now) => {}
-                Err(_) => return AcceptOutcome::NoDescriptor,
+                Ok((stream, _)) => {
+                    self.accept_failing_since = None;
+                    self.add(stream, registry, capacity, now);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.accept_failing_since = None;
+                    return AcceptOutcome::Drained;
+                }
+                Err(error) if concerns_one_connection(&error) => {}
+                Err(_) => {
+                    self.on_accept_failure(now);
+                    return AcceptOutcome::NoDescriptor;
+                }
             }
         }
         AcceptOutcome::MorePending
     }
 
+    /// Out of descriptors or memory in spite of the limits. Accepting is tried again a little later; where it keeps
+    /// failing, closing an idle connection may help.
+    fn on_accept_failure(&mut self, now: Micros) {
+        let failing_since = *self.accept_failing_since.get_or_insert(now);
+        if now >= failing_since + ACCEPT_FAILURE_PATIENCE {
+            self.close_longest_idle(now);
+        }
+    }
+
     /// Registers an accepted connection.
     fn add(&mut self, mut stream: TcpStream, registry: &Registry, capacity: Capacity, now: Micros) {
         let entry = self.connections.vacant_entry();
