Judge the age of a backend by real time, whatever the wall clock does

Cause: EndpointEntry::from_json and Clock read a backend's since_ms by the Unix time taken once at the process's start. Seen in the failing test: after a step back by an hour a backend that had just started got 40 of 80 requests (an hour old); after a step forward (by reading, and in a unit test) it would be cold for an hour. Ruled out: the slow start itself. Change: policy/start_times.rs keeps each start by its raw time and its age by the event loop's clock; where the wall clock has had several offsets the colder possible reading counts, a start in the future by all of them is now, and a changed start is no older than the last list plus the 6 s in which a change counts as told.

--- a/src/bin/ingress/discovery/endpoint_list.rs
+++ b/src/bin/ingress/discovery/endpoint_list.rs
@@ -142,7 +142,7 @@
             machine_type: location_names.machine_type(text("type")),
             availability,
             size: json.get("weight").and_then(Value::as_f64).unwrap_or(1.0),
-            // The event loop's clock counts from the Unix epoch too; only the unit differs.
+            // Still in Unix time, by the clock of whoever noted it.
             started_at: since_ms.saturating_mul(MICROS_PER_MILLI),
         };
         Ok(EndpointEntry { endpoint, address })
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -107,7 +107,7 @@
 
     /// Gives the connection up and schedules the next poll. Returns whether this is the first failure in a row.
     fn fail(&mut self, now: Micros, error: &PollError) -> bool {
-        let request_sent = self.connection.as_ref().map_or(true, Connection::is_request_sent);
+        let request_sent = self.connection.as_ref().is_none_or(Connection::is_request_sent);
         let pending = self.poll_started_at.map(|started_at| FailedPoll { started_at, request_sent });
         let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, pending);
         self.disconnect();
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -27,7 +27,7 @@
 pub use control_events::register_signals;
 use descriptor_budget::DescriptorBudget;
 pub use error::EventLoopError;
-use ingress::{Action, Event, Gateway, Micros};
+use ingress::{Action, Event, Gateway, Micros, StartTimes};
 use mio::{Events, Poll};
 use request_table::RequestTable;
 use shutdown::Shutdown;
@@ -68,6 +68,8 @@
     backends: Backends,
     /// The watch on the endpoint list.
     watch: Watch,
+    /// When the listed backends started.
+    start_times: StartTimes,
     /// When the configuration is read again.
     reload: Reload,
     /// None where the settings allow no messages between gateways.
--- a/src/bin/ingress/event_loop/clock.rs
+++ b/src/bin/ingress/event_loop/clock.rs
@@ -3,8 +3,8 @@
 use ingress::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-/// A monotonic clock that counts from the Unix epoch, since backends' start times are given in Unix time and peers
-/// compare theirs. It is set once; later steps of the system's clock do not reach it.
+/// A monotonic clock that counts from the Unix epoch, as it was read at the start. Later steps of the system's clock do
+/// not reach it: all spans are real time.
 pub struct Clock {
     /// When the clock was started.
     started: Instant,
@@ -15,8 +15,7 @@
 impl Clock {
     /// Starts the clock from the system's.
     pub fn new() -> Self {
-        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), offset: unix_time.as_micros() as Micros }
+        Clock { started: Instant::now(), offset: unix_time() }
     }
 
     /// The time.
@@ -24,3 +23,9 @@
         self.offset + self.started.elapsed().as_micros() as Micros
     }
 }
+
+/// The Unix time by the system's clock, which may be stepped.
+pub fn unix_time() -> Micros {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    elapsed.as_micros() as Micros
+}
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -1,14 +1,16 @@
 //! Input from discovery, from peers and from the operator's signals.
 
+use super::clock::unix_time;
 use super::shutdown::MIN_ACCEPTING_TIME;
 use super::timer_queue::Timer;
 use super::{EventLoop, EventLoopError};
 use crate::discovery::EndpointList;
 use crate::peers::Backlog;
 use crate::reload::ReloadOutcome;
-use ingress::{EndpointUpdate, Event};
+use ingress::{Availability, BackendId, Endpoint, EndpointUpdate, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
+use std::collections::HashSet;
 
 /// Sets the handlers of the signals that the event loop handles: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP
 /// reloads the configuration.
@@ -35,12 +37,34 @@
     /// Passes an endpoint list on to the connections and to the policy.
     pub(super) fn apply_endpoints(&mut self, list: EndpointList, update: EndpointUpdate) {
         self.backends.update_endpoints(&list);
-        if update != EndpointUpdate::Delta || !list.entries.is_empty() {
-            let endpoints = list.entries.iter().map(|entry| entry.endpoint).collect();
+        let endpoints = self.endpoints_in_host_time(&list);
+        // What was cached before the start says nothing of now.
+        if update != EndpointUpdate::CachedSnapshot {
+            self.start_times.list_taken(self.now);
+        }
+        if update != EndpointUpdate::Delta || !endpoints.is_empty() {
             self.pending_events.push_back(Event::Endpoints(update, endpoints));
         }
     }
 
+    /// The backends of a list, with their starts in the event loop's time.
+    fn endpoints_in_host_time(&mut self, list: &EndpointList) -> Vec<Endpoint> {
+        let (now, times) = (self.now, &mut self.start_times);
+        times.observe_clock(self.clock.now(), unix_time());
+        let mut endpoints: Vec<Endpoint> = list.entries.iter().map(|entry| entry.endpoint).collect();
+        for endpoint in &mut endpoints {
+            endpoint.started_at = times.host_time(endpoint.backend, endpoint.started_at, now);
+            if endpoint.availability == Availability::Gone {
+                times.forget(endpoint.backend);
+            }
+        }
+        if list.is_snapshot {
+            let listed: HashSet<BackendId> = endpoints.iter().map(|endpoint| endpoint.backend).collect();
+            times.retain(|backend| listed.contains(&backend));
+        }
+        endpoints
+    }
+
     /// Gives the policy a batch of the messages that have come from peers.
     pub(super) fn receive_peer_messages(&mut self) {
         let events = &mut self.pending_events;
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -15,7 +15,7 @@
 use crate::peers::PeerSocket;
 use crate::reload::Reload;
 use ingress::backoff::Backoff;
-use ingress::{Discovery, EndpointUpdate, Gateway, Micros, Settings};
+use ingress::{Discovery, EndpointUpdate, Gateway, Micros, Settings, StartTimes};
 use mio::net::TcpListener;
 use mio::{Interest, Poll, Registry, Token};
 use signal_hook_mio::v1_0::Signals;
@@ -78,6 +78,7 @@
             clients: Clients::new(sockets.listener, config.command_schema, memory_share, client_token),
             backends: Backends::new(config.keepalive_timeout, backend_token),
             watch,
+            start_times: StartTimes::default(),
             reload,
             peers: sockets.peers,
             signals: sockets.signals,
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -1,5 +1,6 @@
 //! What is done when timers are due, the steps of the graceful shutdown among them.
 
+use super::clock::unix_time;
 use super::shutdown::ACCEPTING_CHECK_INTERVAL;
 use super::timer_queue::Timer;
 use super::EventLoop;
@@ -47,6 +48,7 @@
         self.backends.sweep(self.now);
         self.clients.close_expired(self.now);
         self.requests.forget_ended_ids(self.now);
+        self.start_times.observe_clock(self.clock.now(), unix_time());
         self.timers.schedule(self.now + SWEEP_INTERVAL, Timer::Sweep);
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,7 +65,7 @@
 pub use event::{AttemptEnded, Event, LoadReport, Outcome, Request};
 pub use gateway::Gateway;
 pub use identifiers::{BackendId, CustomerId, GatewayId, RequestId};
-pub use policy::permissions;
+pub use policy::{permissions, StartTimes};
 pub use settings::{
     Class, Discovery, Idempotency, IdempotencyScope, Limits, Plan, Rules, Settings, SettingsError,
     SettingsReader, SizeMeaning,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -9,6 +9,7 @@
 pub mod permissions;
 mod quota;
 mod retry;
+mod start_times;
 mod usage_reports;
 
 pub(crate) use gateway::report_interval;
@@ -16,3 +17,4 @@
 pub(crate) use outlier_detection::initial_baseline;
 pub(crate) use quota::{MAX_REFILL_SECONDS, ROUNDING_MARGIN};
 pub(crate) use retry::retry_budget;
+pub use start_times::StartTimes;
--- /dev/null
+++ b/src/policy/start_times.rs
@@ -0,0 +1,100 @@
+//! When backends started, in the host's time. Discovery gives Unix times, by wall clocks that may be stepped, here and
+//! elsewhere; a backend's age is a span of real time. What tells one start from another is the Unix time as it was given;
+//! where it can be read in several ways, the one that makes the backend colder counts.
+
+use crate::{BackendId, Micros};
+use std::collections::HashMap;
+
+/// How far in the future a start may seem to lie: clocks differ a little. One further off was read by the wrong clock.
+const CLOCK_SKEW: i64 = 1_000_000;
+/// How much later than its start a backend's new start may be listed, while discovery can be reached.
+const MAX_LISTING_DELAY: Micros = 6_000_000;
+
+/// By how much the wall clock was ahead of the host's time, which begins as Unix time and goes on steadily.
+#[derive(Clone, Copy, Default)]
+struct ClockOffsets {
+    latest: i64,
+    lowest: i64,
+    highest: i64,
+}
+
+impl ClockOffsets {
+    /// Takes in a reading of the wall clock.
+    fn observe(&mut self, now: Micros, unix_now: Micros) {
+        self.latest = unix_now as i64 - now as i64;
+        self.lowest = self.lowest.min(self.latest);
+        self.highest = self.highest.max(self.latest);
+    }
+
+    /// The least age, by any of the clock readings there were, of what started at a Unix time; nothing if it started in
+    /// the future by all of them.
+    fn least_age(&self, now: Micros, unix_start: Micros) -> Micros {
+        let offsets = [0, self.latest, self.lowest, self.highest];
+        let ages = offsets.map(|offset| now as i64 + offset - unix_start as i64);
+        let possible = ages.into_iter().filter(|age| *age >= -CLOCK_SKEW);
+        possible.min().unwrap_or(0).max(0) as Micros
+    }
+}
+
+/// A backend's start.
+#[derive(Clone, Copy)]
+struct Start {
+    /// As discovery gives it.
+    unix_time: Micros,
+    /// In the host's time; 0 for long ago.
+    host_time: Micros,
+}
+
+/// The starts of the backends that are listed.
+#[derive(Default)]
+pub struct StartTimes {
+    offsets: ClockOffsets,
+    starts: HashMap<BackendId, Start>,
+    /// When discovery last sent a list or a change.
+    last_listed_at: Option<Micros>,
+}
+
+impl StartTimes {
+    /// Takes in a reading of the wall clock, by which starts may be given from now on.
+    pub fn observe_clock(&mut self, now: Micros, unix_now: Micros) {
+        self.offsets.observe(now, unix_now);
+    }
+
+    /// Notes that a list or change of discovery has been taken in whole, even an empty one.
+    pub fn list_taken(&mut self, now: Micros) {
+        self.last_listed_at = Some(now);
+    }
+
+    /// When a backend started, in the host's time, by the Unix time that it is listed with; 0 for long ago.
+    pub fn host_time(&mut self, backend: BackendId, unix_time: Micros, now: Micros) -> Micros {
+        let known = self.starts.get(&backend).copied();
+        if let Some(known) = known.filter(|known| known.unix_time == unix_time) {
+            return known.host_time;
+        }
+        let host_time = if unix_time == 0 {
+            0
+        } else {
+            let age = self.offsets.least_age(now, unix_time);
+            // It had not started anew when its earlier start was still listed.
+            let most = known.and(self.last_listed_at).map_or(Micros::MAX, |listed_at| {
+                now.saturating_sub(listed_at).saturating_add(MAX_LISTING_DELAY)
+            });
+            now.saturating_sub(age.min(most)).max(1)
+        };
+        self.starts.insert(backend, Start { unix_time, host_time });
+        host_time
+    }
+
+    /// Forgets a backend that is no longer listed.
+    pub fn forget(&mut self, backend: BackendId) {
+        self.starts.remove(&backend);
+    }
+
+    /// Forgets all backends but those that are listed.
+    pub fn retain(&mut self, is_listed: impl Fn(BackendId) -> bool) {
+        self.starts.retain(|backend, _| is_listed(*backend));
+    }
+}
+
+#[cfg(test)]
+mod tests;
