Add three failing tests: an ingress that restarts with its clock set back

Seen: 16 of 16 requests sent where the quota allows 9, since nobody hears the restarted gateway; and 0 of 3 sent where the quota allows all, since it takes its peers for younger and charges their past usage.

--- a/src/state/peer/tests.rs
+++ b/src/state/peer/tests.rs
@@ -36,3 +36,14 @@
     assert!(second[0].1.requests_grant);
     assert!(!second[1].1.requests_grant, "a grant is requested once");
 }
+
+/// Guards against ordering processes by their wall clocks: one that restarts after a step back was not heard until its
+/// clock had caught up.
+#[test]
+fn a_peer_that_restarts_with_its_clock_set_back_is_heard() {
+    let mut peer = Peer::default();
+    assert_eq!(peer.receive(5_000_000, 100, 10), Receipt::NewIncarnation { restarted: false });
+    assert_eq!(peer.receive(5, 1, 20), Receipt::NewIncarnation { restarted: true });
+    assert_eq!(peer.receive(5_000_000, 101, 30), Receipt::Outdated, "from before the restart");
+    assert_eq!(peer.receive(5, 2, 40), Receipt::Current);
+}
--- a/tests/gateway/rate_quota.rs
+++ b/tests/gateway/rate_quota.rs
@@ -164,3 +164,52 @@
     assert_eq!(sent_of(&mut fleet, 0, 1, SECOND / 2), 1);
     assert_eq!(sent_of(&mut fleet, 2, 3, SECOND / 2), 3, "its bucket is all but full");
 }
+
+/// How far back a wall clock is set.
+const CLOCK_STEP: Micros = 600 * SECOND;
+
+/// Restarts gateway 2 of three on a machine whose wall clock was set back.
+fn restart_with_clock_set_back(fleet: &mut Fleet) {
+    fleet.gateways[2].now -= CLOCK_STEP;
+    fleet.gateways[2].restart(settings_of(2, 3), 9, 6);
+}
+
+/// Guards against taking all messages of a process for outdated that has restarted on a machine whose wall clock was set
+/// back: others would not hear it until the clock has caught up.
+#[test]
+fn a_gateway_that_restarts_with_its_clock_set_back_is_heard() {
+    let mut fleet = Fleet::new(3);
+    (0..3).for_each(|at| _ = fleet.request(at, UNLIMITED, 1.0, 3.0, 0));
+    restart_with_clock_set_back(&mut fleet);
+    (0..3).for_each(|at| _ = fleet.request(at, UNLIMITED, 1.0, 3.0, 0));
+    let mut sent = 0;
+    for _ in 0..8 {
+        for at in [2, 0] {
+            let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0).actions;
+            sent += fleet.execute(at, actions, 0);
+            sent += fleet.advance(60_000, 0);
+        }
+    }
+    // A burst of 6, and 2 a second for the 1.3 s that it takes.
+    assert!(sent <= 9, "{sent} sent, though the gateways that were asked know of each other");
+}
+
+/// Guards against taking peers that have run for long for younger ones, after a restart with the clock set back: their
+/// usage of long ago was charged as new, and its customer locked out.
+#[test]
+fn a_gateway_that_restarts_with_its_clock_set_back_charges_no_past_usage() {
+    let mut fleet = Fleet::new(3);
+    let request_once = |fleet: &mut Fleet, at: usize| {
+        let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0).actions;
+        let sent = fleet.execute(at, actions, 0);
+        fleet.advance(SECOND, 0);
+        sent
+    };
+    let before: usize = (0..30).map(|_| request_once(&mut fleet, 0)).sum();
+    assert!(before >= 29);
+    fleet.advance(5 * SECOND, 0);
+    restart_with_clock_set_back(&mut fleet);
+    request_once(&mut fleet, 0);
+    let after: usize = (0..3).map(|_| request_once(&mut fleet, 2)).sum();
+    assert_eq!(after, 3, "one unit a second, of two that the quota has");
+}
