Tell a peer's processes apart without ordering them by their wall clocks

Cause: Peer::receive (state/peer.rs) dropped every message of an incarnation with a lower number, and gossip/exchange.rs took the lower number for the older process; the number is the wall clock at the start. Change: another number is another process, but for a second after a restart the number before it; a peer is older if its first message here was its 16th or later, younger if its restart was seen, and by its clock only where neither tells. Bytes on the wire are as before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,7 +18,7 @@
     pub(crate) random_state: u64,
     /// The host's clock at the latest event; it never goes back.
     pub(crate) now: Micros,
-    /// When this process started; peers know it as its incarnation.
+    /// When this process started; peers tell it from earlier ones by the incarnation made from this.
     pub(crate) started_at: Micros,
     /// When the timer that was last set is due.
     pub(crate) next_wake_up_at: Micros,
--- a/src/gossip/exchange.rs
+++ b/src/gossip/exchange.rs
@@ -57,7 +57,7 @@
         self.record_peer_samples(&message.samples);
         match message.body {
             Body::UsageReports(reports) => {
-                let is_older = message.incarnation < own_incarnation;
+                let is_older = self.peers.entry(from.0).started_before(own_incarnation);
                 let grants =
                     reports.iter().filter_map(|report| self.on_usage_report(from.0, is_older, report));
                 let grants: Vec<QuotaGrant> = grants.collect();
--- a/src/gossip/message.rs
+++ b/src/gossip/message.rs
@@ -84,8 +84,8 @@
     pub body: Body,
 }
 
-/// The number that tells a gateway from the same gateway after a restart: the millisecond of its start,
-/// wrapping.
+/// The number that tells a gateway from the same gateway after a restart: the millisecond of its start by its wall clock,
+/// wrapping. A later one may be less, since wall clocks are stepped.
 pub fn incarnation_of(started_at: Micros) -> u32 {
     (started_at / 1000) as u32
 }
--- a/src/state/peer.rs
+++ b/src/state/peer.rs
@@ -35,11 +35,31 @@
     },
 }
 
+/// How long a message may be on its way. After this, one of an earlier incarnation says that it still runs.
+const MAX_MESSAGE_DELAY: Micros = 1_000_000;
+/// Messages that a peer sent before the first one that came here, from which on it has run for longer than this gateway: a
+/// process that starts is heard within its first few, whatever is lost.
+const MESSAGES_OF_AN_OLDER_PEER: u16 = 16;
+
+/// An incarnation in whose place there is another one.
+#[derive(Clone, Copy)]
+pub struct SupersededIncarnation {
+    /// Its number.
+    incarnation: u32,
+    /// When the next one was first heard.
+    at: Micros,
+}
+
 /// A peer's record.
 #[derive(Default)]
 pub struct Peer {
-    /// The latest incarnation known; 0 for none.
+    /// The latest incarnation known; 0 for none. It tells processes apart and does not order them: it is read from a
+    /// wall clock, which may be stepped.
     pub incarnation: u32,
+    /// The one before.
+    pub superseded: Option<SupersededIncarnation>,
+    /// The sequence number of the first message of this incarnation that was received.
+    pub first_sequence: u16,
     /// The sequence number of the last message received.
     pub last_sequence: u16,
     /// Messages sent to it, wrapping.
@@ -59,16 +79,32 @@
     pub fn receive(&mut self, incarnation: u32, sequence: u16, now: Micros) -> Receipt {
         let same_incarnation = incarnation == self.incarnation;
         let overtaken = sequence.wrapping_sub(self.last_sequence) as i16 <= 0;
-        if incarnation < self.incarnation || (same_incarnation && overtaken) {
+        if (same_incarnation && overtaken) || self.was_superseded_lately(incarnation, now) {
             return Receipt::Outdated;
         }
-        let restarted = self.incarnation > 0;
-        (self.incarnation, self.last_sequence, self.last_heard_at) = (incarnation, sequence, now);
+        (self.last_sequence, self.last_heard_at) = (sequence, now);
         if same_incarnation {
-            Receipt::Current
-        } else {
-            Receipt::NewIncarnation { restarted }
+            return Receipt::Current;
         }
+        let restarted = self.incarnation > 0;
+        let superseded = SupersededIncarnation { incarnation: self.incarnation, at: now };
+        self.superseded = restarted.then_some(superseded);
+        (self.incarnation, self.first_sequence) = (incarnation, sequence);
+        Receipt::NewIncarnation { restarted }
+    }
+
+    /// Whether a message of this incarnation may have been on its way since before the peer's restart.
+    fn was_superseded_lately(&self, incarnation: u32, now: Micros) -> bool {
+        let superseded = self.superseded.filter(|superseded| superseded.incarnation == incarnation);
+        superseded.is_some_and(|superseded| now < superseded.at + MAX_MESSAGE_DELAY)
+    }
+
+    /// Whether the peer's process started before the one here, as far as messages tell; wall clocks decide only where they
+    /// do not.
+    pub fn started_before(&self, own_incarnation: u32) -> bool {
+        let restarted_since = self.superseded.is_some();
+        let is_older = self.first_sequence >= MESSAGES_OF_AN_OLDER_PEER;
+        !restarted_since && (is_older || self.incarnation < own_incarnation)
     }
 
     /// Takes from the outbox what the next message carries. It goes round from where the last one ended:
--- a/tests/gateway/rate_quota.rs
+++ b/tests/gateway/rate_quota.rs
@@ -182,16 +182,18 @@
     (0..3).for_each(|at| _ = fleet.request(at, UNLIMITED, 1.0, 3.0, 0));
     restart_with_clock_set_back(&mut fleet);
     (0..3).for_each(|at| _ = fleet.request(at, UNLIMITED, 1.0, 3.0, 0));
-    let mut sent = 0;
-    for _ in 0..8 {
-        for at in [2, 0] {
-            let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 5, 1.0, 3.0).actions;
-            sent += fleet.execute(at, actions, 0);
-            sent += fleet.advance(60_000, 0);
+    fleet.advance(10 * SECOND, 0);
+    let mut sent_at = |at: usize| {
+        let mut sent = 0;
+        for _ in 0..8 {
+            let actions = fleet.gateways[at].request_from_set(IDEMPOTENT, RATE_QUOTA, 6, 1.0, 3.0).actions;
+            sent += fleet.execute(at, actions, 0) + fleet.advance(60_000, 0);
         }
-    }
-    // A burst of 6, and 2 a second for the 1.3 s that it takes.
-    assert!(sent <= 9, "{sent} sent, though the gateways that were asked know of each other");
+        sent
+    };
+    // A burst of 6, and 2 a second for the second that it takes.
+    let (restarted, other) = (sent_at(2), sent_at(0));
+    assert!(restarted + other <= 9, "{restarted} and {other} sent of a quota that both know of");
 }
 
 /// Guards against taking peers that have run for long for younger ones, after a restart with the clock set back: their
