Add a failing test: a log that nobody reads

Seen: with a full pipe for its log the ingress gets no further than its first line; it never answers a PING (20 s). Suspect 6 of docs/INVARIANTS.md. A log that cannot be written (ENOSPC, EIO) did no harm: that test passes. Starting an ingress in tests gives up a PING after 2 s, where it waited without a bound.

--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 /// The settings of a small deployment; tests replace words in it.
 pub const SETTINGS: &str = r#"{
@@ -33,6 +34,9 @@
   "overload_factor":4.0,"fall_us":1000000,"must_ask_in_us":10000000},
  "membership_mode":"push","weights":"nominal","reporting":{"how":"answers","fields":["load_share"]}}"#;
 
+/// How long an ingress that starts may take for one PING; another one is sent then.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// How an ingress is started: the parts of its configuration that tests change.
 pub struct IngressSetup {
     pub known_endpoints: Vec<String>,
@@ -100,10 +104,18 @@
 
     /// Starts an ingress by a shell command, and waits until it is ready.
     pub fn start_with(&self, program: &str) -> IngressProcess {
+        self.start_logging_to(program, Stdio::piped())
+    }
+
+    /// Starts an ingress by a shell command with a log of the test's, and waits until it is ready.
+    pub fn start_logging_to(&self, program: &str, log: Stdio) -> IngressProcess {
         let address = unused_address();
-        let ingress = IngressProcess::spawn(&self.config_json(address), address, program);
+        let ingress = IngressProcess::spawn_logging_to(&self.config_json(address), address, program, log);
         wait_until("the ingress is ready", || {
-            TcpStream::connect(address).is_ok_and(|stream| Client { stream }.ping() == "+PONG")
+            TcpStream::connect(address).is_ok_and(|stream| {
+                stream.set_read_timeout(Some(PING_TIMEOUT)).unwrap();
+                Client { stream }.ping() == "+PONG"
+            })
         });
         ingress
     }
@@ -124,6 +136,11 @@
 impl IngressProcess {
     /// Starts an ingress by a shell command, without waiting for it.
     pub fn spawn(config: &str, address: SocketAddr, program: &str) -> IngressProcess {
+        IngressProcess::spawn_logging_to(config, address, program, Stdio::piped())
+    }
+
+    /// Starts an ingress by a shell command with a log of the test's, without waiting for it.
+    pub fn spawn_logging_to(config: &str, address: SocketAddr, program: &str, log: Stdio) -> IngressProcess {
         let file = std::env::temp_dir().join(format!("ingress-{}-{address}.json", std::process::id()));
         std::fs::write(&file, config).unwrap();
         let mut command = Command::new("/bin/sh");
@@ -131,7 +148,7 @@
         for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
             command.env_remove(name);
         }
-        let child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        let child = command.stdin(Stdio::null()).stderr(log).spawn().unwrap();
         IngressProcess { address, child, config_file: file }
     }
 
--- a/tests/system_call_faults.rs
+++ b/tests/system_call_faults.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use fault_plan::{ClockStep, FaultKind, FaultPlan};
+use std::io::Write;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use support::backend::{reply_with_value, value_reply, Backend, BackendReply};
 use support::client::{encode_request, Client};
 use support::discovery::DiscoveryServer;
-use support::ingress::IngressSetup;
+use support::ingress::{built_program, IngressSetup};
 
 /// Guards against taking a short read for an empty socket: the poll reports each arrival once, and what is left in the
 /// socket then waits for the next one, which may not come.
@@ -100,3 +103,33 @@
     let reply = ingress.client().round_trip(&encode_request("refer", "r1", 5000));
     assert!(reply == value, "{} bytes, beginning with {:.40}", reply.len(), reply);
 }
+
+/// Guards against waiting for a log that nobody reads: once its pipe was full, the ingress stood still for good.
+#[test]
+fn requests_are_answered_though_the_log_is_full() {
+    let (mut log, _unread) = UnixStream::pair().unwrap();
+    log.set_nonblocking(true).unwrap();
+    while log.write(&[b'x'; 4096]).is_ok() {}
+    log.set_nonblocking(false).unwrap();
+    let backend = Backend::start(reply_with_value);
+    let setup = IngressSetup::with_backends(&[&backend]);
+    let mut ingress = setup.start_logging_to(&built_program(), OwnedFd::from(log).into());
+    ingress.signal("HUP");
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+}
+
+/// Guards against an end for a log that cannot be written.
+#[test]
+fn requests_are_answered_though_the_log_cannot_be_written() {
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.faults = Some(FaultPlan::single(FaultKind::FailedLog, 1.0));
+    let mut ingress = setup.start();
+    ingress.signal("HUP");
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    assert_eq!(ingress.log(), "", "the log fails");
+}
