Write the log from a thread of its own, by tracing, at the level of LB_LOG

Cause: log() in main.rs wrote to standard error in the event loop: with a full pipe that nobody reads the ingress stood still for good. Change: tracing events, tracing-appender's bounded lossy buffer (4,096 lines) and its thread; lines look as before at the level info, which holds where LB_LOG is not set.

--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -114,7 +114,7 @@
         self.next_timer_at = at;
         if is_first_failure {
             let (retry_in_ms, error) = (at.saturating_sub(now) / 1000, ErrorChain(error));
-            crate::log(&format!("discovery: poll failed, retry_in_ms={retry_in_ms} error={error}"));
+            tracing::info!(target: "discovery", retry_in_ms, %error, "poll failed");
         }
         is_first_failure
     }
@@ -229,7 +229,7 @@
         response: &PollResponse,
     ) {
         if self.schedule.on_success() {
-            crate::log(&format!("discovery: poll succeeded again, index={}", response.endpoints.index));
+            tracing::info!(target: "discovery", index = response.endpoints.index, "poll succeeded again");
         }
         self.index = Some(response.endpoints.index);
         self.poll_started_at = None;
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -101,7 +101,7 @@
             ready.extend(events.iter().map(ReadySocket::from));
             self.process_ready(&mut ready);
             if self.shutdown.has_begun() && (self.can_exit() || self.shutdown.must_exit(self.now)) {
-                crate::log("shutdown: finished");
+                tracing::info!(target: "shutdown", "finished");
                 return Ok(());
             }
         }
--- a/src/bin/ingress/event_loop/actions.rs
+++ b/src/bin/ingress/event_loop/actions.rs
@@ -4,6 +4,7 @@
 use super::timer_queue::Timer;
 use super::EventLoop;
 use crate::clients::BUSY_REPLY;
+use crate::logging;
 use ingress::{Action, Event, Micros, Outcome, RequestId};
 use std::io::Write;
 
@@ -36,7 +37,7 @@
                 let (outcome, total) = (Outcome::ConnectFailed, 0.0);
                 self.pending_events.push_back(Event::CounterUpdated { name, outcome, total });
             }
-            Action::Log(line) => crate::log(&line),
+            Action::Log(line) => tracing::info!(target: logging::UNTITLED, "{line}"),
         }
     }
 
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -100,7 +100,8 @@
     /// Begins the graceful shutdown, unless it has begun before.
     fn begin_shutdown(&mut self) {
         let Some(reply_deadline) = self.shutdown.begin(self.now) else { return };
-        crate::log(&format!("shutdown: started, reply_time_ms={}", (reply_deadline - self.now) / 1000));
+        let reply_time_ms = (reply_deadline - self.now) / 1000;
+        tracing::info!(target: "shutdown", reply_time_ms, "started");
         self.timers.schedule(self.now + MIN_ACCEPTING_TIME, Timer::StopAccepting);
         self.timers.schedule(reply_deadline, Timer::ReplyDeadline);
     }
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -48,7 +48,7 @@
         let mut event_loop = EventLoop::build(config, sockets, Clock::new(), reload)?;
         event_loop.timers.schedule(event_loop.now + SWEEP_INTERVAL, Timer::Sweep);
         event_loop.run_policy();
-        crate::log(&format!("event_loop: listening, address={address}"));
+        tracing::info!(target: "event_loop", %address, "listening");
         Ok(event_loop)
     }
 
--- /dev/null
+++ b/src/bin/ingress/logging.rs
@@ -0,0 +1,102 @@
+//! The log: events of `tracing`, written to standard error by a thread of its own. A log that cannot be written, or only
+//! slowly, costs lines of the log and nothing else.
+
+use std::fmt::{self, Write};
+use std::io;
+use tracing::field::{Field, Visit};
+use tracing::level_filters::LevelFilter;
+use tracing::{Event, Subscriber};
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
+use tracing_subscriber::fmt::format::Writer;
+use tracing_subscriber::fmt::{FmtContext, FormatEvent, FormatFields};
+use tracing_subscriber::registry::LookupSpan;
+
+/// Names the least severe level that is logged: `error`, `warn`, `info`, `debug`, `trace` or `off`.
+pub const LEVEL_VARIABLE: &str = "LB_LOG";
+/// The target of an event whose message says itself where it comes from.
+pub const UNTITLED: &str = "";
+/// The level where none is named.
+const DEFAULT_LEVEL: LevelFilter = LevelFilter::INFO;
+/// The most lines that wait to be written; further ones are dropped.
+const MAX_BUFFERED_LINES: usize = 4096;
+
+/// Starts the log at a level, by its name. What waits to be written is written when the guard is dropped.
+pub fn start(level: Option<String>) -> WorkerGuard {
+    let (writer, guard) = buffered_writer(io::stderr());
+    let parsed = level.as_deref().map_or(Ok(DEFAULT_LEVEL), str::parse);
+    let max_level = parsed.as_ref().copied().unwrap_or(DEFAULT_LEVEL);
+    let subscriber = tracing_subscriber::fmt().with_max_level(max_level).with_writer(writer);
+    subscriber.event_format(LineFormat).init();
+    if parsed.is_err() {
+        let given = level.unwrap_or_default();
+        tracing::warn!(target: "log", given, used = %max_level, "{LEVEL_VARIABLE} is no level");
+    }
+    guard
+}
+
+/// A writer that never blocks: it drops lines where too many wait.
+fn buffered_writer(log: impl io::Write + Send + 'static) -> (NonBlocking, WorkerGuard) {
+    NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(MAX_BUFFERED_LINES)
+        .thread_name("log")
+        .finish(log)
+}
+
+/// Lines of the form `ingress: target: what happened, key=value key=value`.
+struct LineFormat;
+
+impl<S, N> FormatEvent<S, N> for LineFormat
+where
+    S: Subscriber + for<'a> LookupSpan<'a>,
+    N: for<'a> FormatFields<'a> + 'static,
+{
+    fn format_event(
+        &self,
+        _: &FmtContext<'_, S, N>,
+        mut writer: Writer<'_>,
+        event: &Event<'_>,
+    ) -> fmt::Result {
+        let mut line = Line::default();
+        event.record(&mut line);
+        writer.write_str("ingress: ")?;
+        let target = event.metadata().target();
+        if target != UNTITLED {
+            write!(writer, "{target}: ")?;
+        }
+        writeln!(writer, "{}{}", line.message, line.fields)
+    }
+}
+
+/// The parts of a line.
+#[derive(Default)]
+struct Line {
+    message: String,
+    /// With the comma that stands before the first field.
+    fields: String,
+}
+
+impl Visit for Line {
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.record(field, format_args!("{value}"));
+    }
+
+    fn record_debug(&mut self, field: &Field, value: &dyn fmt::Debug) {
+        self.record(field, format_args!("{value:?}"));
+    }
+}
+
+impl Line {
+    /// Adds a field, or takes the message.
+    fn record(&mut self, field: &Field, value: fmt::Arguments) {
+        let separator = if self.fields.is_empty() { ", " } else { " " };
+        // Writing to a string does not fail.
+        let _ = match field.name() {
+            "message" => write!(self.message, "{value}"),
+            name => write!(self.fields, "{separator}{name}={value}"),
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod error_chain;
 mod event_loop;
+mod logging;
 mod peers;
 mod reload;
 mod resp;
@@ -16,7 +17,6 @@
 use error_chain::ErrorChain;
 use event_loop::{EventLoop, EventLoopError};
 use reload::Reload;
-use std::io::Write;
 use std::process::ExitCode;
 use thiserror::Error;
 
@@ -37,12 +37,6 @@
     EventLoop(#[from] EventLoopError),
 }
 
-/// Writes a line to the log, of the form `target: what happened, key=value ...`. An ingress whose log cannot be
-/// written goes on.
-pub fn log(line: &str) {
-    let _ = writeln!(std::io::stderr(), "ingress: {line}");
-}
-
 /// Starts the ingress and runs it to its end.
 fn run() -> Result<(), IngressError> {
     let path = environment_variable(CONFIG_VARIABLE).ok_or(IngressError::NoConfigFile)?;
@@ -54,10 +48,12 @@
 }
 
 fn main() -> ExitCode {
+    // Dropped last: what is still buffered is written, as far as that goes at once.
+    let _log = logging::start(environment_variable(logging::LEVEL_VARIABLE));
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log(&ErrorChain(&error).to_string());
+            tracing::error!(target: logging::UNTITLED, "{}", ErrorChain(&error));
             ExitCode::FAILURE
         }
     }
--- a/src/bin/ingress/reload.rs
+++ b/src/bin/ingress/reload.rs
@@ -54,17 +54,14 @@
         let variable = |name: &str| environment_variable(name).filter(|_| name != DISCOVERY_VARIABLE);
         match Config::read(&self.path, variable) {
             Ok(config) => {
-                crate::log(&format!("reload: configuration read, discovery={}", config.discovery_address));
+                tracing::info!(target: "reload", discovery = %config.discovery_address, "configuration read");
                 self.retry_delay = None;
                 ReloadOutcome::Applied(config.discovery_address)
             }
             Err(error) => {
                 if !std::mem::replace(&mut self.failure_logged, true) {
-                    let error = ErrorChain(&error);
-                    crate::log(&format!(
-                        "reload: configuration kept, retry_in_ms={} error={error}",
-                        retry_delay / 1000
-                    ));
+                    let (retry_in_ms, error) = (retry_delay / 1000, ErrorChain(&error));
+                    tracing::info!(target: "reload", retry_in_ms, %error, "configuration kept");
                 }
                 self.next_attempt_at = now + retry_delay;
                 self.retry_delay = Some((retry_delay * 2).min(MAX_RETRY_DELAY));
