--- a/src/audit.rs
+++ b/src/audit.rs
@@ -67,6 +67,11 @@
         Auditor { rules, ..Auditor::default() }
     }
 
+    /// What the invariants are judged by.
+    pub fn rules(&self) -> &AuditRules {
+        &self.rules
+    }
+
     /// How many violations there were, by kind; those that never occurred are left out.
     pub fn counts(&self) -> impl Iterator<Item = (ViolationKind, u64)> + '_ {
         let counts = ViolationKind::ALL.into_iter().zip(self.counts);
--- a/src/audit/request.rs
+++ b/src/audit/request.rs
@@ -80,6 +80,11 @@
         first.is_some_and(|first| now > first.begun_at + window)
     }
 
+    /// Whether an attempt was or may have been executed.
+    pub fn may_have_executed(&self) -> bool {
+        self.begun.iter().any(|attempt| attempt.may_have_executed)
+    }
+
     /// Notes how an attempt has ended. One that never began has no record.
     pub fn attempt_ended(&mut self, number: u16, outcome: Outcome) -> Option<ViolationKind> {
         let attempt = self.begun.iter_mut().find(|attempt| attempt.number == number)?;
--- a/src/bin/ingress/backends.rs
+++ b/src/bin/ingress/backends.rs
@@ -9,7 +9,9 @@
 mod pool;
 mod reply;
 
-pub use assignment::{AssignedConnection, Assignment, CommandState, Completion, ConnectionId};
+pub use assignment::{
+    AssignedConnection, Assignment, Begun, CommandState, Completion, ConnectionEnd, ConnectionId, TimeTold,
+};
 pub use pool::Backends;
 
 #[cfg(test)]
--- a/src/bin/ingress/backends/assignment.rs
+++ b/src/bin/ingress/backends/assignment.rs
@@ -43,6 +43,51 @@
     pub command: CommandState,
 }
 
+/// An assignment of whose command the first byte was written.
+#[derive(Clone, Copy, Debug)]
+pub struct Begun {
+    /// What the connection is used for.
+    pub assignment: Assignment,
+    /// The backend it is connected to.
+    pub backend: BackendId,
+    /// When the command was encoded that was written.
+    pub at: Micros,
+    /// The time that the command tells the backend to have.
+    pub time_told: Micros,
+}
+
+/// Why a connection to a backend was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// Its attempt or health check was given up.
+    Cancelled,
+    /// It did not come up, or its command could not be written, in time.
+    ConnectTimeout,
+    /// It broke, or the backend ended it.
+    Broken,
+    /// What came on it does not allow another use.
+    Unusable,
+    /// A reply that had begun did not go on.
+    Stalled,
+    /// It was idle for as long as it may be.
+    Expired,
+    /// Its descriptor was needed.
+    MadeRoom,
+    /// Its backend drains, was removed or has moved.
+    BackendClosed,
+    /// The policy wanted its backend's idle connections closed.
+    Requested,
+}
+
+/// A command as it is written: what it tells the backend, and when that was true.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TimeTold {
+    /// When the command was encoded.
+    pub at: Micros,
+    /// The time that it tells the backend to have.
+    pub time_left: Micros,
+}
+
 /// How an attempt or a health check ended.
 pub struct Completion {
     /// What the connection was used for.
--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -1,6 +1,6 @@
 //! One connection to a backend: its state, and single reads and writes.
 
-use super::{Assignment, CommandState};
+use super::{Assignment, CommandState, TimeTold};
 use crate::socket_error::is_not_ready;
 use ingress::{BackendId, Micros, Outcome};
 use mio::net::TcpStream;
@@ -29,6 +29,8 @@
     pub reply_started_at: Micros,
     /// The command of the assignment.
     pub command: Vec<u8>,
+    /// The time that the command tells.
+    pub time_told: TimeTold,
     /// How many bytes of the command are written.
     pub written: usize,
     /// What has come of the reply.
@@ -62,6 +64,7 @@
             idle_before: None,
             reply_started_at: 0,
             command: Vec::new(),
+            time_told: TimeTold::default(),
             written: 0,
             received: Vec::new(),
         }
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -3,7 +3,8 @@
 use super::connection::{Connection, ReadStep};
 use super::idle_reuse::IdleReuse;
 use super::reply::{self, ExchangeResult};
-use super::{AssignedConnection, Assignment, Backends, CommandState, Completion, ConnectionId};
+use super::{AssignedConnection, Assignment, Backends, Begun, CommandState, Completion};
+use super::{ConnectionEnd, ConnectionId, TimeTold};
 use crate::resp;
 use ingress::{BackendId, Micros, Outcome};
 use mio::Registry;
@@ -23,16 +24,17 @@
 }
 
 impl Backends {
-    /// Begins an attempt or a health check with the command that `encode` appends. Returns none if it has failed, which is
-    /// among the completions.
+    /// Begins an attempt or a health check with the command that `encode` appends, now, which is when it tells the time in
+    /// it. Returns none if it has failed, which is among the completions.
     pub fn assign(
         &mut self,
         registry: &Registry,
         backend: BackendId,
         assignment: Assignment,
-        now: Micros,
+        time_told: TimeTold,
         encode: impl FnOnce(&mut Vec<u8>),
     ) -> Option<AssignedConnection> {
+        let now = time_told.at;
         let Some(key) = self.acquire(registry, backend, now) else {
             let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
             self.push_completion(assignment, backend, now, result);
@@ -42,6 +44,7 @@
         connection.assignment = Some(assignment);
         connection.state_since = now;
         connection.written = 0;
+        connection.time_told = time_told;
         connection.command.clear();
         encode(&mut connection.command);
         let id = ConnectionId { key, serial: connection.serial };
@@ -58,10 +61,11 @@
             .and_then(|connection| connection.assignment)
     }
 
-    /// Replaces a command of which nothing is written yet by what `encode` appends.
-    pub fn rewrite_command(&mut self, key: usize, encode: impl FnOnce(&mut Vec<u8>)) {
+    /// Replaces a command of which nothing is written yet by what `encode` appends, which tells another time.
+    pub fn rewrite_command(&mut self, key: usize, told: TimeTold, encode: impl FnOnce(&mut Vec<u8>)) {
         let connection = self.connections.get_mut(key);
         if let Some(connection) = connection.filter(|connection| connection.is_not_yet_written()) {
+            connection.time_told = told;
             connection.command.clear();
             encode(&mut connection.command);
         }
@@ -82,7 +86,7 @@
     /// the assignment is the caller's to account for.
     pub fn cancel(&mut self, id: ConnectionId) -> Option<CommandState> {
         let command = self.connection(id)?.command_state();
-        self.remove(id.key);
+        self.remove(id.key, ConnectionEnd::Cancelled);
         Some(command)
     }
 
@@ -91,7 +95,7 @@
     pub fn on_connect_timeout(&mut self, id: ConnectionId) {
         if self.is_unsent(id) {
             self.complete(id.key, ExchangeResult::without_reply(Outcome::ConnectFailed), None);
-            self.remove(id.key);
+            self.remove(id.key, ConnectionEnd::ConnectTimeout);
         }
     }
 
@@ -113,7 +117,19 @@
     /// Writes as much of the command as possible.
     fn write(&mut self, key: usize) {
         let connection = &mut self.connections[key];
-        if connection.write_command().is_ok() {
+        let was_unwritten = connection.is_not_yet_written();
+        let result = connection.write_command();
+        if was_unwritten && connection.written > 0 {
+            let TimeTold { at, time_left: time_told } = connection.time_told;
+            let backend = connection.backend;
+            self.begun.extend(connection.assignment.map(|assignment| Begun {
+                assignment,
+                backend,
+                at,
+                time_told,
+            }));
+        }
+        if result.is_ok() {
             return;
         }
         // The backend may have said why before the connection broke, for instance that it has too many.
@@ -123,7 +139,7 @@
         if self.connection(id).is_some() {
             let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
             self.complete(key, result, Some(assigned_at));
-            self.remove(key);
+            self.remove(key, ConnectionEnd::Broken);
         }
     }
 
@@ -134,16 +150,16 @@
             match step {
                 ReadStep::Interrupted => {}
                 ReadStep::Blocked => return,
-                ReadStep::Ended => return self.fail(key, now),
+                ReadStep::Ended => return self.fail(key, now, ConnectionEnd::Broken),
                 ReadStep::Received => {
                     if self.process_received(key, now) == Usability::Unusable {
-                        return self.remove(key);
+                        return self.remove(key, ConnectionEnd::Unusable);
                     }
                 }
             }
         }
         // No reply is that long, and a backend that sends without end is not waited for.
-        self.fail(key, now);
+        self.fail(key, now, ConnectionEnd::Unusable);
     }
 
     /// Completes the exchange if the reply is complete or malformed.
@@ -175,10 +191,10 @@
     }
 
     /// Ends a connection that broke, and the exchange on it.
-    pub(super) fn fail(&mut self, key: usize, now: Micros) {
+    pub(super) fn fail(&mut self, key: usize, now: Micros, end: ConnectionEnd) {
         let outcome = self.connections[key].failure_outcome();
         self.complete(key, ExchangeResult::without_reply(outcome), Some(now));
-        self.remove(key);
+        self.remove(key, end);
     }
 
     /// Records how a connection's exchange ended, if it has one. Without `ended_at` a failure does not say that the
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -4,7 +4,7 @@
 use super::connection::Connection;
 use super::idle_reuse::IdleReuseTracker;
 use super::reply::ExchangeResult;
-use super::Completion;
+use super::{Begun, Completion, ConnectionEnd};
 use crate::discovery::{EndpointEntry, EndpointList};
 use ingress::{Availability, BackendId, Micros, Outcome};
 use mio::net::TcpStream;
@@ -48,6 +48,10 @@
     token: fn(usize) -> Token,
     /// What [`Backends::take_completions`] returns next.
     pub(super) completions: Vec<Completion>,
+    /// What [`Backends::take_begun`] returns next.
+    pub(super) begun: Vec<Begun>,
+    /// How many connections were opened.
+    pub opened_count: u64,
 }
 
 impl Backends {
@@ -64,6 +68,8 @@
             idle_reuse: IdleReuseTracker::default(),
             token,
             completions: Vec::new(),
+            begun: Vec::new(),
+            opened_count: 0,
         }
     }
 
@@ -72,13 +78,18 @@
         std::mem::take(&mut self.completions)
     }
 
+    /// The assignments that have begun since the last call, in order.
+    pub fn take_begun(&mut self) -> Vec<Begun> {
+        std::mem::take(&mut self.begun)
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.connections.len()
     }
 
-    /// Takes over the addresses of an endpoint list.
-    pub fn update_endpoints(&mut self, endpoints: &EndpointList) {
+    /// Takes over the addresses of an endpoint list, and returns the backends that are no longer listed.
+    pub fn update_endpoints(&mut self, endpoints: &EndpointList) -> Vec<BackendId> {
         let mut removed = self.missing_backends(endpoints);
         let mut closed_to_new_work = HashSet::new();
         for entry in &endpoints.entries {
@@ -88,17 +99,18 @@
                 continue;
             }
             if self.has_moved(entry) || entry.endpoint.availability == Availability::Draining {
-                self.close_idle(backend);
+                self.close_idle(backend, ConnectionEnd::BackendClosed);
                 closed_to_new_work.insert(backend);
             }
             self.pools.entry(backend).or_default().address = entry.address;
         }
-        for backend in removed {
-            self.close_idle(backend);
-            self.pools.remove(&backend);
-            closed_to_new_work.insert(backend);
+        for backend in &removed {
+            self.close_idle(*backend, ConnectionEnd::BackendClosed);
+            self.pools.remove(backend);
+            closed_to_new_work.insert(*backend);
         }
         self.cancel_unsent(&closed_to_new_work);
+        removed
     }
 
     /// The backends that a snapshot no longer has.
@@ -125,7 +137,7 @@
         };
         for key in self.keys_where(is_unsent) {
             self.complete(key, ExchangeResult::without_reply(Outcome::NotSent), None);
-            self.remove(key);
+            self.remove(key, ConnectionEnd::BackendClosed);
         }
     }
 
@@ -163,7 +175,7 @@
                 return Some(key);
             }
             // Its descriptor serves the next one.
-            self.connections.remove(key);
+            self.remove(key, ConnectionEnd::Broken);
         }
     }
 
@@ -178,6 +190,7 @@
         // Without it the second of two small writes would wait for the first one's acknowledgement.
         let _ = stream.set_nodelay(true);
         self.last_serial += 1;
+        self.opened_count += 1;
         slot.insert(Connection::new(stream, self.last_serial, backend, address, now));
         Some(key)
     }
@@ -200,8 +213,16 @@
     }
 
     /// Closes a connection.
-    pub(super) fn remove(&mut self, key: usize) {
+    pub(super) fn remove(&mut self, key: usize, end: ConnectionEnd) {
         let connection = self.connections.remove(key); // dropping it closes and deregisters it
+        tracing::debug!(
+            target: "backend_connection",
+            connection = connection.serial,
+            backend = connection.backend.0,
+            assignment = ?connection.assignment,
+            reason = ?end,
+            "closed"
+        );
         if connection.assignment.is_none() {
             if let Some(pool) = self.pools.get_mut(&connection.backend) {
                 pool.idle.retain(|idle_key| *idle_key != key);
@@ -210,10 +231,10 @@
     }
 
     /// Closes the idle connections to a backend.
-    pub fn close_idle(&mut self, backend: BackendId) {
+    pub fn close_idle(&mut self, backend: BackendId, end: ConnectionEnd) {
         let idle = self.pools.get_mut(&backend).map(|pool| std::mem::take(&mut pool.idle));
         for key in idle.into_iter().flatten() {
-            self.connections.remove(key);
+            self.remove(key, end);
         }
     }
 
@@ -231,7 +252,7 @@
             connection.assignment.is_none() && now.saturating_sub(connection.state_since) > max_idle_time
         };
         for key in self.keys_where(is_expired) {
-            self.remove(key);
+            self.remove(key, ConnectionEnd::Expired);
         }
     }
 
@@ -241,7 +262,7 @@
             !connection.received.is_empty() && now > connection.reply_started_at + MAX_REPLY_DURATION
         };
         for key in self.keys_where(is_stalled) {
-            self.fail(key, now);
+            self.fail(key, now, ConnectionEnd::Stalled);
         }
     }
 
@@ -250,7 +271,7 @@
         let idle = self.connections.iter().filter(|(_, connection)| connection.assignment.is_none());
         let longest = idle.min_by_key(|(_, connection)| (connection.state_since, connection.serial));
         let Some(key) = longest.map(|(key, _)| key) else { return false };
-        self.remove(key);
+        self.remove(key, ConnectionEnd::MadeRoom);
         true
     }
 }
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -18,6 +18,11 @@
     Assignment::Attempt { id: RequestId(request), attempt: 0 }
 }
 
+/// A command that is encoded at a time.
+fn told(at: Micros) -> TimeTold {
+    TimeTold { at, time_left: 0 }
+}
+
 /// Connections to one backend, which the test plays; its clock is the test's as well.
 struct Rig {
     backends: Backends,
@@ -39,7 +44,7 @@
     fn assign(&mut self, request: u64, now: Micros) -> ConnectionId {
         let encode = |command: &mut Vec<u8>| command.extend_from_slice(b"*1\r\n$4\r\nCALL\r\n");
         let registry = self.poll.registry();
-        let assigned = self.backends.assign(registry, BACKEND, attempt(request), now, encode).unwrap();
+        let assigned = self.backends.assign(registry, BACKEND, attempt(request), told(now), encode).unwrap();
         while self.backends.is_unsent(assigned.connection) {
             self.backends.on_ready(assigned.connection.key, now, true);
         }
@@ -98,7 +103,7 @@
     let mut rig = Rig::new(30_000_000);
     let encode = |command: &mut Vec<u8>| command.resize(64 << 20, b'x');
     let registry = rig.poll.registry();
-    let assigned = rig.backends.assign(registry, BACKEND, attempt(1), START, encode).unwrap();
+    let assigned = rig.backends.assign(registry, BACKEND, attempt(1), told(START), encode).unwrap();
     let connection = assigned.connection;
     let peer = rig.listener.accept().unwrap().0;
     rig.backends.on_ready(connection.key, START, true);
--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -15,6 +15,7 @@
 mod writing;
 
 use crate::command::{Command, CommandSchema};
+use closing::CloseReason;
 use connection::Connection;
 pub use error::ClientError;
 use ingress::{Micros, RequestId};
@@ -122,6 +123,11 @@
     pub last_accepted_at: Micros,
     /// Since when every attempt to accept a connection has failed.
     accept_failing_since: Option<Micros>,
+    /// How many connections were closed, by reason.
+    close_counts: [u64; CloseReason::ALL.len()],
+    /// Connections that were closed by this side with replies owed, each with one request that had none. There should be
+    /// none.
+    abandoned: Vec<Option<RequestId>>,
 }
 
 impl Clients {
@@ -150,6 +156,8 @@
             events: VecDeque::new(),
             last_accepted_at: 0,
             accept_failing_since: None,
+            close_counts: Default::default(),
+            abandoned: Vec::new(),
         }
     }
 
@@ -173,6 +181,22 @@
         self.connections.len()
     }
 
+    /// How many connections were accepted so far.
+    pub fn accepted_count(&self) -> u64 {
+        self.last_serial
+    }
+
+    /// How many connections were closed so far, by reason; reasons that never occurred are left out.
+    pub fn close_counts(&self) -> impl Iterator<Item = (CloseReason, u64)> + '_ {
+        let counts = CloseReason::ALL.into_iter().zip(self.close_counts);
+        counts.filter(|(_, count)| *count > 0)
+    }
+
+    /// Takes the connections that were closed by this side with replies owed.
+    pub fn take_abandoned(&mut self) -> Vec<Option<RequestId>> {
+        std::mem::take(&mut self.abandoned)
+    }
+
     /// How many connections are idle.
     #[cfg(test)]
     pub fn idle_count(&self) -> usize {
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -5,6 +5,46 @@
 use super::{Accepting, ClientEvent, Clients};
 use ingress::Micros;
 
+/// Why a client's connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// The client has closed its end.
+    ClientGone,
+    /// It broke, as a read or a write has shown.
+    Broken,
+    /// It was idle, and its descriptor was needed.
+    MadeRoom,
+    /// It was idle, and the process ends.
+    Draining,
+    /// No command ever came.
+    Silent,
+    /// The client was told of the end, and had its time to read that.
+    Lingered,
+    /// The client does not read its replies.
+    NotReading,
+    /// Clients hold all the memory that they may, and this one has unread replies.
+    OutOfMemory,
+}
+
+impl CloseReason {
+    /// All reasons.
+    pub const ALL: [CloseReason; 8] = [
+        CloseReason::ClientGone,
+        CloseReason::Broken,
+        CloseReason::MadeRoom,
+        CloseReason::Draining,
+        CloseReason::Silent,
+        CloseReason::Lingered,
+        CloseReason::NotReading,
+        CloseReason::OutOfMemory,
+    ];
+
+    /// Whether replies may go with the connection: nobody waits for them.
+    fn may_drop_replies(self) -> bool {
+        !matches!(self, CloseReason::MadeRoom | CloseReason::Draining | CloseReason::Silent)
+    }
+}
+
 impl Clients {
     /// Closes the connection that has been idle for longest, to free its descriptor; false if none is idle.
     pub fn close_longest_idle(&mut self, now: Micros) -> bool {
@@ -22,7 +62,7 @@
             else {
                 return false;
             };
-            self.close_if_silent(key, idle_since);
+            self.close_if_silent(key, idle_since, CloseReason::MadeRoom);
             if !self.connections.contains(key) {
                 return true;
             }
@@ -39,7 +79,7 @@
         let closable = self.keys_of(|connection| {
             connection.is_idle() && (connection.has_sent_command() || accepting == Accepting::Stop)
         });
-        closable.into_iter().for_each(|key| self.close_if_silent(key, now));
+        closable.into_iter().for_each(|key| self.close_if_silent(key, now, CloseReason::Draining));
     }
 
     /// Closes connections whose clients take too long to send, to read, or to end.
@@ -54,7 +94,7 @@
             let connection = self.connections.get(key);
             if connection.is_some_and(|connection| connection.is_shut_down() || connection.output.is_empty())
             {
-                self.remove(key);
+                self.remove(key, CloseReason::Lingered);
             }
         }
     }
@@ -64,7 +104,7 @@
     fn close_late_clients(&mut self, now: Micros) {
         let overdue = self.keys_of(|connection| connection.is_command_overdue(now));
         let not_reading = self.keys_of(|connection| connection.output.is_timed_out(now));
-        not_reading.into_iter().for_each(|key| self.remove(key));
+        not_reading.into_iter().for_each(|key| self.remove(key, CloseReason::NotReading));
         for key in overdue {
             // The rest may have arrived by now.
             self.read(key, now);
@@ -73,7 +113,7 @@
                 continue;
             };
             if connection.input.is_empty() {
-                self.close_if_silent(key, now);
+                self.close_if_silent(key, now, CloseReason::Silent);
                 continue;
             }
             connection.abort_command(ClientError::CommandTimeout);
@@ -88,21 +128,35 @@
             self.lingering_count += usize::from(connection.linger_until.is_none());
             connection.start_lingering_close(now);
         } else if self.draining && connection.is_idle() {
-            self.close_if_silent(key, now);
+            self.close_if_silent(key, now, CloseReason::Draining);
         }
     }
 
     /// Closes an idle connection unless a command has arrived on it that was not read yet.
-    fn close_if_silent(&mut self, key: usize, now: Micros) {
+    fn close_if_silent(&mut self, key: usize, now: Micros, reason: CloseReason) {
         self.read(key, now);
         if self.connections.get(key).is_some_and(Connection::is_idle) {
-            self.remove(key);
+            self.remove(key, reason);
         }
     }
 
     /// Closes and forgets a connection, and reports its requests that have no reply yet.
-    pub(super) fn remove(&mut self, key: usize) {
+    pub(super) fn remove(&mut self, key: usize, reason: CloseReason) {
         let connection = self.connections.remove(key); // Dropping it closes the socket and ends its polling.
+        let replies_owed = connection.replies.len();
+        let unwritten_bytes = connection.output.unwritten();
+        tracing::debug!(
+            target: "client_connection",
+            client = connection.serial,
+            ?reason,
+            replies_owed,
+            unwritten_bytes,
+            "closed"
+        );
+        self.close_counts[reason as usize] += 1;
+        if connection.is_busy() && !reason.may_drop_replies() {
+            self.abandoned.push(connection.replies.pending_latest_first().next());
+        }
         self.lingering_count -= usize::from(connection.linger_until.is_some());
         self.over_limit_count -= usize::from(connection.over_limit);
         self.memory.release(&connection);
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -1,5 +1,6 @@
 //! The memory that all client connections hold together.
 
+use super::closing::CloseReason;
 use super::connection::Connection;
 use super::error::ClientError;
 use super::Clients;
@@ -49,7 +50,7 @@
             let largest = closable.max_by_key(|(_, connection)| connection.accounted_memory);
             let Some((key, connection)) = largest else { return };
             if connection.input.is_empty() {
-                self.remove(key);
+                self.remove(key, CloseReason::OutOfMemory);
                 continue;
             }
             connection.abort_command(ClientError::OutOfMemory);
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -1,5 +1,6 @@
 //! Reading from connections and parsing their commands.
 
+use super::closing::CloseReason;
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
@@ -39,7 +40,7 @@
     /// looked at any more.
     pub fn on_disconnect(&mut self, key: usize) {
         if self.connections.contains(key) {
-            self.remove(key);
+            self.remove(key, CloseReason::ClientGone);
         }
     }
 
@@ -78,11 +79,11 @@
             }
             let connection = &mut self.connections[key];
             let received = match connection.stream.read(&mut self.read_buffer) {
-                Ok(0) => return self.remove(key),
+                Ok(0) => return self.remove(key, CloseReason::ClientGone),
                 Ok(received) => received,
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => return self.remove(key),
+                Err(_) => return self.remove(key, CloseReason::Broken),
             };
             connection.receive(&self.read_buffer[..received], now);
         }
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -1,5 +1,6 @@
 //! Replying to requests and writing to connections.
 
+use super::closing::CloseReason;
 use super::connection::error_line;
 use super::error::ClientError;
 use super::{Clients, ReplyHandle};
@@ -33,7 +34,7 @@
             let Some(connection) = self.connections.get_mut(key) else { continue };
             connection.queued_for_write = false;
             if connection.output.write_to(&mut connection.stream, now).is_err() {
-                self.remove(key);
+                self.remove(key, CloseReason::Broken);
                 continue;
             }
             if connection.output.unwritten() == 0 {
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -6,9 +6,11 @@
 
 mod actions;
 mod attempts;
+mod auditing;
 mod client_events;
 mod clock;
 mod control_events;
+mod counters;
 mod descriptor_budget;
 mod error;
 mod request_table;
@@ -25,8 +27,10 @@
 use crate::reload::Reload;
 use clock::Clock;
 pub use control_events::register_signals;
+use counters::Counters;
 use descriptor_budget::DescriptorBudget;
 pub use error::EventLoopError;
+use ingress::audit::Auditor;
 use ingress::{Action, Event, Gateway, Micros, StartTimes};
 use mio::{Events, Poll};
 use request_table::RequestTable;
@@ -52,8 +56,10 @@
     polls_discovery: bool,
     /// How long a connection to a backend may take to come up, and a health check in all.
     connect_timeout: Micros,
-    /// The most attempts of one request.
-    max_attempts: usize,
+    /// Checks what was done.
+    auditor: Auditor,
+    /// What was done, in numbers.
+    counters: Counters,
     /// Who may have the next file descriptor.
     descriptors: DescriptorBudget,
     /// The policy.
@@ -101,6 +107,7 @@
             ready.extend(events.iter().map(ReadySocket::from));
             self.process_ready(&mut ready);
             if self.shutdown.has_begun() && (self.can_exit() || self.shutdown.must_exit(self.now)) {
+                self.audit_exit();
                 tracing::info!(target: "shutdown", "finished");
                 return Ok(());
             }
@@ -166,6 +173,7 @@
         self.run_due_timers();
         self.clients.flush(self.now);
         self.process_client_events();
+        self.audit_closed_clients();
     }
 
     /// Does what one socket is ready for.
@@ -182,6 +190,7 @@
                 }
                 // The exact time: how long a connection has to rest is less than a tick.
                 self.backends.on_ready(key, self.clock.now(), writable);
+                self.audit_begun_attempts();
                 self.run_policy();
             }
             Source::Client(key) => {
--- a/src/bin/ingress/event_loop/actions.rs
+++ b/src/bin/ingress/event_loop/actions.rs
@@ -1,8 +1,9 @@
 //! Executes what the policy asks for.
 
-use super::client_events::FAILED_REPLY;
+use super::client_events::{Answer, FAILED_REPLY};
 use super::timer_queue::Timer;
 use super::EventLoop;
+use crate::backends::ConnectionEnd;
 use crate::clients::BUSY_REPLY;
 use crate::logging;
 use ingress::{Action, Event, Micros, Outcome, RequestId};
@@ -17,7 +18,7 @@
         match action {
             Action::Send { id, backend, expires_at } => self.send(id, backend, expires_at),
             Action::Reject { id, retry_after } => self.reject(id, retry_after),
-            Action::Fail(id) => self.reply(id, FAILED_REPLY),
+            Action::Fail(id) => self.reply(id, FAILED_REPLY, Answer::Failed),
             Action::Cancel { id, attempt } => self.cancel_attempt(id, attempt, |_| Outcome::Cancelled),
             Action::SetTimer { delay, token } => {
                 self.timers.schedule(self.now.saturating_add(delay), Timer::Policy(token));
@@ -28,7 +29,9 @@
                 }
             }
             Action::CheckHealth(backend) => self.check_health(backend),
-            Action::CloseIdleConnections(backend) => self.backends.close_idle(backend),
+            Action::CloseIdleConnections(backend) => {
+                self.backends.close_idle(backend, ConnectionEnd::Requested)
+            }
             // The watch is always on: an ingress has to keep one in any case.
             Action::WatchEndpoints(_) => {}
             Action::FetchEndpoints => self.watch.request_snapshot(),
@@ -44,12 +47,12 @@
     /// Rejects a request, with advice when to try again unless that is 0.
     fn reject(&mut self, id: RequestId, retry_after: Micros) {
         if retry_after == 0 {
-            return self.reply(id, BUSY_REPLY);
+            return self.reply(id, BUSY_REPLY, Answer::Rejected);
         }
         let mut text = [0; MAX_BUSY_REPLY_BYTES];
         let mut unused = &mut text[..];
         let _ = write!(unused, "-BUSY {}\r\n", retry_after.div_ceil(1000));
         let length = MAX_BUSY_REPLY_BYTES - unused.len();
-        self.reply(id, &text[..length]);
+        self.reply(id, &text[..length], Answer::Rejected);
     }
 }
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -1,12 +1,16 @@
 //! Attempts and health checks: their begin on a connection to a backend, and their end.
 
+use super::client_events::Answer;
 use super::request_table::Attempt;
 use super::timer_queue::Timer;
 use super::EventLoop;
-use crate::backends::{Assignment, CommandState, Completion, ConnectionId};
+use crate::backends::{Assignment, CommandState, Completion, ConnectionId, TimeTold};
 use crate::resp;
 use ingress::{AttemptEnded, BackendId, Event, LoadReport, Micros, Outcome, RequestId};
 
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: Micros = 1000;
+
 /// An attempt, as reported to the policy.
 #[derive(Clone, Copy)]
 struct AttemptRecord {
@@ -56,14 +60,15 @@
         let index = request.attempts.len();
         record.number = u16::try_from(index).unwrap_or(u16::MAX);
         let expires_at = if expires_at == 0 { request.deadline } else { expires_at.min(request.deadline) };
+        let refusal = request.may_send(self.auditor.rules()).err();
         request.attempts.push(Attempt { backend, started_at: self.now, expires_at, connection: None });
-        if request.answered || expires_at <= self.now || index >= self.max_attempts {
-            let event = record.ended(Outcome::NotSent, request.answered, None);
-            return self.pending_events.push_back(event);
+        if refusal.is_some() || expires_at <= self.now {
+            let answered = request.answered;
+            tracing::debug!(target: "attempt", request = id.0, attempt = index, ?refusal, "not sent");
+            return self.end_attempt(record, Outcome::NotSent, answered, None);
         }
         if !self.reserve_descriptor(backend) {
-            let event = record.ended(Outcome::ConnectFailed, false, None);
-            return self.pending_events.push_back(event);
+            return self.end_attempt(record, Outcome::ConnectFailed, false, None);
         }
         self.assign_last_attempt(id, record.number);
     }
@@ -73,23 +78,34 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         let (command, Some(attempt)) = (&request.command, request.attempts.last_mut()) else { return };
         let (backend, expires_at) = (attempt.backend, attempt.expires_at);
-        let remaining = expires_at - self.now;
         // An attempt's time is measured by the exact clock: one that is answered within a tick would otherwise have
         // taken no time at all.
         let started_at = self.clock.now();
+        let time_left = expires_at.saturating_sub(started_at);
         attempt.started_at = started_at;
         let assignment = Assignment::Attempt { id, attempt: number };
-        let assigned =
-            self.backends.assign(self.poll.registry(), backend, assignment, started_at, |buffer| {
-                command.encode(remaining, buffer)
-            });
-        let Some(assigned) = assigned else { return };
+        let time_told = TimeTold { at: started_at, time_left };
+        let assigned = self.backends.assign(self.poll.registry(), backend, assignment, time_told, |buffer| {
+            command.encode(time_left, buffer)
+        });
+        tracing::debug!(
+            target: "attempt",
+            request = id.0,
+            attempt = number,
+            backend = backend.0,
+            connection = ?assigned.map(|assigned| assigned.connection),
+            command = ?assigned.map(|assigned| assigned.command),
+            time_left_ms = time_left / MICROS_PER_MILLI,
+            "started"
+        );
+        let Some(assigned) = assigned else { return self.audit_begun_attempts() };
         attempt.connection = Some(assigned.connection);
         self.timers.schedule(expires_at, Timer::AttemptTimeout(id, number));
         if assigned.command == CommandState::Unsent {
             let connect_by = self.now + self.connect_timeout;
             self.timers.schedule(connect_by, Timer::ConnectTimeout(assigned.connection));
         }
+        self.audit_begun_attempts();
     }
 
     /// Whether there is a descriptor for work at a backend, if need be after closing an idle connection.
@@ -104,11 +120,13 @@
             return self.report_health_check(backend, Outcome::ConnectFailed, 0, None);
         }
         let (registry, now) = (self.poll.registry(), self.now);
-        let assigned = self.backends.assign(registry, backend, Assignment::HealthCheck, now, |buffer| {
-            resp::write_array_header(buffer, 2);
-            resp::write_bulk_string(buffer, &[b"INFO"]);
-            resp::write_bulk_string(buffer, &[b"load"]);
-        });
+        let time_told = TimeTold { at: now, time_left: self.connect_timeout };
+        let assigned =
+            self.backends.assign(registry, backend, Assignment::HealthCheck, time_told, |buffer| {
+                resp::write_array_header(buffer, 2);
+                resp::write_bulk_string(buffer, &[b"INFO"]);
+                resp::write_bulk_string(buffer, &[b"load"]);
+            });
         if let Some(assigned) = assigned {
             let connection = assigned.connection;
             let timer = Timer::HealthCheckTimeout { connection, backend, started_at: now };
@@ -142,11 +160,11 @@
             attempt.connection = None;
         }
         if outcome == Outcome::Ok {
-            self.reply(id, &value); // the first one is the final reply
+            self.reply(id, &value, Answer::Served); // the first one is the final reply
         }
         let answered = !self.requests.is_unanswered(id);
         let record = AttemptRecord { id, number, backend, elapsed };
-        self.pending_events.push_back(record.ended(outcome, answered, load_report));
+        self.end_attempt(record, outcome, answered, load_report);
         self.requests.remove_if_finished(id, self.now);
     }
 
@@ -181,23 +199,47 @@
         attempt.connection = None;
         let elapsed = self.clock.now().saturating_sub(attempt.started_at);
         let record = AttemptRecord { id, number, backend: attempt.backend, elapsed };
-        self.pending_events.push_back(record.ended(outcome(command), request.answered, None));
+        let answered = request.answered;
+        self.end_attempt(record, outcome(command), answered, None);
         self.requests.remove_if_finished(id, self.now);
     }
 
+    /// Records the end of an attempt, and reports it to the policy.
+    fn end_attempt(
+        &mut self,
+        record: AttemptRecord,
+        outcome: Outcome,
+        answered: bool,
+        load_report: Option<LoadReport>,
+    ) {
+        tracing::debug!(
+            target: "attempt",
+            request = record.id.0,
+            attempt = record.number,
+            backend = record.backend.0,
+            ?outcome,
+            elapsed_us = record.elapsed,
+            "ended"
+        );
+        self.counters.record_outcome(outcome);
+        self.audit_attempt_end(record.id, record.number, outcome);
+        self.pending_events.push_back(record.ended(outcome, answered, load_report));
+    }
+
     /// Ends the attempts of an answered request whose commands are not sent yet, even where the settings allow no
     /// cancellation: a backend that never got the command has nothing to cancel.
     pub(super) fn cancel_unsent(&mut self, id: RequestId) {
         let Some(request) = self.requests.get_mut(id).filter(|request| request.answered) else { return };
+        let mut ended = Vec::new();
         for (number, attempt) in (0u16..).zip(&mut request.attempts) {
             let unsent = attempt.connection.filter(|connection| self.backends.is_unsent(*connection));
             let Some(connection) = unsent else { continue };
             self.backends.cancel(connection);
             attempt.connection = None;
             let elapsed = self.clock.now().saturating_sub(attempt.started_at);
-            let record = AttemptRecord { id, number, backend: attempt.backend, elapsed };
-            self.pending_events.push_back(record.ended(Outcome::NotSent, true, None));
+            ended.push(AttemptRecord { id, number, backend: attempt.backend, elapsed });
         }
+        ended.into_iter().for_each(|record| self.end_attempt(record, Outcome::NotSent, true, None));
     }
 
     /// Writes the command on a connection anew, if nothing of it is sent yet: the remaining time that it states was true
@@ -206,7 +248,9 @@
         let Some(Assignment::Attempt { id, attempt }) = self.backends.not_yet_written(key) else { return };
         let Some(request) = self.requests.get(id) else { return };
         let Some(attempt) = request.attempts.get(usize::from(attempt)) else { return };
-        let remaining = attempt.expires_at.saturating_sub(self.clock.now());
-        self.backends.rewrite_command(key, |buffer| request.command.encode(remaining, buffer));
+        let at = self.clock.now();
+        let time_left = attempt.expires_at.saturating_sub(at);
+        let time_told = TimeTold { at, time_left };
+        self.backends.rewrite_command(key, time_told, |buffer| request.command.encode(time_left, buffer));
     }
 }
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -4,11 +4,23 @@
 use super::EventLoop;
 use crate::clients::{AcceptOutcome, ClientError, ClientEvent, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
+use ingress::audit::RequestAudit;
 use ingress::{Event, Micros, RequestId};
 
 /// The reply to a request that may have been executed.
 pub(super) const FAILED_REPLY: &[u8] = b"-ERR failed\r\n";
 
+/// What a final answer says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Answer {
+    /// The value that a backend gave.
+    Served,
+    /// It was not executed.
+    Rejected,
+    /// It may have been executed.
+    Failed,
+}
+
 /// The longest that a client is taken to wait: the timers of requests long answered must not pile up for hours.
 const MAX_CLIENT_TIMEOUT: Micros = 60_000_000;
 /// What a reply may take on its way to the client, besides two ticks.
@@ -41,6 +53,11 @@
         for event in self.clients.pending_events() {
             let ClientEvent::Disconnected(id) = event else { continue };
             if self.requests.mark_answered(*id).is_some() {
+                tracing::debug!(target: "request", request = id.0, "client disconnected");
+                self.counters.disconnected += 1;
+                if let Some(request) = self.requests.get_mut(*id) {
+                    request.audit.client_gone();
+                }
                 self.pending_events.push_back(Event::ClientDisconnected(*id));
             }
         }
@@ -79,24 +96,48 @@
         let mut request = command.request;
         request.id = id;
         request.deadline = self.now + timeout - reply_time;
-        self.requests.insert(id, id_hash, command, reply_to, request.deadline);
+        tracing::debug!(
+            target: "request",
+            request = id.0,
+            client_request_id = %String::from_utf8_lossy(command.client_request_id()),
+            customer = request.customer.0,
+            class = request.class,
+            timeout_ms = timeout / 1000,
+            client = ?reply_to,
+            "opened"
+        );
+        self.counters.requests += 1;
+        let audit = RequestAudit::new(&self.auditor, request.class.into(), self.now + timeout);
+        self.requests.insert(id, id_hash, command, reply_to, request.deadline, audit);
         self.pending_events.push_back(Event::Request(request));
     }
 
     /// Gives a request its final reply, if it has none yet.
-    pub(super) fn reply(&mut self, id: RequestId, text: &[u8]) {
+    pub(super) fn reply(&mut self, id: RequestId, text: &[u8], answer: Answer) {
         if let Some(reply_to) = self.requests.mark_answered(id) {
             self.clients.reply(reply_to, text);
+            self.record_answer(id, answer);
         }
         self.cancel_unsent(id);
         self.requests.remove_if_finished(id, self.now);
     }
 
+    /// Records a request's final reply.
+    fn record_answer(&mut self, id: RequestId, answer: Answer) {
+        tracing::debug!(target: "request", request = id.0, ?answer, "answered");
+        self.counters.answers += 1;
+        self.counters.rejections += u64::from(answer == Answer::Rejected);
+        self.counters.failures += u64::from(answer == Answer::Failed);
+        let now = self.clock.now();
+        let violated = self.requests.get_mut(id).and_then(|request| request.audit.answered(now));
+        violated.into_iter().for_each(|kind| self.report_violation(kind, Some(id)));
+    }
+
     /// Fails a request that has no final reply when its time is over. The policy should never let it come to this, but
     /// no client is left without a reply.
     pub(super) fn fail_unanswered(&mut self, id: RequestId) {
         if self.requests.is_unanswered(id) {
-            self.reply(id, FAILED_REPLY);
+            self.reply(id, FAILED_REPLY, Answer::Failed);
             self.pending_events.push_back(Event::ClientDisconnected(id));
         }
     }
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -8,14 +8,14 @@
 use crate::peers::Backlog;
 use crate::reload::ReloadOutcome;
 use ingress::{Availability, BackendId, Endpoint, EndpointUpdate, Event};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::HashSet;
 
 /// Sets the handlers of the signals that the event loop handles: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP
-/// reloads the configuration.
+/// reloads the configuration, SIGUSR1 logs what was done so far.
 pub fn register_signals() -> Result<Signals, EventLoopError> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(EventLoopError::Signals)
+    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(EventLoopError::Signals)
 }
 
 impl EventLoop {
@@ -36,7 +36,10 @@
 
     /// Passes an endpoint list on to the connections and to the policy.
     pub(super) fn apply_endpoints(&mut self, list: EndpointList, update: EndpointUpdate) {
-        self.backends.update_endpoints(&list);
+        let removed = self.backends.update_endpoints(&list);
+        for backend in removed {
+            self.auditor.backend_listed(backend, Availability::Gone, self.now);
+        }
         let endpoints = self.endpoints_in_host_time(&list);
         // What was cached before the start says nothing of now.
         if update != EndpointUpdate::CachedSnapshot {
@@ -53,6 +56,7 @@
         times.observe_clock(self.clock.now(), unix_time());
         let mut endpoints: Vec<Endpoint> = list.entries.iter().map(|entry| entry.endpoint).collect();
         for endpoint in &mut endpoints {
+            self.auditor.backend_listed(endpoint.backend, endpoint.availability, now);
             endpoint.started_at = times.host_time(endpoint.backend, endpoint.started_at, now);
             if endpoint.availability == Availability::Gone {
                 times.forget(endpoint.backend);
@@ -83,7 +87,10 @@
             self.reload.request();
             self.reload();
         }
-        if received.iter().any(|signal| *signal != SIGHUP) {
+        if received.contains(&SIGUSR1) {
+            self.log_counters();
+        }
+        if received.iter().any(|signal| matches!(*signal, SIGTERM | SIGINT)) {
             self.begin_shutdown();
         }
     }
--- /dev/null
+++ b/src/bin/ingress/event_loop/counters.rs
@@ -0,0 +1,86 @@
+//! What was done so far, in numbers that SIGUSR1 logs: as many lines whatever the load.
+
+use super::EventLoop;
+use ingress::Outcome;
+
+/// Counts of what the event loop did.
+#[derive(Default)]
+pub struct Counters {
+    /// Requests that were opened.
+    pub requests: u64,
+    /// Final answers of any kind.
+    pub answers: u64,
+    /// Of these, rejections.
+    pub rejections: u64,
+    /// Of these, failures.
+    pub failures: u64,
+    /// Requests whose client left before their answer.
+    pub disconnected: u64,
+    /// Attempts whose first byte was written.
+    pub attempts_begun: u64,
+    /// Attempts that were served.
+    pub served: u64,
+    /// Attempts that were rejected by their backend.
+    pub rejected: u64,
+    /// Attempts that ended with an error, a reset or a timeout.
+    pub failed: u64,
+    /// Attempts that were never executed for want of a connection.
+    pub connect_failed: u64,
+    /// Attempts that were cancelled, or not sent.
+    pub withdrawn: u64,
+}
+
+impl Counters {
+    /// Counts the end of an attempt.
+    pub fn record_outcome(&mut self, outcome: Outcome) {
+        let counter = match outcome {
+            Outcome::Ok => &mut self.served,
+            Outcome::Rejected => &mut self.rejected,
+            Outcome::Error | Outcome::TimedOut | Outcome::Reset => &mut self.failed,
+            Outcome::ConnectFailed => &mut self.connect_failed,
+            Outcome::Cancelled | Outcome::NotSent => &mut self.withdrawn,
+        };
+        *counter += 1;
+    }
+}
+
+impl EventLoop {
+    /// Logs what was done so far, and what is under way.
+    pub(super) fn log_counters(&self) {
+        let counters = &self.counters;
+        tracing::info!(
+            target: "counters",
+            requests = counters.requests,
+            answers = counters.answers,
+            rejections = counters.rejections,
+            failures = counters.failures,
+            disconnected = counters.disconnected,
+            open = self.requests.len(),
+            "requests"
+        );
+        tracing::info!(
+            target: "counters",
+            begun = counters.attempts_begun,
+            served = counters.served,
+            rejected = counters.rejected,
+            failed = counters.failed,
+            connect_failed = counters.connect_failed,
+            withdrawn = counters.withdrawn,
+            "attempts"
+        );
+        tracing::info!(
+            target: "counters",
+            clients = self.clients.len(),
+            accepted = self.clients.accepted_count(),
+            backends = self.backends.len(),
+            opened = self.backends.opened_count,
+            "connections"
+        );
+        for (reason, count) in self.clients.close_counts() {
+            tracing::info!(target: "counters", ?reason, count, "closed clients");
+        }
+        for (kind, count) in self.auditor.counts() {
+            tracing::info!(target: "counters", ?kind, count, "violations");
+        }
+    }
+}
--- a/src/bin/ingress/event_loop/request_table.rs
+++ b/src/bin/ingress/event_loop/request_table.rs
@@ -3,7 +3,9 @@
 use crate::backends::ConnectionId;
 use crate::clients::ReplyHandle;
 use crate::command::Command;
-use ingress::{BackendId, Micros, RequestId};
+use ingress::audit::{AuditRules, RequestAudit};
+use ingress::permissions::{self, AttemptFacts, AttemptKind, AttemptRefusal};
+use ingress::{BackendId, Idempotency, Micros, RequestId};
 use std::collections::hash_map::RandomState;
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::BuildHasher;
@@ -35,10 +37,25 @@
     pub attempts: Vec<Attempt>,
     /// It has its final reply, or its client has disconnected: no reply is owed any more.
     pub answered: bool,
+    /// What was done for it.
+    pub audit: RequestAudit,
     id_hash: IdHash,
 }
 
 impl OpenRequest {
+    /// Whether one more attempt may be sent, by what the sockets have seen.
+    pub fn may_send(&self, rules: &AuditRules) -> Result<AttemptKind, AttemptRefusal> {
+        let class = usize::from(self.command.request.class);
+        permissions::may_start_attempt(&AttemptFacts {
+            idempotency: rules.idempotency.get(class).copied().unwrap_or(Idempotency::NonIdempotent),
+            hedging: rules.hedging,
+            max_attempts: rules.max_attempts,
+            attempts: self.attempts.len(),
+            in_flight: self.attempts.iter().filter(|attempt| attempt.connection.is_some()).count(),
+            may_have_executed: self.audit.may_have_executed(),
+            answered: self.answered,
+        })
+    }
     /// Whether any attempt is in flight.
     fn is_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.connection.is_some())
@@ -111,11 +128,12 @@
         command: Command,
         reply_to: ReplyHandle,
         deadline: Micros,
+        audit: RequestAudit,
     ) {
         self.memory += command.memory_size();
         self.known_ids.insert(id_hash);
         let attempts = Vec::new();
-        let request = OpenRequest { command, reply_to, deadline, attempts, answered: false, id_hash };
+        let request = OpenRequest { command, reply_to, deadline, attempts, answered: false, audit, id_hash };
         self.requests.insert(id, request);
     }
 
@@ -130,7 +148,6 @@
     }
 
     /// How many requests are open.
-    #[cfg(test)]
     pub fn len(&self) -> usize {
         self.requests.len()
     }
@@ -145,6 +162,12 @@
         self.requests.get(&id).is_some_and(|request| !request.answered)
     }
 
+    /// The requests that still owe their clients a reply.
+    pub fn unanswered_ids(&self) -> Vec<RequestId> {
+        let unanswered = self.requests.iter().filter(|(_, request)| !request.answered);
+        unanswered.map(|(id, _)| *id).collect()
+    }
+
     /// Whether any request still owes its client a reply.
     pub fn any_unanswered(&self) -> bool {
         self.requests.values().any(|request| !request.answered)
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -1,6 +1,7 @@
 //! Opens the sockets and puts the event loop together.
 
 use super::clock::Clock;
+use super::counters::Counters;
 use super::descriptor_budget::DescriptorBudget;
 use super::request_table::RequestTable;
 use super::shutdown::Shutdown;
@@ -14,6 +15,7 @@
 use crate::discovery::{max_body_bytes, Watch, WatchOptions};
 use crate::peers::PeerSocket;
 use crate::reload::Reload;
+use ingress::audit::{AuditRules, Auditor};
 use ingress::backoff::Backoff;
 use ingress::{Discovery, EndpointUpdate, Gateway, Micros, Settings, StartTimes};
 use mio::net::TcpListener;
@@ -68,7 +70,8 @@
             tick: settings.tick,
             polls_discovery: settings.discovery == Discovery::Poll,
             connect_timeout: config.connect_timeout,
-            max_attempts: settings.limits.max_attempts as usize,
+            auditor: Auditor::new(AuditRules::new(&settings)),
+            counters: Counters::default(),
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
             requests: RequestTable::new(settings.limits.max_open_requests as usize, memory_share),
             shutdown: Shutdown::new(longest_deadline(&settings)),
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -1,7 +1,8 @@
 //! A gateway: the parts that own its state, and the bookkeeping that needs several of them. Nothing is
 //! decided here: that is the work of `crate::policy`.
 
-use crate::policy::{initial_baseline, report_interval, retry_budget, MAX_REPORTED_QUEUE_DEPTH};
+use crate::policy::{initial_baseline, report_interval, retry_budget};
+use crate::policy::{RejectReason, MAX_REPORTED_QUEUE_DEPTH};
 use crate::state::{BackendTable, DecayingRate, LatencyBaseline, LoadShedder, PeerTable, QuotaTable};
 use crate::state::{RequestTable, RetryBudget};
 use crate::{Action, AttemptEnded, BackendId, Class, CustomerId, Endpoint, EndpointUpdate, Event};
@@ -180,7 +181,14 @@
     }
 
     /// Gives a request its final answer; the advice to come again is cut to what the settings allow.
-    pub(crate) fn reject(&self, id: RequestId, retry_after: Micros, actions: &mut Vec<Action>) {
+    pub(crate) fn reject(
+        &self,
+        id: RequestId,
+        reason: RejectReason,
+        retry_after: Micros,
+        actions: &mut Vec<Action>,
+    ) {
+        tracing::debug!(target: "policy", request = id.0, ?reason, "rejected");
         let limits = &self.settings.limits;
         let most = if limits.retry_after { limits.max_retry_after } else { 0 };
         actions.push(Action::Reject { id, retry_after: retry_after.min(most) });
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -3,6 +3,7 @@
 use super::gateway::WAKE_UP_TICKS;
 use super::load_shedding::epoch_draw;
 use super::quota::CUSTOMER_IDLE_TIME;
+use super::RejectReason;
 use crate::state::{Customer, GatewaySet, RequestState, SECOND};
 use crate::{Action, Gateway, Micros, Request, RequestId};
 
@@ -20,12 +21,15 @@
             return; // delivered twice: the first one gets the answer
         }
         // With less than two wake-ups left nothing can be held, watched or served: answered at once.
-        if !self.is_valid(&request) || request.deadline < self.now + self.min_queue_time() {
-            return self.reject(request.id, 0, actions);
+        if !self.is_valid(&request) {
+            return self.reject(request.id, RejectReason::Invalid, 0, actions);
+        }
+        if request.deadline < self.now + self.min_queue_time() {
+            return self.reject(request.id, RejectReason::NoTime, 0, actions);
         }
         let unseen = self.observe_customer(&mut request);
         if !self.load_shedder.admits(self.now, &request, &self.settings.plans, unseen) {
-            return self.reject(request.id, Micros::MAX, actions);
+            return self.reject(request.id, RejectReason::Shed, Micros::MAX, actions);
         }
         let state = RequestState { request, arrived_at: self.now, ..RequestState::default() };
         let wait = self.wait_for_tokens(&request);
@@ -44,7 +48,7 @@
             return self.admit(request.id, true, actions);
         }
         if self.skips_grant_request(&request) {
-            return self.reject(request.id, Micros::MAX, actions);
+            return self.reject(request.id, RejectReason::OverQuota, Micros::MAX, actions);
         }
         self.requests.insert(RequestState { awaiting_grant: true, ..state });
         self.await_grant(&request, wait.hard_limit.is_some(), needs_grant, actions);
@@ -104,7 +108,8 @@
         }
         self.requests.remove(id);
         let retry_after = seconds.map_or(Micros::MAX, |seconds| (seconds * SECOND) as Micros);
-        self.reject(id, retry_after, actions);
+        let reason = if seconds.is_none() { RejectReason::Saturated } else { RejectReason::OverQuota };
+        self.reject(id, reason, retry_after, actions);
         let charged_by_owner = self.quota.take_owner_charge(request.customer);
         if awaited && (charged_by_owner || self.all_gateways_own_quotas()) {
             self.queue_usage_report(request.customer, false, actions);
--- a/src/policy/gateway.rs
+++ b/src/policy/gateway.rs
@@ -1,6 +1,7 @@
 //! The dispatch of events, and the life of a request from its arrival to its final answer.
 
 use super::load_shedding::MIN_STAGE_TIME_UP;
+use super::RejectReason;
 use crate::state::SECOND;
 use crate::{Action, AttemptEnded, Discovery, Event, Gateway, Micros};
 use crate::{Idempotency, IdempotencyScope, RequestId, Settings};
@@ -85,7 +86,7 @@
             _ => state.first_possibly_executed().is_none(),
         };
         if harmless {
-            self.reject(id, MIN_STAGE_TIME_UP, actions);
+            self.reject(id, RejectReason::NotServed, MIN_STAGE_TIME_UP, actions);
         } else {
             actions.push(Action::Fail(id));
         }
--- a/src/policy/outlier_detection.rs
+++ b/src/policy/outlier_detection.rs
@@ -1,5 +1,6 @@
 //! Outlier detection: failure rates of backends and zones, ejection, return, and what latencies say.
 
+use super::EjectionReason;
 use crate::gossip::{backend_tag, LatencySample, MAX_CLASS};
 use crate::state::{Health, LatencyBaseline, Observation, Source, SECOND};
 use crate::{AttemptEnded, Class, Gateway, Micros, Outcome};
@@ -138,6 +139,8 @@
         let outlier = rate > EJECTION_FAILURE_RATE;
         if failed && (outlier || health.consecutive_ejections > 0) {
             health.eject(now);
+            let (backend, reason) = (ended.backend.0, EjectionReason::Failures);
+            tracing::debug!(target: "policy", backend, class, ?reason, "ejected");
         } else if !failed && !outlier {
             health.consecutive_ejections = 0;
         }
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -1,6 +1,7 @@
 //! Further attempts: the retry budget, idempotency, and hedged requests.
 
 use super::permissions::{may_repeat_key, may_start_attempt, AttemptFacts};
+use super::EjectionReason;
 use crate::state::{Observation, RequestState, RetryBudget, RetryScope, Source};
 use crate::{Action, Gateway, Idempotency, Micros, RequestId};
 
@@ -40,7 +41,9 @@
         let class = self.class_of(&state.request);
         let objective_ends_at = state.arrived_at + class.latency_objective;
         let useful = self.now + self.settings.tick < objective_ends_at.min(state.request.deadline);
-        useful && may_start_attempt(&self.attempt_facts(state)).is_ok()
+        let permission = may_start_attempt(&self.attempt_facts(state));
+        tracing::debug!(target: "policy", request = id.0, useful, ?permission, "retry considered");
+        useful && permission.is_ok()
     }
 
     /// What permissions are asked by for a request.
@@ -93,6 +96,8 @@
         }
         if silent && now >= health.ejected_until {
             health.eject(now);
+            let reason = EjectionReason::Silence;
+            tracing::debug!(target: "policy", backend = backend_id.0, class = class_index, ?reason, "ejected");
             let (class, source) = (class_index, Source::Own);
             self.record_observation(Observation { backend: backend_id, class, latency: None, source });
         }
--- /dev/null
+++ b/tests/ingress/logging.rs
@@ -0,0 +1,65 @@
+//! The log: the way of a request, and what was done so far.
+
+use crate::support::backend::{reply_with_value, Backend, BackendReply};
+use crate::support::client::encode_request;
+use crate::support::ingress::{built_program, IngressSetup};
+use crate::support::resp::encode_command;
+
+/// The value of a field in a line of the log.
+fn field<'a>(line: &'a str, name: &str) -> &'a str {
+    let rest = line.split(&format!("{name}=")).nth(1).unwrap_or_else(|| panic!("no {name} in {line}"));
+    rest.split([' ', ',']).next().unwrap()
+}
+
+/// Guards against a request whose way cannot be told: which attempts it had, where, and how they and it ended.
+#[test]
+fn the_way_of_a_request_can_be_told_from_its_id() {
+    let bad = Backend::start(|_| BackendReply::Bytes(b"-BUSY\r\n".to_vec()));
+    let ingress = IngressSetup::with_backends(&[&bad]);
+    let mut ingress = ingress.start_with(&format!("export LB_LOG=debug; {}", built_program()));
+    assert!(ingress.client().round_trip(&encode_request("refer", "r77", 2000)).starts_with("-BUSY"));
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    let log = ingress.log();
+    let opened = log.lines().find(|line| line.contains("request: opened") && line.contains("=r77 "));
+    let request = format!("request={}", field(opened.unwrap(), "request"));
+    let way: Vec<&str> =
+        log.lines().filter(|line| line.split([' ', ',']).any(|word| word == request)).collect();
+    for (event, detail) in [
+        ("attempt: started", "command=Some(Sent)"),
+        ("attempt: ended", "outcome=Rejected"),
+        ("policy: retry considered", "permission="),
+        ("policy: rejected", "reason=NotServed"),
+        ("request: answered", "answer=Rejected"),
+    ] {
+        assert!(way.iter().any(|line| line.contains(event) && line.contains(detail)), "{event}: {way:#?}");
+    }
+}
+
+#[test]
+fn counters_are_logged_on_request() {
+    let backend = Backend::start(reply_with_value);
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start();
+    let mut client = ingress.client();
+    assert_eq!(client.round_trip(&encode_request("quote", "q1", 900)), "value of q1");
+    ingress.signal("USR1");
+    // The signal is handled before or with a later command, and before the one to stop.
+    assert_eq!(client.round_trip(&encode_command(&["PING"])), "+PONG");
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    let log = ingress.log();
+    assert!(log.contains("counters: requests, requests=1 answers=1 rejections=0"), "{log}");
+    assert!(log.contains("counters: attempts, begun=1 served=1"), "{log}");
+    assert!(!log.contains("violations"), "{log}");
+}
+
+#[test]
+fn a_level_that_is_none_is_reported_and_the_usual_one_used() {
+    let ingress = IngressSetup::with_backends(&[]);
+    let mut ingress = ingress.start_with(&format!("export LB_LOG=loud; {}", built_program()));
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    let log = ingress.log();
+    assert!(log.contains("log: LB_LOG is no level, given=loud used=info"), "{log}");
+    assert!(log.contains("event_loop: listening"), "{log}");
+}
--- a/tests/ingress/main.rs
+++ b/tests/ingress/main.rs
@@ -7,6 +7,7 @@
 mod client_connections;
 mod discovery;
 mod forwarding;
+mod logging;
 mod peers;
 mod protocol_errors;
 mod reload;
