Add a soak of randomized, overlapping faults around real ingresses

No separate proxy: what it would do is done by the stand-ins (resets, halves, trickles, doubles, silence), not between.

--- /dev/null
+++ b/fault-soak/src/report.rs
@@ -0,0 +1,175 @@
+//! The line of a run, and what many of them add up to, as a page.
+
+use crate::oracle::{Rule, Violation};
+use crate::plan::{SoakPlan, TroubleKind};
+use crate::record::{Ending, Seen};
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// The longest answer time that is told apart, in microseconds.
+const LONGEST_ANSWER: u64 = 60_000_000;
+/// The violations of a run that its line holds in full.
+const MAX_VIOLATIONS_IN_FULL: usize = 12;
+/// The side of a cell of the picture.
+const CELL: usize = 18;
+/// The room for names beside the picture.
+const MARGIN: usize = 150;
+
+/// How the requests of a run ended, and how long answers took in milliseconds.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Totals {
+    /// Requests that were sent.
+    pub requests: u64,
+    /// Of these, served.
+    pub served: u64,
+    /// Rejected.
+    pub rejected: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Closed with no answer, for whatever reason.
+    pub closed: u64,
+    /// Left by their clients.
+    pub left: u64,
+    /// The median time of an answer.
+    pub median_ms: f64,
+    /// The time that one answer in a hundred exceeds.
+    pub p99_ms: f64,
+    /// The longest.
+    pub longest_ms: f64,
+}
+
+/// What a run came to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunResult {
+    /// The plan that was played.
+    pub plan: SoakPlan,
+    /// How requests ended.
+    pub totals: Totals,
+    /// How often each rule was broken.
+    pub counts: BTreeMap<Rule, usize>,
+    /// The first violations.
+    pub violations: Vec<Violation>,
+}
+
+impl RunResult {
+    /// The result of a plan.
+    pub fn new(plan: SoakPlan, seen: &Seen, violations: Vec<Violation>) -> RunResult {
+        let mut counts = BTreeMap::new();
+        violations.iter().for_each(|violation| *counts.entry(violation.rule).or_default() += 1);
+        let violations = violations.into_iter().take(MAX_VIOLATIONS_IN_FULL).collect();
+        RunResult { plan, totals: totals(seen), counts, violations }
+    }
+}
+
+fn totals(seen: &Seen) -> Totals {
+    let count = |ending| seen.requests.iter().filter(|request| request.ending == ending).count() as u64;
+    let mut totals = Totals {
+        requests: seen.requests.len() as u64,
+        served: count(Ending::Served),
+        rejected: count(Ending::Rejected),
+        failed: count(Ending::Failed),
+        closed: count(Ending::Closed),
+        left: count(Ending::Left),
+        ..Totals::default()
+    };
+    if let Ok(mut times) = Histogram::<u64>::new_with_bounds(1, LONGEST_ANSWER, 2) {
+        let answered = |ending| matches!(ending, Ending::Served | Ending::Rejected | Ending::Failed);
+        for request in seen.requests.iter().filter(|request| answered(request.ending)) {
+            times.saturating_record(request.ended_at.saturating_sub(request.sent_at));
+        }
+        let at = |quantile| times.value_at_quantile(quantile) as f64 / 1000.0;
+        (totals.median_ms, totals.p99_ms, totals.longest_ms) = (at(0.5), at(0.99), at(1.0));
+    }
+    totals
+}
+
+/// How often each pair of troubles overlapped.
+fn pair_counts(results: &[RunResult]) -> BTreeMap<(TroubleKind, TroubleKind), usize> {
+    let mut counts = BTreeMap::new();
+    for pair in results.iter().flat_map(|result| result.plan.overlapping_pairs()) {
+        *counts.entry(pair).or_default() += 1;
+    }
+    counts
+}
+
+/// A page on runs: what was met, what was broken, and a picture of the pairs of troubles that overlapped.
+pub fn page(results: &[RunResult]) -> String {
+    let mut page = String::from("<!doctype html><meta charset=\"utf-8\"><title>Fault soak</title>\n");
+    page += "<style>body{font:14px sans-serif;margin:2em}td,th{padding:2px 10px;text-align:left}</style>\n";
+    let requests: u64 = results.iter().map(|result| result.totals.requests).sum();
+    let broken = results.iter().filter(|result| !result.counts.is_empty()).count();
+    let _ = writeln!(
+        page,
+        "<h1>Fault soak</h1><p>{} runs, {requests} requests, {broken} runs with a violation.</p>",
+        results.len()
+    );
+    page += &rule_table(results);
+    page += &trouble_table(results);
+    page += "<h2>Pairs of troubles that overlapped in time</h2>\n";
+    page += &pair_picture(&pair_counts(results));
+    page
+}
+
+fn rule_table(results: &[RunResult]) -> String {
+    let mut table =
+        String::from("<h2>Violations</h2><table><tr><th>rule</th><th>count</th><th>seeds</th></tr>\n");
+    let mut by_rule: BTreeMap<Rule, (usize, Vec<u64>)> = BTreeMap::new();
+    for result in results {
+        for (rule, count) in &result.counts {
+            let entry = by_rule.entry(*rule).or_default();
+            entry.0 += count;
+            entry.1.push(result.plan.seed);
+        }
+    }
+    for (rule, (count, seeds)) in by_rule {
+        let _ = writeln!(table, "<tr><td>{rule:?}</td><td>{count}</td><td>{seeds:?}</td></tr>");
+    }
+    table + "</table>\n"
+}
+
+fn trouble_table(results: &[RunResult]) -> String {
+    let mut table = String::from(
+        "<h2>Troubles</h2><table><tr><th>kind</th><th>runs</th><th>with a violation</th></tr>\n",
+    );
+    for kind in TroubleKind::ALL {
+        let has = |result: &&RunResult| result.plan.troubles.iter().any(|trouble| trouble.kind == kind);
+        let runs = results.iter().filter(has).count();
+        let broken = results.iter().filter(has).filter(|result| !result.counts.is_empty()).count();
+        let _ = writeln!(table, "<tr><td>{kind:?}</td><td>{runs}</td><td>{broken}</td></tr>");
+    }
+    table + "</table>\n"
+}
+
+/// A square of cells, the darker the more often two troubles overlapped.
+fn pair_picture(counts: &BTreeMap<(TroubleKind, TroubleKind), usize>) -> String {
+    let most = counts.values().copied().max().unwrap_or(1) as f64;
+    let side = MARGIN + CELL * TroubleKind::ALL.len();
+    let mut picture = format!("<svg width=\"{side}\" height=\"{side}\" font-size=\"11\">\n");
+    for (row, first) in TroubleKind::ALL.into_iter().enumerate() {
+        let offset = MARGIN + row * CELL;
+        let _ = writeln!(picture, "<text x=\"0\" y=\"{}\">{first:?}</text>", offset + CELL - 5);
+        let _ = writeln!(
+            picture,
+            "<text transform=\"translate({},{}) rotate(-90)\">{first:?}</text>",
+            offset + CELL - 5,
+            MARGIN - 4
+        );
+        for (column, second) in TroubleKind::ALL.into_iter().enumerate() {
+            let count = counts.get(&(first.min(second), first.max(second))).copied().unwrap_or(0);
+            let shade = 255 - (count as f64 / most * 200.0) as u8;
+            let left = MARGIN + column * CELL;
+            let _ = writeln!(
+                picture,
+                "<rect x=\"{left}\" y=\"{offset}\" width=\"{CELL}\" height=\"{CELL}\" \
+                 fill=\"rgb({shade},{shade},255)\" stroke=\"#ddd\"><title>{first:?} and {second:?}: {count}</title></rect>"
+            );
+            if count > 0 {
+                let _ =
+                    writeln!(picture, "<text x=\"{}\" y=\"{}\">{count}</text>", left + 3, offset + CELL - 5);
+            }
+        }
+    }
+    picture + "</svg>\n"
+}
--- /dev/null
+++ b/fault-soak/src/run.rs
@@ -0,0 +1,262 @@
+//! One run: the stand-ins and the ingresses are started, the plan is carried out, and what was seen is returned.
+
+use crate::ingress::{Ingress, Programs};
+use crate::plan::{SoakPlan, Trouble, TroubleKind};
+use crate::record::{Listing, Recorder, Seen};
+use crate::settings::Addresses;
+use crate::stand_in::backend::Backend;
+use crate::stand_in::client::{Client, Open};
+use crate::stand_in::discovery::Discovery;
+use anyhow::bail;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// The most ingresses of a run.
+const MAX_INGRESSES: usize = 40;
+/// The port at which ingresses listen, each at an address of its own.
+const CLIENT_PORT: u16 = 7379;
+/// The port at which they get messages of peers.
+const PEER_PORT: u16 = 7946;
+/// How long new connections still come to an ingress after it was told to end.
+const FRONT_DELAY: Duration = Duration::from_millis(300);
+/// How long a configuration stays half written.
+const HALF_WRITTEN_TIME: Duration = Duration::from_millis(120);
+/// How long an ingress stands still.
+const PAUSE: Duration = Duration::from_millis(140);
+/// How long it runs between two pauses.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(400);
+/// How long the supervisor sleeps between two looks at the plan.
+const TICK: Duration = Duration::from_millis(5);
+/// How long an ingress has to log its counters at the end.
+const COUNTER_TIME: Duration = Duration::from_millis(50);
+/// How long clients have at the most to end after a run.
+const CLIENT_END_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What takes part in a run.
+struct Stage {
+    plan: Arc<SoakPlan>,
+    recorder: Arc<Recorder>,
+    addresses: Addresses,
+    backends: Vec<Backend>,
+    discovery: Arc<Discovery>,
+    /// Two for each ingress: a reload goes from one to the other.
+    agents: Vec<[SocketAddr; 2]>,
+    ingresses: Vec<Arc<Mutex<Ingress>>>,
+    open: Open,
+}
+
+/// The addresses of so many ingresses, which no other process uses.
+fn draw_addresses(count: usize) -> Addresses {
+    let id = std::process::id();
+    let address = |number: usize, port| {
+        let ip = Ipv4Addr::new(127, 20 + (id % 200) as u8, (id / 200 % 250) as u8, number as u8 + 1);
+        SocketAddr::from((ip, port))
+    };
+    Addresses {
+        listen: (0..count).map(|number| address(number, CLIENT_PORT)).collect(),
+        peers: (0..count).map(|number| address(number, PEER_PORT)).collect(),
+    }
+}
+
+impl Stage {
+    fn build(
+        plan: &Arc<SoakPlan>,
+        programs: &Programs,
+        recorder: &Arc<Recorder>,
+        is_over: &Arc<AtomicBool>,
+    ) -> anyhow::Result<Stage> {
+        let count = plan.shape.ingresses;
+        if count > MAX_INGRESSES {
+            bail!("{count} ingresses are more than {MAX_INGRESSES}");
+        }
+        let addresses = draw_addresses(count);
+        let backends = (0..plan.shape.backends)
+            .map(|number| Backend::start(number, plan, recorder, is_over))
+            .collect::<std::io::Result<Vec<_>>>()?;
+        let backend_addresses: Vec<SocketAddr> = backends.iter().map(|backend| backend.address).collect();
+        let discovery = Discovery::new(&backend_addresses, plan.clone(), recorder.clone(), is_over.clone());
+        let discovery = Arc::new(discovery);
+        let mut agents = Vec::new();
+        for number in 0..count {
+            agents.push([discovery.start_agent(number)?, discovery.start_agent(number)?]);
+        }
+        let ingresses = (0..count)
+            .map(|number| {
+                let ingress =
+                    Ingress::new(number, programs.clone(), plan.clone(), recorder.clone(), &addresses);
+                Arc::new(Mutex::new(ingress))
+            })
+            .collect();
+        let open = Arc::new((0..count).map(|_| AtomicBool::new(false)).collect());
+        let (plan, recorder) = (plan.clone(), recorder.clone());
+        Ok(Stage { plan, recorder, addresses, backends, discovery, agents, ingresses, open })
+    }
+
+    /// Starts all ingresses, side by side.
+    fn start_ingresses(&self) -> anyhow::Result<()> {
+        let known = self.discovery.list_json();
+        let mut starting = Vec::new();
+        for (number, ingress) in self.ingresses.iter().enumerate() {
+            lock(ingress).write_config(&self.addresses, self.agents[number][0], &known)?;
+            let ingress = ingress.clone();
+            starting.push(thread::spawn(move || lock(&ingress).start()));
+        }
+        for thread in starting {
+            thread.join().map_err(|_| anyhow::anyhow!("an ingress could not be started"))??;
+        }
+        self.open.iter().for_each(|open| open.store(true, Ordering::SeqCst));
+        Ok(())
+    }
+
+    /// Does what a trouble begins with. What takes a while goes on in a thread.
+    fn begin(&self, trouble: &Trouble) -> Option<JoinHandle<()>> {
+        let backend = trouble.target % self.backends.len();
+        let number = trouble.target % self.ingresses.len();
+        let ingress = self.ingresses[number].clone();
+        let open = self.open.clone();
+        match trouble.kind {
+            TroubleKind::DrainingBackend => self.discovery.publish(backend, Listing::Draining, false),
+            TroubleKind::RestartedBackend => {
+                self.backends[backend].restart();
+                self.discovery.publish(backend, Listing::Up, true);
+            }
+            TroubleKind::Terminate => {
+                return Some(thread::spawn(move || {
+                    let closing = open.clone();
+                    let front = thread::spawn(move || {
+                        thread::sleep(FRONT_DELAY);
+                        closing[number].store(false, Ordering::SeqCst);
+                    });
+                    let mut ingress = lock(&ingress);
+                    ingress.terminate();
+                    let _ = front.join();
+                    let _ = ingress.start();
+                    open[number].store(true, Ordering::SeqCst);
+                }));
+            }
+            TroubleKind::Kill => {
+                return Some(thread::spawn(move || {
+                    let mut ingress = lock(&ingress);
+                    open[number].store(false, Ordering::SeqCst);
+                    ingress.kill();
+                    let _ = ingress.start();
+                    open[number].store(true, Ordering::SeqCst);
+                }));
+            }
+            TroubleKind::Reload => {
+                let (addresses, agent) = (self.addresses.clone(), self.agents[number][1]);
+                let known = self.discovery.list_json();
+                return Some(thread::spawn(move || {
+                    let ingress = lock(&ingress);
+                    let _ = ingress.write_half_a_config();
+                    ingress.reload();
+                    thread::sleep(HALF_WRITTEN_TIME);
+                    let _ = ingress.write_config(&addresses, agent, &known);
+                    ingress.reload();
+                }));
+            }
+            TroubleKind::Pauses => {
+                let (recorder, until_ms) = (self.recorder.clone(), trouble.until_ms);
+                return Some(thread::spawn(move || {
+                    while recorder.now_ms() < until_ms {
+                        lock(&ingress).pause(PAUSE);
+                        thread::sleep(PAUSE_INTERVAL);
+                    }
+                }));
+            }
+            _ => {}
+        }
+        None
+    }
+
+    /// Does what a trouble ends with.
+    fn end(&self, trouble: &Trouble) {
+        if trouble.kind == TroubleKind::DrainingBackend {
+            self.discovery.publish(trouble.target % self.backends.len(), Listing::Up, false);
+        }
+    }
+
+    /// Carries the plan out, to the end of the run.
+    fn carry_out(&self) {
+        let mut begun: Vec<bool> = vec![false; self.plan.troubles.len()];
+        let mut ended = begun.clone();
+        let mut threads = Vec::new();
+        while self.recorder.now_ms() < self.plan.shape.seconds * 1000 {
+            for (index, trouble) in self.plan.troubles.iter().enumerate() {
+                let now = self.recorder.now_ms();
+                if now >= trouble.from_ms && !std::mem::replace(&mut begun[index], true) {
+                    tracing::debug!(?trouble, "begins");
+                    threads.extend(self.begin(trouble));
+                }
+                if now >= trouble.until_ms && !std::mem::replace(&mut ended[index], true) {
+                    self.end(trouble);
+                }
+            }
+            for ingress in &self.ingresses {
+                if let Ok(mut ingress) = ingress.try_lock() {
+                    ingress.check();
+                }
+            }
+            thread::sleep(TICK);
+        }
+        threads.into_iter().for_each(|thread| _ = thread.join());
+    }
+}
+
+fn lock(ingress: &Mutex<Ingress>) -> std::sync::MutexGuard<'_, Ingress> {
+    ingress.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Plays a plan, and returns what was seen.
+pub fn play(plan: &SoakPlan, programs: &Programs) -> anyhow::Result<Seen> {
+    std::fs::create_dir_all(&programs.folder)?;
+    for number in 0..plan.shape.ingresses {
+        let _ = std::fs::remove_file(Ingress::log_file(&programs.folder, number));
+    }
+    let (plan, recorder) = (Arc::new(plan.clone()), Arc::new(Recorder::default()));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let stage = Stage::build(&plan, programs, &recorder, &is_over)?;
+    stage.start_ingresses()?;
+    let ended = Arc::new(AtomicBool::new(false));
+    let clients: Vec<JoinHandle<()>> = (0..plan.shape.clients)
+        .map(|number| {
+            let addresses = stage.addresses.listen.clone();
+            let client = Client::new(
+                number,
+                plan.clone(),
+                recorder.clone(),
+                ended.clone(),
+                addresses,
+                stage.open.clone(),
+            );
+            thread::spawn(move || client.run())
+        })
+        .collect();
+    stage.carry_out();
+    ended.store(true, Ordering::SeqCst);
+    let deadline = std::time::Instant::now() + CLIENT_END_TIMEOUT;
+    while clients.iter().any(|client| !client.is_finished()) && std::time::Instant::now() < deadline {
+        thread::sleep(TICK);
+    }
+    for ingress in &stage.ingresses {
+        let mut ingress = lock(ingress);
+        ingress.check();
+        ingress.log_counters();
+    }
+    thread::sleep(COUNTER_TIME);
+    is_over.store(true, Ordering::SeqCst);
+    let ending: Vec<JoinHandle<()>> = stage
+        .ingresses
+        .iter()
+        .map(|ingress| {
+            let ingress = ingress.clone();
+            thread::spawn(move || lock(&ingress).terminate())
+        })
+        .collect();
+    ending.into_iter().for_each(|thread| _ = thread.join());
+    let seen = std::mem::take(&mut *recorder.seen());
+    Ok(seen)
+}
--- /dev/null
+++ b/fault-soak/src/stand_in/backend.rs
@@ -0,0 +1,228 @@
+//! Backends that misbehave as the plan says, and note each command that comes whole.
+
+use super::resp::{parse_command, value_of};
+use crate::plan::{SoakPlan, TroubleKind};
+use crate::record::{ArrivalRecord, Micros, Recorder};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long an answer takes a backend that works.
+const SERVICE_TIME: Duration = Duration::from_millis(3);
+/// How long it takes a slow one.
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(900);
+/// How long after a reply its duplicate comes: some milliseconds.
+const DUPLICATE_DELAY: Duration = Duration::from_millis(3);
+/// The pause between the pieces of a reply that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_micros(300);
+/// How often a connection that waits looks whether the other side has closed it.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+/// How often one with no command looks whether it is to be closed.
+const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A backend.
+pub struct Backend {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Counts its starts: connections of an earlier one are reset.
+    generation: Arc<AtomicU64>,
+}
+
+/// What the connections of a backend share.
+#[derive(Clone)]
+struct Shared {
+    number: usize,
+    plan: Arc<SoakPlan>,
+    recorder: Arc<Recorder>,
+    is_over: Arc<AtomicBool>,
+    generation: Arc<AtomicU64>,
+}
+
+/// Why a connection ends.
+struct Closed;
+
+impl Backend {
+    /// Starts a backend, which runs until the run is over.
+    pub fn start(
+        number: usize,
+        plan: &Arc<SoakPlan>,
+        recorder: &Arc<Recorder>,
+        is_over: &Arc<AtomicBool>,
+    ) -> std::io::Result<Backend> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let generation = Arc::new(AtomicU64::new(0));
+        let shared = Shared {
+            number,
+            plan: plan.clone(),
+            recorder: recorder.clone(),
+            is_over: is_over.clone(),
+            generation: generation.clone(),
+        };
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = shared.clone();
+                thread::spawn(move || Connection::new(shared, stream).serve());
+            }
+        });
+        Ok(Backend { address, generation })
+    }
+
+    /// Starts anew: all connections are reset.
+    pub fn restart(&self) {
+        self.generation.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// A connection of an ingress.
+struct Connection {
+    shared: Shared,
+    stream: TcpStream,
+    received: Vec<u8>,
+    generation: u64,
+}
+
+impl Connection {
+    fn new(shared: Shared, stream: TcpStream) -> Connection {
+        let generation = shared.generation.load(Ordering::SeqCst);
+        let _ = stream.set_nodelay(true);
+        Connection { shared, stream, received: Vec::new(), generation }
+    }
+
+    /// Answers commands until either side closes the connection.
+    fn serve(mut self) {
+        while let Ok(arguments) = self.read_command() {
+            if self.answer(&arguments).is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Whether this backend has a trouble now.
+    fn has(&self, kind: TroubleKind) -> bool {
+        let Shared { number, plan, recorder, .. } = &self.shared;
+        plan.active(kind, *number, plan.shape.backends, recorder.now_ms())
+    }
+
+    fn is_ended(&self) -> bool {
+        self.shared.is_over.load(Ordering::SeqCst)
+            || self.shared.generation.load(Ordering::SeqCst) != self.generation
+    }
+
+    fn read_command(&mut self) -> Result<Vec<String>, Closed> {
+        self.stream.set_read_timeout(Some(IDLE_POLL_INTERVAL)).map_err(|_| Closed)?;
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some((arguments, length)) = parse_command(&self.received) {
+                self.received.drain(..length);
+                return Ok(arguments);
+            }
+            let closes_idle = self.received.is_empty() && self.has(TroubleKind::ClosingBackend);
+            if self.is_ended() || closes_idle {
+                return Err(Closed);
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Err(Closed),
+                Ok(length) => self.received.extend_from_slice(&chunk[..length]),
+                Err(error) if is_timeout(&error) => {}
+                Err(_) => return Err(Closed),
+            }
+        }
+    }
+
+    /// Waits, unless the other side closes the connection meanwhile.
+    fn wait(&self, time: Duration) -> Result<(), Closed> {
+        self.stream.set_read_timeout(Some(POLL_INTERVAL)).map_err(|_| Closed)?;
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            match self.stream.peek(&mut [0]) {
+                Ok(0) => return Err(Closed),
+                Ok(_) => thread::sleep(POLL_INTERVAL),
+                Err(error) if is_timeout(&error) => {}
+                Err(_) => return Err(Closed),
+            }
+            if self.is_ended() {
+                return Err(Closed);
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers a command, and notes when it came and when it was over.
+    fn answer(&mut self, arguments: &[String]) -> Result<(), Closed> {
+        let [_, _, id, options, ..] = arguments else { return Err(Closed) };
+        let rejected = self.has(TroubleKind::RejectingBackend);
+        let index = self.note_arrival(id, options, rejected);
+        let result = self.reply(id, rejected);
+        let ended_at = self.shared.recorder.now();
+        self.shared.recorder.seen().arrivals[index].ended_at = Some(ended_at);
+        result?;
+        if self.has(TroubleKind::DoublingBackend) {
+            thread::sleep(DUPLICATE_DELAY);
+            self.write(&served(id))?;
+        }
+        Ok(())
+    }
+
+    fn note_arrival(&self, id: &str, options: &str, rejected: bool) -> usize {
+        let told_ms = options.split(',').find_map(|option| option.strip_prefix("d="));
+        let told_ms = told_ms.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
+        let at: Micros = self.shared.recorder.now();
+        let arrivals = &mut self.shared.recorder.seen().arrivals;
+        arrivals.push(ArrivalRecord {
+            id: id.to_string(),
+            backend: self.shared.number,
+            at,
+            time_told: told_ms * 1000,
+            rejected,
+            ended_at: None,
+        });
+        arrivals.len() - 1
+    }
+
+    fn reply(&mut self, id: &str, rejected: bool) -> Result<(), Closed> {
+        if rejected {
+            return self.write(b"-BUSY\r\n");
+        }
+        while self.has(TroubleKind::HangingBackend) {
+            self.wait(Duration::from_millis(20))?;
+        }
+        let slow = self.has(TroubleKind::SlowBackend);
+        self.wait(if slow { SLOW_SERVICE_TIME } else { SERVICE_TIME })?;
+        let reply = served(id);
+        if self.has(TroubleKind::FailingBackend) {
+            return self.write(b"-ERR failed\r\n");
+        }
+        if self.has(TroubleKind::ResettingBackend) {
+            // Half of the replies are cut in the middle, the others never begin.
+            let length = if reply.len() % 2 == 0 { reply.len() / 2 } else { 0 };
+            let _ = self.write(&reply[..length]);
+            return Err(Closed);
+        }
+        if self.has(TroubleKind::TricklingBackend) {
+            for piece in reply.chunks(5) {
+                self.write(piece)?;
+                thread::sleep(TRICKLE_PAUSE);
+            }
+            return Ok(());
+        }
+        self.write(&reply)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), Closed> {
+        self.stream.write_all(bytes).map_err(|_| Closed)
+    }
+}
+
+/// The reply to a request that was served.
+fn served(id: &str) -> Vec<u8> {
+    let value = value_of(id);
+    format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()).into_bytes()
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
+}
--- /dev/null
+++ b/fault-soak/src/stand_in/client.rs
@@ -0,0 +1,299 @@
+//! Clients: each keeps a connection to each ingress, sends one request after another, and notes how each ended.
+
+use super::resp::{encode_request, parse_reply, value_of, Reply};
+use crate::plan::{SoakPlan, TroubleKind};
+use crate::record::{BadClientRecord, Class, Ending, Micros, Recorder, RequestRecord};
+use crate::settings::MAX_TIMEOUT_MS;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+/// How long after its time an answer is still waited for, in microseconds.
+const ANSWER_SLACK: Micros = 600_000;
+/// The part of the requests that are sent on a new connection.
+const NEW_CONNECTION_SHARE: f64 = 0.1;
+/// How long the first command of a new connection may take to come, in milliseconds.
+const MAX_FIRST_COMMAND_DELAY_MS: u64 = 30;
+/// How long clients rest between two requests at the most, in milliseconds.
+const MAX_REST_MS: u64 = 15;
+/// How long a client that leaves waits before, at the most, in milliseconds.
+const MAX_STAY_MS: u64 = 60;
+/// How long a client that stops in the middle of a command waits to be told so.
+const BAD_CLIENT_PATIENCE: Micros = 4_500_000;
+/// How long a read waits before the time is looked at.
+const READ_TIMEOUT: Duration = Duration::from_millis(2);
+/// The least and the most that a client waits for an answer, in milliseconds.
+const TIMEOUTS_MS: std::ops::RangeInclusive<u64> = 300..=MAX_TIMEOUT_MS;
+
+/// Whether the front sends new connections to each ingress.
+pub type Open = Arc<Vec<AtomicBool>>;
+
+/// A connection to an ingress.
+struct Connection {
+    stream: TcpStream,
+    received: Vec<u8>,
+    /// Requests that were answered on it.
+    answered: usize,
+}
+
+/// What a wait for a reply came to.
+enum Wait {
+    Reply(Reply),
+    Closed,
+    TimedOut,
+}
+
+/// A request that is out.
+struct Pending {
+    id: String,
+    class: Class,
+    sent_at: Micros,
+    timeout: Micros,
+}
+
+/// A client.
+pub struct Client {
+    number: usize,
+    plan: Arc<SoakPlan>,
+    recorder: Arc<Recorder>,
+    is_over: Arc<AtomicBool>,
+    addresses: Vec<SocketAddr>,
+    open: Open,
+    random: StdRng,
+    connections: HashMap<usize, Connection>,
+    requests: u64,
+}
+
+impl Client {
+    /// A client of these ingresses.
+    pub fn new(
+        number: usize,
+        plan: Arc<SoakPlan>,
+        recorder: Arc<Recorder>,
+        is_over: Arc<AtomicBool>,
+        addresses: Vec<SocketAddr>,
+        open: Open,
+    ) -> Client {
+        let random = StdRng::seed_from_u64(plan.seed ^ (number as u64) << 32);
+        let connections = HashMap::new();
+        Client { number, plan, recorder, is_over, addresses, open, random, connections, requests: 0 }
+    }
+
+    /// Sends requests until the run is over.
+    pub fn run(mut self) {
+        while !self.is_over.load(Ordering::SeqCst) {
+            let ingress = self.random.random_range(0..self.addresses.len());
+            if self.has(TroubleKind::StoppingClients) || self.has(TroubleKind::RudeClients) {
+                self.misbehave(ingress);
+            } else {
+                self.send_requests(ingress);
+            }
+            thread::sleep(Duration::from_millis(self.random.random_range(0..=MAX_REST_MS)));
+        }
+    }
+
+    /// Whether a trouble of clients strikes this one now: a quarter of all.
+    fn has(&self, kind: TroubleKind) -> bool {
+        self.plan.active(kind, self.number % 4, 4, self.recorder.now_ms())
+    }
+
+    /// Connects to an ingress, unless the front keeps new connections away from it.
+    fn connect(&self, ingress: usize) -> Option<TcpStream> {
+        if !self.open[ingress].load(Ordering::SeqCst) {
+            return None;
+        }
+        let stream = TcpStream::connect(self.addresses[ingress]).ok()?;
+        stream.set_nodelay(true).ok()?;
+        stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+        Some(stream)
+    }
+
+    /// Takes the connection to an ingress, or makes one, whose first command may be on its way for a while.
+    fn take_connection(&mut self, ingress: usize) -> Option<Connection> {
+        let starts_anew = self.random.random_bool(NEW_CONNECTION_SHARE);
+        if let Some(connection) = self.connections.remove(&ingress).filter(|_| !starts_anew) {
+            return Some(connection);
+        }
+        let stream = self.connect(ingress)?;
+        thread::sleep(Duration::from_millis(self.random.random_range(0..=MAX_FIRST_COMMAND_DELAY_MS)));
+        Some(Connection { stream, received: Vec::new(), answered: 0 })
+    }
+
+    /// Sends a request, or several at once, and waits for the answers.
+    fn send_requests(&mut self, ingress: usize) {
+        let Some(mut connection) = self.take_connection(ingress) else { return };
+        if connection.has_stray_bytes(self.recorder.as_ref()) {
+            return; // the connection was closed between two requests, or is of no use
+        }
+        let count =
+            if self.has(TroubleKind::PipeliningClients) { self.random.random_range(2..=12) } else { 1 };
+        let mut pending = Vec::new();
+        let mut bytes = Vec::new();
+        for _ in 0..count {
+            let request = self.draw_request(ingress);
+            bytes.extend(encode_request(
+                request.class,
+                &request.id,
+                self.number as u64 + 1,
+                request.timeout / 1000,
+            ));
+            pending.push(request);
+        }
+        if connection.stream.write_all(&bytes).is_err() {
+            return; // not all of it was taken, or the connection had been closed before
+        }
+        let sent_at = self.recorder.now();
+        pending.iter_mut().for_each(|request| request.sent_at = sent_at);
+        if self.has(TroubleKind::LeavingClients) {
+            return self.leave(ingress, connection, pending);
+        }
+        if self.await_answers(ingress, &mut connection, pending) {
+            self.connections.insert(ingress, connection);
+        }
+    }
+
+    fn draw_request(&mut self, ingress: usize) -> Pending {
+        self.requests += 1;
+        let class = match self.random.random_range(0..3) {
+            0 => Class::Idempotent,
+            1 => Class::Keyed,
+            _ => Class::NonIdempotent,
+        };
+        let id = format!("i{ingress}-c{}-{}", self.number, self.requests);
+        let timeout = self.random.random_range(TIMEOUTS_MS) * 1000;
+        Pending { id, class, sent_at: 0, timeout }
+    }
+
+    /// Waits for the answers to all requests; whether the connection can be used again.
+    fn await_answers(&mut self, ingress: usize, connection: &mut Connection, pending: Vec<Pending>) -> bool {
+        let was_used = connection.answered > 0;
+        let mut waiting_since = 0;
+        let mut is_open = true;
+        for (position, request) in pending.into_iter().enumerate() {
+            let limit = request.sent_at.max(waiting_since) + request.timeout + ANSWER_SLACK;
+            let ending = if is_open {
+                connection.await_ending(&self.recorder, &request.id, limit)
+            } else {
+                Ending::Closed
+            };
+            is_open &= !matches!(ending, Ending::Closed | Ending::Unanswered | Ending::WrongValue);
+            connection.answered += usize::from(is_open);
+            waiting_since = self.recorder.now();
+            self.note(ingress, request, ending, waiting_since, was_used || position > 0, position);
+        }
+        is_open
+    }
+
+    /// Leaves before the answers, or with them.
+    fn leave(&mut self, ingress: usize, mut connection: Connection, pending: Vec<Pending>) {
+        let stays_until = self.recorder.now() + self.random.random_range(0..=MAX_STAY_MS) * 1000;
+        let Some(first) = pending.first() else { return };
+        let ending = connection.await_ending(&self.recorder, &first.id, stays_until);
+        drop(connection);
+        let now = self.recorder.now();
+        for (position, request) in pending.into_iter().enumerate() {
+            let ending = if position == 0 && ending != Ending::Unanswered { ending } else { Ending::Left };
+            self.note(ingress, request, ending, now, true, position);
+        }
+    }
+
+    fn note(
+        &self,
+        ingress: usize,
+        request: Pending,
+        ending: Ending,
+        ended_at: Micros,
+        may_cross_close: bool,
+        pipelined_behind: usize,
+    ) {
+        let Pending { id, class, sent_at, timeout } = request;
+        self.recorder.seen().requests.push(RequestRecord {
+            id,
+            class,
+            ingress,
+            sent_at,
+            timeout,
+            ending,
+            ended_at,
+            may_cross_close,
+            pipelined_behind,
+        });
+    }
+
+    /// Sends half a command or none, and stays; or sends what is no command.
+    fn misbehave(&mut self, ingress: usize) {
+        let Some(mut stream) = self.connect(ingress) else { return };
+        let command = encode_request(Class::Idempotent, "half", 1, 500);
+        let bytes = if self.has(TroubleKind::RudeClients) {
+            b"*1\r\n$-5\r\nGET / HTTP/1.1\r\n\r\n".to_vec()
+        } else {
+            command[..self.random.random_range(0..command.len())].to_vec()
+        };
+        if stream.write_all(&bytes).is_err() {
+            return;
+        }
+        let at = self.recorder.now();
+        let mut told_at = None;
+        while told_at.is_none() && self.recorder.now() < at + BAD_CLIENT_PATIENCE {
+            match stream.read(&mut [0; 256]) {
+                Err(error) if is_timeout(&error) => {}
+                _ => told_at = Some(self.recorder.now()),
+            }
+        }
+        self.recorder.seen().bad_clients.push(BadClientRecord { ingress, at, told_at });
+    }
+}
+
+impl Connection {
+    /// Whether anything has come between two requests: its end, or bytes that nobody asked for, which are noted.
+    fn has_stray_bytes(&mut self, recorder: &Recorder) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let result = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        let is_stray = matches!(result, Ok(1..)) || !self.received.is_empty();
+        if is_stray && self.answered > 0 {
+            recorder.seen().stray_bytes.push(String::from_utf8_lossy(&self.received).into_owned());
+        }
+        is_stray || !result.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Waits for a reply until a time.
+    fn await_reply(&mut self, recorder: &Recorder, limit: Micros) -> Wait {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some((reply, length)) = parse_reply(&self.received) {
+                self.received.drain(..length);
+                return Wait::Reply(reply);
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Wait::Closed,
+                Ok(length) => self.received.extend_from_slice(&chunk[..length]),
+                Err(error) if is_timeout(&error) && recorder.now() >= limit => return Wait::TimedOut,
+                Err(error) if is_timeout(&error) => {}
+                Err(_) => return Wait::Closed,
+            }
+        }
+    }
+
+    /// Waits for the answer to a request until a time.
+    fn await_ending(&mut self, recorder: &Recorder, id: &str, limit: Micros) -> Ending {
+        match self.await_reply(recorder, limit) {
+            Wait::Reply(Reply::Value(value)) if value == value_of(id) => Ending::Served,
+            Wait::Reply(Reply::Value(_)) => Ending::WrongValue,
+            Wait::Reply(Reply::Line(line)) if line.starts_with("-BUSY") => Ending::Rejected,
+            Wait::Reply(Reply::Line(_)) => Ending::Failed,
+            Wait::Closed => Ending::Closed,
+            Wait::TimedOut => Ending::Unanswered,
+        }
+    }
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
+}
--- /dev/null
+++ b/fault-soak/src/stand_in/discovery.rs
@@ -0,0 +1,186 @@
+//! Discovery: an agent for each ingress, which has every change at once, and may be silent or broken.
+
+use crate::plan::{SoakPlan, TroubleKind};
+use crate::record::{ListChange, Listing, Notification, Recorder};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// How often a poll that waits looks for changes.
+const POLL_INTERVAL: Duration = Duration::from_millis(3);
+
+/// The entry of one backend, and the version that it came with.
+#[derive(Clone)]
+struct Entry {
+    address: SocketAddr,
+    listing: Listing,
+    since_ms: i64,
+    version: u64,
+}
+
+/// Discovery, as all agents have it.
+pub struct Discovery {
+    entries: Mutex<Vec<Entry>>,
+    plan: Arc<SoakPlan>,
+    recorder: Arc<Recorder>,
+    is_over: Arc<AtomicBool>,
+}
+
+/// A poll.
+struct Poll {
+    /// The version held; none asks for the whole list.
+    since: Option<u64>,
+    ends_at: Instant,
+}
+
+impl Poll {
+    fn parse(head: &str) -> Poll {
+        let number = |name: &str| {
+            let rest = head.split(name).nth(1)?;
+            rest.split(|letter: char| !letter.is_ascii_digit()).next()?.parse::<u64>().ok()
+        };
+        let timeout = Duration::from_millis(number("timeout_ms=").unwrap_or(0));
+        Poll { since: number("since="), ends_at: Instant::now() + timeout }
+    }
+}
+
+impl Discovery {
+    /// Discovery with these backends, all up for long.
+    pub fn new(
+        addresses: &[SocketAddr],
+        plan: Arc<SoakPlan>,
+        recorder: Arc<Recorder>,
+        is_over: Arc<AtomicBool>,
+    ) -> Discovery {
+        let entry =
+            |address: &SocketAddr| Entry { address: *address, listing: Listing::Up, since_ms: 0, version: 1 };
+        let entries = Mutex::new(addresses.iter().map(entry).collect());
+        Discovery { entries, plan, recorder, is_over }
+    }
+
+    /// Starts an agent for an ingress, and returns its address.
+    pub fn start_agent(self: &Arc<Self>, ingress: usize) -> std::io::Result<SocketAddr> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let discovery = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = discovery.clone();
+                thread::spawn(move || discovery.serve(ingress, stream));
+            }
+        });
+        Ok(address)
+    }
+
+    /// Publishes how a backend is listed from now on; one that has started anew is listed with the time by the clocks of
+    /// the plan.
+    pub fn publish(&self, backend: usize, listing: Listing, restarted: bool) {
+        let mut entries = self.entries();
+        let version = entries.iter().map(|entry| entry.version).max().unwrap_or(1) + 1;
+        let at = self.recorder.now();
+        let unix_time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as i64;
+        let entry = &mut entries[backend];
+        (entry.listing, entry.version) = (listing, version);
+        if restarted {
+            entry.since_ms = unix_time + self.plan.clock_offset_ms(at / 1000);
+        }
+        let change = ListChange { version, backend, listing, restarted, at };
+        self.recorder.seen().changes.push(change);
+    }
+
+    /// The whole list, as JSON.
+    pub fn list_json(&self) -> String {
+        self.answer(None).map(|(_, json)| json).unwrap_or_default()
+    }
+
+    fn entries(&self) -> std::sync::MutexGuard<'_, Vec<Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is newer than a version, with the version of the list; none if nothing is.
+    fn answer(&self, since: Option<u64>) -> Option<(u64, String)> {
+        let entries = self.entries();
+        let latest = entries.iter().map(|entry| entry.version).max().unwrap_or(1);
+        if since.is_some_and(|since| latest <= since) {
+            return None;
+        }
+        let newer = entries.iter().enumerate().filter(|(_, entry)| entry.version > since.unwrap_or(0));
+        let texts: Vec<String> = newer.map(|(number, entry)| entry_json(number, entry)).collect();
+        let snapshot = since.is_none();
+        Some((
+            latest,
+            format!(r#"{{"index":{latest},"snapshot":{snapshot},"endpoints":[{}]}}"#, texts.join(",")),
+        ))
+    }
+
+    fn is_active(&self, kind: TroubleKind) -> bool {
+        self.plan.is_anywhere(kind, self.recorder.now_ms())
+    }
+
+    /// Answers polls until the connection ends.
+    fn serve(&self, ingress: usize, mut stream: TcpStream) {
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(20)));
+        while let Some(head) = self.read_head(&mut stream) {
+            let poll = Poll::parse(&head);
+            let Some((version, body)) = self.wait_for_answer(&poll) else { return };
+            let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+            let at = self.recorder.now();
+            self.recorder.seen().notifications.push(Notification { ingress, version, at });
+        }
+    }
+
+    fn read_head(&self, stream: &mut TcpStream) -> Option<String> {
+        let (mut head, mut chunk) = (Vec::new(), [0; 1024]);
+        while !head.ends_with(b"\r\n\r\n") {
+            if self.is_over.load(Ordering::SeqCst) || self.is_active(TroubleKind::BrokenDiscovery) {
+                return None;
+            }
+            match stream.read(&mut chunk) {
+                Ok(0) => return None,
+                Ok(length) => head.extend_from_slice(&chunk[..length]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => return None,
+            }
+        }
+        Some(String::from_utf8_lossy(&head).into_owned())
+    }
+
+    /// Waits until a poll has an answer; none once discovery is broken or the run over.
+    fn wait_for_answer(&self, poll: &Poll) -> Option<(u64, String)> {
+        loop {
+            if self.is_over.load(Ordering::SeqCst) || self.is_active(TroubleKind::BrokenDiscovery) {
+                return None;
+            }
+            if !self.is_active(TroubleKind::SilentDiscovery) {
+                if let Some(answer) = self.answer(poll.since) {
+                    return Some(answer);
+                }
+                if Instant::now() >= poll.ends_at {
+                    let version = poll.since.unwrap_or(0);
+                    return Some((
+                        version,
+                        format!(r#"{{"index":{version},"snapshot":false,"endpoints":[]}}"#),
+                    ));
+                }
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
+
+fn entry_json(number: usize, entry: &Entry) -> String {
+    let status = match entry.listing {
+        Listing::Up => "up",
+        Listing::Draining => "draining",
+    };
+    format!(
+        r#"{{"name":"s-{number}","address":"{}","zone":"a","type":"m","group":0,"status":"{status}","weight":1.0,"since_ms":{}}}"#,
+        entry.address, entry.since_ms
+    )
+}
--- /dev/null
+++ b/fault-soak/tests/oracle.rs
@@ -0,0 +1,157 @@
+//! The oracle finds each violation in what was seen, and none where there is none.
+
+use fault_soak::oracle::{judge, Rule};
+use fault_soak::plan::{Shape, SoakPlan, TroubleKind};
+use fault_soak::record::*;
+
+/// A second.
+const SECOND: Micros = 1_000_000;
+
+fn plan(hedging: bool) -> SoakPlan {
+    let shape = Shape { ingresses: 2, backends: 2, clients: 2, seconds: 10 };
+    SoakPlan { hedging, ..SoakPlan::draw(1, shape, &TroubleKind::ALL) }
+}
+
+/// A request that is served half a second after it was sent.
+fn request(class: Class, ending: Ending) -> RequestRecord {
+    RequestRecord {
+        id: "i0-c1-1".into(),
+        class,
+        ingress: 0,
+        sent_at: SECOND,
+        timeout: 2 * SECOND,
+        ending,
+        ended_at: SECOND + SECOND / 2,
+        may_cross_close: false,
+        pipelined_behind: 0,
+    }
+}
+
+/// An attempt that is told 100 ms, and over after 10 ms.
+fn arrival(at: Micros) -> ArrivalRecord {
+    ArrivalRecord {
+        id: "i0-c1-1".into(),
+        backend: 0,
+        at,
+        time_told: SECOND / 10,
+        rejected: false,
+        ended_at: Some(at + 10_000),
+    }
+}
+
+fn rules(hedging: bool, seen: &Seen) -> Vec<Rule> {
+    judge(&plan(hedging), seen).into_iter().map(|violation| violation.rule).collect()
+}
+
+fn seen(request: RequestRecord, arrivals: Vec<ArrivalRecord>) -> Seen {
+    Seen { requests: vec![request], arrivals, ..Seen::default() }
+}
+
+#[test]
+fn a_request_that_keeps_the_rules_is_no_violation() {
+    let rejected = ArrivalRecord { rejected: true, ..arrival(SECOND + 1000) };
+    let served = request(Class::NonIdempotent, Ending::Served);
+    assert_eq!(rules(false, &seen(served, vec![rejected, arrival(SECOND + 20_000)])), []);
+    let retried = request(Class::Keyed, Ending::Served);
+    let arrivals = vec![arrival(SECOND), arrival(SECOND + 200_000)];
+    assert_eq!(rules(false, &seen(retried, arrivals)), []);
+}
+
+#[test]
+fn answers_that_are_missing_or_wrong_are_found() {
+    for (ending, expected) in [
+        (Ending::Unanswered, vec![Rule::Lost]),
+        (Ending::Closed, vec![Rule::Lost]),
+        (Ending::WrongValue, vec![Rule::WrongValue]),
+        (Ending::Failed, vec![]),
+        (Ending::Left, vec![]),
+    ] {
+        assert_eq!(rules(false, &seen(request(Class::Keyed, ending), vec![])), expected, "{ending:?}");
+    }
+    let stray = Seen { stray_bytes: vec!["+PONG".into()], ..Seen::default() };
+    assert_eq!(rules(false, &stray), [Rule::SecondAnswer]);
+}
+
+/// A close may cross a request on a connection in use, but not one that was read; and a process that is killed answers
+/// nobody.
+#[test]
+fn closes_are_excused_where_the_protocol_excuses_them() {
+    let crossing = RequestRecord { may_cross_close: true, ..request(Class::Keyed, Ending::Closed) };
+    assert_eq!(rules(false, &seen(crossing.clone(), vec![])), []);
+    assert_eq!(rules(false, &seen(crossing.clone(), vec![arrival(SECOND)])), [Rule::Lost]);
+    let killed = ProcessRecord { ingress: 0, event: ProcessEvent::Killed, at: SECOND + 1000 };
+    let seen = Seen { processes: vec![killed], ..seen(crossing, vec![arrival(SECOND)]) };
+    assert_eq!(rules(false, &seen), []);
+}
+
+#[test]
+fn repeats_are_judged_by_class_and_settings() {
+    let twice =
+        |class, gap| seen(request(class, Ending::Served), vec![arrival(SECOND), arrival(SECOND + gap)]);
+    assert_eq!(rules(true, &twice(Class::NonIdempotent, 50_000)), [Rule::UnsafeRepeat]);
+    assert_eq!(rules(true, &twice(Class::Keyed, 1_750_001)), [Rule::KeyExpired]);
+    let mut beside = twice(Class::Idempotent, 20_000);
+    beside.arrivals[0].ended_at = Some(SECOND + 200_000);
+    assert_eq!(rules(false, &beside), [Rule::ConcurrentAttempts]);
+    assert_eq!(rules(true, &beside), []);
+    let many = (0..4).map(|index| arrival(SECOND + index * 20_000)).collect();
+    assert_eq!(rules(true, &seen(request(Class::Idempotent, Ending::Served), many)), [Rule::TooManyAttempts]);
+}
+
+#[test]
+fn times_told_and_attempts_for_nobody_are_found() {
+    let overstated = ArrivalRecord { time_told: 2 * SECOND, ..arrival(2 * SECOND) };
+    let served = request(Class::Keyed, Ending::Served);
+    assert_eq!(rules(true, &seen(served, vec![overstated])), [Rule::TimeOverstated]);
+    let left = request(Class::Keyed, Ending::Left);
+    let late = arrival(left.ended_at + 350_001);
+    assert_eq!(rules(true, &seen(left, vec![late])), [Rule::AttemptAfterDisconnect]);
+}
+
+/// A change of the list at 2 s, told to ingress 0 a moment later.
+fn told(listing: Listing, restarted: bool) -> Seen {
+    Seen {
+        changes: vec![ListChange { version: 2, backend: 0, listing, restarted, at: 2 * SECOND }],
+        notifications: vec![Notification { ingress: 0, version: 2, at: 2 * SECOND + 10_000 }],
+        ..Seen::default()
+    }
+}
+
+#[test]
+fn what_comes_to_a_draining_backend_past_the_grace_is_found() {
+    let at = |at| Seen { arrivals: vec![arrival(at)], ..told(Listing::Draining, false) };
+    assert_eq!(rules(true, &at(2 * SECOND + 500_000)), []);
+    assert_eq!(rules(true, &at(2 * SECOND + 510_001)), [Rule::SentToDraining]);
+}
+
+#[test]
+fn a_cold_backend_that_gets_an_even_part_is_found() {
+    // 100 requests a second for each of two backends, one of which has just started.
+    let even = (0..1000).map(|index| arrival(index * 10_000));
+    let other = even.clone().map(|arrival| ArrivalRecord { backend: 1, ..arrival });
+    let all: Vec<ArrivalRecord> = even.chain(other.clone()).collect();
+    assert_eq!(rules(true, &Seen { arrivals: all, ..told(Listing::Up, true) }), [Rule::SlowStartExceeded]);
+    let spared: Vec<ArrivalRecord> = other.clone().chain(other).collect();
+    assert_eq!(rules(true, &Seen { arrivals: spared, ..told(Listing::Up, true) }), []);
+}
+
+#[test]
+fn processes_and_bad_clients_are_judged() {
+    for (event, expected) in [
+        (ProcessEvent::Crashed, vec![Rule::Crashed]),
+        (ProcessEvent::NotReady, vec![Rule::Crashed]),
+        (ProcessEvent::Overdue, vec![Rule::ShutdownOverdue]),
+        (ProcessEvent::Killed, vec![]),
+    ] {
+        let processes = vec![ProcessRecord { ingress: 0, event, at: SECOND }];
+        assert_eq!(rules(true, &Seen { processes, ..Seen::default() }), expected, "{event:?}");
+    }
+    for (told_at, expected) in [
+        (Some(4 * SECOND), vec![]),
+        (Some(4 * SECOND + 250_001), vec![Rule::BadClientIgnored]),
+        (None, vec![Rule::BadClientIgnored]),
+    ] {
+        let bad_clients = vec![BadClientRecord { ingress: 0, at: SECOND, told_at }];
+        assert_eq!(rules(true, &Seen { bad_clients, ..Seen::default() }), expected, "{told_at:?}");
+    }
+}
