Add three failing tests: no buffers, failing registrations, writes of no byte

Seen: the first of 30 clients is closed with no answer where every other write finds no buffer, and where every other registration with epoll fails; with writes that take nothing the process does not end after SIGTERM (20 s).

--- a/tests/system_call_faults.rs
+++ b/tests/system_call_faults.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use fault_plan::{ClockStep, FaultKind, FaultPlan};
+use fault_plan::{ClockStep, Fault, FaultKind, FaultPlan};
 use std::io::Write;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
@@ -12,6 +12,7 @@
 use support::client::{encode_request, Client};
 use support::discovery::DiscoveryServer;
 use support::ingress::{built_program, IngressSetup};
+use support::wait::wait_until;
 
 /// Guards against taking a short read for an empty socket: the poll reports each arrival once, and what is left in the
 /// socket then waits for the next one, which may not come.
@@ -133,3 +134,40 @@
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
     assert_eq!(ingress.log(), "", "the log fails");
 }
+
+/// Whether each of many clients that come one after another gets an answer, whatever it says.
+fn assert_all_are_answered(faults: FaultPlan) {
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.faults = Some(faults);
+    let ingress = setup.start();
+    for number in 0..30 {
+        let reply = ingress.client().round_trip(&encode_request("quote", &format!("q{number}"), 900));
+        assert!(!reply.is_empty(), "request {number}: the connection was closed");
+    }
+}
+
+/// Guards against closing a client's connection, with the replies that it is owed, for a moment without buffers.
+#[test]
+fn replies_are_written_though_there_is_no_buffer_for_a_moment() {
+    assert_all_are_answered(FaultPlan::single(FaultKind::NoBufferForWrite, 0.5));
+}
+
+/// Guards against closing a client that was just accepted since its socket cannot be registered for a moment.
+#[test]
+fn clients_are_served_though_registering_fails_for_a_moment() {
+    assert_all_are_answered(FaultPlan::single(FaultKind::FailedRegistration, 0.5));
+}
+
+/// Guards against trying for good to write to a connection that takes nothing and reports no error.
+#[test]
+fn a_write_that_takes_nothing_does_not_stop_the_ingress() {
+    let mut setup = IngressSetup::with_backends(&[]);
+    let zero_writes = Fault { from_ms: 1000, ..Fault::always(FaultKind::ZeroWrite, 1.0) };
+    setup.faults = Some(FaultPlan { faults: vec![zero_writes], ..FaultPlan::default() });
+    let mut ingress = setup.start();
+    // Until the fault begins a PING is answered; from then on the connection is closed.
+    wait_until("the fault has begun", || ingress.client().ping().is_empty());
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+}
