Take a write of no byte for a broken connection

Cause: the loops in clients/output.rs, backends/connection.rs and discovery/connection.rs took Ok(0) for progress and tried again for good, in the event loop. Linux does not return 0 for a socket, but nothing else bounds the loop. Change: it counts as an error of the connection, at all three.

--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -96,6 +96,7 @@
     pub fn write_command(&mut self) -> io::Result<()> {
         while self.written < self.command.len() {
             match self.stream.write(&self.command[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(count) => {
                     self.written += count;
                     self.is_connected = true;
--- a/src/bin/ingress/clients/output.rs
+++ b/src/bin/ingress/clients/output.rs
@@ -45,6 +45,7 @@
     pub fn write_to(&mut self, stream: &mut TcpStream, now: Micros) -> io::Result<()> {
         while self.unwritten() > 0 {
             match stream.write(&self.bytes[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(written) => {
                     self.written += written;
                     self.blocked_since = None;
--- a/src/bin/ingress/discovery/connection.rs
+++ b/src/bin/ingress/discovery/connection.rs
@@ -62,6 +62,7 @@
     pub fn flush(&mut self) -> io::Result<Flush> {
         while !self.outgoing.is_empty() {
             match self.stream.write(&self.outgoing) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(written) => {
                     self.outgoing.drain(..written);
                     if self.outgoing.is_empty() {
