Try a client's reply again where the system has no buffer for a moment

Cause: OutputBuffer::write_to returned ENOBUFS as the end of the connection, and Clients::flush closed it with its replies; reading.rs did the same with ENOMEM. Change: the connection is written to again within a tick, or read from again; the poll does not tell of it.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -107,6 +107,8 @@
     argument_ranges: Vec<Range<usize>>,
     /// Connections with something to write.
     write_queue: Vec<usize>,
+    /// Connections whose writes found no memory, to be written to again a little later.
+    write_retries: Vec<usize>,
     /// Connections to be read from again though their sockets do not show as ready.
     read_queue: Vec<usize>,
     /// Connections are closed as soon as they are idle.
@@ -148,6 +150,7 @@
             read_buffer: vec![0; READ_BUFFER_LEN],
             argument_ranges: Vec::new(),
             write_queue: Vec::new(),
+            write_retries: Vec::new(),
             read_queue: Vec::new(),
             draining: false,
             lingering_count: 0,
@@ -176,6 +179,11 @@
         !(self.read_queue.is_empty() && self.write_queue.is_empty() && self.events.is_empty())
     }
 
+    /// Whether writes are to be tried again, of which the poll does not tell.
+    pub fn has_write_retries(&self) -> bool {
+        !self.write_retries.is_empty()
+    }
+
     /// How many connections there are.
     pub fn len(&self) -> usize {
         self.connections.len()
--- a/src/bin/ingress/clients/output.rs
+++ b/src/bin/ingress/clients/output.rs
@@ -1,5 +1,6 @@
 //! What is to be written to a connection.
 
+use crate::socket_error::is_out_of_memory;
 use ingress::Micros;
 use mio::net::TcpStream;
 use std::io::{self, Write};
@@ -9,6 +10,15 @@
 /// How long a client may accept nothing of its replies until its connection is closed.
 pub const WRITE_TIMEOUT: Micros = 15_000_000;
 
+/// What a call to write came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteProgress {
+    /// All was written, or as much as the client accepts: the poll tells when it accepts more.
+    Made,
+    /// The system has no memory for it at the moment; it is to be tried again.
+    OutOfMemory,
+}
+
 /// Bytes that are still to be written to a connection.
 #[derive(Default)]
 pub struct OutputBuffer {
@@ -42,7 +52,7 @@
     }
 
     /// Writes as much as the client accepts; an error means that the connection is broken.
-    pub fn write_to(&mut self, stream: &mut TcpStream, now: Micros) -> io::Result<()> {
+    pub fn write_to(&mut self, stream: &mut TcpStream, now: Micros) -> io::Result<WriteProgress> {
         while self.unwritten() > 0 {
             match stream.write(&self.bytes[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
@@ -55,10 +65,11 @@
                     self.blocked_since = self.blocked_since.or(Some(now));
                     break;
                 }
+                Err(error) if is_out_of_memory(&error) => return Ok(WriteProgress::OutOfMemory),
                 Err(error) => return Err(error),
             }
         }
-        Ok(())
+        Ok(WriteProgress::Made)
     }
 
     /// Forgets what is written and gives most of its memory back.
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -5,6 +5,7 @@
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
 use crate::resp;
+use crate::socket_error::is_out_of_memory;
 use ingress::{Micros, RequestId};
 use std::io::{ErrorKind, Read};
 use std::ops::Range;
@@ -83,6 +84,7 @@
                 Ok(received) => received,
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if is_out_of_memory(&error) => return self.queue_for_read(key),
                 Err(_) => return self.remove(key, CloseReason::Broken),
             };
             connection.receive(&self.read_buffer[..received], now);
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -3,6 +3,7 @@
 use super::closing::CloseReason;
 use super::connection::error_line;
 use super::error::ClientError;
+use super::output::WriteProgress;
 use super::{Clients, ReplyHandle};
 use ingress::Micros;
 
@@ -30,12 +31,22 @@
 
     /// Writes what there is to write: one write for all replies that a connection got in a turn.
     pub fn flush(&mut self, now: Micros) {
-        for key in std::mem::take(&mut self.write_queue) {
+        let mut queue = std::mem::take(&mut self.write_retries);
+        queue.append(&mut self.write_queue);
+        for key in queue {
             let Some(connection) = self.connections.get_mut(key) else { continue };
             connection.queued_for_write = false;
-            if connection.output.write_to(&mut connection.stream, now).is_err() {
-                self.remove(key, CloseReason::Broken);
-                continue;
+            match connection.output.write_to(&mut connection.stream, now) {
+                Ok(WriteProgress::Made) => {}
+                Ok(WriteProgress::OutOfMemory) => {
+                    connection.queued_for_write = true;
+                    self.write_retries.push(key);
+                    continue;
+                }
+                Err(_) => {
+                    self.remove(key, CloseReason::Broken);
+                    continue;
+                }
             }
             if connection.output.unwritten() == 0 {
                 connection.last_active_at = now.max(connection.last_active_at);
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -137,8 +137,8 @@
         if self.accept_pending || self.peer_messages_pending || self.clients.has_pending_work() {
             return Duration::ZERO;
         }
-        if self.shutdown.is_past_reply_deadline(self.now) {
-            // The end is near: it has to be seen within a tick.
+        if self.shutdown.is_past_reply_deadline(self.now) || self.clients.has_write_retries() {
+            // The end is near and has to be seen within a tick, or a write is to be tried again.
             return Duration::from_micros(self.tick);
         }
         let next_timer_at = self.timers.next_due_at().unwrap_or(Micros::MAX).min(self.watch.next_timer_at);
