Keep an accepted client whose socket cannot be registered for a moment

Cause: Clients::add dropped the stream, and with it the client and the command it had sent, where epoll_ctl failed.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -20,7 +20,7 @@
 pub use error::ClientError;
 use ingress::{Micros, RequestId};
 use memory::MemoryBudget;
-use mio::net::TcpListener;
+use mio::net::{TcpListener, TcpStream};
 use mio::Token;
 use reading::READ_BUFFER_LEN;
 use slab::Slab;
@@ -123,6 +123,8 @@
     events: VecDeque<ClientEvent>,
     /// When the latest connection was accepted.
     pub last_accepted_at: Micros,
+    /// A connection that was accepted and could not be registered with the poll yet.
+    unregistered: Option<TcpStream>,
     /// Since when every attempt to accept a connection has failed.
     accept_failing_since: Option<Micros>,
     /// How many connections were closed, by reason.
@@ -158,6 +160,7 @@
             memory: MemoryBudget::new(memory_limit),
             events: VecDeque::new(),
             last_accepted_at: 0,
+            unregistered: None,
             accept_failing_since: None,
             close_counts: Default::default(),
             abandoned: Vec::new(),
--- a/src/bin/ingress/clients/accepting.rs
+++ b/src/bin/ingress/clients/accepting.rs
@@ -38,11 +38,14 @@
             if capacity == Capacity::Exhausted {
                 return AcceptOutcome::NoDescriptor;
             }
-            let Some(listener) = &self.listener else { return AcceptOutcome::Drained };
-            match listener.accept() {
-                Ok((stream, _)) => {
+            match self.next_connection() {
+                Ok(stream) => {
+                    if let Err(stream) = self.add(stream, registry, capacity, now) {
+                        self.unregistered = Some(stream);
+                        self.on_accept_failure(now);
+                        return AcceptOutcome::NoDescriptor;
+                    }
                     self.accept_failing_since = None;
-                    self.add(stream, registry, capacity, now);
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.accept_failing_since = None;
@@ -58,6 +61,15 @@
         AcceptOutcome::MorePending
     }
 
+    /// The connection that could not be registered before, or the next one that waits.
+    fn next_connection(&mut self) -> io::Result<TcpStream> {
+        if let Some(stream) = self.unregistered.take() {
+            return Ok(stream);
+        }
+        let listener = self.listener.as_ref().ok_or(ErrorKind::WouldBlock)?;
+        listener.accept().map(|(stream, _)| stream)
+    }
+
     /// Out of descriptors or memory in spite of the limits. Accepting is tried again a little later; where it keeps
     /// failing, closing an idle connection may help.
     fn on_accept_failure(&mut self, now: Micros) {
@@ -67,12 +79,19 @@
         }
     }
 
-    /// Registers an accepted connection.
-    fn add(&mut self, mut stream: TcpStream, registry: &Registry, capacity: Capacity, now: Micros) {
+    /// Registers an accepted connection; returns it where that fails.
+    fn add(
+        &mut self,
+        mut stream: TcpStream,
+        registry: &Registry,
+        capacity: Capacity,
+        now: Micros,
+    ) -> Result<(), TcpStream> {
         let entry = self.connections.vacant_entry();
         let token = (self.token_of)(entry.key());
         if registry.register(&mut stream, token, Interest::READABLE | Interest::WRITABLE).is_err() {
-            return;
+            // A source whose registration failed counts as registered with mio: only a new one can be tried again.
+            return Err(TcpStream::from_std(stream.into()));
         }
         let _ = stream.set_nodelay(true); // A reply is one write: there is nothing to wait for.
         self.last_serial += 1;
@@ -81,5 +100,6 @@
         self.lingering_count += usize::from(connection.linger_until.is_some());
         self.over_limit_count += usize::from(connection.over_limit);
         entry.insert(connection);
+        Ok(())
     }
 }
