Add a failing test: a connection that comes up too late

Seen: where the loop is held up until both the connection and its timer are due, the command is written. With SIGSTOP and SIGCONT it does not show: the wait is interrupted, and timers come first.

--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -5,8 +5,10 @@
 use super::*;
 use crate::config::tests::CONFIG;
 use crate::config::Config;
+use crate::discovery::{EndpointEntry, EndpointList};
 use crate::error_chain::ErrorChain;
 use crate::resp;
+use ingress::{BackendId, Endpoint, EndpointUpdate};
 use std::io::{Read, Write};
 use std::net::{Shutdown as Direction, SocketAddr, TcpListener, TcpStream, UdpSocket};
 
@@ -323,6 +325,54 @@
     }
 }
 
+/// Guards against writing a command once its time to begin is over: the loop was held up while the connection came up, and
+/// handled what was ready before it looked at the timers. A key may be forgotten by then.
+#[test]
+fn an_attempt_whose_connection_comes_up_too_late_does_not_begin() {
+    // Its accept queue is full: no connection comes up until that is emptied.
+    let backend = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    backend.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    backend.listen(0).unwrap();
+    let address = backend.local_addr().unwrap().as_socket().unwrap();
+    let fillers: Vec<_> = (0..4)
+        .map(|_| {
+            let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            socket.set_nonblocking(true).unwrap();
+            let _ = socket.connect(&address.into());
+            socket
+        })
+        .collect();
+    let mut testbed = Testbed::new("late-connection", Cancellation::Allowed);
+    let backend_id = BackendId(7);
+    let endpoint = Endpoint { backend: backend_id, ..Endpoint::default() };
+    let entries = vec![EndpointEntry { endpoint, address: Some(address) }];
+    let list = EndpointList { index: 2, is_snapshot: true, entries };
+    testbed.event_loop.apply_endpoints(list, EndpointUpdate::Snapshot);
+    testbed.event_loop.run_policy();
+    let mut client = testbed.client();
+    client.write_all(&request_command(1)).unwrap();
+    testbed.iterate_until("the connection is begun", |testbed| testbed.event_loop.backends.len() == 1);
+    drop(fillers);
+    let listener: TcpListener = backend.into();
+    listener.set_nonblocking(true).unwrap();
+    let mut accepted = Vec::new();
+    let mut ready = Vec::new();
+    let is_up = |socket: &ReadySocket| matches!(socket.source(), Source::Backend(_)) && socket.writable;
+    while !ready.iter().any(is_up) {
+        accepted.extend(listener.accept().map(|(connection, _)| connection));
+        ready.extend(testbed.poll_until(|_| true));
+    }
+    // Held up since the connection was begun: its timer is due, and nothing was handled meanwhile.
+    testbed.event_loop.now += testbed.event_loop.connect_timeout;
+    testbed.event_loop.process_ready(&mut ready);
+    accepted.extend(listener.accept().map(|(connection, _)| connection));
+    for mut connection in accepted {
+        connection.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+        let received = connection.read(&mut [0; 4096]);
+        assert!(!matches!(received, Ok(1..)), "a command came {received:?}");
+    }
+}
+
 /// Operators look for these texts: they stay as they are, and name the key at fault.
 #[test]
 fn each_start_failure_has_its_text() {
