Begin no attempt whose connection came up too late, however late that is seen

Cause: process_socket wrote the command of a connection that had come up before run_due_timers looked at its ConnectTimeout; the policy had counted the key's window up to that time only. Change: before the first byte the loop asks permissions::may_begin_writing, by the exact time; an attempt that may not begin ends as never executed.

--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -186,7 +186,7 @@
             Source::Peers => self.receive_peer_messages(),
             Source::Backend(key) => {
                 if writable {
-                    self.update_remaining_time(key);
+                    self.prepare_to_write(key);
                 }
                 // The exact time: how long a connection has to rest is less than a tick.
                 self.backends.on_ready(key, self.clock.now(), writable);
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -6,6 +6,7 @@
 use super::EventLoop;
 use crate::backends::{Assignment, CommandState, Completion, ConnectionId, TimeTold};
 use crate::resp;
+use ingress::permissions::{may_begin_writing, WriteFacts};
 use ingress::{AttemptEnded, BackendId, Event, LoadReport, Micros, Outcome, RequestId};
 
 /// Microseconds in a millisecond.
@@ -61,7 +62,9 @@
         record.number = u16::try_from(index).unwrap_or(u16::MAX);
         let expires_at = if expires_at == 0 { request.deadline } else { expires_at.min(request.deadline) };
         let refusal = request.may_send(self.auditor.rules()).err();
-        request.attempts.push(Attempt { backend, started_at: self.now, expires_at, connection: None });
+        let begins_by = self.now + self.connect_timeout;
+        let started_at = self.now;
+        request.attempts.push(Attempt { backend, started_at, expires_at, begins_by, connection: None });
         if refusal.is_some() || expires_at <= self.now {
             let answered = request.answered;
             tracing::debug!(target: "attempt", request = id.0, attempt = index, ?refusal, "not sent");
@@ -77,7 +80,7 @@
     fn assign_last_attempt(&mut self, id: RequestId, number: u16) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let (command, Some(attempt)) = (&request.command, request.attempts.last_mut()) else { return };
-        let (backend, expires_at) = (attempt.backend, attempt.expires_at);
+        let Attempt { backend, expires_at, begins_by, .. } = *attempt;
         // An attempt's time is measured by the exact clock: one that is answered within a tick would otherwise have
         // taken no time at all.
         let started_at = self.clock.now();
@@ -102,8 +105,7 @@
         attempt.connection = Some(assigned.connection);
         self.timers.schedule(expires_at, Timer::AttemptTimeout(id, number));
         if assigned.command == CommandState::Unsent {
-            let connect_by = self.now + self.connect_timeout;
-            self.timers.schedule(connect_by, Timer::ConnectTimeout(assigned.connection));
+            self.timers.schedule(begins_by, Timer::ConnectTimeout(assigned.connection));
         }
         self.audit_begun_attempts();
     }
@@ -243,13 +245,22 @@
     }
 
     /// Writes the command on a connection anew, if nothing of it is sent yet: the remaining time that it states was true
-    /// when the connection was begun, which may be as long ago as the connect timeout.
-    pub(super) fn update_remaining_time(&mut self, key: usize) {
-        let Some(Assignment::Attempt { id, attempt }) = self.backends.not_yet_written(key) else { return };
+    /// when the connection was begun, which may be as long ago as the connect timeout. Ends the attempt instead if it may
+    /// not begin any more: the loop may have been held up, and its timer is due but was not looked at.
+    pub(super) fn prepare_to_write(&mut self, key: usize) {
+        let Some(Assignment::Attempt { id, attempt: number }) = self.backends.not_yet_written(key) else {
+            return;
+        };
         let Some(request) = self.requests.get(id) else { return };
-        let Some(attempt) = request.attempts.get(usize::from(attempt)) else { return };
-        let at = self.clock.now();
-        let time_left = attempt.expires_at.saturating_sub(at);
+        let Some(attempt) = request.attempts.get(usize::from(number)) else { return };
+        let at = self.clock.now().max(self.now);
+        let Attempt { expires_at, begins_by, .. } = *attempt;
+        let facts = WriteFacts { now: at, expires_at, begins_by, answered: request.answered };
+        if let Err(refusal) = may_begin_writing(&facts) {
+            tracing::debug!(target: "attempt", request = id.0, attempt = number, ?refusal, "not begun");
+            return self.cancel_attempt(id, number, |_| Outcome::ConnectFailed);
+        }
+        let time_left = expires_at.saturating_sub(at);
         let time_told = TimeTold { at, time_left };
         self.backends.rewrite_command(key, time_told, |buffer| request.command.encode(time_left, buffer));
     }
--- a/src/bin/ingress/event_loop/request_table.rs
+++ b/src/bin/ingress/event_loop/request_table.rs
@@ -21,6 +21,8 @@
     pub started_at: Micros,
     /// When it is given up.
     pub expires_at: Micros,
+    /// By when its first byte has to be written: the policy counts on that.
+    pub begins_by: Micros,
     /// Its connection, while it is in flight.
     pub connection: Option<ConnectionId>,
 }
