Let a timer end only the assignment that it was set for

Cause: a connection has the same id for all that it carries; ConnectTimeout of an earlier attempt ended a later one that was not written to its end yet, and HealthCheckTimeout closed a connection whatever it was used for by then, so that its attempt had no end and its request stayed open (the policy asks for no health checks today). Change: the timer names its assignment.

--- a/src/bin/ingress/backends/assignment.rs
+++ b/src/bin/ingress/backends/assignment.rs
@@ -3,7 +3,7 @@
 use ingress::{BackendId, LoadReport, Micros, Outcome, RequestId};
 
 /// What a connection is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Assignment {
     /// An attempt of a request, the first one with number 0.
     Attempt {
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -82,18 +82,24 @@
         self.connection(id).is_some_and(|connection| connection.command_state() == CommandState::Unsent)
     }
 
-    /// Closes a connection, if it still lives, and returns how much of its command was written. There is no completion:
-    /// the assignment is the caller's to account for.
-    pub fn cancel(&mut self, id: ConnectionId) -> Option<CommandState> {
-        let command = self.connection(id)?.command_state();
+    /// Closes a connection, if it still lives and has this assignment, and returns how much of its command was written.
+    /// There is no completion: the assignment is the caller's to account for.
+    pub fn cancel(&mut self, id: ConnectionId, assignment: Assignment) -> Option<CommandState> {
+        let connection = self.connection(id)?;
+        if connection.assignment != Some(assignment) {
+            return None;
+        }
+        let command = connection.command_state();
         self.remove(id.key, ConnectionEnd::Cancelled);
         Some(command)
     }
 
     /// Ends an exchange whose connection is not established, or whose command is not written, in time: a command that
     /// begins later than the gateway counts on might begin after the window of its idempotency key.
-    pub fn on_connect_timeout(&mut self, id: ConnectionId) {
-        if self.is_unsent(id) {
+    pub fn on_connect_timeout(&mut self, id: ConnectionId, assignment: Assignment) {
+        let has_assignment =
+            self.connection(id).is_some_and(|connection| connection.assignment == Some(assignment));
+        if has_assignment && self.is_unsent(id) {
             self.complete(id.key, ExchangeResult::without_reply(Outcome::ConnectFailed), None);
             self.remove(id.key, ConnectionEnd::ConnectTimeout);
         }
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -110,7 +110,7 @@
     assert_eq!(assigned.command, CommandState::Unsent);
     assert!(rig.backends.connections[connection.key].is_connected);
     assert!(rig.backends.is_unsent(connection));
-    rig.backends.on_connect_timeout(connection);
+    rig.backends.on_connect_timeout(connection, attempt(1));
     let completion = rig.backends.completions.pop().expect("it has ended");
     assert_eq!((completion.assignment, completion.outcome), (attempt(1), Outcome::ConnectFailed));
     assert_eq!(rig.backends.len(), 0);
@@ -127,3 +127,23 @@
     rig.serve(&mut peer, first, START);
     assert_ne!(rig.assign(2, START + 390_000), first);
 }
+
+/// Guards against a timer of one attempt that ends the next one on the same connection: it was set when the connection was
+/// begun, and is due when another command has been written to it in part.
+#[test]
+fn the_timer_of_an_earlier_attempt_does_not_end_a_later_one() {
+    let mut rig = Rig::new(15_000_000);
+    let first = rig.assign(1, START);
+    let (mut peer, _) = rig.listener.accept().unwrap();
+    peer.write_all(REPLY_ONE).unwrap();
+    assert_eq!(rig.completion(first, START).outcome, Outcome::Ok);
+    // More than the socket takes at once.
+    let long = |command: &mut Vec<u8>| command.resize(64 << 20, b'x');
+    let now = START + MIN_IDLE_TIME;
+    let second = rig.backends.assign(rig.poll.registry(), BACKEND, attempt(2), told(now), long).unwrap();
+    assert_eq!((second.connection, second.command), (first, CommandState::Unsent));
+    rig.backends.on_connect_timeout(first, attempt(1));
+    assert!(rig.backends.is_unsent(first), "the later attempt goes on");
+    rig.backends.on_connect_timeout(first, attempt(2));
+    assert!(!rig.backends.is_unsent(first));
+}
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -105,7 +105,7 @@
         attempt.connection = Some(assigned.connection);
         self.timers.schedule(expires_at, Timer::AttemptTimeout(id, number));
         if assigned.command == CommandState::Unsent {
-            self.timers.schedule(begins_by, Timer::ConnectTimeout(assigned.connection));
+            self.timers.schedule(begins_by, Timer::ConnectTimeout(assigned.connection, assignment));
         }
         self.audit_begun_attempts();
     }
@@ -182,7 +182,7 @@
         backend: BackendId,
         started_at: Micros,
     ) {
-        if let Some(command) = self.backends.cancel(connection) {
+        if let Some(command) = self.backends.cancel(connection, Assignment::HealthCheck) {
             self.report_health_check(backend, timeout_outcome(command), self.now - started_at, None);
         }
     }
@@ -196,7 +196,9 @@
     ) {
         let Some(request) = self.requests.get_mut(id) else { return };
         let Some(attempt) = request.attempts.get_mut(usize::from(number)) else { return };
-        let cancelled = attempt.connection.and_then(|connection| self.backends.cancel(connection));
+        let assignment = Assignment::Attempt { id, attempt: number };
+        let cancelled =
+            attempt.connection.and_then(|connection| self.backends.cancel(connection, assignment));
         let Some(command) = cancelled else { return };
         attempt.connection = None;
         let elapsed = self.clock.now().saturating_sub(attempt.started_at);
@@ -236,7 +238,7 @@
         for (number, attempt) in (0u16..).zip(&mut request.attempts) {
             let unsent = attempt.connection.filter(|connection| self.backends.is_unsent(*connection));
             let Some(connection) = unsent else { continue };
-            self.backends.cancel(connection);
+            self.backends.cancel(connection, Assignment::Attempt { id, attempt: number });
             attempt.connection = None;
             let elapsed = self.clock.now().saturating_sub(attempt.started_at);
             ended.push(AttemptRecord { id, number, backend: attempt.backend, elapsed });
--- a/src/bin/ingress/event_loop/timer_queue.rs
+++ b/src/bin/ingress/event_loop/timer_queue.rs
@@ -1,6 +1,6 @@
 //! What the event loop has to do at a given time.
 
-use crate::backends::ConnectionId;
+use crate::backends::{Assignment, ConnectionId};
 use ingress::{BackendId, Micros, RequestId};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -14,8 +14,8 @@
     AttemptTimeout(RequestId, u16),
     /// A client no longer waits for its reply.
     ClientDeadline(RequestId),
-    /// A connection should be up, and the command written.
-    ConnectTimeout(ConnectionId),
+    /// A connection should be up, and the command of the assignment written.
+    ConnectTimeout(ConnectionId, Assignment),
     /// A health check has taken too long.
     HealthCheckTimeout {
         /// The connection that it uses.
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -27,7 +27,9 @@
             Timer::Policy(token) => self.pending_events.push_back(Event::Timer(token)),
             Timer::AttemptTimeout(id, number) => self.time_out_attempt(id, number),
             Timer::ClientDeadline(id) => self.fail_unanswered(id),
-            Timer::ConnectTimeout(connection) => self.backends.on_connect_timeout(connection),
+            Timer::ConnectTimeout(connection, assignment) => {
+                self.backends.on_connect_timeout(connection, assignment);
+            }
             Timer::HealthCheckTimeout { connection, backend, started_at } => {
                 self.time_out_health_check(connection, backend, started_at);
             }
