--- a/fault-plan/src/lib.rs
+++ b/fault-plan/src/lib.rs
@@ -1,7 +1,7 @@
 //! Faults of system calls, as a plan that one process hands another in an environment variable.
 //!
 //! `fault-shim`, loaded into an ingress, carries a plan out; tests and `fault-soak` write it. A plan draws from its own
-//! seed, so that the same calls in the same order meet the same faults.
+//! seed, so that the same calls in the same order are hit by the same faults.
 
 use serde::{Deserialize, Serialize};
 
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -59,8 +59,8 @@
     /// Plays the plans of several seeds, such as 1..200, one after another.
     Run {
         /// The first and the last seed.
-        #[arg(long, value_parser = parse_seeds)]
-        seeds: (u64, u64),
+        #[arg(long)]
+        seeds: SeedRange,
         #[command(flatten)]
         options: RunOptions,
     },
@@ -95,10 +95,31 @@
     },
 }
 
-fn parse_seeds(text: &str) -> Result<(u64, u64), String> {
-    let (first, last) = text.split_once("..").ok_or("seeds are given as FIRST..LAST")?;
-    let number = |text: &str| text.parse::<u64>().map_err(|error| error.to_string());
-    Ok((number(first)?, number(last)?))
+/// The seeds of a call, the first and the last one.
+#[derive(Clone, Copy, Debug)]
+struct SeedRange {
+    first: u64,
+    last: u64,
+}
+
+/// Why a range of seeds cannot be read.
+#[derive(Debug, thiserror::Error)]
+enum SeedRangeError {
+    /// Its two ends are not there.
+    #[error("seeds are given as FIRST..LAST")]
+    NoRange,
+    /// An end is no whole number.
+    #[error("a seed is a whole number")]
+    NotANumber(#[from] std::num::ParseIntError),
+}
+
+impl std::str::FromStr for SeedRange {
+    type Err = SeedRangeError;
+
+    fn from_str(text: &str) -> Result<SeedRange, SeedRangeError> {
+        let (first, last) = text.split_once("..").ok_or(SeedRangeError::NoRange)?;
+        Ok(SeedRange { first: first.parse()?, last: last.parse()? })
+    }
 }
 
 impl RunOptions {
@@ -151,8 +172,13 @@
     let kinds: Vec<TroubleKind> = result.plan.troubles.iter().map(|trouble| trouble.kind).collect();
     let totals = &result.totals;
     println!(
-        "seed {}: {} requests, {} served, longest {:.0} ms, violations {:?}, troubles {kinds:?}",
-        result.plan.seed, totals.requests, totals.served, totals.longest_ms, result.counts
+        "seed {}: {} requests, {} served, longest {:.0} ms, stall {} ms, violations {:?}, troubles {kinds:?}",
+        result.plan.seed,
+        totals.requests,
+        totals.served,
+        totals.longest_ms,
+        result.longest_stall_ms,
+        result.counts
     );
 }
 
@@ -217,7 +243,7 @@
 fn main() -> anyhow::Result<()> {
     tracing_subscriber::fmt().with_writer(std::io::stderr).init();
     match Arguments::parse().command {
-        Call::Run { seeds: (first, last), options } => {
+        Call::Run { seeds: SeedRange { first, last }, options } => {
             let mut broken = 0;
             for seed in first..=last {
                 let result = options.run(options.plan(seed))?;
--- a/fault-soak/src/plan.rs
+++ b/fault-soak/src/plan.rs
@@ -149,7 +149,7 @@
     pub from_ms: u64,
     /// When it ends.
     pub until_ms: u64,
-    /// The number of the ingress, backend or client that it strikes, where it strikes one.
+    /// The number of the ingress, backend or client that it affects, where it affects one.
     pub target: usize,
 }
 
@@ -218,14 +218,14 @@
         SoakPlan { seed, shape, hedging, cancellation, troubles }
     }
 
-    /// The troubles of a kind that strike the member with this number of so many, at a time.
+    /// The troubles of a kind that affect the member with this number of so many, at a time.
     pub fn active(&self, kind: TroubleKind, member: usize, count: usize, at_ms: u64) -> bool {
         self.troubles.iter().any(|trouble| {
             trouble.kind == kind && trouble.is_active(at_ms) && trouble.target % count == member
         })
     }
 
-    /// Whether a trouble that strikes all is there at a time.
+    /// Whether a trouble that affects all is there at a time.
     pub fn is_anywhere(&self, kind: TroubleKind, at_ms: u64) -> bool {
         self.troubles.iter().any(|trouble| trouble.kind == kind && trouble.is_active(at_ms))
     }
@@ -249,8 +249,9 @@
 
     /// What the shim does in an ingress that starts at a time of the run.
     pub fn shim_plan(&self, ingress: usize, started_ms: u64) -> FaultPlan {
-        let struck = self.troubles.iter().filter(|trouble| trouble.target % self.shape.ingresses == ingress);
-        let faults = struck.flat_map(|trouble| {
+        let own_troubles =
+            self.troubles.iter().filter(|trouble| trouble.target % self.shape.ingresses == ingress);
+        let faults = own_troubles.flat_map(|trouble| {
             let times =
                 (trouble.from_ms.saturating_sub(started_ms), trouble.until_ms.saturating_sub(started_ms));
             trouble.kind.system_call_faults().iter().map(move |(kind, probability)| Fault {
--- a/fault-soak/src/record.rs
+++ b/fault-soak/src/record.rs
@@ -174,6 +174,9 @@
     pub bad_clients: Vec<BadClientRecord>,
     /// Bytes that came to clients behind an answer: the ids of the requests before them.
     pub stray_bytes: Vec<String>,
+    /// The longest time for which this machine let a thread of the soak wait for its turn: by so much its other threads
+    /// may have been late to see something.
+    pub longest_stall: Micros,
 }
 
 /// Collects what is seen, from all threads.
--- a/fault-soak/src/report.rs
+++ b/fault-soak/src/report.rs
@@ -45,6 +45,8 @@
 pub struct RunResult {
     /// The plan that was played.
     pub plan: SoakPlan,
+    /// The longest stall of the machine that was measured, in milliseconds: what may have been seen late.
+    pub longest_stall_ms: u64,
     /// How requests ended.
     pub totals: Totals,
     /// How often each rule was broken.
@@ -59,7 +61,13 @@
         let mut counts = BTreeMap::new();
         violations.iter().for_each(|violation| *counts.entry(violation.rule).or_default() += 1);
         let violations = violations.into_iter().take(MAX_VIOLATIONS_IN_FULL).collect();
-        RunResult { plan, totals: totals(seen), counts, violations }
+        RunResult {
+            plan,
+            longest_stall_ms: seen.longest_stall / 1000,
+            totals: totals(seen),
+            counts,
+            violations,
+        }
     }
 }
 
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The most ingresses of a run.
 const MAX_INGRESSES: usize = 40;
@@ -115,63 +115,75 @@
     fn begin(&self, trouble: &Trouble) -> Option<JoinHandle<()>> {
         let backend = trouble.target % self.backends.len();
         let number = trouble.target % self.ingresses.len();
-        let ingress = self.ingresses[number].clone();
-        let open = self.open.clone();
         match trouble.kind {
             TroubleKind::DrainingBackend => self.discovery.publish(backend, Listing::Draining, false),
             TroubleKind::RestartedBackend => {
                 self.backends[backend].restart();
                 self.discovery.publish(backend, Listing::Up, true);
             }
-            TroubleKind::Terminate => {
-                return Some(thread::spawn(move || {
-                    let closing = open.clone();
-                    let front = thread::spawn(move || {
-                        thread::sleep(FRONT_DELAY);
-                        closing[number].store(false, Ordering::SeqCst);
-                    });
-                    let mut ingress = lock(&ingress);
-                    ingress.terminate();
-                    let _ = front.join();
-                    let _ = ingress.start();
-                    open[number].store(true, Ordering::SeqCst);
-                }));
-            }
-            TroubleKind::Kill => {
-                return Some(thread::spawn(move || {
-                    let mut ingress = lock(&ingress);
-                    open[number].store(false, Ordering::SeqCst);
-                    ingress.kill();
-                    let _ = ingress.start();
-                    open[number].store(true, Ordering::SeqCst);
-                }));
-            }
-            TroubleKind::Reload => {
-                let (addresses, agent) = (self.addresses.clone(), self.agents[number][1]);
-                let known = self.discovery.list_json();
-                return Some(thread::spawn(move || {
-                    let ingress = lock(&ingress);
-                    let _ = ingress.write_half_a_config();
-                    ingress.reload();
-                    thread::sleep(HALF_WRITTEN_TIME);
-                    let _ = ingress.write_config(&addresses, agent, &known);
-                    ingress.reload();
-                }));
-            }
-            TroubleKind::Pauses => {
-                let (recorder, until_ms) = (self.recorder.clone(), trouble.until_ms);
-                return Some(thread::spawn(move || {
-                    while recorder.now_ms() < until_ms {
-                        lock(&ingress).pause(PAUSE);
-                        thread::sleep(PAUSE_INTERVAL);
-                    }
-                }));
-            }
+            TroubleKind::Terminate => return Some(self.terminate(number)),
+            TroubleKind::Kill => return Some(self.kill(number)),
+            TroubleKind::Reload => return Some(self.reload(number)),
+            TroubleKind::Pauses => return Some(self.pause(number, trouble.until_ms)),
             _ => {}
         }
         None
     }
 
+    /// Tells an ingress to end, and starts it again. The front notices a little later.
+    fn terminate(&self, number: usize) -> JoinHandle<()> {
+        let (ingress, open) = (self.ingresses[number].clone(), self.open.clone());
+        thread::spawn(move || {
+            let closing = open.clone();
+            let front = thread::spawn(move || {
+                thread::sleep(FRONT_DELAY);
+                closing[number].store(false, Ordering::SeqCst);
+            });
+            let mut ingress = lock(&ingress);
+            ingress.terminate();
+            let _ = front.join();
+            let _ = ingress.start();
+            open[number].store(true, Ordering::SeqCst);
+        })
+    }
+
+    /// Kills an ingress, and starts it again.
+    fn kill(&self, number: usize) -> JoinHandle<()> {
+        let (ingress, open) = (self.ingresses[number].clone(), self.open.clone());
+        thread::spawn(move || {
+            let mut ingress = lock(&ingress);
+            open[number].store(false, Ordering::SeqCst);
+            ingress.kill();
+            let _ = ingress.start();
+            open[number].store(true, Ordering::SeqCst);
+        })
+    }
+
+    /// Has an ingress read its configuration again, first while half of it is written; it names another agent.
+    fn reload(&self, number: usize) -> JoinHandle<()> {
+        let (ingress, addresses) = (self.ingresses[number].clone(), self.addresses.clone());
+        let (agent, known) = (self.agents[number][1], self.discovery.list_json());
+        thread::spawn(move || {
+            let ingress = lock(&ingress);
+            let _ = ingress.write_half_a_config();
+            ingress.reload();
+            thread::sleep(HALF_WRITTEN_TIME);
+            let _ = ingress.write_config(&addresses, agent, &known);
+            ingress.reload();
+        })
+    }
+
+    /// Has an ingress stand still, again and again until a time.
+    fn pause(&self, number: usize, until_ms: u64) -> JoinHandle<()> {
+        let (ingress, recorder) = (self.ingresses[number].clone(), self.recorder.clone());
+        thread::spawn(move || {
+            while recorder.now_ms() < until_ms {
+                lock(&ingress).pause(PAUSE);
+                thread::sleep(PAUSE_INTERVAL);
+            }
+        })
+    }
+
     /// Does what a trouble ends with.
     fn end(&self, trouble: &Trouble) {
         if trouble.kind == TroubleKind::DrainingBackend {
@@ -179,8 +191,8 @@
         }
     }
 
-    /// Carries the plan out, to the end of the run.
-    fn carry_out(&self) {
+    /// Executes the plan, to the end of the run.
+    fn execute_plan(&self) {
         let mut begun: Vec<bool> = vec![false; self.plan.troubles.len()];
         let mut ended = begun.clone();
         let mut threads = Vec::new();
@@ -210,6 +222,51 @@
     ingress.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Measures, until the run is over, by how much longer than it asked for a thread sleeps.
+fn watch_for_stalls(recorder: Arc<Recorder>, is_over: Arc<AtomicBool>) {
+    while !is_over.load(Ordering::SeqCst) {
+        let before = recorder.now();
+        thread::sleep(TICK);
+        let stall = (recorder.now() - before).saturating_sub(TICK.as_micros() as u64);
+        let mut seen = recorder.seen();
+        seen.longest_stall = seen.longest_stall.max(stall);
+    }
+}
+
+/// Starts the clients, which send until `is_ended`.
+fn start_clients(stage: &Stage, is_ended: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+    let client = |number| {
+        let client = Client::new(
+            number,
+            stage.plan.clone(),
+            stage.recorder.clone(),
+            is_ended.clone(),
+            stage.addresses.listen.clone(),
+            stage.open.clone(),
+        );
+        thread::spawn(move || client.run())
+    };
+    (0..stage.plan.shape.clients).map(client).collect()
+}
+
+/// Waits until all clients have ended, or for as long as that may take.
+fn await_clients(clients: &[JoinHandle<()>]) {
+    let deadline = Instant::now() + CLIENT_END_TIMEOUT;
+    while clients.iter().any(|client| !client.is_finished()) && Instant::now() < deadline {
+        thread::sleep(TICK);
+    }
+}
+
+/// Tells all ingresses to end, side by side, and waits for that.
+fn terminate_all(ingresses: &[Arc<Mutex<Ingress>>]) {
+    let terminate = |ingress: &Arc<Mutex<Ingress>>| {
+        let ingress = ingress.clone();
+        thread::spawn(move || lock(&ingress).terminate())
+    };
+    let ending: Vec<JoinHandle<()>> = ingresses.iter().map(terminate).collect();
+    ending.into_iter().for_each(|thread| _ = thread.join());
+}
+
 /// Plays a plan, and returns what was seen.
 pub fn play(plan: &SoakPlan, programs: &Programs) -> anyhow::Result<Seen> {
     std::fs::create_dir_all(&programs.folder)?;
@@ -217,30 +274,15 @@
         let _ = std::fs::remove_file(Ingress::log_file(&programs.folder, number));
     }
     let (plan, recorder) = (Arc::new(plan.clone()), Arc::new(Recorder::default()));
-    let is_over = Arc::new(AtomicBool::new(false));
+    let (is_over, is_ended) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let stage = Stage::build(&plan, programs, &recorder, &is_over)?;
     stage.start_ingresses()?;
-    let ended = Arc::new(AtomicBool::new(false));
-    let clients: Vec<JoinHandle<()>> = (0..plan.shape.clients)
-        .map(|number| {
-            let addresses = stage.addresses.listen.clone();
-            let client = Client::new(
-                number,
-                plan.clone(),
-                recorder.clone(),
-                ended.clone(),
-                addresses,
-                stage.open.clone(),
-            );
-            thread::spawn(move || client.run())
-        })
-        .collect();
-    stage.carry_out();
-    ended.store(true, Ordering::SeqCst);
-    let deadline = std::time::Instant::now() + CLIENT_END_TIMEOUT;
-    while clients.iter().any(|client| !client.is_finished()) && std::time::Instant::now() < deadline {
-        thread::sleep(TICK);
-    }
+    let (watching, watched_until) = (recorder.clone(), is_over.clone());
+    let watchdog = thread::spawn(move || watch_for_stalls(watching, watched_until));
+    let clients = start_clients(&stage, &is_ended);
+    stage.execute_plan();
+    is_ended.store(true, Ordering::SeqCst);
+    await_clients(&clients);
     for ingress in &stage.ingresses {
         let mut ingress = lock(ingress);
         ingress.check();
@@ -248,15 +290,8 @@
     }
     thread::sleep(COUNTER_TIME);
     is_over.store(true, Ordering::SeqCst);
-    let ending: Vec<JoinHandle<()>> = stage
-        .ingresses
-        .iter()
-        .map(|ingress| {
-            let ingress = ingress.clone();
-            thread::spawn(move || lock(&ingress).terminate())
-        })
-        .collect();
-    ending.into_iter().for_each(|thread| _ = thread.join());
+    let _ = watchdog.join();
+    terminate_all(&stage.ingresses);
     let seen = std::mem::take(&mut *recorder.seen());
     Ok(seen)
 }
--- a/fault-soak/src/stand_in/client.rs
+++ b/fault-soak/src/stand_in/client.rs
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Whether a trouble of clients strikes this one now: a quarter of all.
+    /// Whether a trouble of clients affects this one now: a quarter of all.
     fn has(&self, kind: TroubleKind) -> bool {
         self.plan.active(kind, self.number % 4, 4, self.recorder.now_ms())
     }
