Keep a connection open that is still to be read from

Cause: Connection::is_idle did not ask whether the connection is queued for reading: where all reads of a turn were interrupted (4 in a row) or found no memory, close_longest_idle or a shutdown closed it with a command unread. Found by reading; change: is_idle asks permissions::may_close_client with that fact, and a connection that turns out to be empty while draining is closed behind its read. Measured: the new test fails without it and passes with it.

--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -127,7 +127,14 @@
         if connection.is_ready_for_shutdown() {
             self.lingering_count += usize::from(connection.linger_until.is_none());
             connection.start_lingering_close(now);
-        } else if self.draining && connection.is_idle() {
+        } else {
+            self.close_if_drained(key, now);
+        }
+    }
+
+    /// Closes a connection that has fallen idle while all are to be closed.
+    pub(super) fn close_if_drained(&mut self, key: usize, now: Micros) {
+        if self.draining && self.connections.get(key).is_some_and(Connection::is_idle) {
             self.close_if_silent(key, now, CloseReason::Draining);
         }
     }
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -5,6 +5,7 @@
 use super::reply_queue::ReplyQueue;
 use super::Capacity;
 use crate::resp;
+use ingress::permissions::{may_close_client, ClientConnectionFacts};
 use ingress::Micros;
 use mio::net::TcpStream;
 use std::net::Shutdown;
@@ -92,9 +93,14 @@
         }
     }
 
-    /// Whether it is between two requests, with nothing left to be parsed or written.
+    /// Whether it is between two requests, with nothing left to be read, parsed or written.
     pub fn is_idle(&self) -> bool {
-        !self.is_busy() && self.input.is_empty() && !self.is_closing() && !self.over_limit
+        let facts = ClientConnectionFacts {
+            is_busy: self.is_busy(),
+            has_input: !self.input.is_empty() || self.queued_for_read,
+            is_closing: self.is_closing() || self.over_limit,
+        };
+        may_close_client(facts).is_ok()
     }
 
     /// Whether it awaits or is being sent a reply.
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -125,3 +125,16 @@
     fixture.clients.close_expired(NOW + 3 * LINGER_TIMEOUT);
     assert_eq!(fixture.clients.len(), 0, "told and closed");
 }
+
+/// Guards against closing a connection as idle that is still to be read from: its reads were interrupted, or found no
+/// memory, as often as a turn allows, and a command may be waiting.
+#[test]
+fn a_connection_that_is_to_be_read_from_is_not_closed_as_idle() {
+    let mut fixture = Fixture::new(1 << 20);
+    let _client = fixture.client(Capacity::Available);
+    let key = fixture.clients.connections.iter().next().unwrap().0;
+    fixture.clients.queue_for_read(key);
+    assert!(!fixture.clients.close_longest_idle(NOW + 1), "a command may be waiting");
+    fixture.clients.resume_reads(NOW + 1);
+    assert!(fixture.clients.close_longest_idle(NOW + 1), "nothing was");
+}
