Ask the one place before a connection is used again or a closed backend is sent to

Cause: two of the paths listed in docs/INVARIANTS.md decided by themselves (newest_reusable), or not at all (assign took a draining backend if it was asked to). Change: both ask permissions; the policy asks for neither, so nothing changes but that it cannot.

--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -35,6 +35,12 @@
         encode: impl FnOnce(&mut Vec<u8>),
     ) -> Option<AssignedConnection> {
         let now = time_told.at;
+        if let Err(refusal) = self.may_assign(backend) {
+            tracing::debug!(target: "attempt", ?assignment, backend = backend.0, %refusal, "not sent");
+            let result = ExchangeResult::without_reply(Outcome::NotSent);
+            self.push_completion(assignment, backend, now, result);
+            return None;
+        }
         let Some(key) = self.acquire(registry, backend, now) else {
             let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
             self.push_completion(assignment, backend, now, result);
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -6,6 +6,7 @@
 use super::reply::ExchangeResult;
 use super::{Begun, Completion, ConnectionEnd};
 use crate::discovery::{EndpointEntry, EndpointList};
+use ingress::permissions::{may_reuse_connection, may_send_to, BackendRefusal, ReuseLimits};
 use ingress::{Availability, BackendId, Micros, Outcome};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
@@ -26,6 +27,8 @@
 pub struct Pool {
     /// Where to connect to.
     pub address: Option<SocketAddr>,
+    /// How the backend is listed.
+    pub availability: Availability,
     /// Keys of the idle connections, the newest last.
     pub idle: Vec<usize>,
 }
@@ -102,7 +105,8 @@
                 self.close_idle(backend, ConnectionEnd::BackendClosed);
                 closed_to_new_work.insert(backend);
             }
-            self.pools.entry(backend).or_default().address = entry.address;
+            let pool = self.pools.entry(backend).or_default();
+            (pool.address, pool.availability) = (entry.address, entry.endpoint.availability);
         }
         for backend in &removed {
             self.close_idle(*backend, ConnectionEnd::BackendClosed);
@@ -146,6 +150,11 @@
         self.connections.iter().filter(|(_, connection)| condition(connection)).map(|(key, _)| key).collect()
     }
 
+    /// Whether a backend may be given something new.
+    pub(super) fn may_assign(&self, backend: BackendId) -> Result<(), BackendRefusal> {
+        may_send_to(self.pools.get(&backend).map(|pool| pool.availability))
+    }
+
     /// Whether an assignment for a backend would need a new connection. `now` is the time to the microsecond, not that of
     /// the tick.
     pub fn needs_connection(&self, backend: BackendId, now: Micros) -> bool {
@@ -154,9 +163,10 @@
 
     /// The place in a pool of the newest idle connection that may be used.
     fn newest_reusable(&self, pool: &Pool, now: Micros) -> Option<usize> {
-        let reusable = MIN_IDLE_TIME..self.idle_reuse.max_idle_time().min(self.max_idle_time);
+        let max_idle_time = self.idle_reuse.max_idle_time().min(self.max_idle_time);
+        let limits = ReuseLimits { min_idle_time: MIN_IDLE_TIME, max_idle_time };
         let idle_time = |key: usize| now.saturating_sub(self.connections[key].state_since);
-        pool.idle.iter().rposition(|key| reusable.contains(&idle_time(*key)))
+        pool.idle.iter().rposition(|key| may_reuse_connection(idle_time(*key), limits).is_ok())
     }
 
     /// The key of an idle connection to a backend, which leaves the pool, or of a new one.
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -3,7 +3,7 @@
 use super::pool::MIN_IDLE_TIME;
 use super::*;
 use crate::discovery::{EndpointEntry, EndpointList};
-use ingress::{BackendId, Endpoint, Micros, Outcome, RequestId};
+use ingress::{Availability, BackendId, Endpoint, Micros, Outcome, RequestId};
 use mio::{Poll, Token};
 use std::io::Write;
 use std::net::TcpListener;
@@ -147,3 +147,20 @@
     rig.backends.on_connect_timeout(first, attempt(2));
     assert!(!rig.backends.is_unsent(first));
 }
+
+/// Guards against sending to a backend that drains or is gone, whoever asks for it.
+#[test]
+fn a_backend_that_takes_no_work_is_given_none() {
+    let mut rig = Rig::new(15_000_000);
+    let address = rig.listener.local_addr().ok();
+    for availability in [Availability::Draining, Availability::Gone] {
+        let endpoint = Endpoint { backend: BACKEND, availability, ..Endpoint::default() };
+        let entries = vec![EndpointEntry { endpoint, address }];
+        rig.backends.update_endpoints(&EndpointList { index: 2, is_snapshot: false, entries });
+        let encode = |command: &mut Vec<u8>| command.extend_from_slice(b"*1\r\n$4\r\nCALL\r\n");
+        let assigned = rig.backends.assign(rig.poll.registry(), BACKEND, attempt(1), told(START), encode);
+        assert_eq!(assigned, None, "{availability:?}");
+        assert_eq!(rig.backends.completions.pop().unwrap().outcome, Outcome::NotSent, "{availability:?}");
+        assert_eq!(rig.backends.len(), 0, "{availability:?}");
+    }
+}
