--- a/fault-soak/src/ingress.rs
+++ b/fault-soak/src/ingress.rs
@@ -37,11 +37,17 @@
 
 /// An ingress, whose process may come and go.
 pub struct Ingress {
+    /// Its number in the fleet.
     number: usize,
+    /// What it runs.
     programs: Programs,
+    /// What goes wrong.
     plan: Arc<SoakPlan>,
+    /// Where its ends and starts are noted.
     recorder: Arc<Recorder>,
+    /// Where clients connect to it.
     listen: SocketAddr,
+    /// Its process, while it has one.
     child: Option<Child>,
 }
 
@@ -84,6 +90,7 @@
         fs::write(self.config_file(), &text[..text.len() / 2]).context("cannot write a configuration")
     }
 
+    /// Notes what happened to the process.
     fn note(&self, event: ProcessEvent) {
         let record = ProcessRecord { ingress: self.number, event, at: self.recorder.now() };
         tracing::debug!(ingress = self.number, ?event, "process");
@@ -120,6 +127,7 @@
         Ok(())
     }
 
+    /// Whether it answers a PING.
     fn answers_ping(&self) -> bool {
         let Ok(mut stream) = TcpStream::connect(self.listen) else { return false };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
@@ -129,10 +137,12 @@
             && &reply == b"+PONG\r\n"
     }
 
+    /// Whether there is no process, or none any more.
     fn has_exited(&mut self) -> bool {
         self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
     }
 
+    /// Sends the process a signal.
     fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(|child| Pid::from_raw(child.id() as i32));
         if let Some(id) = id {
@@ -170,6 +180,7 @@
         self.end();
     }
 
+    /// Ends the process at once.
     fn end(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -15,6 +15,7 @@
 #[derive(Parser)]
 #[command(version)]
 struct Arguments {
+    /// What is to be done.
     #[command(subcommand)]
     command: Call,
 }
@@ -54,6 +55,7 @@
     log_level: String,
 }
 
+/// What can be done.
 #[derive(Subcommand)]
 enum Call {
     /// Plays the plans of several seeds, such as 1..200, one after another.
@@ -61,6 +63,7 @@
         /// The first and the last seed.
         #[arg(long)]
         seeds: SeedRange,
+        /// How.
         #[command(flatten)]
         options: RunOptions,
     },
@@ -68,6 +71,7 @@
     Replay {
         /// The seed.
         seed: u64,
+        /// How.
         #[command(flatten)]
         options: RunOptions,
     },
@@ -75,6 +79,7 @@
     Shrink {
         /// The seed.
         seed: u64,
+        /// How.
         #[command(flatten)]
         options: RunOptions,
     },
@@ -82,6 +87,7 @@
     Plan {
         /// The seed.
         seed: u64,
+        /// How.
         #[command(flatten)]
         options: RunOptions,
     },
@@ -98,7 +104,9 @@
 /// The seeds of a call, the first and the last one.
 #[derive(Clone, Copy, Debug)]
 struct SeedRange {
+    /// The first one.
     first: u64,
+    /// The last one.
     last: u64,
 }
 
@@ -123,6 +131,7 @@
 }
 
 impl RunOptions {
+    /// The plan of a seed.
     fn plan(&self, seed: u64) -> SoakPlan {
         let shape = Shape {
             ingresses: self.ingresses,
@@ -134,6 +143,7 @@
         SoakPlan::draw(seed, shape, kinds)
     }
 
+    /// What runs, and where.
     fn programs(&self) -> Programs {
         let own = std::env::temp_dir().join(format!("fault-soak-{}", std::process::id()));
         Programs {
@@ -168,6 +178,7 @@
     }
 }
 
+/// Prints the line of a run.
 fn print(result: &RunResult) {
     let kinds: Vec<TroubleKind> = result.plan.troubles.iter().map(|trouble| trouble.kind).collect();
     let totals = &result.totals;
@@ -209,6 +220,7 @@
     log.lines().filter(tells).for_each(|line| println!("    {number}: {line}"));
 }
 
+/// Drops troubles one by one for as long as the same rule stays broken.
 fn shrink(options: &RunOptions, seed: u64) -> anyhow::Result<()> {
     let mut smallest = options.run(options.plan(seed))?;
     print(&smallest);
@@ -228,6 +240,7 @@
     Ok(())
 }
 
+/// Reads lines of runs.
 fn read_results(files: &[PathBuf]) -> anyhow::Result<Vec<RunResult>> {
     let mut results = Vec::new();
     for file in files {
--- a/fault-soak/src/oracle.rs
+++ b/fault-soak/src/oracle.rs
@@ -79,10 +79,12 @@
 }
 
 impl Violation {
+    /// A violation for a request.
     fn of(rule: Rule, id: &str, detail: String) -> Violation {
         Violation { rule, request: Some(id.to_string()), detail }
     }
 
+    /// A violation that is about no single request.
     fn general(rule: Rule, detail: String) -> Violation {
         Violation { rule, request: None, detail }
     }
@@ -130,6 +132,7 @@
     })
 }
 
+/// Whether a request got its answer.
 fn judge_answer(
     seen: &Seen,
     request: &RequestRecord,
@@ -155,6 +158,7 @@
     }
 }
 
+/// Whether the attempts of a request were allowed.
 fn judge_attempts(
     plan: &SoakPlan,
     seen: &Seen,
@@ -187,6 +191,7 @@
     }
 }
 
+/// Whether an attempt was allowed beside or behind earlier ones.
 fn judge_repeat(
     plan: &SoakPlan,
     seen: &Seen,
@@ -228,6 +233,7 @@
     told.filter(|told| told.ingress == ingress && told.version >= version).map(|told| told.at).min()
 }
 
+/// Whether draining backends were left alone.
 fn judge_draining(seen: &Seen, found: &mut Vec<Violation>) {
     for change in seen.changes.iter().filter(|change| change.listing == Listing::Draining) {
         let later =
@@ -257,6 +263,7 @@
     }
 }
 
+/// Whether cold backends were spared.
 fn judge_slow_start(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
     // A backend bears a quarter more than its even part of all that was sent.
     let even = seen.arrivals.len() as f64 / plan.shape.backends as f64 / plan.shape.seconds.max(1) as f64;
@@ -292,6 +299,7 @@
     }
 }
 
+/// Whether bad clients were told in time.
 fn judge_bad_clients(seen: &Seen, found: &mut Vec<Violation>) {
     for client in &seen.bad_clients {
         let limit = client.at + BAD_CLIENT_TIMEOUT + PAUSE + observation_slack(seen);
@@ -303,6 +311,7 @@
     }
 }
 
+/// Whether processes started and ended as they were told.
 fn judge_processes(seen: &Seen, found: &mut Vec<Violation>) {
     for record in &seen.processes {
         let rule = match record.event {
--- a/fault-soak/src/plan.rs
+++ b/fault-soak/src/plan.rs
@@ -235,6 +235,7 @@
         self.clock_steps().iter().filter(|step| step.at_ms <= at_ms).map(|step| step.by_ms).sum()
     }
 
+    /// The steps of the wall clocks.
     fn clock_steps(&self) -> Vec<ClockStep> {
         let step = |trouble: &Trouble| {
             let by_ms = match trouble.kind {
--- a/fault-soak/src/record.rs
+++ b/fault-soak/src/record.rs
@@ -181,7 +181,9 @@
 
 /// Collects what is seen, from all threads.
 pub struct Recorder {
+    /// When the run began.
     started: Instant,
+    /// What was seen so far.
     seen: Mutex<Seen>,
 }
 
--- a/fault-soak/src/report.rs
+++ b/fault-soak/src/report.rs
@@ -71,6 +71,7 @@
     }
 }
 
+/// Counts how requests ended, and measures how long answers took.
 fn totals(seen: &Seen) -> Totals {
     let count = |ending| seen.requests.iter().filter(|request| request.ending == ending).count() as u64;
     let mut totals = Totals {
@@ -120,6 +121,7 @@
     page
 }
 
+/// A table of the rules that were broken, and in which seeds.
 fn rule_table(results: &[RunResult]) -> String {
     let mut table =
         String::from("<h2>Violations</h2><table><tr><th>rule</th><th>count</th><th>seeds</th></tr>\n");
@@ -137,6 +139,7 @@
     table + "</table>\n"
 }
 
+/// A table of the troubles that there were.
 fn trouble_table(results: &[RunResult]) -> String {
     let mut table = String::from(
         "<h2>Troubles</h2><table><tr><th>kind</th><th>runs</th><th>with a violation</th></tr>\n",
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -37,14 +37,21 @@
 
 /// What takes part in a run.
 struct Stage {
+    /// What goes wrong.
     plan: Arc<SoakPlan>,
+    /// What was seen.
     recorder: Arc<Recorder>,
+    /// Where the ingresses are.
     addresses: Addresses,
+    /// The backends.
     backends: Vec<Backend>,
+    /// Discovery.
     discovery: Arc<Discovery>,
     /// Two for each ingress: a reload goes from one to the other.
     agents: Vec<[SocketAddr; 2]>,
+    /// The ingresses.
     ingresses: Vec<Arc<Mutex<Ingress>>>,
+    /// Which of them get new connections.
     open: Open,
 }
 
@@ -62,6 +69,7 @@
 }
 
 impl Stage {
+    /// Starts the stand-ins; the ingresses do not run yet.
     fn build(
         plan: &Arc<SoakPlan>,
         programs: &Programs,
@@ -218,6 +226,7 @@
     }
 }
 
+/// An ingress, for whoever holds it.
 fn lock(ingress: &Mutex<Ingress>) -> std::sync::MutexGuard<'_, Ingress> {
     ingress.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/fault-soak/src/stand_in/backend.rs
+++ b/fault-soak/src/stand_in/backend.rs
@@ -34,10 +34,15 @@
 /// What the connections of a backend share.
 #[derive(Clone)]
 struct Shared {
+    /// The backend's number.
     number: usize,
+    /// What goes wrong.
     plan: Arc<SoakPlan>,
+    /// What was seen.
     recorder: Arc<Recorder>,
+    /// The run is over.
     is_over: Arc<AtomicBool>,
+    /// Counts the backend's starts.
     generation: Arc<AtomicU64>,
 }
 
@@ -79,13 +84,18 @@
 
 /// A connection of an ingress.
 struct Connection {
+    /// What all connections of the backend have.
     shared: Shared,
+    /// The socket.
     stream: TcpStream,
+    /// What has come and was not taken yet.
     received: Vec<u8>,
+    /// The start that it belongs to.
     generation: u64,
 }
 
 impl Connection {
+    /// A connection that was just accepted.
     fn new(shared: Shared, stream: TcpStream) -> Connection {
         let generation = shared.generation.load(Ordering::SeqCst);
         let _ = stream.set_nodelay(true);
@@ -107,11 +117,13 @@
         plan.active(kind, *number, plan.shape.backends, recorder.now_ms())
     }
 
+    /// Whether it has to end: the run is over, or the backend has started anew.
     fn is_ended(&self) -> bool {
         self.shared.is_over.load(Ordering::SeqCst)
             || self.shared.generation.load(Ordering::SeqCst) != self.generation
     }
 
+    /// Waits for the next command.
     fn read_command(&mut self) -> Result<Vec<String>, Closed> {
         self.stream.set_read_timeout(Some(IDLE_POLL_INTERVAL)).map_err(|_| Closed)?;
         let mut chunk = [0; 4096];
@@ -167,6 +179,7 @@
         Ok(())
     }
 
+    /// Notes a command that has come whole; returns its place in the record.
     fn note_arrival(&self, id: &str, options: &str, rejected: bool) -> usize {
         let told_ms = options.split(',').find_map(|option| option.strip_prefix("d="));
         let told_ms = told_ms.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
@@ -183,6 +196,7 @@
         arrivals.len() - 1
     }
 
+    /// Replies as the troubles of the moment have it.
     fn reply(&mut self, id: &str, rejected: bool) -> Result<(), Closed> {
         if rejected {
             return self.write(b"-BUSY\r\n");
@@ -212,6 +226,7 @@
         self.write(&reply)
     }
 
+    /// Writes bytes.
     fn write(&mut self, bytes: &[u8]) -> Result<(), Closed> {
         self.stream.write_all(bytes).map_err(|_| Closed)
     }
@@ -223,6 +238,7 @@
     format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len()).into_bytes()
 }
 
+/// Whether a read only took too long.
 fn is_timeout(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
 }
--- a/fault-soak/src/stand_in/client.rs
+++ b/fault-soak/src/stand_in/client.rs
@@ -36,7 +36,9 @@
 
 /// A connection to an ingress.
 struct Connection {
+    /// The socket.
     stream: TcpStream,
+    /// What has come and was not taken yet.
     received: Vec<u8>,
     /// Requests that were answered on it.
     answered: usize,
@@ -44,29 +46,45 @@
 
 /// What a wait for a reply came to.
 enum Wait {
+    /// A whole reply.
     Reply(Reply),
+    /// The connection has ended.
     Closed,
+    /// The time is over.
     TimedOut,
 }
 
 /// A request that is out.
 struct Pending {
+    /// Its id.
     id: String,
+    /// Its class.
     class: Class,
+    /// When its last byte was written.
     sent_at: Micros,
+    /// How long the client waits.
     timeout: Micros,
 }
 
 /// A client.
 pub struct Client {
+    /// Its number.
     number: usize,
+    /// What goes wrong.
     plan: Arc<SoakPlan>,
+    /// What was seen.
     recorder: Arc<Recorder>,
+    /// No further request is sent.
     is_over: Arc<AtomicBool>,
+    /// Where the ingresses are.
     addresses: Vec<SocketAddr>,
+    /// Which of them get new connections.
     open: Open,
+    /// Draws what it does.
     random: StdRng,
+    /// The connections that it keeps, by ingress.
     connections: HashMap<usize, Connection>,
+    /// How many requests it has drawn.
     requests: u64,
 }
 
@@ -158,6 +176,7 @@
         }
     }
 
+    /// Draws the next request.
     fn draw_request(&mut self, ingress: usize) -> Pending {
         self.requests += 1;
         let class = match self.random.random_range(0..3) {
@@ -203,6 +222,7 @@
         }
     }
 
+    /// Notes how a request ended.
     fn note(
         &self,
         ingress: usize,
@@ -294,6 +314,7 @@
     }
 }
 
+/// Whether a read only took too long.
 fn is_timeout(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted)
 }
--- a/fault-soak/src/stand_in/discovery.rs
+++ b/fault-soak/src/stand_in/discovery.rs
@@ -15,17 +15,25 @@
 /// The entry of one backend, and the version that it came with.
 #[derive(Clone)]
 struct Entry {
+    /// Where the backend is.
     address: SocketAddr,
+    /// How it is listed.
     listing: Listing,
+    /// When it last started, in Unix time; 0 for long ago.
     since_ms: i64,
+    /// The version that its latest change made.
     version: u64,
 }
 
 /// Discovery, as all agents have it.
 pub struct Discovery {
+    /// The entries of all backends.
     entries: Mutex<Vec<Entry>>,
+    /// What goes wrong.
     plan: Arc<SoakPlan>,
+    /// What was seen.
     recorder: Arc<Recorder>,
+    /// The run is over.
     is_over: Arc<AtomicBool>,
 }
 
@@ -33,10 +41,12 @@
 struct Poll {
     /// The version held; none asks for the whole list.
     since: Option<u64>,
+    /// When it is answered though nothing has changed.
     ends_at: Instant,
 }
 
 impl Poll {
+    /// Reads the head of a request.
     fn parse(head: &str) -> Poll {
         let number = |name: &str| {
             let rest = head.split(name).nth(1)?;
@@ -96,6 +106,7 @@
         self.answer(None).map(|(_, json)| json).unwrap_or_default()
     }
 
+    /// The entries, for whoever holds them.
     fn entries(&self) -> std::sync::MutexGuard<'_, Vec<Entry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -116,6 +127,7 @@
         ))
     }
 
+    /// Whether a trouble of discovery is there now.
     fn is_active(&self, kind: TroubleKind) -> bool {
         self.plan.is_anywhere(kind, self.recorder.now_ms())
     }
@@ -135,6 +147,7 @@
         }
     }
 
+    /// The head of the next request; none where the connection ends.
     fn read_head(&self, stream: &mut TcpStream) -> Option<String> {
         let (mut head, mut chunk) = (Vec::new(), [0; 1024]);
         while !head.ends_with(b"\r\n\r\n") {
@@ -174,6 +187,7 @@
     }
 }
 
+/// An entry, as JSON.
 fn entry_json(number: usize, entry: &Entry) -> String {
     let status = match entry.listing {
         Listing::Up => "up",
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -45,15 +45,20 @@
 
 /// A backend that was found to take no new work.
 struct ClosedBackend {
+    /// The backend.
     backend: BackendId,
+    /// Since when.
     since: Micros,
 }
 
 /// Counts violations, and knows what all requests share.
 #[derive(Default)]
 pub struct Auditor {
+    /// What the invariants are judged by.
     rules: AuditRules,
+    /// Violations by kind.
     counts: [u64; ViolationKind::ALL.len()],
+    /// When one of each kind was last logged.
     last_logged_at: [Option<Micros>; ViolationKind::ALL.len()],
     /// Since when backends take no new work.
     closed_since: HashMap<BackendId, Micros>,
--- a/src/audit/request.rs
+++ b/src/audit/request.rs
@@ -23,19 +23,25 @@
 
 /// An attempt that has begun.
 struct BegunAttempt {
+    /// The attempt's number, from 0.
     number: u16,
+    /// When its first byte was written.
     begun_at: Micros,
+    /// Its end was not noted yet.
     in_flight: bool,
+    /// It was executed, or may have been.
     may_have_executed: bool,
 }
 
 /// The record of one request, from its arrival until its last attempt has ended.
 pub struct RequestAudit {
+    /// Whether it may be executed again.
     idempotency: Idempotency,
     /// When its client gives up.
     client_deadline: Micros,
     /// It has its final answer, or its client has gone.
     has_ended: bool,
+    /// The attempts that have begun, in their order.
     begun: Vec<BegunAttempt>,
 }
 
--- a/src/bin/ingress/event_loop/request_table.rs
+++ b/src/bin/ingress/event_loop/request_table.rs
@@ -41,6 +41,7 @@
     pub answered: bool,
     /// What was done for it.
     pub audit: RequestAudit,
+    /// Its id, as its client gave it.
     id_hash: IdHash,
 }
 
@@ -72,6 +73,7 @@
 struct EndedId {
     /// When the id may come again.
     forget_at: Micros,
+    /// Its id, as its client gave it.
     id_hash: IdHash,
 }
 
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -30,11 +30,13 @@
 
 /// What the event loop polls from its start on.
 struct Sockets {
+    /// Tells which sockets are ready.
     poll: Poll,
     /// Where clients connect.
     listener: TcpListener,
     /// Where messages of peers come in; none where the settings allow none.
     peers: Option<PeerSocket>,
+    /// Signals as they come.
     signals: Signals,
 }
 
--- a/src/bin/ingress/logging.rs
+++ b/src/bin/ingress/logging.rs
@@ -71,6 +71,7 @@
 /// The parts of a line.
 #[derive(Default)]
 struct Line {
+    /// What happened.
     message: String,
     /// With the comma that stands before the first field.
     fields: String,
--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -13,8 +13,11 @@
 /// By how much the wall clock was ahead of the host's time, which begins as Unix time and goes on steadily.
 #[derive(Clone, Copy, Default)]
 struct ClockOffsets {
+    /// At the latest reading.
     latest: i64,
+    /// The least there was.
     lowest: i64,
+    /// The most there was.
     highest: i64,
 }
 
@@ -48,7 +51,9 @@
 /// The starts of the backends that are listed.
 #[derive(Default)]
 pub struct StartTimes {
+    /// How the wall clock was read so far.
     offsets: ClockOffsets,
+    /// The start of each listed backend.
     starts: HashMap<BackendId, Start>,
     /// When discovery last sent a list or a change.
     last_listed_at: Option<Micros>,
