--- a/fault-soak/src/oracle.rs
+++ b/fault-soak/src/oracle.rs
@@ -1,7 +1,7 @@
 //! Judges what was seen. The ingresses' own word counts only for violations that they report of themselves.
 
 use crate::ingress::Ingress;
-use crate::plan::SoakPlan;
+use crate::plan::{SoakPlan, TroubleKind};
 use crate::record::{ArrivalRecord, Class, Ending, Listing, Micros, ProcessEvent, RequestRecord, Seen};
 use crate::settings;
 use serde::{Deserialize, Serialize};
@@ -20,8 +20,18 @@
 const TIME_SLACK: Micros = 150_000;
 /// How long clients wait for an answer past its time: a machine that stalls for as long cannot tell a lost one.
 const ANSWER_SLACK: Micros = 600_000;
-/// How long an ingress may stand still.
+/// How long an ingress stands still where the plan has it do so.
 const PAUSE: Micros = 150_000;
+
+/// By how much an ingress may be late since the plan has it stand still.
+fn pause_slack(plan: &SoakPlan) -> Micros {
+    let pauses = plan.troubles.iter().any(|trouble| trouble.kind == TroubleKind::Pauses);
+    if pauses {
+        PAUSE
+    } else {
+        0
+    }
+}
 /// How long after its client has left an attempt may begin.
 const DISCONNECT_SLACK: Micros = 100_000;
 /// How long a bad client may wait for its error or close.
@@ -102,9 +112,9 @@
     for bytes in &seen.stray_bytes {
         found.push(Violation::general(Rule::SecondAnswer, format!("behind an answer came {bytes:?}")));
     }
-    judge_draining(seen, &mut found);
+    judge_draining(plan, seen, &mut found);
     judge_slow_start(plan, seen, &mut found);
-    judge_bad_clients(seen, &mut found);
+    judge_bad_clients(plan, seen, &mut found);
     judge_processes(seen, &mut found);
     found
 }
@@ -171,21 +181,28 @@
         found.push(Violation::of(Rule::TooManyAttempts, &request.id, detail));
     }
     for (index, arrival) in arrivals.iter().enumerate() {
-        judge_times(seen, request, arrival, found);
+        judge_times(plan, seen, request, arrival, found);
         let earlier = &arrivals[..index];
         judge_repeat(plan, seen, request, earlier, arrival, found);
     }
 }
 
 /// The time that a backend was told, and whether anybody waited.
-fn judge_times(seen: &Seen, request: &RequestRecord, arrival: &ArrivalRecord, found: &mut Vec<Violation>) {
+fn judge_times(
+    plan: &SoakPlan,
+    seen: &Seen,
+    request: &RequestRecord,
+    arrival: &ArrivalRecord,
+    found: &mut Vec<Violation>,
+) {
     let time_left = (request.sent_at + request.timeout).saturating_sub(arrival.at);
-    if arrival.time_told > time_left + TIME_SLACK + PAUSE + observation_slack(seen) {
+    if arrival.time_told > time_left + TIME_SLACK + pause_slack(plan) + observation_slack(seen) {
         let detail = format!("told {} ms, {} ms left", arrival.time_told / 1000, time_left / 1000);
         found.push(Violation::of(Rule::TimeOverstated, &request.id, detail));
     }
     let left = request.ending == Ending::Left;
-    if left && arrival.at > request.ended_at + DISCONNECT_SLACK + PAUSE + observation_slack(seen) {
+    if left && arrival.at > request.ended_at + DISCONNECT_SLACK + pause_slack(plan) + observation_slack(seen)
+    {
         let detail = format!("{} ms after its client left", (arrival.at - request.ended_at) / 1000);
         found.push(Violation::of(Rule::AttemptAfterDisconnect, &request.id, detail));
     }
@@ -208,7 +225,7 @@
         found.push(Violation::of(Rule::UnsafeRepeat, &request.id, detail));
     }
     if request.class == Class::Keyed
-        && arrival.at > first.at + settings::KEY_WINDOW + PAUSE + observation_slack(seen)
+        && arrival.at > first.at + settings::KEY_WINDOW + pause_slack(plan) + observation_slack(seen)
     {
         found.push(Violation::of(Rule::KeyExpired, &request.id, format!("{after_ms} ms after the first")));
     }
@@ -234,7 +251,7 @@
 }
 
 /// Whether draining backends were left alone.
-fn judge_draining(seen: &Seen, found: &mut Vec<Violation>) {
+fn judge_draining(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
     for change in seen.changes.iter().filter(|change| change.listing == Listing::Draining) {
         let later =
             seen.changes.iter().filter(|later| later.backend == change.backend && later.at > change.at);
@@ -245,7 +262,7 @@
             else {
                 continue;
             };
-            let limit = told + settings::DRAIN_GRACE + PAUSE + observation_slack(seen);
+            let limit = told + settings::DRAIN_GRACE + pause_slack(plan) + observation_slack(seen);
             if arrival.at > limit && arrival.at < until {
                 let detail = format!("{} ms after its ingress was told", (arrival.at - told) / 1000);
                 found.push(Violation::of(Rule::SentToDraining, &arrival.id, detail));
@@ -300,9 +317,9 @@
 }
 
 /// Whether bad clients were told in time.
-fn judge_bad_clients(seen: &Seen, found: &mut Vec<Violation>) {
+fn judge_bad_clients(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
     for client in &seen.bad_clients {
-        let limit = client.at + BAD_CLIENT_TIMEOUT + PAUSE + observation_slack(seen);
+        let limit = client.at + BAD_CLIENT_TIMEOUT + pause_slack(plan) + observation_slack(seen);
         if client.told_at.is_none_or(|told_at| told_at > limit) {
             let waited = client.told_at.map(|told_at| (told_at - client.at) / 1000);
             let detail = format!("ingress {}: told after {waited:?} ms", client.ingress);
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -1,7 +1,7 @@
 //! The oracle finds each violation in what was seen, and none where there is none.
 
 use fault_soak::oracle::{judge, Rule};
-use fault_soak::plan::{Shape, SoakPlan, TroubleKind};
+use fault_soak::plan::{Shape, SoakPlan, Trouble, TroubleKind};
 use fault_soak::record::*;
 
 /// A second.
@@ -12,6 +12,13 @@
     SoakPlan { hedging, ..SoakPlan::draw(1, shape, &TroubleKind::ALL) }
 }
 
+/// A plan in which no ingress stands still.
+fn plan_without_pauses(hedging: bool) -> SoakPlan {
+    let mut plan = plan(hedging);
+    plan.troubles.retain(|trouble| trouble.kind != TroubleKind::Pauses);
+    plan
+}
+
 /// A request that is served half a second after it was sent.
 fn request(class: Class, ending: Ending) -> RequestRecord {
     RequestRecord {
@@ -40,7 +47,7 @@
 }
 
 fn rules(hedging: bool, seen: &Seen) -> Vec<Rule> {
-    judge(&plan(hedging), seen).into_iter().map(|violation| violation.rule).collect()
+    judge(&plan_without_pauses(hedging), seen).into_iter().map(|violation| violation.rule).collect()
 }
 
 fn seen(request: RequestRecord, arrivals: Vec<ArrivalRecord>) -> Seen {
@@ -89,7 +96,7 @@
     let twice =
         |class, gap| seen(request(class, Ending::Served), vec![arrival(SECOND), arrival(SECOND + gap)]);
     assert_eq!(rules(true, &twice(Class::NonIdempotent, 50_000)), [Rule::UnsafeRepeat]);
-    assert_eq!(rules(true, &twice(Class::Keyed, 1_750_001)), [Rule::KeyExpired]);
+    assert_eq!(rules(true, &twice(Class::Keyed, 1_600_001)), [Rule::KeyExpired]);
     let mut beside = twice(Class::Idempotent, 20_000);
     beside.arrivals[0].ended_at = Some(SECOND + 200_000);
     assert_eq!(rules(false, &beside), [Rule::ConcurrentAttempts]);
@@ -104,7 +111,7 @@
     let served = request(Class::Keyed, Ending::Served);
     assert_eq!(rules(true, &seen(served, vec![overstated])), [Rule::TimeOverstated]);
     let left = request(Class::Keyed, Ending::Left);
-    let late = arrival(left.ended_at + 350_001);
+    let late = arrival(left.ended_at + 200_001);
     assert_eq!(rules(true, &seen(left, vec![late])), [Rule::AttemptAfterDisconnect]);
 }
 
@@ -120,8 +127,8 @@
 #[test]
 fn what_comes_to_a_draining_backend_past_the_grace_is_found() {
     let at = |at| Seen { arrivals: vec![arrival(at)], ..told(Listing::Draining, false) };
-    assert_eq!(rules(true, &at(2 * SECOND + 500_000)), []);
-    assert_eq!(rules(true, &at(2 * SECOND + 510_001)), [Rule::SentToDraining]);
+    assert_eq!(rules(true, &at(2 * SECOND + 360_000)), []);
+    assert_eq!(rules(true, &at(2 * SECOND + 360_001)), [Rule::SentToDraining]);
 }
 
 #[test]
@@ -148,10 +155,23 @@
     }
     for (told_at, expected) in [
         (Some(4 * SECOND), vec![]),
-        (Some(4 * SECOND + 250_001), vec![Rule::BadClientIgnored]),
+        (Some(4 * SECOND + 100_001), vec![Rule::BadClientIgnored]),
         (None, vec![Rule::BadClientIgnored]),
     ] {
         let bad_clients = vec![BadClientRecord { ingress: 0, at: SECOND, told_at }];
         assert_eq!(rules(true, &Seen { bad_clients, ..Seen::default() }), expected, "{told_at:?}");
     }
 }
+
+/// An ingress that stands still may be late by that.
+#[test]
+fn pauses_of_the_plan_are_allowed_for() {
+    let left = request(Class::Keyed, Ending::Left);
+    let late = arrival(left.ended_at + 300_000);
+    let seen = seen(left, vec![late]);
+    let mut paused = plan_without_pauses(true);
+    let pause = Trouble { kind: TroubleKind::Pauses, from_ms: 0, until_ms: 1000, target: 0 };
+    paused.troubles.push(pause);
+    assert_eq!(judge(&paused, &seen), []);
+    assert_eq!(rules(true, &seen), [Rule::AttemptAfterDisconnect]);
+}
