--- a/fault-soak/src/stand_in/client.rs
+++ b/fault-soak/src/stand_in/client.rs
@@ -146,7 +146,9 @@
     /// Sends a request, or several at once, and waits for the answers.
     fn send_requests(&mut self, ingress: usize) {
         let Some(mut connection) = self.take_connection(ingress) else { return };
-        if connection.has_stray_bytes(self.recorder.as_ref()) {
+        // A first command counts as sent with the connection, and only comes later: nobody may have closed that by now.
+        let is_first = connection.answered == 0;
+        if !is_first && connection.has_stray_bytes(self.recorder.as_ref()) {
             return; // the connection was closed between two requests, or is of no use
         }
         let count =
