--- a/src/policy/permissions.rs
+++ b/src/policy/permissions.rs
@@ -1,6 +1,7 @@
-//! The one place of each rule on what may be done now: start an attempt, repeat it with its key, begin to write it, send
-//! to a backend, use a connection again, close a client's connection. The policy and the host both ask here, and get a
-//! typed reason for a yes and for a no. [`crate::audit`] checks afterwards what was done.
+//! The one place of each rule on what may be done now: start an attempt, repeat it with its key, begin to
+//! write it, send to a backend, use a connection again, close a client's connection. The policy and the host
+//! both ask here, and get a typed reason for a yes and for a no. [`crate::audit`] checks afterwards what was
+//! done.
 
 use crate::{Availability, Idempotency, Micros};
 use thiserror::Error;
@@ -74,8 +75,8 @@
     }
 }
 
-/// Whether an attempt that begins at `begins_by` at the latest meets backends that know the key of the attempt that was
-/// first sent, at `first_sent_at`.
+/// Whether an attempt that begins at `begins_by` at the latest meets backends that know the key of the
+/// attempt that was first sent, at `first_sent_at`.
 pub fn may_repeat_key(
     window: Micros,
     first_sent_at: Micros,
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -96,8 +96,8 @@
         }
         if silent && now >= health.ejected_until {
             health.eject(now);
-            let reason = EjectionReason::Silence;
-            tracing::debug!(target: "policy", backend = backend_id.0, class = class_index, ?reason, "ejected");
+            let (backend, class, reason) = (backend_id.0, class_index, EjectionReason::Silence);
+            tracing::debug!(target: "policy", backend, class, ?reason, "ejected");
             let (class, source) = (class_index, Source::Own);
             self.record_observation(Observation { backend: backend_id, class, latency: None, source });
         }
--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -1,11 +1,12 @@
-//! When backends started, in the host's time. Discovery gives Unix times, by wall clocks that may be stepped, here and
-//! elsewhere; a backend's age is a span of real time. What tells one start from another is the Unix time as it was given;
-//! where it can be read in several ways, the one that makes the backend colder counts.
+//! When backends started, in the host's time. Discovery gives Unix times, by wall clocks that may be stepped,
+//! here and elsewhere; a backend's age is a span of real time. What tells one start from another is the Unix
+//! time as it was given; where it can be read in several ways, the one that makes the backend colder counts.
 
 use crate::{BackendId, Micros};
 use std::collections::HashMap;
 
-/// How far in the future a start may seem to lie: clocks differ a little. One further off was read by the wrong clock.
+/// How far in the future a start may seem to lie: clocks differ a little. One further off was read by the
+/// wrong clock.
 const CLOCK_SKEW: i64 = 1_000_000;
 /// How much later than its start a backend's new start may be listed, while discovery can be reached.
 const MAX_LISTING_DELAY: Micros = 6_000_000;
@@ -29,8 +30,8 @@
         self.highest = self.highest.max(self.latest);
     }
 
-    /// The least age, by any of the clock readings there were, of what started at a Unix time; nothing if it started in
-    /// the future by all of them.
+    /// The least age, by any of the clock readings there were, of what started at a Unix time; nothing if it
+    /// started in the future by all of them.
     fn least_age(&self, now: Micros, unix_start: Micros) -> Micros {
         let offsets = [0, self.latest, self.lowest, self.highest];
         let ages = offsets.map(|offset| now as i64 + offset - unix_start as i64);
