--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -3,6 +3,7 @@
 use super::shutdown::{Phase, ACCEPTING_CHECK_INTERVAL, MAX_DRAINING_TIME, MIN_ACCEPTING_TIME};
 use super::timer_queue::Timer;
 use super::*;
+use crate::clients::AcceptOutcome;
 use crate::config::tests::CONFIG;
 use crate::config::Config;
 use crate::discovery::{EndpointEntry, EndpointList};
@@ -373,6 +374,26 @@
     }
 }
 
+/// Guards against a timer for each failed call to accept, each of which sets the next one: where descriptors stay used up,
+/// every client that came added another retry each 10 ms.
+#[test]
+fn accepting_is_retried_by_one_timer_however_often_it_failed() {
+    // Eight connections beyond what is reserved, six of them for clients.
+    let config = CONFIG.replacen("\"sockets\":256", "\"sockets\":36", 1);
+    let (mut event_loop, first) = start("accept-retry", &config);
+    let address = first.peer_addr().unwrap();
+    // Clients in the middle of a command are not closed to make room for others.
+    let mut clients = vec![first];
+    clients.extend((0..20).map(|_| TcpStream::connect(address).unwrap()));
+    clients.iter_mut().for_each(|client| client.write_all(&PING[..6]).unwrap());
+    while event_loop.accept() != AcceptOutcome::NoDescriptor {
+        event_loop.clients.read_all(event_loop.now);
+    }
+    (0..5).for_each(|_| assert_eq!(event_loop.accept(), AcceptOutcome::NoDescriptor));
+    let due = event_loop.timers.take_due(Micros::MAX);
+    assert_eq!(due.iter().filter(|timer| **timer == Timer::RetryAccept).count(), 1);
+}
+
 /// Operators look for these texts: they stay as they are, and name the key at fault.
 #[test]
 fn each_start_failure_has_its_text() {
