Retry a failed accept by one timer at a time

Cause: EventLoop::accept (client_events.rs) set a RetryAccept timer at each failure, and each timer's failure set the next: where descriptors stayed used up, every client that came added a retry each 10 ms for good. Change: none is set while one is.

--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -88,6 +88,8 @@
     timers: TimerQueue,
     /// More connections may wait to be accepted.
     accept_pending: bool,
+    /// A timer is set to accept connections again after that has failed.
+    accept_retry_scheduled: bool,
     /// More messages of peers may wait to be received.
     peer_messages_pending: bool,
     /// How far the graceful shutdown has come.
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -40,7 +40,9 @@
             AcceptOutcome::MorePending => self.accept_pending = true,
             // The poll reports each arrival once: those that wait now must not wait for the next one to come.
             AcceptOutcome::NoDescriptor => {
-                self.timers.schedule(now + ACCEPT_RETRY_DELAY, Timer::RetryAccept);
+                if !std::mem::replace(&mut self.accept_retry_scheduled, true) {
+                    self.timers.schedule(now + ACCEPT_RETRY_DELAY, Timer::RetryAccept);
+                }
             }
         }
         self.process_client_events();
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -89,6 +89,7 @@
             signals: sockets.signals,
             timers: TimerQueue::default(),
             accept_pending: false,
+            accept_retry_scheduled: false,
             peer_messages_pending: false,
         };
         event_loop.apply_endpoints(endpoints, EndpointUpdate::CachedSnapshot);
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -35,6 +35,7 @@
             }
             Timer::Sweep => self.sweep(),
             Timer::RetryAccept => {
+                self.accept_retry_scheduled = false;
                 self.accept();
             }
             Timer::RetryReload => self.reload(),
