Blame no backend for an attempt that nobody waits for any more

Cause: prepare_to_write ended an attempt of an answered request as ConnectFailed, which counts against backend and zone; by reading, since cancel_unsent ends such attempts before. Change: it ends as not sent, as there.

--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -6,7 +6,7 @@
 use super::EventLoop;
 use crate::backends::{Assignment, CommandState, Completion, ConnectionId, TimeTold};
 use crate::resp;
-use ingress::permissions::{may_begin_writing, WriteFacts};
+use ingress::permissions::{may_begin_writing, WriteFacts, WriteRefusal};
 use ingress::{AttemptEnded, BackendId, Event, LoadReport, Micros, Outcome, RequestId};
 
 /// Microseconds in a millisecond.
@@ -260,7 +260,12 @@
         let facts = WriteFacts { now: at, expires_at, begins_by, answered: request.answered };
         if let Err(refusal) = may_begin_writing(&facts) {
             tracing::debug!(target: "attempt", request = id.0, attempt = number, ?refusal, "not begun");
-            return self.cancel_attempt(id, number, |_| Outcome::ConnectFailed);
+            // That nobody waits any more says nothing of the backend.
+            let outcome = match refusal {
+                WriteRefusal::Answered => Outcome::NotSent,
+                WriteRefusal::Expired | WriteRefusal::ConnectedTooLate => Outcome::ConnectFailed,
+            };
+            return self.cancel_attempt(id, number, |_| outcome);
         }
         let time_left = expires_at.saturating_sub(at);
         let time_told = TimeTold { at, time_left };
