Forget the starts of removed backends by the list that is made already

Change: what update_endpoints returns is forgotten; StartTimes::retain goes, and the line of its test that used it now forgets another backend.

--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -7,10 +7,9 @@
 use crate::discovery::EndpointList;
 use crate::peers::Backlog;
 use crate::reload::ReloadOutcome;
-use ingress::{Availability, BackendId, Endpoint, EndpointUpdate, Event};
+use ingress::{Availability, Endpoint, EndpointUpdate, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
-use std::collections::HashSet;
 
 /// Sets the handlers of the signals that the event loop handles: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP
 /// reloads the configuration, SIGUSR1 logs what was done so far.
@@ -37,10 +36,11 @@
     /// Passes an endpoint list on to the connections and to the policy.
     pub(super) fn apply_endpoints(&mut self, list: EndpointList, update: EndpointUpdate) {
         let removed = self.backends.update_endpoints(&list);
+        let endpoints = self.endpoints_in_host_time(&list);
         for backend in removed {
             self.auditor.backend_listed(backend, Availability::Gone, self.now);
+            self.start_times.forget(backend);
         }
-        let endpoints = self.endpoints_in_host_time(&list);
         // What was cached before the start says nothing of now.
         if update != EndpointUpdate::CachedSnapshot {
             self.start_times.list_taken(self.now);
@@ -58,13 +58,6 @@
         for endpoint in &mut endpoints {
             self.auditor.backend_listed(endpoint.backend, endpoint.availability, now);
             endpoint.started_at = times.host_time(endpoint.backend, endpoint.started_at, now);
-            if endpoint.availability == Availability::Gone {
-                times.forget(endpoint.backend);
-            }
-        }
-        if list.is_snapshot {
-            let listed: HashSet<BackendId> = endpoints.iter().map(|endpoint| endpoint.backend).collect();
-            times.retain(|backend| listed.contains(&backend));
         }
         endpoints
     }
--- a/src/policy/start_times.rs
+++ b/src/policy/start_times.rs
@@ -95,11 +95,6 @@
     pub fn forget(&mut self, backend: BackendId) {
         self.starts.remove(&backend);
     }
-
-    /// Forgets all backends but those that are listed.
-    pub fn retain(&mut self, is_listed: impl Fn(BackendId) -> bool) {
-        self.starts.retain(|backend, _| is_listed(*backend));
-    }
 }
 
 #[cfg(test)]
--- a/src/policy/start_times/tests.rs
+++ b/src/policy/start_times/tests.rs
@@ -48,7 +48,7 @@
     assert_eq!(times.host_time(BACKEND, unix_time, START), unix_time);
     times.observe_clock(START + SECOND, START - SECOND);
     assert_eq!(times.host_time(BACKEND, unix_time, START + 2 * SECOND), unix_time);
-    times.retain(|backend| backend == BACKEND);
+    times.forget(BackendId(8));
     assert_eq!(times.host_time(BACKEND, unix_time, START + 3 * SECOND), unix_time);
     times.forget(BACKEND);
     assert_ne!(times.host_time(BACKEND, unix_time, START + 3 * SECOND), unix_time);
