Add three failing tests: a held-up ingress, a start without sockets, a long cut

Seen on: told 5989 ms of 5200 that were left after a stop of 0.8 s; a process that finds no socket for its first 0.4 s ends and never answers PING; a peer's message after a cut in which it sent 40,000 others is Outdated.

--- a/src/state/peer/tests.rs
+++ b/src/state/peer/tests.rs
@@ -47,3 +47,15 @@
     assert_eq!(peer.receive(5_000_000, 101, 30), Receipt::Outdated, "from before the restart");
     assert_eq!(peer.receive(5, 2, 40), Receipt::Current);
 }
+
+/// Guards against taking messages for outdated behind a long cut: by then the peer has sent so many that the sequence
+/// numbers seem to have gone back, and it would not be heard until it had sent as many again.
+#[test]
+fn a_peer_that_was_cut_off_for_long_is_heard_at_once() {
+    let mut peer = Peer::default();
+    peer.receive(5, 100, 10);
+    let after_the_cut = 10 + 40 * 60 * 1_000_000;
+    assert_eq!(peer.receive(5, 100 + 40_000, after_the_cut), Receipt::Current);
+    assert_eq!(peer.receive(5, 100 + 39_999, after_the_cut + 10), Receipt::Outdated, "overtaken");
+    assert_eq!(peer.receive(5, 100 + 40_001, after_the_cut + 20), Receipt::Current);
+}
--- a/tests/race_conditions.rs
+++ b/tests/race_conditions.rs
@@ -173,3 +173,32 @@
         "{time_left_ms} ms left, {waited} ms after it was asked for 7000"
     );
 }
+
+/// The value of an option of a command, such as `d`.
+fn option_of(command: &[String], name: &str) -> u64 {
+    let value = command[3].split(',').find_map(|option| option.strip_prefix(name)?.strip_prefix('='));
+    value.unwrap().parse().unwrap()
+}
+
+/// Guards against counting a client's time from when its request is read: an ingress that stands still for a while, as on a
+/// machine that is overloaded, then tells a backend more time than the client has left.
+#[test]
+fn the_time_that_a_request_waited_for_a_held_up_ingress_counts() {
+    const TIMEOUT_MS: u64 = 6000;
+    const SLACK_MS: u64 = 150;
+    let backend = Backend::start(reply_with_value);
+    let ingress = IngressSetup::with_backends(&[&backend]).start();
+    let mut client = ingress.client();
+    assert_eq!(client.ping(), "+PONG");
+    ingress.signal("STOP");
+    wait_until("the process is stopped", || ingress.is_stopped());
+    client.send(&encode_request("refer", "r1", TIMEOUT_MS as u32));
+    let sent_at = Instant::now();
+    thread::sleep(Duration::from_millis(800));
+    let held_up = sent_at.elapsed();
+    ingress.signal("CONT");
+    assert_eq!(client.read_reply(), "value of r1");
+    let told = option_of(&backend.commands()[0], "d");
+    let left = TIMEOUT_MS - held_up.as_millis() as u64;
+    assert!(told <= left + SLACK_MS, "told {told} ms of {left}");
+}
--- a/tests/support/ingress.rs
+++ b/tests/support/ingress.rs
@@ -179,6 +179,12 @@
             .success());
     }
 
+    /// Whether the process was stopped by a signal.
+    pub fn is_stopped(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        stat.rsplit(')').next().unwrap().trim_start().starts_with('T')
+    }
+
     /// Waits until the process has ended.
     pub fn wait_for_exit(&mut self) -> ExitStatus {
         let mut status = None;
--- a/tests/system_call_faults.rs
+++ b/tests/system_call_faults.rs
@@ -171,3 +171,14 @@
     ingress.signal("TERM");
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
 }
+
+/// Guards against an end at the start for a moment without sockets: a process that is started has to become ready.
+#[test]
+fn the_ingress_starts_though_no_socket_can_be_made_for_a_moment() {
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    let no_sockets = Fault { until_ms: 400, ..Fault::always(FaultKind::FailedSocket, 1.0) };
+    setup.faults = Some(FaultPlan { faults: vec![no_sockets], ..FaultPlan::default() });
+    let ingress = setup.start();
+    assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
+}
