Hear a peer at once behind a cut in which its sequence numbers wrapped

Cause: Peer::receive (src/state/peer.rs) compares sequence numbers of 16 bits modulo 2^16, whatever the time between two messages. A peer that sends 32,768 to 65,535 messages while it cannot be heard (20 a second at the most: some 27 to 54 minutes of a cut) seems to go back, and all it sends is Outdated until it has sent as many again. Ruled out: incarnations, which are the same. Change: no message is on its way for longer than a second, so behind a longer silence every number counts as newer.

--- a/src/state/peer.rs
+++ b/src/state/peer.rs
@@ -35,7 +35,8 @@
     },
 }
 
-/// How long a message may be on its way. After this, one of an earlier incarnation says that it still runs.
+/// How long a message may be on its way. After this, one of an earlier incarnation says that it still runs, and one whose
+/// sequence number seems to have gone back says that the numbers have wrapped meanwhile.
 const MAX_MESSAGE_DELAY: Micros = 1_000_000;
 /// Messages that a peer sent before the first one that came here, from which on it has run for longer than this gateway: a
 /// process that starts is heard within its first few, whatever is lost.
@@ -78,7 +79,8 @@
     /// Takes note of a message's incarnation and sequence number.
     pub fn receive(&mut self, incarnation: u32, sequence: u16, now: Micros) -> Receipt {
         let same_incarnation = incarnation == self.incarnation;
-        let overtaken = sequence.wrapping_sub(self.last_sequence) as i16 <= 0;
+        let is_behind = sequence.wrapping_sub(self.last_sequence) as i16 <= 0;
+        let overtaken = is_behind && now < self.last_heard_at + MAX_MESSAGE_DELAY;
         if (same_incarnation && overtaken) || self.was_superseded_lately(incarnation, now) {
             return Receipt::Outdated;
         }
