Start though sockets, epoll, signals or the configuration fail for a moment

Cause: main::run and EventLoop::start gave every failed call of the start up at once (Poll::new, TcpListener::bind, register, PeerSocket::bind, register_signals, read_to_string), and the process ended with status 1: a failed start. Seen: with no socket to be had for its first 0.4 s a process never answered PING. Ruled out: reload and discovery, which try again already. A signal to stop that comes meanwhile is kept. Not forced: failing epoll, signals and file, for which the shim has no fault.

--- a/src/bin/ingress/config.rs
+++ b/src/bin/ingress/config.rs
@@ -8,6 +8,7 @@
 pub use error::{ConfigError, ConfigFileError};
 use ingress::{Class, Micros, Settings, SettingsReader};
 use serde_json::Value;
+use std::io;
 use std::net::SocketAddr;
 
 /// Overrides the address at which clients are served.
@@ -46,6 +47,7 @@
 }
 
 /// The addresses of an ingress and its peers.
+#[derive(Clone)]
 pub struct PeerAddresses {
     /// Where this ingress receives messages.
     pub listen_address: SocketAddr,
@@ -63,8 +65,16 @@
 impl Config {
     /// Reads the file at a path; `variable` looks up the environment, whose addresses override the file's.
     pub fn read(path: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Config, ConfigFileError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| ConfigFileError::Unreadable { path: path.to_string(), source })?;
+        Config::from_file(path, std::fs::read_to_string(path), variable)
+    }
+
+    /// Takes what reading the file at a path gave; `variable` looks up the environment.
+    pub fn from_file(
+        path: &str,
+        text: io::Result<String>,
+        variable: impl Fn(&str) -> Option<String>,
+    ) -> Result<Config, ConfigFileError> {
+        let text = text.map_err(|source| ConfigFileError::Unreadable { path: path.to_string(), source })?;
         Config::parse(&text, variable)
             .map_err(|source| ConfigFileError::Invalid { path: path.to_string(), source })
     }
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -7,14 +7,15 @@
 use crate::discovery::EndpointList;
 use crate::peers::Backlog;
 use crate::reload::ReloadOutcome;
+use crate::start_retry::StartRetry;
 use ingress::{Availability, Endpoint, EndpointUpdate, Event};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook_mio::v1_0::Signals;
 
 /// Sets the handlers of the signals that the event loop handles: SIGTERM and SIGINT begin the graceful shutdown, SIGHUP
 /// reloads the configuration, SIGUSR1 logs what was done so far.
-pub fn register_signals() -> Result<Signals, EventLoopError> {
-    Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1]).map_err(EventLoopError::Signals)
+pub fn register_signals(retry: StartRetry) -> Result<Signals, EventLoopError> {
+    retry.run(|| Signals::new([SIGTERM, SIGINT, SIGHUP, SIGUSR1])).map_err(EventLoopError::Signals)
 }
 
 impl EventLoop {
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -15,6 +15,7 @@
 use crate::discovery::{max_body_bytes, Watch, WatchOptions};
 use crate::peers::PeerSocket;
 use crate::reload::Reload;
+use crate::start_retry::StartRetry;
 use ingress::audit::{AuditRules, Auditor};
 use ingress::backoff::Backoff;
 use ingress::{Discovery, EndpointUpdate, Gateway, Micros, Settings, StartTimes};
@@ -42,12 +43,19 @@
 
 impl EventLoop {
     /// Opens the sockets. From here on clients can connect; they are served once [`EventLoop::run`] runs.
-    pub fn start(mut config: Config, reload: Reload, mut signals: Signals) -> Result<Self, EventLoopError> {
-        let poll = Poll::new().map_err(EventLoopError::Poll)?;
+    /// Calls that fail for a moment are made again.
+    pub fn start(
+        mut config: Config,
+        reload: Reload,
+        mut signals: Signals,
+        retry: StartRetry,
+    ) -> Result<Self, EventLoopError> {
+        let poll = retry.run(Poll::new).map_err(EventLoopError::Poll)?;
         let address = config.listen_address;
-        let listener = listen(address, poll.registry(), &mut signals)?;
+        let listener = listen(address, poll.registry(), retry)?;
+        register_signals(&mut signals, poll.registry(), retry)?;
         let peers = config.peers.take();
-        let peers = peers.map(|addresses| bind_peers(addresses, poll.registry())).transpose()?;
+        let peers = peers.map(|addresses| bind_peers(&addresses, poll.registry(), retry)).transpose()?;
         let sockets = Sockets { poll, listener, peers, signals };
         let mut event_loop = EventLoop::build(config, sockets, Clock::new(), reload)?;
         event_loop.timers.schedule(event_loop.now + SWEEP_INTERVAL, Timer::Sweep);
@@ -122,25 +130,46 @@
     }
 }
 
-/// Opens the socket at which clients connect, and registers it and the signals.
+/// Opens the socket at which clients connect, and registers it.
 fn listen(
     address: SocketAddr,
     registry: &Registry,
-    signals: &mut Signals,
+    retry: StartRetry,
 ) -> Result<TcpListener, EventLoopError> {
-    let mut listener =
-        TcpListener::bind(address).map_err(|source| EventLoopError::Listen { address, source })?;
-    registry
-        .register(&mut listener, Source::Listener.into(), Interest::READABLE)
-        .and_then(|()| registry.register(signals, Source::Signals.into(), Interest::READABLE))
-        .map_err(EventLoopError::Poll)?;
-    Ok(listener)
+    // A source whose registration failed counts as registered with mio: only a new one can be tried again.
+    let open = || {
+        let mut listener = TcpListener::bind(address)?;
+        registry.register(&mut listener, Source::Listener.into(), Interest::READABLE)?;
+        Ok(listener)
+    };
+    retry.run(open).map_err(|source| EventLoopError::Listen { address, source })
+}
+
+/// Registers the signals, which were taken before and are kept through all tries.
+fn register_signals(
+    signals: &mut Signals,
+    registry: &Registry,
+    retry: StartRetry,
+) -> Result<(), EventLoopError> {
+    let register = || {
+        let registered = registry.register(signals, Source::Signals.into(), Interest::READABLE);
+        if registered.is_err() {
+            let _ = registry.deregister(signals);
+        }
+        registered
+    };
+    retry.run(register).map_err(EventLoopError::Poll)
 }
 
 /// Opens the socket for messages of peers, and registers it.
-fn bind_peers(addresses: PeerAddresses, registry: &Registry) -> Result<PeerSocket, EventLoopError> {
+fn bind_peers(
+    addresses: &PeerAddresses,
+    registry: &Registry,
+    retry: StartRetry,
+) -> Result<PeerSocket, EventLoopError> {
     let address = addresses.listen_address;
-    PeerSocket::bind(addresses, registry, Source::Peers.into())
+    retry
+        .run(|| PeerSocket::bind(addresses.clone(), registry, Source::Peers.into()))
         .map_err(|source| EventLoopError::BindPeers { address, source })
 }
 
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -9,6 +9,7 @@
 use crate::discovery::{EndpointEntry, EndpointList};
 use crate::error_chain::ErrorChain;
 use crate::resp;
+use crate::start_retry::StartRetry;
 use ingress::{BackendId, Endpoint, EndpointUpdate};
 use std::io::{Read, Write};
 use std::net::{Shutdown as Direction, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -16,6 +17,12 @@
 /// The command that every client may send.
 const PING: &[u8] = b"*1\r\n$4\r\nPING\r\n";
 
+/// An event loop that was started with a configuration, whose file is at a path.
+fn started_with(config: Config, path: String) -> Result<EventLoop, EventLoopError> {
+    let retry = StartRetry::new();
+    EventLoop::start(config, Reload::new(path), register_signals(retry).unwrap(), retry)
+}
+
 /// An event loop whose iterations the test runs, and a client that is connected to it.
 fn start(name: &str, config: &str) -> (EventLoop, TcpStream) {
     let file = std::env::temp_dir().join(format!("ingress-{name}-{}.json", std::process::id()));
@@ -26,7 +33,7 @@
     drop(unused);
     let variable = |name: &str| (name == "LB_LISTEN").then(|| address.to_string());
     let config = Config::read(&path, variable).unwrap();
-    let event_loop = EventLoop::start(config, Reload::new(path), register_signals().unwrap()).unwrap();
+    let event_loop = started_with(config, path).unwrap();
     std::fs::remove_file(&file).unwrap();
     let client = TcpStream::connect(address).unwrap();
     client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
@@ -414,7 +421,7 @@
         ),
     ] {
         let config = Config::parse(&config, |_| None).ok().unwrap();
-        let started = EventLoop::start(config, Reload::new(String::new()), register_signals().unwrap());
+        let started = started_with(config, String::new());
         assert_eq!(ErrorChain(&started.err().unwrap()).to_string(), text);
     }
 }
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -12,11 +12,13 @@
 mod reload;
 mod resp;
 mod socket_error;
+mod start_retry;
 
 use config::{environment_variable, Config, ConfigFileError};
 use error_chain::ErrorChain;
 use event_loop::{EventLoop, EventLoopError};
 use reload::Reload;
+use start_retry::StartRetry;
 use std::process::ExitCode;
 use thiserror::Error;
 
@@ -41,9 +43,11 @@
 fn run() -> Result<(), IngressError> {
     let path = environment_variable(CONFIG_VARIABLE).ok_or(IngressError::NoConfigFile)?;
     // From here on no signal ends the process: the event loop handles those that come while it starts.
-    let signals = event_loop::register_signals()?;
-    let config = Config::read(&path, environment_variable)?;
-    EventLoop::start(config, Reload::new(path), signals)?.run()?;
+    let retry = StartRetry::new();
+    let signals = event_loop::register_signals(retry)?;
+    let text = retry.run(|| std::fs::read_to_string(&path));
+    let config = Config::from_file(&path, text, environment_variable)?;
+    EventLoop::start(config, Reload::new(path), signals, retry)?.run()?;
     Ok(())
 }
 
