Count a client's time from when its request can have arrived

Cause: open_request (event_loop/client_events.rs) took the time at which a command was read for the time at which it was sent. A process that was held up (no processor, SIGSTOP, a long turn) then promised its backends, and its own timers, as much more time as it stood still. Ruled out: the time left when an attempt begins, which is read anew (assign_last_attempt). Change: ArrivalClock follows the calls of the poll. What a call reports counts from when the one before returned, less what the call really waited; a call that was interrupted has reported nothing (so returns a process that was stopped). What a connection could not be read of, or was paused for, counts from then. The deadline, its timer and the audit go by that.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -49,6 +49,8 @@
         id: RequestId,
         /// Where its reply belongs.
         reply_to: ReplyHandle,
+        /// When it arrived at this machine, at the earliest.
+        arrived_at: Micros,
         /// What the client sent.
         command: Command,
     },
@@ -125,6 +127,8 @@
     pub last_accepted_at: Micros,
     /// A connection that was accepted and could not be registered with the poll yet.
     unregistered: Option<TcpStream>,
+    /// When what is read now has arrived, at the earliest.
+    arrival_time: Micros,
     /// Since when every attempt to accept a connection has failed.
     accept_failing_since: Option<Micros>,
     /// How many connections were closed, by reason.
@@ -161,6 +165,7 @@
             events: VecDeque::new(),
             last_accepted_at: 0,
             unregistered: None,
+            arrival_time: 0,
             accept_failing_since: None,
             close_counts: Default::default(),
             abandoned: Vec::new(),
@@ -177,6 +182,11 @@
         self.events.pop_front()
     }
 
+    /// Sets when what is read from now on has arrived, at the earliest.
+    pub fn set_arrival_time(&mut self, arrival_time: Micros) {
+        self.arrival_time = arrival_time;
+    }
+
     /// Whether there is something to do before any socket shows as ready.
     pub fn has_pending_work(&self) -> bool {
         !(self.read_queue.is_empty() && self.write_queue.is_empty() && self.events.is_empty())
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -64,6 +64,8 @@
     pub over_limit: bool,
     /// Nothing is read since too many replies are owed or unread.
     pub reading_paused: bool,
+    /// Since when something may be unread, where it was not read to the end.
+    pub unread_since: Option<Micros>,
     /// It is in the queue of connections to be written to.
     pub queued_for_write: bool,
     /// It is in the queue of connections to be read from.
@@ -88,6 +90,7 @@
             linger_until: over_limit.then_some(now + LINGER_TIMEOUT),
             over_limit,
             reading_paused: false,
+            unread_since: None,
             queued_for_write: false,
             queued_for_read: false,
         }
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -76,7 +76,7 @@
     fn read_and_parse(&mut self, key: usize, now: Micros) {
         for _ in 0..MAX_READS_PER_TURN {
             if self.parse_commands(key, now) == Intake::Paused {
-                self.connections[key].reading_paused = true;
+                self.pause_reading(key);
                 return;
             }
             let connection = &mut self.connections[key];
@@ -84,22 +84,34 @@
                 Ok(0) => return self.remove(key, CloseReason::ClientGone),
                 Ok(received) => received,
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                Err(error) if is_out_of_memory(&error) => return self.queue_for_read(key),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    connection.unread_since = None;
+                    return;
+                }
+                Err(error) if is_out_of_memory(&error) => return self.read_later(key),
                 Err(_) => return self.remove(key, CloseReason::Broken),
             };
             connection.receive(&self.read_buffer[..received], now);
         }
-        if self.parse_and_update_pause(key, now) == Intake::Open {
-            self.queue_for_read(key);
+        match self.parse_commands(key, now) {
+            Intake::Open => self.read_later(key),
+            Intake::Paused => self.pause_reading(key),
         }
     }
 
-    /// Parses a connection's commands and notes whether its reading is paused.
-    fn parse_and_update_pause(&mut self, key: usize, now: Micros) -> Intake {
-        let intake = self.parse_commands(key, now);
-        self.connections[key].reading_paused = intake == Intake::Paused;
-        intake
+    /// Leaves the rest of what a connection has sent for later. Its time is running.
+    fn read_later(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        connection.reading_paused = false;
+        connection.unread_since.get_or_insert(self.arrival_time);
+        self.queue_for_read(key);
+    }
+
+    /// Reads no further until replies have left. The time of what is unread is running.
+    fn pause_reading(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        connection.reading_paused = true;
+        connection.unread_since.get_or_insert(self.arrival_time);
     }
 
     /// Parses the complete commands that a connection has sent.
@@ -162,7 +174,8 @@
         connection.record_valid_command();
         let sequence = connection.replies.push_pending(id);
         let reply_to = ReplyHandle { key, serial: connection.serial, sequence };
-        self.events.push_back(ClientEvent::Command { id, reply_to, command });
+        let arrived_at = connection.unread_since.unwrap_or(self.arrival_time);
+        self.events.push_back(ClientEvent::Command { id, reply_to, arrived_at, command });
     }
 
     /// Replies with an error to a command that is not acceptable.
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -5,6 +5,7 @@
 //! Time is read once for all that is handled in an iteration, and shown to the policy in steps of its tick.
 
 mod actions;
+mod arrival_clock;
 mod attempts;
 mod auditing;
 mod client_events;
@@ -25,6 +26,7 @@
 use crate::discovery::Watch;
 use crate::peers::PeerSocket;
 use crate::reload::Reload;
+use arrival_clock::ArrivalClock;
 use clock::Clock;
 pub use control_events::register_signals;
 use counters::Counters;
@@ -48,6 +50,8 @@
     poll: Poll,
     /// The exact time, for what is shorter than a tick.
     clock: Clock,
+    /// When what the poll reported can have arrived.
+    arrivals: ArrivalClock,
     /// The time that the policy is given.
     now: Micros,
     /// The step in which that time goes on.
@@ -118,35 +122,37 @@
 
     /// Waits until a socket is ready or a timer is due, and reads the clock.
     fn wait(&mut self, events: &mut Events) -> Result<(), EventLoopError> {
-        let timeout = self.poll_timeout();
-        match self.poll.poll(events, Some(timeout)) {
-            Err(error) if error.kind() != io::ErrorKind::Interrupted => {
-                return Err(EventLoopError::Poll(error))
-            }
-            _ => {}
+        let called_at = self.clock.now();
+        let timeout = self.poll_timeout(called_at);
+        let result = self.poll.poll(events, Some(Duration::from_micros(timeout)));
+        let clock = self.clock.now();
+        match result {
+            Ok(()) => self.arrivals.poll_returned(called_at, timeout, clock),
+            Err(error) if error.kind() == io::ErrorKind::Interrupted => self.arrivals.poll_interrupted(),
+            Err(error) => return Err(EventLoopError::Poll(error)),
         }
         // What comes within a tick of the last reading is handled with that one. Sleeping for the rest of the tick
         // instead, to handle all of it at once, cost each request two sleeps and 1.7 ms each way.
-        let clock = self.clock.now();
         if clock >= self.now + self.tick {
             self.now = clock;
         }
+        self.clients.set_arrival_time(self.arrivals.arrived_at().min(self.now));
         Ok(())
     }
 
-    /// How long the poll may wait for a socket.
-    fn poll_timeout(&self) -> Duration {
+    /// How long the poll may wait for a socket, from a time on.
+    fn poll_timeout(&self, called_at: Micros) -> Micros {
         if self.accept_pending || self.peer_messages_pending || self.clients.has_pending_work() {
-            return Duration::ZERO;
+            return 0;
         }
         if self.shutdown.is_past_reply_deadline(self.now) || self.clients.has_write_retries() {
             // The end is near and has to be seen within a tick, or a write is to be tried again.
-            return Duration::from_micros(self.tick);
+            return self.tick;
         }
         let next_timer_at = self.timers.next_due_at().unwrap_or(Micros::MAX).min(self.watch.next_timer_at);
         // No timer is due before the clock is read anew.
         let wake_at = next_timer_at.max(self.now + self.tick);
-        Duration::from_micros(wake_at.saturating_sub(self.clock.now()))
+        wake_at.saturating_sub(called_at)
     }
 
     /// One iteration. Discovery comes first, so that the policy knows of a draining backend before it sends anything;
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -70,7 +70,9 @@
         self.report_disconnects();
         while let Some(event) = self.clients.next_event() {
             match event {
-                ClientEvent::Command { id, reply_to, command } => self.open_request(id, reply_to, command),
+                ClientEvent::Command { id, reply_to, arrived_at, command } => {
+                    self.open_request(id, reply_to, arrived_at, command);
+                }
                 ClientEvent::Disconnected(id) => {
                     self.cancel_unsent(id);
                     self.requests.remove_if_finished(id, self.now);
@@ -80,8 +82,9 @@
         }
     }
 
-    /// Opens a request and passes it to the policy, or rejects it where a limit leaves no room.
-    fn open_request(&mut self, id: RequestId, reply_to: ReplyHandle, command: Command) {
+    /// Opens a request and passes it to the policy, or rejects it where a limit leaves no room. Its time counts from its
+    /// arrival, which may be a while ago where the process was held up.
+    fn open_request(&mut self, id: RequestId, reply_to: ReplyHandle, arrived_at: Micros, command: Command) {
         // Backends and clients could not tell two with one id apart, and the first one came in good faith.
         let id_hash = self.requests.hash_id(&command);
         if self.requests.is_known(id_hash) {
@@ -92,12 +95,13 @@
             return self.clients.reply(reply_to, BUSY_REPLY);
         }
         let timeout = command.timeout.min(MAX_CLIENT_TIMEOUT);
-        self.timers.schedule(self.now + timeout, Timer::ClientDeadline(id));
+        let arrived_at = arrived_at.min(self.now);
+        self.timers.schedule(arrived_at + timeout, Timer::ClientDeadline(id));
         // The policy's deadline is a little before the client's: the reply takes time to arrive.
         let reply_time = (2 * self.tick + REPLY_TRANSIT_TIME).min(timeout / 4);
         let mut request = command.request;
         request.id = id;
-        request.deadline = self.now + timeout - reply_time;
+        request.deadline = arrived_at + timeout - reply_time;
         tracing::debug!(
             target: "request",
             request = id.0,
@@ -105,11 +109,12 @@
             customer = request.customer.0,
             class = request.class,
             timeout_ms = timeout / 1000,
+            waited_us = self.now - arrived_at,
             client = ?reply_to,
             "opened"
         );
         self.counters.requests += 1;
-        let audit = RequestAudit::new(&self.auditor, request.class.into(), self.now + timeout);
+        let audit = RequestAudit::new(&self.auditor, request.class.into(), arrived_at + timeout);
         self.requests.insert(id, id_hash, command, reply_to, request.deadline, audit);
         self.pending_events.push_back(Event::Request(request));
     }
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -1,5 +1,6 @@
 //! Opens the sockets and puts the event loop together.
 
+use super::arrival_clock::ArrivalClock;
 use super::clock::Clock;
 use super::counters::Counters;
 use super::descriptor_budget::DescriptorBudget;
@@ -76,6 +77,7 @@
         let mut event_loop = EventLoop {
             poll: sockets.poll,
             clock,
+            arrivals: ArrivalClock::new(now),
             now,
             tick: settings.tick,
             polls_discovery: settings.discovery == Discovery::Poll,
@@ -100,6 +102,7 @@
             accept_retry_scheduled: false,
             peer_messages_pending: false,
         };
+        event_loop.clients.set_arrival_time(now);
         event_loop.apply_endpoints(endpoints, EndpointUpdate::CachedSnapshot);
         Ok(event_loop)
     }
