Add a failing test: a connection that waited to be accepted

Suspect 18 of docs/INVARIANTS.md, forced: a request that waited for 0.9 s with its connection, while no descriptor was free, counts as arrived when the connection is accepted.

--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -54,6 +54,17 @@
         }
         panic!("the request did not arrive");
     }
+
+    /// Reads until the next request is there, and returns when it arrived.
+    fn next_arrival(&mut self, now: Micros) -> Micros {
+        for _ in 0..1_000_000 {
+            self.clients.read_all(now);
+            if let Some(ClientEvent::Command { arrived_at, .. }) = self.clients.next_event() {
+                return arrived_at;
+            }
+        }
+        panic!("the request did not arrive");
+    }
 }
 
 /// A valid request, encoded.
@@ -138,3 +149,34 @@
     fixture.clients.resume_reads(NOW + 1);
     assert!(fixture.clients.close_longest_idle(NOW + 1), "nothing was");
 }
+
+/// Guards against counting a client's time from when its connection is accepted, where it waited for that: there was no
+/// descriptor, or accepting failed, and its request was waiting with it.
+#[test]
+fn the_time_that_a_connection_waited_to_be_accepted_counts() {
+    const WAIT: Micros = 900_000;
+    let mut fixture = Fixture::new(1 << 20);
+    let mut client = TcpStream::connect(fixture.address).unwrap();
+    client.write_all(&request_command()).unwrap();
+    fixture.clients.set_arrival_time(NOW);
+    let outcome = fixture.clients.accept(fixture.poll.registry(), NOW, |_| Capacity::Exhausted);
+    assert_eq!(outcome, AcceptOutcome::NoDescriptor);
+    let accepted_at = NOW + WAIT;
+    fixture.clients.set_arrival_time(accepted_at);
+    while fixture.clients.len() == 0 {
+        fixture.clients.accept(fixture.poll.registry(), accepted_at, |_| Capacity::Available);
+    }
+    assert_eq!(fixture.next_arrival(accepted_at), NOW, "it was waiting since then");
+    // What comes later has not waited.
+    let later = accepted_at + WAIT;
+    fixture.clients.set_arrival_time(later);
+    fixture.clients.read_all(later);
+    client.write_all(&request_command()).unwrap();
+    assert_eq!(fixture.next_arrival(later), later);
+    let second = TcpStream::connect(fixture.address).unwrap();
+    while fixture.clients.len() < 2 {
+        fixture.clients.accept(fixture.poll.registry(), later, |_| Capacity::Available);
+    }
+    (&second).write_all(&request_command()).unwrap();
+    assert_eq!(fixture.next_arrival(later), later, "nobody had waited before it");
+}
