Count the time that a connection waited to be accepted for its requests

Cause: a connection's requests counted from its accept (Clients::add), though it may have waited in the listener's queue, its first command with it, while no descriptor was free or accepting failed: then both backends and the client's timer get too much time. Change: what is accepted before the queue was found empty counts from the first try that left it waiting.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -129,6 +129,8 @@
     unregistered: Option<TcpStream>,
     /// When what is read now has arrived, at the earliest.
     arrival_time: Micros,
+    /// Since when connections may wait to be accepted; none while the queue was last found empty.
+    queued_since: Option<Micros>,
     /// Since when every attempt to accept a connection has failed.
     accept_failing_since: Option<Micros>,
     /// How many connections were closed, by reason.
@@ -166,6 +168,7 @@
             last_accepted_at: 0,
             unregistered: None,
             arrival_time: 0,
+            queued_since: None,
             accept_failing_since: None,
             close_counts: Default::default(),
             abandoned: Vec::new(),
--- a/src/bin/ingress/clients/accepting.rs
+++ b/src/bin/ingress/clients/accepting.rs
@@ -33,6 +33,8 @@
         now: Micros,
         mut capacity: impl FnMut(&mut Self) -> Capacity,
     ) -> AcceptOutcome {
+        // What waits in the queue may have come as early as the first of it that could not be accepted.
+        self.queued_since.get_or_insert(self.arrival_time);
         for _ in 0..MAX_ACCEPTS_PER_TURN {
             let capacity = capacity(self);
             if capacity == Capacity::Exhausted {
@@ -49,6 +51,7 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.accept_failing_since = None;
+                    self.queued_since = None;
                     return AcceptOutcome::Drained;
                 }
                 Err(error) if concerns_one_connection(&error) => {}
@@ -96,7 +99,8 @@
         let _ = stream.set_nodelay(true); // A reply is one write: there is nothing to wait for.
         self.last_serial += 1;
         self.last_accepted_at = now;
-        let connection = Connection::new(stream, self.last_serial, capacity, now);
+        let mut connection = Connection::new(stream, self.last_serial, capacity, now);
+        connection.unread_since = self.queued_since;
         self.lingering_count += usize::from(connection.linger_until.is_some());
         self.over_limit_count += usize::from(connection.over_limit);
         entry.insert(connection);
