Add a failing test: a customer behind a quiet time

Suspect 25 of docs/INVARIANTS.md, forced on a fleet of 100: a customer with a full bucket of 20 units, 18 of which were used and refilled, is let 2 of 18 requests after 45 s without one.

--- a/tests/gateway/rate_quota.rs
+++ b/tests/gateway/rate_quota.rs
@@ -215,3 +215,27 @@
     let after: usize = (0..3).map(|_| request_once(&mut fleet, 2)).sum();
     assert_eq!(after, 3, "one unit a second, of two that the quota has");
 }
+
+/// Guards against an owner that forgets how much a gateway has reported while the gateway still counts on: behind a quiet
+/// time all that was ever used counts as used anew, and a customer with a full bucket is rejected.
+#[test]
+fn what_a_customer_used_before_a_quiet_time_is_not_charged_again() {
+    const BURST: f64 = 20.0;
+    // The bucket takes longer to fill than a customer may be idle.
+    let slow = Plan { rate: 0.5, burst: BURST, ..settings().plans[usize::from(RATE_QUOTA)].clone() };
+    for at in 0..3 {
+        let gateway = |own_id| {
+            let mut settings = settings_of(own_id, 100);
+            settings.plans[usize::from(RATE_QUOTA)] = slow.clone();
+            GatewayHarness::new(settings, 6)
+        };
+        let mut fleet = Fleet { gateways: (0..100).map(gateway).collect(), messages_sent: 0 };
+        fleet.advance(30 * SECOND, 0);
+        let send = |fleet: &mut Fleet, count| {
+            (0..count).map(|_| fleet.request(at, RATE_QUOTA, 1.0, 3.0, 0)).sum::<usize>()
+        };
+        assert_eq!(send(&mut fleet, 18), 18, "gateway {at}: the bucket is full at first");
+        fleet.advance(45 * SECOND, 0);
+        assert_eq!(send(&mut fleet, 18), 18, "gateway {at}: the bucket is full again");
+    }
+}
