--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -470,3 +470,19 @@
         }
     }
 }
+
+/// Guards against writing the next request behind a part of the one before, where discovery has answered before it had that
+/// whole: what it reads then is no request, and the next poll waits for an answer that cannot come.
+#[test]
+fn a_connection_with_a_request_half_written_is_not_used_again() {
+    let mut rig = WatchRig::new(Backoff::LOCAL_AGENT);
+    let mut stream = rig.accept();
+    rig.read_poll(&mut stream);
+    // More than the socket takes while nobody reads.
+    let connection = rig.watch.connection.as_mut().unwrap();
+    connection.set_request(vec![b'x'; 64 << 20]);
+    rig.run_ready();
+    assert!(!rig.watch.connection.as_ref().unwrap().is_request_sent());
+    rig.respond(&mut stream, 42);
+    assert!(rig.watch.connection.is_none(), "the next poll has a connection of its own");
+}
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -38,7 +38,7 @@
 use request_table::RequestTable;
 use shutdown::Shutdown;
 use signal_hook_mio::v1_0::Signals;
-use source::{ReadySocket, Source};
+use source::{sort_for_processing, ReadySocket, Source};
 use std::collections::VecDeque;
 use std::io;
 use std::time::Duration;
@@ -165,7 +165,7 @@
             }
         }
         self.report_disconnects();
-        ready.sort_unstable_by_key(ReadySocket::processing_order);
+        sort_for_processing(ready);
         self.poll_discovery(ready.first().is_some_and(|socket| socket.source() == Source::Discovery));
         if std::mem::take(&mut self.peer_messages_pending) {
             self.receive_peer_messages();
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -69,19 +69,24 @@
     pub(super) fn process_client_events(&mut self) {
         self.report_disconnects();
         while let Some(event) = self.clients.next_event() {
-            match event {
-                ClientEvent::Command { id, reply_to, arrived_at, command } => {
-                    self.open_request(id, reply_to, arrived_at, command);
-                }
-                ClientEvent::Disconnected(id) => {
-                    self.cancel_unsent(id);
-                    self.requests.remove_if_finished(id, self.now);
-                }
-            }
+            self.process_client_event(event);
             self.run_policy();
         }
     }
 
+    /// Handles what a client has sent, or the end of its connection.
+    pub(super) fn process_client_event(&mut self, event: ClientEvent) {
+        match event {
+            ClientEvent::Command { id, reply_to, arrived_at, command } => {
+                self.open_request(id, reply_to, arrived_at, command);
+            }
+            ClientEvent::Disconnected(id) => {
+                self.cancel_unsent(id);
+                self.requests.remove_if_finished(id, self.now);
+            }
+        }
+    }
+
     /// Opens a request and passes it to the policy, or rejects it where a limit leaves no room. Its time counts from its
     /// arrival, which may be a while ago where the process was held up.
     fn open_request(&mut self, id: RequestId, reply_to: ReplyHandle, arrived_at: Micros, command: Command) {
--- a/src/bin/ingress/event_loop/source.rs
+++ b/src/bin/ingress/event_loop/source.rs
@@ -68,7 +68,7 @@
 
     /// Its place in the order in which sockets are handled: changes of the endpoint list before any request is sent, replies
     /// of backends before what clients send.
-    pub fn processing_order(&self) -> u8 {
+    fn processing_order(&self) -> u8 {
         match self.source() {
             Source::Discovery => 0,
             Source::Backend(_) => 1,
@@ -78,6 +78,11 @@
     }
 }
 
+/// Puts sockets into the order in which they are handled.
+pub fn sort_for_processing(ready: &mut [ReadySocket]) {
+    ready.sort_unstable_by_key(ReadySocket::processing_order);
+}
+
 impl From<&Event> for ReadySocket {
     fn from(event: &Event) -> ReadySocket {
         ReadySocket {
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -3,7 +3,7 @@
 use super::shutdown::{Phase, ACCEPTING_CHECK_INTERVAL, MAX_DRAINING_TIME, MIN_ACCEPTING_TIME};
 use super::timer_queue::Timer;
 use super::*;
-use crate::clients::AcceptOutcome;
+use crate::clients::{AcceptOutcome, ClientEvent};
 use crate::config::tests::CONFIG;
 use crate::config::Config;
 use crate::discovery::{EndpointEntry, EndpointList};
@@ -333,6 +333,23 @@
     }
 }
 
+/// Guards against a disconnect that the policy is not told of: a client's connection that is closed for want of memory while
+/// commands of the same iteration are handled is behind the ones that were reported together.
+#[test]
+fn a_disconnect_between_two_commands_ends_its_request() {
+    let mut testbed = Testbed::new("gone-between", Cancellation::Allowed);
+    let (_client, first) = testbed.client_in_flight();
+    let id = testbed.event_loop.requests.ids()[0];
+    testbed.event_loop.process_client_event(ClientEvent::Disconnected(id));
+    testbed.event_loop.run_policy();
+    assert_eq!(
+        (first, testbed.event_loop.requests.len()),
+        (1, 0),
+        "its attempt is cancelled, and it is gone"
+    );
+    assert_eq!(testbed.take_commands_of(200), 0);
+}
+
 /// Guards against writing a command once its time to begin is over: the loop was held up while the connection came up, and
 /// handled what was ready before it looked at the timers. A key may be forgotten by then.
 #[test]
