Handle clients in the order in which they became ready

Cause: process_ready sorted what is ready by an unstable sort, which keeps the order of equals for twenty sockets at the most. Behind a stall many are ready at once, and a bad client's copy of an open id could be taken before the request that it copies. Change: a stable sort. Result: sockets_of_one_kind_are_handled_in_the_order_in_which_they_became_ready failed before and passes.

--- a/src/bin/ingress/event_loop/source.rs
+++ b/src/bin/ingress/event_loop/source.rs
@@ -78,9 +78,9 @@
     }
 }
 
-/// Puts sockets into the order in which they are handled.
+/// Puts sockets into the order in which they are handled: those of one kind stay in the order in which they became ready.
 pub fn sort_for_processing(ready: &mut [ReadySocket]) {
-    ready.sort_unstable_by_key(ReadySocket::processing_order);
+    ready.sort_by_key(ReadySocket::processing_order);
 }
 
 impl From<&Event> for ReadySocket {
