Tell the policy of each disconnect, also of one that is seen late

Cause: process_client_events reports the disconnects that are queued when it begins; one that is queued while commands are handled (a connection closed for want of memory by a read that makes room) was not reported, and its request went on to be retried and hedged. Change: each is reported when it is handled, unless it was before. Result: a_disconnect_between_two_commands_ends_its_request failed before and passes.

--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -52,17 +52,25 @@
     /// Reports all disconnected clients to the policy before any event that follows from a disconnect: the place that
     /// one request leaves in a queue must not go to another of these clients.
     pub(super) fn report_disconnects(&mut self) {
-        for event in self.clients.pending_events() {
-            let ClientEvent::Disconnected(id) = event else { continue };
-            if self.requests.mark_answered(*id).is_some() {
-                tracing::debug!(target: "request", request = id.0, "client disconnected");
-                self.counters.disconnected += 1;
-                if let Some(request) = self.requests.get_mut(*id) {
-                    request.audit.client_gone();
-                }
-                self.pending_events.push_back(Event::ClientDisconnected(*id));
-            }
+        let disconnected = |event: &ClientEvent| match event {
+            ClientEvent::Disconnected(id) => Some(*id),
+            ClientEvent::Command { .. } => None,
+        };
+        let ids: Vec<RequestId> = self.clients.pending_events().filter_map(disconnected).collect();
+        ids.into_iter().for_each(|id| self.report_disconnect(id));
+    }
+
+    /// Reports the disconnected client of a request to the policy, unless that has been done or the request is answered.
+    fn report_disconnect(&mut self, id: RequestId) {
+        if self.requests.mark_answered(id).is_none() {
+            return;
+        }
+        tracing::debug!(target: "request", request = id.0, "client disconnected");
+        self.counters.disconnected += 1;
+        if let Some(request) = self.requests.get_mut(id) {
+            request.audit.client_gone();
         }
+        self.pending_events.push_back(Event::ClientDisconnected(id));
     }
 
     /// Handles what clients have sent and whose connections have ended, in the order in which it came.
@@ -81,6 +89,8 @@
                 self.open_request(id, reply_to, arrived_at, command);
             }
             ClientEvent::Disconnected(id) => {
+                // It may have come while the events before it were handled.
+                self.report_disconnect(id);
                 self.cancel_unsent(id);
                 self.requests.remove_if_finished(id, self.now);
             }
