Give up a connection to discovery whose request was answered half written

Cause: Watch::complete_poll kept the connection whatever was left of its request, and the next poll replaced that rest (set_request): discovery then reads half a request with another behind it, and the poll is waited for in vain. Change: such a connection is closed. Result: a_connection_with_a_request_half_written_is_not_used_again failed before and passes.

--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -234,7 +234,10 @@
         self.index = Some(response.endpoints.index);
         self.poll_started_at = None;
         self.last_poll_timed_out = false;
-        if stream_state == StreamState::Ended || response.persistence == Persistence::Close {
+        // A response may come before the request is written: what is left of that would precede the next one.
+        let request_sent = self.connection.as_ref().is_some_and(Connection::is_request_sent);
+        let is_over = stream_state == StreamState::Ended || response.persistence == Persistence::Close;
+        if is_over || !request_sent {
             self.connection = None;
         } else if let Some(connection) = &mut self.connection {
             connection.clear_received();
