Log what a request's quota decision rests on

At debug a request now says that it awaits a grant, and by what wait it was decided; the reject reason was there.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -57,6 +57,7 @@
     /// Holds a request until the quota owners have answered, or for as long as that may take.
     fn await_grant(&mut self, request: &Request, hard_limit: bool, at_once: bool, actions: &mut Vec<Action>) {
         let now = self.now;
+        tracing::debug!(target: "policy", request = request.id.0, hard_limit, "awaits a quota grant");
         // In a large fleet it is requested twice: one lost message must not admit what is over its quota.
         let requests = if self.all_gateways_own_quotas() { 1 } else { 2 };
         self.requests.check_at(now + self.grant_wait(request, now) / requests, request.id);
@@ -96,6 +97,7 @@
             return;
         }
         // The fuller the queue, the fewer customers may join it; the same ones for a shedding epoch.
+        tracing::debug!(target: "policy", request = id.0, awaited, ?seconds, "quota decided");
         let limit = self.concurrency_limit();
         let queue_fill = self.requests.queue.len() as f64 / (limit * MAX_QUEUE_SHARE);
         let saturated = f64::from(self.requests.in_flight) >= limit;
