Audit that an idempotency key is used where it is known

The audit saw a key used past its window, not outside its zone or cell (docs/INVARIANTS.md, A4; README, Open). The auditor notes where listed backends are, an attempt where it went; one that goes where the first that may have run is not known is KeyOutOfScope.

--- a/src/audit.rs
+++ b/src/audit.rs
@@ -10,7 +10,7 @@
 pub use request::{AttemptBegun, RequestAudit};
 pub use violation::{Violation, ViolationKind};
 
-use crate::{Availability, BackendId, Idempotency, Micros, Settings};
+use crate::{Availability, BackendId, Endpoint, Idempotency, IdempotencyScope, Micros, Settings};
 use std::collections::{HashMap, VecDeque};
 
 /// How long after a violation another one of its kind is only counted.
@@ -43,6 +43,26 @@
     }
 }
 
+/// Where a backend is, by which others know the idempotency keys that it has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Location {
+    /// Its zone.
+    zone: u8,
+    /// Its cell.
+    cell: u16,
+}
+
+impl Location {
+    /// Whether a key that was seen here is known there.
+    fn shares_keys(self, other: Location, scope: IdempotencyScope) -> bool {
+        match scope {
+            IdempotencyScope::Fleet => true,
+            IdempotencyScope::Zone => self.zone == other.zone,
+            IdempotencyScope::Cell => self.cell == other.cell,
+        }
+    }
+}
+
 /// A backend that was found to take no new work.
 struct ClosedBackend {
     /// The backend.
@@ -60,6 +80,8 @@
     counts: [u64; ViolationKind::ALL.len()],
     /// When one of each kind was last logged.
     last_logged_at: [Option<Micros>; ViolationKind::ALL.len()],
+    /// Where the listed backends are.
+    locations: HashMap<BackendId, Location>,
     /// Since when backends take no new work.
     closed_since: HashMap<BackendId, Micros>,
     /// The same in the order of their closing, to be forgotten by and by.
@@ -83,6 +105,13 @@
         counts.filter(|(_, count)| *count > 0)
     }
 
+    /// Takes in the entry of a backend that is listed from now on.
+    pub fn endpoint_listed(&mut self, endpoint: &Endpoint, now: Micros) {
+        let Endpoint { backend, zone, cell, availability, .. } = *endpoint;
+        self.locations.insert(backend, Location { zone, cell });
+        self.backend_listed(backend, availability, now);
+    }
+
     /// Notes how a backend is listed from now on.
     pub fn backend_listed(&mut self, backend: BackendId, availability: Availability, now: Micros) {
         if availability == Availability::Ready {
@@ -104,6 +133,7 @@
             }
             if self.closed_since.get(&oldest.backend) == Some(&oldest.since) {
                 self.closed_since.remove(&oldest.backend);
+                self.locations.remove(&oldest.backend);
             }
             self.closing_order.pop_front();
         }
--- a/src/audit/request.rs
+++ b/src/audit/request.rs
@@ -1,6 +1,6 @@
 //! What was done for one request.
 
-use super::{Auditor, ViolationKind};
+use super::{Auditor, Location, ViolationKind};
 use crate::{BackendId, Idempotency, Micros, Outcome};
 
 /// How much more time than the client has left a backend may be told.
@@ -31,6 +31,8 @@
     in_flight: bool,
     /// It was executed, or may have been.
     may_have_executed: bool,
+    /// Where its backend was then; none where that is not known.
+    location: Option<Location>,
 }
 
 /// The record of one request, from its arrival until its last attempt has ended.
@@ -60,12 +62,14 @@
         let in_flight = self.begun.iter().any(|earlier| earlier.in_flight);
         let may_have_executed = self.begun.iter().any(|earlier| earlier.may_have_executed);
         let only_once = self.idempotency == Idempotency::NonIdempotent;
+        let location = auditor.locations.get(&begun.backend).copied();
         let time_left = self.client_deadline.saturating_sub(begun.at);
         let checks = [
             (self.has_ended, ViolationKind::AttemptAfterEnd),
             (only_once && may_have_executed && !in_flight, ViolationKind::UnsafeRepeat),
             (in_flight && (only_once || !rules.hedging), ViolationKind::ConcurrentAttempts),
             (self.is_key_expired(begun.at), ViolationKind::KeyExpired),
+            (self.is_key_unknown_at(location), ViolationKind::KeyOutOfScope),
             (usize::from(begun.number) >= rules.max_attempts, ViolationKind::TooManyAttempts),
             (begun.time_told > time_left + TIME_SLACK, ViolationKind::TimeOverstated),
             (auditor.is_closed(begun.backend, begun.at), ViolationKind::ClosedBackend),
@@ -75,6 +79,7 @@
             begun_at: begun.at,
             in_flight: true,
             may_have_executed: true,
+            location,
         });
         checks.into_iter().filter(|(violated, _)| *violated).map(|(_, kind)| kind).collect()
     }
@@ -86,6 +91,14 @@
         first.is_some_and(|first| now > first.begun_at + window)
     }
 
+    /// Whether the key of an earlier attempt that may have been executed is not known where this one goes.
+    fn is_key_unknown_at(&self, location: Option<Location>) -> bool {
+        let Idempotency::Keyed { scope, .. } = self.idempotency else { return false };
+        let first = self.begun.iter().find(|earlier| earlier.may_have_executed);
+        let first = first.and_then(|first| first.location);
+        first.zip(location).is_some_and(|(first, location)| !first.shares_keys(location, scope))
+    }
+
     /// Whether an attempt was or may have been executed.
     pub fn may_have_executed(&self) -> bool {
         self.begun.iter().any(|attempt| attempt.may_have_executed)
--- a/src/audit/tests.rs
+++ b/src/audit/tests.rs
@@ -69,6 +69,33 @@
     assert_eq!(request.attempt_begun(&auditor, &begun(2, WINDOW + 101)), [ViolationKind::KeyExpired]);
 }
 
+#[test]
+fn a_key_is_known_in_the_scope_of_the_attempt_that_may_have_run() {
+    for (scope, other_zone, other_cell) in [
+        (IdempotencyScope::Fleet, vec![], vec![]),
+        (IdempotencyScope::Zone, vec![ViolationKind::KeyOutOfScope], vec![]),
+        (IdempotencyScope::Cell, vec![], vec![ViolationKind::KeyOutOfScope]),
+    ] {
+        let keyed = Idempotency::Keyed { scope, window: WINDOW };
+        let rules = AuditRules { idempotency: vec![keyed], max_attempts: 9, ..AuditRules::default() };
+        let mut auditor = Auditor::new(rules);
+        for (backend, zone, cell) in [(1, 1, 1), (2, 2, 1), (3, 1, 2)] {
+            let endpoint = Endpoint { backend: BackendId(backend), zone, cell, ..Endpoint::default() };
+            auditor.endpoint_listed(&endpoint, 0);
+        }
+        let attempt = |number, backend| AttemptBegun { backend: BackendId(backend), ..begun(number, 10) };
+        let mut request = RequestAudit::new(&auditor, 0, DEADLINE);
+        request.attempt_begun(&auditor, &attempt(0, 3));
+        request.attempt_ended(0, Outcome::ConnectFailed);
+        assert_eq!(request.attempt_begun(&auditor, &attempt(1, 1)), [], "{scope:?}: the first never ran");
+        for (number, backend, expected) in [(2, 1, vec![]), (3, 2, other_zone), (4, 3, other_cell)] {
+            request.attempt_ended(number - 1, Outcome::TimedOut);
+            let found = request.attempt_begun(&auditor, &attempt(number, backend));
+            assert_eq!(found, expected, "{scope:?}, backend {backend}");
+        }
+    }
+}
+
 #[test]
 fn attempts_after_the_end_beyond_the_limit_or_with_too_much_time_are_seen() {
     let auditor = auditor(true);
--- a/src/audit/violation.rs
+++ b/src/audit/violation.rs
@@ -21,6 +21,8 @@
     ConcurrentAttempts,
     /// An attempt began after the window of its idempotency key (A4).
     KeyExpired,
+    /// An attempt began where the idempotency key of an earlier one is not known (A4).
+    KeyOutOfScope,
     /// A request had more attempts than are allowed (A5).
     TooManyAttempts,
     /// A backend was told more time than the client has left (A6).
@@ -33,7 +35,7 @@
 
 impl ViolationKind {
     /// All kinds.
-    pub const ALL: [ViolationKind; 12] = [
+    pub const ALL: [ViolationKind; 13] = [
         ViolationKind::SecondAnswer,
         ViolationKind::LateAnswer,
         ViolationKind::NoAnswer,
@@ -42,6 +44,7 @@
         ViolationKind::UnsafeRepeat,
         ViolationKind::ConcurrentAttempts,
         ViolationKind::KeyExpired,
+        ViolationKind::KeyOutOfScope,
         ViolationKind::TooManyAttempts,
         ViolationKind::TimeOverstated,
         ViolationKind::UnexpectedEnd,
--- a/src/bin/ingress/event_loop/control_events.rs
+++ b/src/bin/ingress/event_loop/control_events.rs
@@ -57,7 +57,7 @@
         times.observe_clock(self.clock.now(), unix_time());
         let mut endpoints: Vec<Endpoint> = list.entries.iter().map(|entry| entry.endpoint).collect();
         for endpoint in &mut endpoints {
-            self.auditor.backend_listed(endpoint.backend, endpoint.availability, now);
+            self.auditor.endpoint_listed(endpoint, now);
             endpoint.started_at = times.host_time(endpoint.backend, endpoint.started_at, now);
         }
         endpoints
