--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -486,3 +486,24 @@
     rig.respond(&mut stream, 42);
     assert!(rig.watch.connection.is_none(), "the next poll has a connection of its own");
 }
+
+/// Guards against new configurations that come faster than discovery answers: each gave up the poll that was pending, though
+/// it names the same address, and no list came for as long as they went on.
+#[test]
+fn a_configuration_with_the_same_address_keeps_the_snapshot_that_is_pending() {
+    let mut rig = WatchRig::new(Backoff::LOCAL_AGENT);
+    let mut watched = rig.accept();
+    rig.read_poll(&mut watched);
+    let address = rig.listener.local_addr().unwrap();
+    rig.watch.set_address(address, rig.now);
+    rig.run_timer();
+    let mut snapshot = rig.accept();
+    assert_eq!(rig.read_poll(&mut snapshot), 0, "the first one asks for the whole list");
+    for _ in 0..3 {
+        rig.now += 100_000;
+        rig.watch.set_address(address, rig.now);
+        rig.run_ready();
+    }
+    rig.respond(&mut snapshot, 43);
+    assert_eq!(rig.lists, [43]);
+}
