--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -85,8 +85,13 @@
     }
 
     /// Continues at another address: it is asked for a snapshot at once, whatever is pending at the old one and
-    /// however long the delay after a failure was to be.
+    /// however long the delay after a failure was to be. A snapshot that is pending at this very address is waited for:
+    /// configurations may come faster than discovery answers.
     pub fn set_address(&mut self, address: SocketAddr, now: Micros) {
+        let awaits_snapshot = self.index.is_none() && self.poll_started_at.is_some();
+        if awaits_snapshot && address == self.address {
+            return;
+        }
         self.index = None;
         self.disconnect();
         self.schedule.reset();
