Have the soak judge quotas and the ingresses' own counters, and leave no process behind

For an ingress that ran all the time, the counters that SIGUSR1 logs must cover the arrivals at backends and the served answers. SIGINT and SIGTERM end a run early, with its ingresses. Besides two troubles more: backends that reset a connection at the first bytes of a command, clients that write a few bytes at a time.

--- a/fault-soak/src/ingress.rs
+++ b/fault-soak/src/ingress.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,6 +34,8 @@
     pub folder: PathBuf,
     /// The level of the logs.
     pub log_level: String,
+    /// This process was told to end: a run ends early, and leaves no ingress behind.
+    pub interrupted: Arc<AtomicBool>,
 }
 
 /// An ingress, whose process may come and go.
--- a/fault-soak/src/main.rs
+++ b/fault-soak/src/main.rs
@@ -7,9 +7,12 @@
 use fault_soak::plan::{Shape, SoakPlan, TroubleKind};
 use fault_soak::report::{page, RunResult};
 use fault_soak::run::play;
+use signal_hook::consts::{SIGINT, SIGTERM};
 use std::fs::OpenOptions;
 use std::io::Write;
 use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 
 /// Randomized faults around real ingresses on loopback.
 #[derive(Parser)]
@@ -151,6 +154,7 @@
             shim: Some(self.shim.clone()),
             folder: self.folder.clone().unwrap_or(own),
             log_level: self.log_level.clone(),
+            interrupted: Arc::default(),
         }
     }
 
@@ -162,7 +166,13 @@
             }
         }
         let programs = self.programs();
+        for signal in [SIGINT, SIGTERM] {
+            signal_hook::flag::register(signal, programs.interrupted.clone())?;
+        }
         let seen = play(&plan, &programs)?;
+        if programs.interrupted.load(Ordering::SeqCst) {
+            bail!("told to end, in the run of seed {}", plan.seed);
+        }
         let mut violations = judge(&plan, &seen);
         violations.extend(judge_logs(&programs.folder, plan.shape.ingresses));
         if !violations.is_empty() {
@@ -183,12 +193,13 @@
     let kinds: Vec<TroubleKind> = result.plan.troubles.iter().map(|trouble| trouble.kind).collect();
     let totals = &result.totals;
     println!(
-        "seed {}: {} requests, {} served, longest {:.0} ms, stall {} ms, violations {:?}, troubles {kinds:?}",
+        "seed {}: {} requests, {} served, longest {:.0} ms, stall {} ms, quota {:.2}, violations {:?}, troubles {kinds:?}",
         result.plan.seed,
         totals.requests,
         totals.served,
         totals.longest_ms,
         result.longest_stall_ms,
+        result.quota_use,
         result.counts
     );
 }
--- a/fault-soak/src/oracle.rs
+++ b/fault-soak/src/oracle.rs
@@ -5,7 +5,7 @@
 use crate::record::{ArrivalRecord, Class, Ending, Listing, Micros, ProcessEvent, RequestRecord, Seen};
 use crate::settings;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::path::Path;
 
 /// What the stand-ins' own threads may take to notice something, besides the longest stall that was measured.
@@ -38,6 +38,8 @@
 const BAD_CLIENT_TIMEOUT: Micros = 3_000_000;
 /// How long two attempts have to be out together to be seen as such.
 const LEAST_OVERLAP: Micros = 50_000;
+/// How many times the quotas of a run may be sent on: usage is reported late, and restarts forget some.
+const QUOTA_TOLERANCE: f64 = 1.5;
 /// How long after a start the budget of a cold backend is looked at.
 const COLD_SPAN: Micros = 3_000_000;
 
@@ -73,6 +75,10 @@
     ShutdownOverdue,
     /// S2: the process ended by itself, or was not ready in time.
     Crashed,
+    /// P2: customers were let in beyond their quotas by more than delays explain.
+    QuotaExceeded,
+    /// What an ingress has counted does not agree with what was seen.
+    CountersDisagree,
     /// The ingress found a violation itself.
     Reported,
 }
@@ -116,6 +122,8 @@
     judge_slow_start(plan, seen, &mut found);
     judge_bad_clients(plan, seen, &mut found);
     judge_processes(seen, &mut found);
+    judge_quotas(plan, seen, &mut found);
+    judge_counters(seen, &mut found);
     found
 }
 
@@ -341,6 +349,49 @@
     }
 }
 
+/// What the customers with a quota may be sent on in a run, all together.
+fn quota_of_all(plan: &SoakPlan) -> f64 {
+    let units = settings::METERED_BURST + settings::METERED_RATE * plan.shape.seconds as f64;
+    plan.shape.ingresses as f64 * units
+}
+
+/// The requests of customers with a quota that were sent on, as a part of what the quotas allow.
+pub fn quota_use(plan: &SoakPlan, seen: &Seen) -> f64 {
+    let arrived: HashSet<&str> = seen.arrivals.iter().map(|arrival| arrival.id.as_str()).collect();
+    let metered = seen.requests.iter().filter(|request| request.metered_customer.is_some());
+    let sent = metered.filter(|request| arrived.contains(request.id.as_str())).count() as f64;
+    sent / quota_of_all(plan)
+}
+
+/// Whether quotas held over all ingresses, restarts and losses included.
+fn judge_quotas(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
+    let quota_use = quota_use(plan, seen);
+    if quota_use > QUOTA_TOLERANCE {
+        let detail = format!("{quota_use:.2} times what the quotas allow was sent on");
+        found.push(Violation::general(Rule::QuotaExceeded, detail));
+    }
+}
+
+/// Whether what each ingress has counted covers what was seen of it.
+fn judge_counters(seen: &Seen, found: &mut Vec<Violation>) {
+    for counted in &seen.counters {
+        let of_ingress = |id: &str| ingress_of(id) == Some(counted.ingress);
+        let arrivals = seen.arrivals.iter().filter(|arrival| of_ingress(&arrival.id));
+        let arrivals: Vec<&str> = arrivals.map(|arrival| arrival.id.as_str()).collect();
+        let requests: HashSet<&str> = arrivals.iter().copied().collect();
+        let own = seen.requests.iter().filter(|request| request.ingress == counted.ingress);
+        let served = own.filter(|request| request.ending == Ending::Served).count() as u64;
+        let disagrees = arrivals.len() as u64 > counted.attempts_begun
+            || requests.len() as u64 > counted.requests
+            || served > counted.answers.saturating_sub(counted.not_served);
+        if disagrees {
+            let (attempts, requests) = (arrivals.len(), requests.len());
+            let detail = format!("{attempts} attempts, {requests} requests, {served} served; {counted:?}");
+            found.push(Violation::general(Rule::CountersDisagree, detail));
+        }
+    }
+}
+
 /// The violations that the ingresses have logged of themselves, and panics. A late answer is judged by its client: a
 /// process that is made to stand still finds one itself.
 pub fn judge_logs(folder: &Path, ingresses: usize) -> Vec<Violation> {
--- a/fault-soak/src/plan.rs
+++ b/fault-soak/src/plan.rs
@@ -57,6 +57,8 @@
     RejectingBackend,
     /// A backend resets connections in the middle of its replies.
     ResettingBackend,
+    /// A backend resets connections as soon as the first bytes of a command come: it never runs.
+    CuttingBackend,
     /// A backend sends its replies a few bytes at a time.
     TricklingBackend,
     /// A backend sends its replies twice, the second time some milliseconds later.
@@ -77,6 +79,8 @@
     LeavingClients,
     /// Clients stop in the middle of a command, and stay.
     StoppingClients,
+    /// Clients send their commands a few bytes at a time.
+    TricklingClients,
     /// Clients send several commands at once.
     PipeliningClients,
     /// Clients send what is no command.
@@ -85,7 +89,7 @@
 
 impl TroubleKind {
     /// All kinds.
-    pub const ALL: [TroubleKind; 30] = [
+    pub const ALL: [TroubleKind; 32] = [
         TroubleKind::ShortReads,
         TroubleKind::ShortWrites,
         TroubleKind::Interruptions,
@@ -104,6 +108,7 @@
         TroubleKind::FailingBackend,
         TroubleKind::RejectingBackend,
         TroubleKind::ResettingBackend,
+        TroubleKind::CuttingBackend,
         TroubleKind::TricklingBackend,
         TroubleKind::DoublingBackend,
         TroubleKind::HangingBackend,
@@ -114,6 +119,7 @@
         TroubleKind::BrokenDiscovery,
         TroubleKind::LeavingClients,
         TroubleKind::StoppingClients,
+        TroubleKind::TricklingClients,
         TroubleKind::PipeliningClients,
         TroubleKind::RudeClients,
     ];
--- a/fault-soak/src/record.rs
+++ b/fault-soak/src/record.rs
@@ -58,6 +58,8 @@
     pub may_cross_close: bool,
     /// Requests that the client had out on this connection before it.
     pub pipelined_behind: usize,
+    /// Its customer, if that has a quota.
+    pub metered_customer: Option<u64>,
 }
 
 /// A command that came whole to a backend.
@@ -157,6 +159,21 @@
     pub told_at: Option<Micros>,
 }
 
+/// What an ingress that ran all the time has counted, by its log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct CounterRecord {
+    /// The ingress's number.
+    pub ingress: usize,
+    /// Requests that were opened.
+    pub requests: u64,
+    /// Final answers.
+    pub answers: u64,
+    /// Of these, rejections and failures.
+    pub not_served: u64,
+    /// Attempts whose first byte was written.
+    pub attempts_begun: u64,
+}
+
 /// All that was seen in a run.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Seen {
@@ -174,6 +191,8 @@
     pub bad_clients: Vec<BadClientRecord>,
     /// Bytes that came to clients behind an answer: the ids of the requests before them.
     pub stray_bytes: Vec<String>,
+    /// What the ingresses have counted themselves.
+    pub counters: Vec<CounterRecord>,
     /// The longest time for which this machine let a thread of the soak wait for its turn: by so much its other threads
     /// may have been late to see something.
     pub longest_stall: Micros,
--- a/fault-soak/src/report.rs
+++ b/fault-soak/src/report.rs
@@ -1,6 +1,6 @@
 //! The line of a run, and what many of them add up to, as a page.
 
-use crate::oracle::{Rule, Violation};
+use crate::oracle::{quota_use, Rule, Violation};
 use crate::plan::{SoakPlan, TroubleKind};
 use crate::record::{Ending, Seen};
 use hdrhistogram::Histogram;
@@ -49,6 +49,9 @@
     pub longest_stall_ms: u64,
     /// How requests ended.
     pub totals: Totals,
+    /// What was sent on for customers with a quota, as a part of what the quotas allow.
+    #[serde(default)]
+    pub quota_use: f64,
     /// How often each rule was broken.
     pub counts: BTreeMap<Rule, usize>,
     /// The first violations.
@@ -62,9 +65,10 @@
         violations.iter().for_each(|violation| *counts.entry(violation.rule).or_default() += 1);
         let violations = violations.into_iter().take(MAX_VIOLATIONS_IN_FULL).collect();
         RunResult {
-            plan,
             longest_stall_ms: seen.longest_stall / 1000,
             totals: totals(seen),
+            quota_use: quota_use(&plan, seen),
+            plan,
             counts,
             violations,
         }
--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -1,8 +1,9 @@
 //! One run: the stand-ins and the ingresses are started, the plan is carried out, and what was seen is returned.
 
+use crate::counters;
 use crate::ingress::{Ingress, Programs};
 use crate::plan::{SoakPlan, Trouble, TroubleKind};
-use crate::record::{Listing, Recorder, Seen};
+use crate::record::{Listing, ProcessEvent, Recorder, Seen};
 use crate::settings::Addresses;
 use crate::stand_in::backend::Backend;
 use crate::stand_in::client::{Client, Open};
@@ -53,6 +54,8 @@
     ingresses: Vec<Arc<Mutex<Ingress>>>,
     /// Which of them get new connections.
     open: Open,
+    /// This process was told to end.
+    interrupted: Arc<AtomicBool>,
 }
 
 /// The addresses of so many ingresses, which no other process uses.
@@ -100,7 +103,8 @@
             .collect();
         let open = Arc::new((0..count).map(|_| AtomicBool::new(false)).collect());
         let (plan, recorder) = (plan.clone(), recorder.clone());
-        Ok(Stage { plan, recorder, addresses, backends, discovery, agents, ingresses, open })
+        let interrupted = programs.interrupted.clone();
+        Ok(Stage { plan, recorder, addresses, backends, discovery, agents, ingresses, open, interrupted })
     }
 
     /// Starts all ingresses, side by side.
@@ -204,7 +208,8 @@
         let mut begun: Vec<bool> = vec![false; self.plan.troubles.len()];
         let mut ended = begun.clone();
         let mut threads = Vec::new();
-        while self.recorder.now_ms() < self.plan.shape.seconds * 1000 {
+        let end_ms = self.plan.shape.seconds * 1000;
+        while self.recorder.now_ms() < end_ms && !self.interrupted.load(Ordering::SeqCst) {
             for (index, trouble) in self.plan.troubles.iter().enumerate() {
                 let now = self.recorder.now_ms();
                 if now >= trouble.from_ms && !std::mem::replace(&mut begun[index], true) {
@@ -301,6 +306,17 @@
     is_over.store(true, Ordering::SeqCst);
     let _ = watchdog.join();
     terminate_all(&stage.ingresses);
-    let seen = std::mem::take(&mut *recorder.seen());
+    let mut seen = std::mem::take(&mut *recorder.seen());
+    read_counters(&mut seen, programs, plan.shape.ingresses);
     Ok(seen)
 }
+
+/// Takes in what the ingresses that ran from the begin to the end have counted.
+fn read_counters(seen: &mut Seen, programs: &Programs, ingresses: usize) {
+    for number in 0..ingresses {
+        let events = seen.processes.iter().filter(|record| record.ingress == number);
+        let starts = events.filter(|record| record.event == ProcessEvent::Started).count();
+        let log = std::fs::read_to_string(Ingress::log_file(&programs.folder, number)).unwrap_or_default();
+        seen.counters.extend(counters::parse(number, &log).filter(|_| starts == 1));
+    }
+}
--- a/fault-soak/src/settings.rs
+++ b/fault-soak/src/settings.rs
@@ -20,6 +20,17 @@
 /// The most attempts of a request.
 pub const MAX_ATTEMPTS: usize = 3;
 
+/// The plan of a quota that nobody reaches.
+pub const UNMETERED_PLAN: &str = "starter";
+/// The plan of a quota that customers ask several times as much as.
+pub const METERED_PLAN: &str = "metered";
+/// Its units a second.
+pub const METERED_RATE: f64 = 10.0;
+/// Its burst.
+pub const METERED_BURST: f64 = 20.0;
+/// How many ingresses serve a customer of that plan.
+pub const METERED_SET: usize = 3;
+
 /// The addresses of an ingress and of what it talks to.
 #[derive(Clone, Debug)]
 pub struct Addresses {
@@ -53,8 +64,11 @@
   "give_up_us":2000000,"worth":1.0,"late_worth":0.0,"stream":false}},
   {{"name":"refer","effect":"once","group":"all","window_us":0,"objective_us":1000000,
   "give_up_us":2000000,"worth":1.0,"late_worth":0.0,"stream":false}}],
- "contracts":[{{"name":"starter","quota_rate":1000000.0,"burst":1000000.0,"max_out":0,"never_over_rate":0.0,
-  "ceiling_burst":0.0,"ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}}],
+ "contracts":[{{"name":"{UNMETERED_PLAN}","quota_rate":1000000.0,"burst":1000000.0,"max_out":0,"never_over_rate":0.0,
+  "ceiling_burst":0.0,"ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,"beyond_costs":1.0}},
+  {{"name":"{METERED_PLAN}","quota_rate":{METERED_RATE:.1},"burst":{METERED_BURST:.1},"max_out":0,
+  "never_over_rate":0.0,"ceiling_burst":0.0,"ceiling_slack":0.0,"worth_factor":1.0,"over_worth":0.0,
+  "beyond_costs":1.0}}],
  "limits":{{"most_tries":{MAX_ATTEMPTS},"second_copies":{hedging},"cancelling":{cancellation},"may_probe":false,
   "peers":true,"retry_after":true,"max_retry_after_us":500000,"max_open":20000,"connect_timeout_us":250000,
   "keepalive_us":3000000}},
--- a/fault-soak/src/stand_in/backend.rs
+++ b/fault-soak/src/stand_in/backend.rs
@@ -136,6 +136,9 @@
             if self.is_ended() || closes_idle {
                 return Err(Closed);
             }
+            if self.has(TroubleKind::CuttingBackend) && matches!(self.stream.peek(&mut chunk), Ok(1..)) {
+                return Err(Closed); // What is unread resets the connection.
+            }
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Err(Closed),
                 Ok(length) => self.received.extend_from_slice(&chunk[..length]),
--- a/fault-soak/src/stand_in/client.rs
+++ b/fault-soak/src/stand_in/client.rs
@@ -1,9 +1,9 @@
 //! Clients: each keeps a connection to each ingress, sends one request after another, and notes how each ended.
 
-use super::resp::{encode_request, parse_reply, value_of, Reply};
+use super::resp::{encode_request, parse_reply, value_of, Customer, Reply};
 use crate::plan::{SoakPlan, TroubleKind};
 use crate::record::{BadClientRecord, Class, Ending, Micros, Recorder, RequestRecord};
-use crate::settings::MAX_TIMEOUT_MS;
+use crate::settings::{MAX_TIMEOUT_MS, METERED_SET};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::HashMap;
@@ -28,6 +28,12 @@
 const BAD_CLIENT_PATIENCE: Micros = 4_500_000;
 /// How long a read waits before the time is looked at.
 const READ_TIMEOUT: Duration = Duration::from_millis(2);
+/// How many bytes a client that trickles writes at once, and how long it rests then.
+const TRICKLE_PIECE: usize = 7;
+/// See [`TRICKLE_PIECE`].
+const TRICKLE_PAUSE: Duration = Duration::from_micros(400);
+/// The part of the requests that are of customers with a quota.
+const METERED_SHARE: f64 = 0.15;
 /// The least and the most that a client waits for an answer, in milliseconds.
 const TIMEOUTS_MS: std::ops::RangeInclusive<u64> = 300..=MAX_TIMEOUT_MS;
 
@@ -64,6 +70,8 @@
     sent_at: Micros,
     /// How long the client waits.
     timeout: Micros,
+    /// Its customer, if that has a quota.
+    metered: Option<Customer>,
 }
 
 /// A client.
@@ -157,15 +165,11 @@
         let mut bytes = Vec::new();
         for _ in 0..count {
             let request = self.draw_request(ingress);
-            bytes.extend(encode_request(
-                request.class,
-                &request.id,
-                self.number as u64 + 1,
-                request.timeout / 1000,
-            ));
+            let customer = request.metered.unwrap_or(Customer::unmetered(self.number as u64 + 1));
+            bytes.extend(encode_request(request.class, &request.id, customer, request.timeout / 1000));
             pending.push(request);
         }
-        if connection.stream.write_all(&bytes).is_err() {
+        if self.write(&mut connection, &bytes).is_err() {
             return; // not all of it was taken, or the connection had been closed before
         }
         let sent_at = self.recorder.now();
@@ -178,6 +182,18 @@
         }
     }
 
+    /// Writes commands, at once or a few bytes at a time.
+    fn write(&self, connection: &mut Connection, bytes: &[u8]) -> std::io::Result<()> {
+        if !self.has(TroubleKind::TricklingClients) {
+            return connection.stream.write_all(bytes);
+        }
+        for piece in bytes.chunks(TRICKLE_PIECE) {
+            connection.stream.write_all(piece)?;
+            thread::sleep(TRICKLE_PAUSE);
+        }
+        Ok(())
+    }
+
     /// Draws the next request.
     fn draw_request(&mut self, ingress: usize) -> Pending {
         self.requests += 1;
@@ -188,7 +204,11 @@
         };
         let id = format!("i{ingress}-c{}-{}", self.number, self.requests);
         let timeout = self.random.random_range(TIMEOUTS_MS) * 1000;
-        Pending { id, class, sent_at: 0, timeout }
+        let metered = self.random.random_bool(METERED_SHARE).then(|| {
+            let (count, place) = (self.addresses.len(), self.random.random_range(0..METERED_SET));
+            Customer::metered((ingress + count - place.min(count - 1)) % count, count)
+        });
+        Pending { id, class, sent_at: 0, timeout, metered }
     }
 
     /// Waits for the answers to all requests; whether the connection can be used again.
@@ -234,7 +254,7 @@
         may_cross_close: bool,
         pipelined_behind: usize,
     ) {
-        let Pending { id, class, sent_at, timeout } = request;
+        let Pending { id, class, sent_at, timeout, metered } = request;
         self.recorder.seen().requests.push(RequestRecord {
             id,
             class,
@@ -245,13 +265,14 @@
             ended_at,
             may_cross_close,
             pipelined_behind,
+            metered_customer: metered.map(|customer| customer.number),
         });
     }
 
     /// Sends half a command or none, and stays; or sends what is no command.
     fn misbehave(&mut self, ingress: usize) {
         let Some(mut stream) = self.connect(ingress) else { return };
-        let command = encode_request(Class::Idempotent, "half", 1, 500);
+        let command = encode_request(Class::Idempotent, "half", Customer::unmetered(1), 500);
         let bytes = if self.has(TroubleKind::RudeClients) {
             b"*1\r\n$-5\r\nGET / HTTP/1.1\r\n\r\n".to_vec()
         } else {
--- a/fault-soak/src/stand_in/resp.rs
+++ b/fault-soak/src/stand_in/resp.rs
@@ -1,6 +1,10 @@
 //! RESP2 as clients and backends write and read it.
 
 use crate::record::Class;
+use crate::settings::{METERED_PLAN, METERED_SET, UNMETERED_PLAN};
+
+/// The number of the first customer with a quota; clients have lower ones.
+const FIRST_METERED_CUSTOMER: u64 = 100_000;
 
 /// A command, as an array of bulk strings.
 pub fn encode_command(parts: &[&str]) -> Vec<u8> {
@@ -9,11 +13,39 @@
     bytes.into_bytes()
 }
 
+/// A customer, and the ingresses that serve it.
+#[derive(Clone, Copy, Debug)]
+pub struct Customer {
+    /// Its number.
+    pub number: u64,
+    /// The name of its plan.
+    plan: &'static str,
+    /// How many ingresses serve it.
+    set_size: usize,
+    /// The first of them.
+    set_start: usize,
+}
+
+impl Customer {
+    /// One with a quota that nobody reaches.
+    pub fn unmetered(number: u64) -> Customer {
+        Customer { number, plan: UNMETERED_PLAN, set_size: 1, set_start: 0 }
+    }
+
+    /// The one with a quota that some ingresses in a row serve, from this one of so many on.
+    pub fn metered(set_start: usize, ingresses: usize) -> Customer {
+        let number = FIRST_METERED_CUSTOMER + set_start as u64;
+        Customer { number, plan: METERED_PLAN, set_size: METERED_SET.min(ingresses), set_start }
+    }
+}
+
 /// A request of a class.
-pub fn encode_request(class: Class, id: &str, customer: u64, timeout_ms: u64) -> Vec<u8> {
-    let customer = format!("{customer:016x}");
-    let options =
-        |name: &str, key: &str| format!("c={name},t=starter,d={timeout_ms}{key},units=1,spread=1,first=0");
+pub fn encode_request(class: Class, id: &str, customer: Customer, timeout_ms: u64) -> Vec<u8> {
+    let Customer { number, plan, set_size, set_start } = customer;
+    let customer = format!("{number:016x}");
+    let options = |name: &str, key: &str| {
+        format!("c={name},t={plan},d={timeout_ms}{key},units=1,spread={set_size},first={set_start}")
+    };
     match class {
         Class::Idempotent => encode_command(&["CALL.GET", &customer, id, &options("quote", "")]),
         Class::Keyed => encode_command(&["CALL.POST", &customer, id, &options("save", ",k=00ff"), "BODY"]),
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -3,6 +3,7 @@
 use fault_soak::oracle::{judge, Rule};
 use fault_soak::plan::{Shape, SoakPlan, Trouble, TroubleKind};
 use fault_soak::record::*;
+use fault_soak::settings::{METERED_BURST, METERED_RATE};
 
 /// A second.
 const SECOND: Micros = 1_000_000;
@@ -31,6 +32,7 @@
         ended_at: SECOND + SECOND / 2,
         may_cross_close: false,
         pipelined_behind: 0,
+        metered_customer: None,
     }
 }
 
@@ -175,3 +177,51 @@
     assert_eq!(judge(&paused, &seen), []);
     assert_eq!(rules(true, &seen), [Rule::AttemptAfterDisconnect]);
 }
+
+#[test]
+fn quotas_that_are_passed_by_far_are_found() {
+    let plan = plan_without_pauses(true);
+    let quota = plan.shape.ingresses as f64 * (METERED_BURST + METERED_RATE * plan.shape.seconds as f64);
+    let sent = |factor: f64| {
+        let numbers = 0..(quota * factor) as usize;
+        let id = |number: usize| format!("i0-c1-{number}");
+        Seen {
+            requests: numbers
+                .clone()
+                .map(|number| RequestRecord {
+                    id: id(number),
+                    metered_customer: Some(7),
+                    ..request(Class::Idempotent, Ending::Served)
+                })
+                .collect(),
+            arrivals: numbers.map(|number| ArrivalRecord { id: id(number), ..arrival(SECOND) }).collect(),
+            ..Seen::default()
+        }
+    };
+    assert_eq!(rules(true, &sent(1.0)), []);
+    assert_eq!(rules(true, &sent(1.6)), [Rule::QuotaExceeded]);
+}
+
+#[test]
+fn counters_that_miss_something_are_found() {
+    let counted = CounterRecord { ingress: 0, requests: 1, answers: 1, not_served: 0, attempts_begun: 1 };
+    for (counted, expected) in [
+        (counted, vec![]),
+        (CounterRecord { ingress: 1, ..CounterRecord::default() }, vec![]),
+        (CounterRecord { requests: 0, ..counted }, vec![Rule::CountersDisagree]),
+        (CounterRecord { not_served: 1, ..counted }, vec![Rule::CountersDisagree]),
+        (CounterRecord { attempts_begun: 0, ..counted }, vec![Rule::CountersDisagree]),
+    ] {
+        let served = seen(request(Class::Idempotent, Ending::Served), vec![arrival(SECOND + 1000)]);
+        assert_eq!(rules(true, &Seen { counters: vec![counted], ..served }), expected, "{counted:?}");
+    }
+}
+
+#[test]
+fn counters_are_read_from_the_log() {
+    let log = "ingress: counters: requests, requests=7, answers=6, rejections=2, failures=1, disconnected=0, open=1\n\
+               ingress: counters: attempts, begun=9, served=3, rejected=0\n";
+    let expected = CounterRecord { ingress: 4, requests: 7, answers: 6, not_served: 3, attempts_begun: 9 };
+    assert_eq!(fault_soak::counters::parse(4, log), Some(expected));
+    assert_eq!(fault_soak::counters::parse(4, "ingress: listening\n"), None);
+}
