Count waits for the soak's own record as stalls of the machine

Trace: requests served 104 ms after they were sent have an arrival 0.6 to 1.1 s after that, and arrivals at six backends from eight ingresses are noted within 0.3 ms of each other: the threads of the soak all waited for its one record, whose holder had no processor. The watchdog took its time before that lock, and measured 0.16 to 0.24 s. Change: it takes it behind the lock, so that the slack covers such waits. Not a fault of the ingress.

--- a/fault-soak/src/run.rs
+++ b/fault-soak/src/run.rs
@@ -236,13 +236,14 @@
     ingress.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Measures, until the run is over, by how much longer than it asked for a thread sleeps.
+/// Measures, until the run is over, by how much longer than it asked for a thread sleeps, and waits for the record that
+/// all threads share: whoever holds that may be held up itself.
 fn watch_for_stalls(recorder: Arc<Recorder>, is_over: Arc<AtomicBool>) {
     while !is_over.load(Ordering::SeqCst) {
         let before = recorder.now();
         thread::sleep(TICK);
-        let stall = (recorder.now() - before).saturating_sub(TICK.as_micros() as u64);
         let mut seen = recorder.seen();
+        let stall = (recorder.now() - before).saturating_sub(TICK.as_micros() as u64);
         seen.longest_stall = seen.longest_stall.max(stall);
     }
 }
