--- a/tests/system_call_faults.rs
+++ b/tests/system_call_faults.rs
@@ -182,3 +182,28 @@
     let ingress = setup.start();
     assert_eq!(ingress.client().round_trip(&encode_request("quote", "q1", 900)), "value of q1");
 }
+
+/// Guards against blaming a backend, and its zone, for a socket that this process could not make: it would be ejected here,
+/// and peers would be told.
+#[test]
+fn no_backend_is_blamed_for_a_socket_that_cannot_be_made() {
+    let backend = Backend::start(reply_with_value);
+    // Each request needs a connection of its own.
+    backend.set_close_when_idle(true);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    let no_sockets = Fault { from_ms: 1000, ..Fault::always(FaultKind::FailedSocket, 1.0) };
+    setup.faults = Some(FaultPlan { faults: vec![no_sockets], ..FaultPlan::default() });
+    let mut ingress = setup.start();
+    let mut client = ingress.client();
+    let mut requests = 0;
+    wait_until("a request meets the fault", || {
+        requests += 1;
+        client.round_trip(&encode_request("quote", &format!("q{requests}"), 900)).starts_with("-BUSY")
+    });
+    ingress.signal("USR1");
+    ingress.wait_until_input_is_processed();
+    ingress.signal("TERM");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    let log = ingress.log();
+    assert!(log.contains("connect_failed=0"), "{log}");
+}
