Read the counters of the log as they are written

Seen on the log of a real ingress. The test now has a line of that log, and fails with the old parser.

--- a/fault-soak/src/counters.rs
+++ b/fault-soak/src/counters.rs
@@ -9,7 +9,7 @@
     /// Finds the line in a log.
     fn find(log: &'a str, title: &str) -> Option<Fields<'a>> {
         let line = log.lines().rev().find_map(|line| line.split_once(&format!("counters: {title}, ")))?.1;
-        Some(Fields(line.split(", ").filter_map(|field| field.split_once('=')).collect()))
+        Some(Fields(line.split_whitespace().filter_map(|field| field.split_once('=')).collect()))
     }
 
     /// The number of a field.
--- a/fault-soak/tests/oracle.rs
+++ b/fault-soak/tests/oracle.rs
@@ -219,8 +219,9 @@
 
 #[test]
 fn counters_are_read_from_the_log() {
-    let log = "ingress: counters: requests, requests=7, answers=6, rejections=2, failures=1, disconnected=0, open=1\n\
-               ingress: counters: attempts, begun=9, served=3, rejected=0\n";
+    let log =
+        "ingress: counters: requests, requests=7 answers=6 rejections=2 failures=1 disconnected=0 open=1\n\
+               ingress: counters: attempts, begun=9 served=3 rejected=0\n";
     let expected = CounterRecord { ingress: 4, requests: 7, answers: 6, not_served: 3, attempts_begun: 9 };
     assert_eq!(fault_soak::counters::parse(4, log), Some(expected));
     assert_eq!(fault_soak::counters::parse(4, "ingress: listening\n"), None);
