--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -41,10 +41,12 @@
             self.push_completion(assignment, backend, now, result);
             return None;
         }
-        let Some(key) = self.acquire(registry, backend, now) else {
-            let result = ExchangeResult::without_reply(Outcome::ConnectFailed);
-            self.push_completion(assignment, backend, now, result);
-            return None;
+        let key = match self.acquire(registry, backend, now) {
+            Ok(key) => key,
+            Err(outcome) => {
+                self.push_completion(assignment, backend, now, ExchangeResult::without_reply(outcome));
+                return None;
+            }
         };
         let connection = &mut self.connections[key];
         connection.assignment = Some(assignment);
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -6,6 +6,7 @@
 use super::reply::ExchangeResult;
 use super::{Begun, Completion, ConnectionEnd};
 use crate::discovery::{EndpointEntry, EndpointList};
+use crate::socket_error::is_local_shortage;
 use ingress::permissions::{may_reuse_connection, may_send_to, BackendRefusal, ReuseLimits};
 use ingress::{Availability, BackendId, Micros, Outcome};
 use mio::net::TcpStream;
@@ -169,9 +170,17 @@
         pool.idle.iter().rposition(|key| may_reuse_connection(idle_time(*key), limits).is_ok())
     }
 
-    /// The key of an idle connection to a backend, which leaves the pool, or of a new one.
-    pub(super) fn acquire(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
-        self.take_idle(backend, now).or_else(|| self.connect(registry, backend, now))
+    /// The key of an idle connection to a backend, which leaves the pool, or of a new one; else how the attempt ends.
+    pub(super) fn acquire(
+        &mut self,
+        registry: &Registry,
+        backend: BackendId,
+        now: Micros,
+    ) -> Result<usize, Outcome> {
+        match self.take_idle(backend, now) {
+            Some(key) => Ok(key),
+            None => self.connect(registry, backend, now),
+        }
     }
 
     /// Takes the newest idle connection to a backend that may be used, and closes those that turn out to be unusable.
@@ -189,20 +198,27 @@
         }
     }
 
-    /// Begins to connect to a backend.
-    fn connect(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Option<usize> {
-        let address = self.pools.get(&backend)?.address?;
-        let mut stream = TcpStream::connect(address).ok()?;
+    /// Begins to connect to a backend. That no socket can be had here is no failure of the backend's.
+    fn connect(&mut self, registry: &Registry, backend: BackendId, now: Micros) -> Result<usize, Outcome> {
+        let address = self.pools.get(&backend).and_then(|pool| pool.address).ok_or(Outcome::ConnectFailed)?;
+        let mut stream = TcpStream::connect(address).map_err(|error| {
+            tracing::debug!(target: "backend_connection", backend = backend.0, %error, "not connected");
+            if is_local_shortage(&error) {
+                Outcome::NotSent
+            } else {
+                Outcome::ConnectFailed
+            }
+        })?;
         let slot = self.connections.vacant_entry();
         let key = slot.key();
         let interest = Interest::READABLE | Interest::WRITABLE;
-        registry.register(&mut stream, (self.token)(key), interest).ok()?;
+        registry.register(&mut stream, (self.token)(key), interest).map_err(|_| Outcome::NotSent)?;
         // Without it the second of two small writes would wait for the first one's acknowledgement.
         let _ = stream.set_nodelay(true);
         self.last_serial += 1;
         self.opened_count += 1;
         slot.insert(Connection::new(stream, self.last_serial, backend, address, now));
-        Some(key)
+        Ok(key)
     }
 
     /// Puts a connection whose exchange is over into its backend's pool. Returns false if the backend has left the
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -71,7 +71,7 @@
             return self.end_attempt(record, Outcome::NotSent, answered, None);
         }
         if !self.reserve_descriptor(backend) {
-            return self.end_attempt(record, Outcome::ConnectFailed, false, None);
+            return self.end_attempt(record, Outcome::NotSent, false, None);
         }
         self.assign_last_attempt(id, record.number);
     }
--- a/src/bin/ingress/start_retry.rs
+++ b/src/bin/ingress/start_retry.rs
@@ -1,5 +1,6 @@
 //! Starting though system calls fail for a moment: a process that ends at its start serves nobody.
 
+use crate::socket_error::is_local_shortage;
 use std::io::{self, ErrorKind};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -8,22 +9,14 @@
 const PATIENCE: Duration = Duration::from_secs(8);
 /// The delay before a call is tried again.
 const RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Linux's numbers for errors without a kind of their own: an I/O error, too many open files in the system and in the
-/// process, no buffer space.
-const TRANSIENT_ERRNOS: [i32; 4] = [5, 23, 24, 105];
+/// Linux's number for an I/O error, which has no kind of its own.
+const EIO: i32 = 5;
 
 /// Whether a call that failed like this may succeed a moment later.
 fn is_transient(error: &io::Error) -> bool {
-    let has_transient_kind = matches!(
-        error.kind(),
-        ErrorKind::Interrupted
-            | ErrorKind::WouldBlock
-            | ErrorKind::OutOfMemory
-            | ErrorKind::AddrNotAvailable
-            | ErrorKind::NetworkDown
-            | ErrorKind::NetworkUnreachable
-    );
-    has_transient_kind || error.raw_os_error().is_some_and(|errno| TRANSIENT_ERRNOS.contains(&errno))
+    matches!(error.kind(), ErrorKind::NetworkDown | ErrorKind::NetworkUnreachable)
+        || is_local_shortage(error)
+        || error.raw_os_error() == Some(EIO)
 }
 
 /// Until when failed calls are tried again.
