Split the soak's oracle by what it judges

Requests and attempts stay; draining and slow start go to oracle/backends.rs, processes, bad clients, quotas, counters and logs to oracle/ingresses.rs. Functions moved unchanged; 12 oracle tests pass.

--- a/fault-soak/src/oracle.rs
+++ b/fault-soak/src/oracle.rs
@@ -1,12 +1,15 @@
 //! Judges what was seen. The ingresses' own word counts only for violations that they report of themselves.
 
-use crate::ingress::Ingress;
+mod backends;
+mod ingresses;
+
+pub use ingresses::{judge_logs, quota_use};
+
 use crate::plan::{SoakPlan, TroubleKind};
-use crate::record::{ArrivalRecord, Class, Ending, Listing, Micros, ProcessEvent, RequestRecord, Seen};
+use crate::record::{ArrivalRecord, Class, Ending, Micros, ProcessEvent, RequestRecord, Seen};
 use crate::settings;
 use serde::{Deserialize, Serialize};
-use std::collections::{HashMap, HashSet};
-use std::path::Path;
+use std::collections::HashMap;
 
 /// What the stand-ins' own threads may take to notice something, besides the longest stall that was measured.
 const OBSERVATION_SLACK: Micros = 100_000;
@@ -34,15 +37,8 @@
 }
 /// How long after its client has left an attempt may begin.
 const DISCONNECT_SLACK: Micros = 100_000;
-/// How long a bad client may wait for its error or close.
-const BAD_CLIENT_TIMEOUT: Micros = 3_000_000;
 /// How long two attempts have to be out together to be seen as such.
 const LEAST_OVERLAP: Micros = 50_000;
-/// How many times the quotas of a run may be sent on: usage is reported late, and restarts forget some.
-const QUOTA_TOLERANCE: f64 = 1.5;
-/// How long after a start the budget of a cold backend is looked at.
-const COLD_SPAN: Micros = 3_000_000;
-
 /// A rule that was broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -118,12 +114,12 @@
     for bytes in &seen.stray_bytes {
         found.push(Violation::general(Rule::SecondAnswer, format!("behind an answer came {bytes:?}")));
     }
-    judge_draining(plan, seen, &mut found);
-    judge_slow_start(plan, seen, &mut found);
-    judge_bad_clients(plan, seen, &mut found);
-    judge_processes(seen, &mut found);
-    judge_quotas(plan, seen, &mut found);
-    judge_counters(seen, &mut found);
+    backends::judge_draining(plan, seen, &mut found);
+    backends::judge_slow_start(plan, seen, &mut found);
+    ingresses::judge_bad_clients(plan, seen, &mut found);
+    ingresses::judge_processes(seen, &mut found);
+    ingresses::judge_quotas(plan, seen, &mut found);
+    ingresses::judge_counters(seen, &mut found);
     found
 }
 
@@ -251,160 +247,3 @@
 fn ingress_of(id: &str) -> Option<usize> {
     id.strip_prefix('i')?.split('-').next()?.parse().ok()
 }
-
-/// When an ingress was first told a version of the list, or a later one.
-fn told_at(seen: &Seen, ingress: usize, version: u64) -> Option<Micros> {
-    let told = seen.notifications.iter();
-    told.filter(|told| told.ingress == ingress && told.version >= version).map(|told| told.at).min()
-}
-
-/// Whether draining backends were left alone.
-fn judge_draining(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
-    for change in seen.changes.iter().filter(|change| change.listing == Listing::Draining) {
-        let later =
-            seen.changes.iter().filter(|later| later.backend == change.backend && later.at > change.at);
-        let until = later.map(|later| later.at).min().unwrap_or(Micros::MAX);
-        for arrival in seen.arrivals.iter().filter(|arrival| arrival.backend == change.backend) {
-            let Some(told) =
-                ingress_of(&arrival.id).and_then(|ingress| told_at(seen, ingress, change.version))
-            else {
-                continue;
-            };
-            let limit = told + settings::DRAIN_GRACE + pause_slack(plan) + observation_slack(seen);
-            if arrival.at > limit && arrival.at < until {
-                let detail = format!("{} ms after its ingress was told", (arrival.at - told) / 1000);
-                found.push(Violation::of(Rule::SentToDraining, &arrival.id, detail));
-            }
-        }
-    }
-}
-
-/// What a cold backend may be sent in a window, of `expected` requests that the settings allow then.
-fn cold_bound(expected: f64) -> f64 {
-    if expected < 30.0 {
-        expected + 3.0 * expected.sqrt() + 3.0
-    } else {
-        expected + 2.0 * expected.sqrt() + 2.0
-    }
-}
-
-/// Whether cold backends were spared.
-fn judge_slow_start(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
-    // A backend bears a quarter more than its even part of all that was sent.
-    let even = seen.arrivals.len() as f64 / plan.shape.backends as f64 / plan.shape.seconds.max(1) as f64;
-    let capacity = even * 1.25;
-    for start in seen.changes.iter().filter(|change| change.restarted) {
-        let told = |arrival: &&&ArrivalRecord| {
-            let told = ingress_of(&arrival.id).and_then(|ingress| told_at(seen, ingress, start.version));
-            told.is_some_and(|told| told <= arrival.at)
-        };
-        let times: Vec<Micros> = seen
-            .arrivals
-            .iter()
-            .filter(|arrival| arrival.backend == start.backend && arrival.at >= start.at)
-            .filter(|arrival| told(&arrival))
-            .map(|arrival| arrival.at)
-            .filter(|at| *at < start.at + COLD_SPAN)
-            .collect();
-        let fullest = times.iter().enumerate().map(|(index, end)| {
-            let begin = end.saturating_sub(settings::OVERLOAD_WINDOW);
-            let count = times[..=index].iter().filter(|at| **at > begin).count() as f64;
-            let age = (end - start.at) as f64 / settings::COLD_TIME as f64;
-            let share = settings::COLD_SHARE + (1.0 - settings::COLD_SHARE) * age.min(1.0);
-            let window = settings::OVERLOAD_WINDOW as f64 / 1e6;
-            (count, cold_bound(settings::OVERLOAD_FACTOR * share * capacity * window))
-        });
-        let worst = fullest
-            .filter(|(count, bound)| count > bound)
-            .max_by(|first, second| (first.0 / first.1).total_cmp(&(second.0 / second.1)));
-        if let Some((count, bound)) = worst {
-            let detail = format!("backend {}: {count} in a window of {bound:.1}", start.backend);
-            found.push(Violation::general(Rule::SlowStartExceeded, detail));
-        }
-    }
-}
-
-/// Whether bad clients were told in time.
-fn judge_bad_clients(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
-    for client in &seen.bad_clients {
-        let limit = client.at + BAD_CLIENT_TIMEOUT + pause_slack(plan) + observation_slack(seen);
-        if client.told_at.is_none_or(|told_at| told_at > limit) {
-            let waited = client.told_at.map(|told_at| (told_at - client.at) / 1000);
-            let detail = format!("ingress {}: told after {waited:?} ms", client.ingress);
-            found.push(Violation::general(Rule::BadClientIgnored, detail));
-        }
-    }
-}
-
-/// Whether processes started and ended as they were told.
-fn judge_processes(seen: &Seen, found: &mut Vec<Violation>) {
-    for record in &seen.processes {
-        let rule = match record.event {
-            ProcessEvent::Overdue => Rule::ShutdownOverdue,
-            ProcessEvent::Crashed | ProcessEvent::NotReady => Rule::Crashed,
-            _ => continue,
-        };
-        let detail = format!("ingress {}: {:?} at {} ms", record.ingress, record.event, record.at / 1000);
-        found.push(Violation::general(rule, detail));
-    }
-}
-
-/// What the customers with a quota may be sent on in a run, all together.
-fn quota_of_all(plan: &SoakPlan) -> f64 {
-    let units = settings::METERED_BURST + settings::METERED_RATE * plan.shape.seconds as f64;
-    plan.shape.ingresses as f64 * units
-}
-
-/// The requests of customers with a quota that were sent on, as a part of what the quotas allow.
-pub fn quota_use(plan: &SoakPlan, seen: &Seen) -> f64 {
-    let arrived: HashSet<&str> = seen.arrivals.iter().map(|arrival| arrival.id.as_str()).collect();
-    let metered = seen.requests.iter().filter(|request| request.metered_customer.is_some());
-    let sent = metered.filter(|request| arrived.contains(request.id.as_str())).count() as f64;
-    sent / quota_of_all(plan)
-}
-
-/// Whether quotas held over all ingresses, restarts and losses included.
-fn judge_quotas(plan: &SoakPlan, seen: &Seen, found: &mut Vec<Violation>) {
-    let quota_use = quota_use(plan, seen);
-    if quota_use > QUOTA_TOLERANCE {
-        let detail = format!("{quota_use:.2} times what the quotas allow was sent on");
-        found.push(Violation::general(Rule::QuotaExceeded, detail));
-    }
-}
-
-/// Whether what each ingress has counted covers what was seen of it.
-fn judge_counters(seen: &Seen, found: &mut Vec<Violation>) {
-    for counted in &seen.counters {
-        let of_ingress = |id: &str| ingress_of(id) == Some(counted.ingress);
-        let arrivals = seen.arrivals.iter().filter(|arrival| of_ingress(&arrival.id));
-        let arrivals: Vec<&str> = arrivals.map(|arrival| arrival.id.as_str()).collect();
-        let requests: HashSet<&str> = arrivals.iter().copied().collect();
-        let own = seen.requests.iter().filter(|request| request.ingress == counted.ingress);
-        let served = own.filter(|request| request.ending == Ending::Served).count() as u64;
-        let disagrees = arrivals.len() as u64 > counted.attempts_begun
-            || requests.len() as u64 > counted.requests
-            || served > counted.answers.saturating_sub(counted.not_served);
-        if disagrees {
-            let (attempts, requests) = (arrivals.len(), requests.len());
-            let detail = format!("{attempts} attempts, {requests} requests, {served} served; {counted:?}");
-            found.push(Violation::general(Rule::CountersDisagree, detail));
-        }
-    }
-}
-
-/// The violations that the ingresses have logged of themselves, and panics. A late answer is judged by its client: a
-/// process that is made to stand still finds one itself.
-pub fn judge_logs(folder: &Path, ingresses: usize) -> Vec<Violation> {
-    let mut found = Vec::new();
-    for number in 0..ingresses {
-        let log = std::fs::read_to_string(Ingress::log_file(folder, number)).unwrap_or_default();
-        let reported = |line: &&str| {
-            let violated = line.contains("invariant: violated") && !line.contains("kind=LateAnswer");
-            violated || line.contains("panicked")
-        };
-        for line in log.lines().filter(reported) {
-            found.push(Violation::general(Rule::Reported, format!("ingress {number}: {line}")));
-        }
-    }
-    found
-}
