Hold a hard limit though other requests name another plan for its customer

Cause: record_identity lets a customer's record follow what most requests in its name say; Customer::replace_identity then began with the hard limit's bucket that a gateway of this age has, which is full, and while the record follows another plan its own requests met no hard limit at all. Seen: 112 units at once of a burst of 12, with forged requests in the majority. Ruled out: the confidence of 8, which only makes it take more of them.

--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -85,6 +85,7 @@
     /// keeps to what most of them say, whatever the first or a single one says.
     pub(crate) fn record_identity(&mut self, id: CustomerId, set: GatewaySet, claimed: Customer) {
         let set = set.in_whole_gateways(self.settings.gateway_count);
+        let mut hard_limit_tokens_left = f64::MAX;
         match self.quota.customers.get_mut(&id) {
             None => drop(self.quota.customers.insert(id, claimed)),
             Some(customer) if customer.plan == claimed.plan && customer.gateway_set == set => {
@@ -92,9 +93,16 @@
                 customer.identity_confidence = confidence.min(MAX_IDENTITY_CONFIDENCE);
             }
             Some(customer) if customer.identity_confidence > 0 => customer.identity_confidence -= 1,
-            Some(customer) => customer.replace_identity(claimed),
+            Some(customer) => {
+                hard_limit_tokens_left = customer.hard_limit.tokens;
+                customer.replace_identity(claimed);
+            }
         }
         self.assign_owners(id, set);
+        // Its bucket must not begin full again each time that somebody makes the record change.
+        if let Some(customer) = self.quota.customers.get_mut(&id) {
+            customer.hard_limit.tokens = customer.hard_limit.tokens.min(hard_limit_tokens_left);
+        }
     }
 
     /// Assigns a customer's owners and this gateway's share of its hard limit, once and for all.
