--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -29,7 +29,7 @@
         }
         let claimed_plan = usize::from(request.plan);
         let unseen = self.observe_customer(&mut request);
-        // The record follows other requests: by their plan the hard limit that this one names might be passed.
+        // The record follows others: by their plan the hard limit that this one names might be passed.
         let has_hard_limit = self.settings.plans[claimed_plan].hard_limit_rate > 0.0;
         if has_hard_limit && usize::from(request.plan) != claimed_plan {
             return self.reject(request.id, RejectReason::OverQuota, Micros::MAX, actions);
