Let the soak cut a backend off in silence, and cut discovery's answers

Two troubles that a proxy would bring: a machine that neither reads nor writes and resets its connections once it is back, and answers of discovery that trickle and end in the middle. 34 kinds in all.

--- a/fault-soak/src/plan.rs
+++ b/fault-soak/src/plan.rs
@@ -65,6 +65,8 @@
     DoublingBackend,
     /// A backend takes commands and answers nothing.
     HangingBackend,
+    /// A backend's machine is cut off: it neither reads nor writes, and resets its connections once it is back.
+    SilentBackend,
     /// A backend closes its idle connections.
     ClosingBackend,
     /// A backend is listed as draining, and later as up.
@@ -75,6 +77,8 @@
     SilentDiscovery,
     /// Discovery closes every connection.
     BrokenDiscovery,
+    /// Discovery sends its answers a few bytes at a time, and cuts every other one in the middle.
+    CuttingDiscovery,
     /// Clients leave before their answer.
     LeavingClients,
     /// Clients stop in the middle of a command, and stay.
@@ -89,7 +93,7 @@
 
 impl TroubleKind {
     /// All kinds.
-    pub const ALL: [TroubleKind; 32] = [
+    pub const ALL: [TroubleKind; 34] = [
         TroubleKind::ShortReads,
         TroubleKind::ShortWrites,
         TroubleKind::Interruptions,
@@ -112,11 +116,13 @@
         TroubleKind::TricklingBackend,
         TroubleKind::DoublingBackend,
         TroubleKind::HangingBackend,
+        TroubleKind::SilentBackend,
         TroubleKind::ClosingBackend,
         TroubleKind::DrainingBackend,
         TroubleKind::RestartedBackend,
         TroubleKind::SilentDiscovery,
         TroubleKind::BrokenDiscovery,
+        TroubleKind::CuttingDiscovery,
         TroubleKind::LeavingClients,
         TroubleKind::StoppingClients,
         TroubleKind::TricklingClients,
--- a/fault-soak/src/stand_in/backend.rs
+++ b/fault-soak/src/stand_in/backend.rs
@@ -132,6 +132,7 @@
                 self.received.drain(..length);
                 return Ok(arguments);
             }
+            self.stay_silent()?;
             let closes_idle = self.received.is_empty() && self.has(TroubleKind::ClosingBackend);
             if self.is_ended() || closes_idle {
                 return Err(Closed);
@@ -148,6 +149,17 @@
         }
     }
 
+    /// Does nothing for as long as the backend is cut off; behind that the connection is reset.
+    fn stay_silent(&self) -> Result<(), Closed> {
+        if !self.has(TroubleKind::SilentBackend) {
+            return Ok(());
+        }
+        while self.has(TroubleKind::SilentBackend) && !self.is_ended() {
+            thread::sleep(IDLE_POLL_INTERVAL);
+        }
+        Err(Closed)
+    }
+
     /// Waits, unless the other side closes the connection meanwhile.
     fn wait(&self, time: Duration) -> Result<(), Closed> {
         self.stream.set_read_timeout(Some(POLL_INTERVAL)).map_err(|_| Closed)?;
@@ -209,6 +221,7 @@
         }
         let slow = self.has(TroubleKind::SlowBackend);
         self.wait(if slow { SLOW_SERVICE_TIME } else { SERVICE_TIME })?;
+        self.stay_silent()?;
         let reply = served(id);
         if self.has(TroubleKind::FailingBackend) {
             return self.write(b"-ERR failed\r\n");
--- a/fault-soak/src/stand_in/discovery.rs
+++ b/fault-soak/src/stand_in/discovery.rs
@@ -4,7 +4,7 @@
 use crate::record::{ListChange, Listing, Notification, Recorder};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -12,6 +12,11 @@
 /// How often a poll that waits looks for changes.
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
 
+/// How many bytes of a response are written at once where it trickles, and the pause behind them.
+const TRICKLE_PIECE: usize = 40;
+/// See [`TRICKLE_PIECE`].
+const TRICKLE_PAUSE: Duration = Duration::from_micros(300);
+
 /// The entry of one backend, and the version that it came with.
 #[derive(Clone)]
 struct Entry {
@@ -35,6 +40,8 @@
     recorder: Arc<Recorder>,
     /// The run is over.
     is_over: Arc<AtomicBool>,
+    /// How many responses were to be cut.
+    cut_count: AtomicU64,
 }
 
 /// A poll.
@@ -68,7 +75,7 @@
         let entry =
             |address: &SocketAddr| Entry { address: *address, listing: Listing::Up, since_ms: 0, version: 1 };
         let entries = Mutex::new(addresses.iter().map(entry).collect());
-        Discovery { entries, plan, recorder, is_over }
+        Discovery { entries, plan, recorder, is_over, cut_count: AtomicU64::new(0) }
     }
 
     /// Starts an agent for an ingress, and returns its address.
@@ -139,7 +146,7 @@
             let poll = Poll::parse(&head);
             let Some((version, body)) = self.wait_for_answer(&poll) else { return };
             let response = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-            if stream.write_all(response.as_bytes()).is_err() {
+            if self.write(&mut stream, response.as_bytes(), version).is_err() {
                 return;
             }
             let at = self.recorder.now();
@@ -147,6 +154,24 @@
         }
     }
 
+    /// Writes a response, or a part of it before the connection is closed.
+    fn write(&self, stream: &mut TcpStream, response: &[u8], version: u64) -> std::io::Result<()> {
+        if !self.is_active(TroubleKind::CuttingDiscovery) {
+            return stream.write_all(response);
+        }
+        let is_cut = self.cut_count.fetch_add(1, Ordering::SeqCst) % 2 == 0;
+        let length = if is_cut { response.len() / 2 } else { response.len() };
+        for piece in response[..length].chunks(TRICKLE_PIECE) {
+            stream.write_all(piece)?;
+            thread::sleep(TRICKLE_PAUSE);
+        }
+        if is_cut {
+            tracing::debug!(version, "a response is cut");
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
     /// The head of the next request; none where the connection ends.
     fn read_head(&self, stream: &mut TcpStream) -> Option<String> {
         let (mut head, mut chunk) = (Vec::new(), [0; 1024]);
