Note when a connection to a silent backend is given up

Cause, in the soak: the silent stand-in noted the end of an attempt only once it was back, though the ingress had closed the connection before it tried elsewhere (its audit reports nothing). It now looks for that close.

--- a/fault-soak/src/stand_in/backend.rs
+++ b/fault-soak/src/stand_in/backend.rs
@@ -149,13 +149,14 @@
         }
     }
 
-    /// Does nothing for as long as the backend is cut off; behind that the connection is reset.
+    /// Does nothing for as long as the backend is cut off, but to note that the other side has given the connection up;
+    /// behind that it is reset.
     fn stay_silent(&self) -> Result<(), Closed> {
         if !self.has(TroubleKind::SilentBackend) {
             return Ok(());
         }
-        while self.has(TroubleKind::SilentBackend) && !self.is_ended() {
-            thread::sleep(IDLE_POLL_INTERVAL);
+        while self.has(TroubleKind::SilentBackend) {
+            self.wait(IDLE_POLL_INTERVAL)?;
         }
         Err(Closed)
     }
