Look a customer up once where its record takes note of a plan

Cause: the hard limit's mend looked the customer up once more on each request and report, though its bucket has to be bounded only where the record changes. Change: assign_owners takes the bound. Result: the tests of the decisions and their pinned digests pass unchanged, a_hard_limit_does_not_begin_full_again_... among them.

--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -85,7 +85,6 @@
     /// keeps to what most of them say, whatever the first or a single one says.
     pub(crate) fn record_identity(&mut self, id: CustomerId, set: GatewaySet, claimed: Customer) {
         let set = set.in_whole_gateways(self.settings.gateway_count);
-        let mut hard_limit_tokens_left = f64::MAX;
         match self.quota.customers.get_mut(&id) {
             None => drop(self.quota.customers.insert(id, claimed)),
             Some(customer) if customer.plan == claimed.plan && customer.gateway_set == set => {
@@ -94,19 +93,18 @@
             }
             Some(customer) if customer.identity_confidence > 0 => customer.identity_confidence -= 1,
             Some(customer) => {
-                hard_limit_tokens_left = customer.hard_limit.tokens;
+                // The bucket must not begin full again each time that somebody makes the record change.
+                let hard_limit_tokens = customer.hard_limit.tokens;
                 customer.replace_identity(claimed);
+                return self.assign_owners(id, set, hard_limit_tokens);
             }
         }
-        self.assign_owners(id, set);
-        // Its bucket must not begin full again each time that somebody makes the record change.
-        if let Some(customer) = self.quota.customers.get_mut(&id) {
-            customer.hard_limit.tokens = customer.hard_limit.tokens.min(hard_limit_tokens_left);
-        }
+        self.assign_owners(id, set, f64::MAX);
     }
 
-    /// Assigns a customer's owners and this gateway's share of its hard limit, once and for all.
-    fn assign_owners(&mut self, id: CustomerId, set: GatewaySet) {
+    /// Assigns a customer's owners and this gateway's share of its hard limit, once and for all; the share's
+    /// bucket holds no more than `max_tokens` to begin with.
+    fn assign_owners(&mut self, id: CustomerId, set: GatewaySet, max_tokens: f64) {
         let (own_id, gateway_count) = (self.settings.own_id.0, self.settings.gateway_count);
         let age = (self.now - self.started_at) as f64;
         let owned_by_all = self.all_gateways_own_quotas();
@@ -131,8 +129,8 @@
         let owned = customer.hard_limit.owners.iter().filter(|owner| **owner == own_id).count() as f64;
         customer.hard_limit.fraction = (1.0 - POOLED_HARD_LIMIT) / set.size + owned * POOLED_HARD_LIMIT / 2.0;
         // The bucket is taken to have been empty at this start: what was used before is not known here.
-        customer.hard_limit.tokens =
-            (plan.hard_limit_rate * age / SECOND).min(plan.hard_limit_burst) * customer.hard_limit.fraction;
+        let refilled = (plan.hard_limit_rate * age / SECOND).min(plan.hard_limit_burst);
+        customer.hard_limit.tokens = (refilled * customer.hard_limit.fraction).min(max_tokens);
     }
 
     /// How long a request has to wait for the tokens that it needs.
