--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -29,9 +29,7 @@
         }
         let claimed_plan = usize::from(request.plan);
         let unseen = self.observe_customer(&mut request);
-        // The record follows others: by their plan the hard limit that this one names might be passed.
-        let has_hard_limit = self.settings.plans[claimed_plan].hard_limit_rate > 0.0;
-        if has_hard_limit && usize::from(request.plan) != claimed_plan {
+        if self.evades_hard_limit(&request, claimed_plan) {
             return self.reject(request.id, RejectReason::OverQuota, Micros::MAX, actions);
         }
         if !self.load_shedder.admits(self.now, &request, &self.settings.plans, unseen) {
@@ -60,6 +58,13 @@
         self.await_grant(&request, wait.hard_limit.is_some(), needs_grant, actions);
     }
 
+    /// Whether a request names a plan with a hard limit that its customer's record does not follow: by the
+    /// plan that other requests name the limit might be passed.
+    fn evades_hard_limit(&self, request: &Request, claimed_plan: usize) -> bool {
+        let has_hard_limit = self.settings.plans[claimed_plan].hard_limit_rate > 0.0;
+        has_hard_limit && usize::from(request.plan) != claimed_plan
+    }
+
     /// Holds a request until the quota owners have answered, or for as long as that may take.
     fn await_grant(&mut self, request: &Request, hard_limit: bool, at_once: bool, actions: &mut Vec<Action>) {
         let now = self.now;
