--- a/review/common/lib.rs
+++ b/review/common/lib.rs
@@ -6,7 +6,8 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::os::fd::{FromRawFd, RawFd};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
@@ -27,7 +28,9 @@
 }
 
 static RECORD: OnceLock<Record> = OnceLock::new();
-static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+/// The processes that the case started. They are ended by their handles, which never reach another process that got
+/// the id of one that has ended.
+static CHILDREN: Mutex<Vec<Child>> = Mutex::new(Vec::new());
 
 /// Writes a line to the record.
 pub fn record(line: &str) {
@@ -74,6 +77,11 @@
     finish(code)
 }
 
+/// Returns the folder for the configuration and the log of the ingress.
+fn temporary_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// Ends the processes that the case started, and exits.
 fn finish(code: i32) -> ! {
     let result = match code {
@@ -83,18 +91,56 @@
     };
     record(&format!("result: {result}"));
     println!("{result}");
-    for id in CHILDREN.lock().map(|children| children.clone()).unwrap_or_default() {
-        signal(id, "KILL");
+    let mut children = CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    for child in children.iter_mut() {
+        let _ = child.kill();
+        let _ = child.wait();
     }
+    let _ = fs::remove_dir_all(temporary_folder());
     std::process::exit(code)
 }
 
-/// Sends a signal to a process that the case started.
-pub fn signal(id: u32, name: &str) {
-    let _ = Command::new("/bin/sh")
-        .args(["-c", &format!("kill -{name} {id}")])
-        .stderr(Stdio::null())
-        .status();
+/// An IPv4 address as the system's calls take it.
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    address: [u8; 4],
+    unused: [u8; 8],
+}
+
+extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> RawFd;
+    fn setsockopt(socket: RawFd, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: RawFd, address: *const SocketAddress, length: u32) -> i32;
+}
+
+/// Opens a connection that takes in a limited number of bytes at once, as over a path whose window is that small.
+/// The limit has to be set before the connection is opened.
+pub fn connect_with_window(address: SocketAddr, bytes: i32) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    let SocketAddr::V4(address) = address else { return Err(io::ErrorKind::Unsupported.into()) };
+    let to = SocketAddress {
+        family: AF_INET as u16,
+        port: address.port().to_be_bytes(),
+        address: address.ip().octets(),
+        unused: [0; 8],
+    };
+    // SAFETY: the descriptor is checked and then owned by the stream, and the pointers are valid for the calls.
+    unsafe {
+        let descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        if descriptor < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let stream = TcpStream::from_raw_fd(descriptor);
+        if setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &bytes, 4) < 0 || connect(descriptor, &to, 16) < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(stream)
+    }
 }
 
 /// Encodes a command as an array of bulk strings.
@@ -114,6 +160,17 @@
     command(&[b"CALL.GET", format!("{customer:016x}").as_bytes(), id.as_bytes(), options.as_bytes()])
 }
 
+/// Encodes a request of the class `quote`, of the keyed class `save` with a key of its own, or of the class `refer`.
+pub fn request(class: &str, customer: u64, id: &str, timeout_ms: u64) -> Vec<u8> {
+    if class == "quote" {
+        return quote(customer, id, timeout_ms);
+    }
+    let key = if class == "save" { format!(",k={id}") } else { String::new() };
+    let options = format!("c={class},t=starter,d={timeout_ms}{key},units=1,spread=1,first=0");
+    let customer = format!("{customer:016x}");
+    command(&[b"CALL.POST", customer.as_bytes(), id.as_bytes(), options.as_bytes(), b"BODY"])
+}
+
 /// A reply as a client reads it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -213,13 +270,17 @@
 
     /// Returns the entry in the list of discovery.
     pub fn entry(&self, status: &str) -> String {
-        format!(
-            r#"{{"name":"{}","address":"{}","zone":"hall-a","type":"std-2c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#,
-            self.name, self.address
-        )
+        entry(&self.name, self.address, "hall-a", status)
     }
 }
 
+/// Returns an entry in the list of discovery.
+pub fn entry(name: &str, address: SocketAddr, zone: &str, status: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","address":"{address}","zone":"{zone}","type":"std-2c","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+    )
+}
+
 /// The list of discovery: the entries by name, each with the version of its last change.
 #[derive(Default)]
 struct List {
@@ -303,16 +364,19 @@
     pub give_up_ms: u64,
 }
 
-/// Returns the settings of a small deployment: the class `quote` is safe to repeat, `save` is keyed.
+/// Returns the settings of a small deployment: the class `quote` is safe to repeat, `save` is keyed, and
+/// `refer` is unsafe to repeat.
 fn settings(deployment: &Deployment) -> String {
     let Deployment { ingresses, give_up_ms, .. } = deployment;
     format!(
         r#"{{
- "n_instances":{ingresses},"slot_no":0,"zone":0,"tick_us":4000,"zones":["hall-a"],"skus":["std-2c"],
+ "n_instances":{ingresses},"slot_no":0,"zone":0,"tick_us":4000,"zones":["hall-a","hall-b"],"skus":["std-2c"],
  "grades":[
-  {{"name":"quote","effect":"repeatable","group":"all","window_us":5000000,"objective_us":500000,
+  {{"name":"quote","effect":"repeatable","group":"all","window_us":5000000,"objective_us":1000000,
    "give_up_us":{},"worth":2.0,"late_worth":0.0,"stream":false}},
   {{"name":"save","effect":"by_key","group":"all","window_us":4000000,"objective_us":1000000,
+   "give_up_us":4000000,"worth":2.0,"late_worth":0.0,"stream":false}},
+  {{"name":"refer","effect":"once","group":"all","window_us":4000000,"objective_us":1000000,
    "give_up_us":4000000,"worth":2.0,"late_worth":0.0,"stream":false}}],
  "contracts":[
   {{"name":"starter","quota_rate":1000.0,"burst":5000.0,"max_out":0,"never_over_rate":0.0,"ceiling_burst":0.0,
@@ -332,7 +396,8 @@
 pub struct Ingress {
     pub address: SocketAddr,
     pub id: u32,
-    child: Child,
+    /// Position of the process in [`CHILDREN`].
+    position: usize,
 }
 
 /// Returns the value of a key of the deploy file, a string.
@@ -344,17 +409,27 @@
 }
 
 impl Ingress {
-    /// Starts an ingress and waits until it has answered a PING and has had time for the list.
+    /// Starts an ingress that knows these backends.
     pub fn start(
         deployment: &Deployment,
         backends: &[Backend],
         discovery: SocketAddr,
+    ) -> Result<Ingress, String> {
+        let entries: Vec<String> = backends.iter().map(|backend| backend.entry("up")).collect();
+        Ingress::start_with_list(deployment, &entries, discovery)
+    }
+
+    /// Starts an ingress that knows these entries of the list, and waits until it has answered a PING and has
+    /// had time for the list of discovery.
+    pub fn start_with_list(
+        deployment: &Deployment,
+        entries: &[String],
+        discovery: SocketAddr,
     ) -> Result<Ingress, String> {
         let fail = |error: io::Error| error.to_string();
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let folder = temporary_folder();
         fs::create_dir_all(&folder).map_err(fail)?;
         let address = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr()).map_err(fail)?;
-        let entries: Vec<String> = backends.iter().map(|backend| backend.entry("up")).collect();
         let nanos = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |time| time.as_nanos() as u64);
         let config = format!(
             r#"{{"name":"n0","listen":"{address}","discovery":"{discovery}","seed":"{:016x}",
@@ -381,8 +456,12 @@
             .spawn()
             .map_err(fail)?;
         let id = child.id();
-        CHILDREN.lock().unwrap().push(id);
-        let ingress = Ingress { address, id, child };
+        let position = {
+            let mut children = CHILDREN.lock().unwrap();
+            children.push(child);
+            children.len() - 1
+        };
+        let ingress = Ingress { address, id, position };
         let started_at = Instant::now();
         while started_at.elapsed() < Duration::from_secs(30) {
             if ping(address).unwrap_or(false) {
@@ -397,14 +476,22 @@
 
     /// Returns whether the process has ended.
     pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
+        !matches!(CHILDREN.lock().unwrap()[self.position].try_wait(), Ok(None))
+    }
+
+    /// Tells the process to end by SIGTERM, unless it has ended.
+    pub fn terminate(&mut self) {
+        // The id is the process's own: one that has ended keeps it until it is waited for.
+        if !self.has_ended() {
+            let _ = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.id)]).status();
+        }
     }
 
-    /// Returns the anonymous memory of the process that is resident, in bytes.
-    pub fn anonymous_memory(&self) -> Option<u64> {
-        let status = fs::read_to_string(Path::new("/proc").join(self.id.to_string()).join("status")).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
-        line.split_whitespace().next()?.parse::<u64>().ok().map(|kib| kib * 1024)
+    /// Ends the process with SIGKILL.
+    pub fn kill(&mut self) {
+        let child = &mut CHILDREN.lock().unwrap()[self.position];
+        let _ = child.kill();
+        let _ = child.wait();
     }
 }
 
