Let replies in transit arrive before an idle client connection is closed

Cause: a connection counted as idle once its replies were in the kernel's send buffer, and close_if_still_idle dropped it at once (in a shutdown from flush through close_if_done, and in close_longest_idle for a descriptor). If the client then sent a request, the kernel answered the closed socket with a reset and discarded what it had not transmitted.

Change: an idle connection whose last reply was written less than LINGER_TIMEOUT ago is shut down for sending and closed when its client closes its end, or after that time. Input that arrives meanwhile stays unread, so that the client may send it again. Connections closed for their descriptors use the eight descriptors beyond the budget, which they share with those over the limit. Related paths: the exit waits for replies that are in transit or being read, within its limit, and shuts down connections with an incomplete command first.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -27,6 +27,10 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 
+/// Maximum number of connections beyond the budget of descriptors: those that are accepted only to reject
+/// their requests, and those that are closed for their descriptor once their last reply has arrived.
+pub const MAX_CLIENTS_BEYOND_BUDGET: usize = 8;
+
 /// The reply to a rejected request, which is safe to retry.
 pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
 
@@ -122,6 +126,8 @@
     lingering_count: usize,
     /// The number of open connections that were accepted over the limit.
     over_limit_count: usize,
+    /// The number of connections that are being closed for their descriptors.
+    yielding_count: usize,
     memory: MemoryBudget,
     /// Events that the event loop has not taken yet, oldest first.
     events: VecDeque<ClientEvent>,
@@ -167,6 +173,7 @@
             closes_idle: false,
             lingering_count: 0,
             over_limit_count: 0,
+            yielding_count: 0,
             memory: MemoryBudget::new(memory_limit),
             events: VecDeque::new(),
             last_accepted_at: Instant::ZERO,
@@ -231,9 +238,15 @@
         self.connections.iter().filter(|(_, connection)| connection.is_idle()).count()
     }
 
-    /// Returns the number of open connections that were accepted over the limit.
-    pub fn over_limit_count(&self) -> usize {
-        self.over_limit_count
+    /// Returns the number of open connections that count against the budget of descriptors: all but those that
+    /// are being closed for their descriptors.
+    pub fn budgeted_count(&self) -> usize {
+        self.connections.len() - self.yielding_count
+    }
+
+    /// Returns whether fewer than [`MAX_CLIENTS_BEYOND_BUDGET`] connections are beyond the budget.
+    pub fn has_room_beyond_budget(&self) -> bool {
+        self.over_limit_count + self.yielding_count < MAX_CLIENTS_BEYOND_BUDGET
     }
 
     /// Returns the number of connections that await a reply or are being sent one.
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -42,6 +42,15 @@
         ClientCloseReason::MemoryLimit,
     ];
 
+    /// Returns the cause to record for a connection that is shut down before it is closed for this reason.
+    fn closing_cause(self) -> Option<ClosingCause> {
+        match self {
+            ClientCloseReason::DescriptorNeeded => Some(ClosingCause::DescriptorNeeded),
+            ClientCloseReason::ShuttingDown => Some(ClosingCause::ShuttingDown),
+            _ => None,
+        }
+    }
+
     /// Returns whether replies may be dropped with the connection, as when the client has disconnected or
     /// does not read them.
     fn may_drop_replies(self) -> bool {
@@ -81,15 +90,21 @@
 
 impl Clients {
     /// Closes the connection that has been idle for the longest time, to free its descriptor. Returns `false`
-    /// if no connection is idle.
+    /// if no connection may be closed.
+    ///
+    /// A connection with a reply in transit keeps its descriptor until its client has closed its end or has had
+    /// the time for it. Up to [`MAX_CLIENTS_BEYOND_BUDGET`] of them do not count against the budget meanwhile.
     pub fn close_longest_idle(&mut self, now: Instant) -> bool {
+        self.close_lingered(now);
         loop {
             let idle = self.connections.iter().filter(|(_, connection)| connection.is_idle());
             let longest = idle.min_by_key(|(_, connection)| IdleCloseOrder::of(connection, now));
             let Some((key, connection)) = longest else { return false };
-            let idle_since = connection.last_active_at;
-            self.close_if_still_idle(key, idle_since, ClientCloseReason::DescriptorNeeded);
-            if !self.connections.contains(key) {
+            if connection.may_have_reply_in_transit(now) && !self.has_room_beyond_budget() {
+                return false;
+            }
+            self.close_if_still_idle(key, now, ClientCloseReason::DescriptorNeeded);
+            if self.connections.get(key).is_none_or(ClientConnection::is_closing) {
                 return true;
             }
         }
@@ -114,7 +129,8 @@
     /// end.
     pub fn close_expired(&mut self, now: Instant) {
         self.close_timed_out(now);
-        if self.lingering_count == 0 {
+        self.close_lingered(now);
+        if self.over_limit_count == 0 {
             return;
         }
         for key in self.keys_where(|connection| connection.is_linger_over(now)) {
@@ -122,14 +138,51 @@
             // first, and the next call closes the connection.
             self.read(key, now);
             let Some(connection) = self.connections.get(key) else { continue };
-            if connection.is_shut_down() {
-                self.remove(key, ClientCloseReason::LingerTimeout);
-            } else if connection.output.is_empty() {
+            if connection.output.is_empty() {
                 self.remove(key, ClientCloseReason::OverLimitTimeout);
             }
         }
     }
 
+    /// Closes connections that are shut down and whose clients had the time to read their last replies.
+    pub fn close_lingered(&mut self, now: Instant) {
+        if self.lingering_count == 0 {
+            return;
+        }
+        let is_over =
+            |connection: &ClientConnection| connection.is_shut_down() && connection.is_linger_over(now);
+        for key in self.keys_where(is_over) {
+            // A client that is still sending is given more time.
+            self.read(key, now);
+            if self.connections.get(key).is_some_and(is_over) {
+                self.remove(key, ClientCloseReason::LingerTimeout);
+            }
+        }
+    }
+
+    /// Shuts down the connections that a process exit would otherwise close with a reply in transit. Those
+    /// with an incomplete command are included, since nothing waits for its rest any longer.
+    pub fn shut_down_before_exit(&mut self, now: Instant) {
+        let has_reply_in_transit = |connection: &ClientConnection| {
+            !connection.is_closing() && !connection.is_busy() && connection.may_have_reply_in_transit(now)
+        };
+        for key in self.keys_where(has_reply_in_transit) {
+            self.start_lingering_close(key, now, ClosingCause::ShuttingDown);
+        }
+    }
+
+    /// Returns whether a process exit could drop a reply that is on its way to a client: a client that reads
+    /// has not had the time to receive it.
+    pub fn has_reply_in_transit(&self, now: Instant) -> bool {
+        self.connections.iter().any(|(_, connection)| {
+            if connection.is_shut_down() {
+                !connection.is_linger_over(now)
+            } else {
+                connection.output.is_being_read(now) || connection.may_have_reply_in_transit(now)
+            }
+        })
+    }
+
     /// Closes connections that send nothing, leave a command incomplete or do not read their replies for too
     /// long, since they use descriptors and memory.
     fn close_timed_out(&mut self, now: Instant) {
@@ -156,12 +209,10 @@
 
     /// Shuts down or closes a connection that is to be closed and whose replies are all written.
     pub(super) fn close_if_done(&mut self, key: usize, now: Instant) {
-        let connection = &mut self.connections[key];
-        if connection.is_ready_for_shutdown() {
-            self.lingering_count += usize::from(connection.linger_until.is_none());
-            connection.start_lingering_close(now);
-        } else {
-            self.close_if_idle_at_shutdown(key, now);
+        let connection = &self.connections[key];
+        match connection.closing_cause {
+            Some(cause) if connection.is_ready_for_shutdown() => self.start_lingering_close(key, now, cause),
+            _ => self.close_if_idle_at_shutdown(key, now),
         }
     }
 
@@ -175,14 +226,33 @@
     /// Closes an idle connection, unless a command has arrived in the meantime.
     ///
     /// A request in the socket's buffer would be lost with the connection, and the client would receive no
-    /// reply. So the buffer is read to its end just before the close.
+    /// reply. So the buffer is read to its end just before the close. A reply in the other direction would be
+    /// lost if the client sent a request after the close. So the connection is only shut down while one may be
+    /// in transit.
     fn close_if_still_idle(&mut self, key: usize, now: Instant, reason: ClientCloseReason) {
         self.read(key, now);
-        if self.connections.get(key).is_some_and(ClientConnection::is_idle) {
-            self.remove(key, reason);
+        let Some(connection) = self.connections.get(key).filter(|connection| connection.is_idle()) else {
+            return;
+        };
+        match reason.closing_cause() {
+            Some(cause) if connection.may_have_reply_in_transit(now) => {
+                self.start_lingering_close(key, now, cause);
+            }
+            _ => self.remove(key, reason),
         }
     }
 
+    /// Shuts down a connection without unwritten replies, and lets its client read those in transit.
+    fn start_lingering_close(&mut self, key: usize, now: Instant, cause: ClosingCause) {
+        let connection = &mut self.connections[key];
+        connection.start_closing(cause);
+        self.lingering_count += usize::from(connection.linger_until.is_none());
+        self.yielding_count += usize::from(connection.yields_descriptor());
+        connection.start_lingering_close(now);
+        let client = connection.serial;
+        tracing::debug!(target: "client_connection", client, ?cause, "client connection shut down");
+    }
+
     /// Closes and removes a connection, and reports its unanswered requests as disconnected.
     pub(super) fn remove(&mut self, key: usize, reason: ClientCloseReason) {
         let connection = self.connections.remove(key); // Dropping it closes and deregisters the socket.
@@ -203,6 +273,7 @@
         }
         self.lingering_count -= usize::from(connection.linger_until.is_some());
         self.over_limit_count -= usize::from(connection.is_over_limit());
+        self.yielding_count -= usize::from(connection.yields_descriptor());
         self.memory.release(&connection);
         // The latest request is reported first: the end of an earlier one would otherwise start a later one
         // of the same client, which would be cancelled at once.
@@ -224,3 +295,6 @@
         connections.map(|(key, _)| key).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -25,15 +25,25 @@
 /// Maximum time for reading the last replies, for a client that continues to send.
 const MAX_LINGER: Duration = Duration::from_secs(5);
 
+/// The handling of input that arrives while a connection is being closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LateInput {
+    /// It is read and discarded, so that a client that sends before it reads can do so.
+    Discarded,
+    /// It stays unread, and the close at the end resets the connection. A client whose request was not read
+    /// may send it again.
+    Unread,
+}
+
 /// The progress of closing a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum CloseState {
     /// Commands are accepted.
     Open,
-    /// Further input is discarded. The sending side is shut down once all replies are written.
-    Closing,
+    /// No further command is accepted. The sending side is shut down once all replies are written.
+    Closing(LateInput),
     /// The sending side is shut down; the client may still read its last replies.
-    ShutDown,
+    ShutDown(LateInput),
 }
 
 /// The reason for which the ingress began to close a connection, or accepted it only to close it.
@@ -49,6 +59,24 @@
     CommandTimeout,
     /// The memory limit of all clients was reached, and the connection had an incomplete command.
     MemoryLimit,
+    /// The connection was idle, and its descriptor was needed for another one.
+    DescriptorNeeded,
+    /// The connection was idle during the shutdown of the process.
+    ShuttingDown,
+}
+
+impl ClosingCause {
+    /// Returns the handling of input that arrives on a connection that is closed for this cause.
+    fn late_input(self) -> LateInput {
+        match self {
+            ClosingCause::OverLimit
+            | ClosingCause::ProtocolError
+            | ClosingCause::InvalidCommands
+            | ClosingCause::CommandTimeout
+            | ClosingCause::MemoryLimit => LateInput::Discarded,
+            ClosingCause::DescriptorNeeded | ClosingCause::ShuttingDown => LateInput::Unread,
+        }
+    }
 }
 
 /// A client connection with its buffers and limits.
@@ -151,14 +179,37 @@
         self.capacity == Capacity::OverLimit
     }
 
-    /// Returns whether the connection is being closed, so that further input is discarded.
+    /// Returns whether the connection is being closed, so that no further command is accepted.
     pub fn is_closing(&self) -> bool {
         self.close_state != CloseState::Open
     }
 
     /// Returns whether the sending side is shut down.
     pub fn is_shut_down(&self) -> bool {
-        self.close_state == CloseState::ShutDown
+        matches!(self.close_state, CloseState::ShutDown(_))
+    }
+
+    /// Returns whether input is read, be it only to discard it.
+    pub fn reads_input(&self) -> bool {
+        match self.close_state {
+            CloseState::Open => true,
+            CloseState::Closing(late_input) | CloseState::ShutDown(late_input) => {
+                late_input == LateInput::Discarded
+            }
+        }
+    }
+
+    /// Returns whether the descriptor of this connection was promised to another one.
+    pub fn yields_descriptor(&self) -> bool {
+        self.closing_cause == Some(ClosingCause::DescriptorNeeded)
+    }
+
+    /// Returns whether the latest reply may not have arrived at the client yet, so that a close could drop it.
+    ///
+    /// The kernel accepts a reply before the client receives it, and does not report its arrival. A client is
+    /// given [`LINGER_TIMEOUT`] for it.
+    pub fn may_have_reply_in_transit(&self, now: Instant) -> bool {
+        self.has_sent_command() && now < self.last_active_at + LINGER_TIMEOUT
     }
 
     /// Returns whether a complete command has ever arrived.
@@ -251,21 +302,23 @@
     pub fn start_closing(&mut self, cause: ClosingCause) {
         self.closing_cause.get_or_insert(cause);
         if self.close_state == CloseState::Open {
-            self.close_state = CloseState::Closing;
+            self.close_state = CloseState::Closing(cause.late_input());
         }
     }
 
     /// Returns whether the connection is being closed and all replies are written, so that its sending side
     /// can be shut down.
     pub fn is_ready_for_shutdown(&self) -> bool {
-        self.close_state == CloseState::Closing && !self.is_busy()
+        matches!(self.close_state, CloseState::Closing(_)) && !self.is_busy()
     }
 
-    /// Shuts down the sending side and keeps the connection open for [`LINGER_TIMEOUT`]. If it were closed at
-    /// once, input that is still arriving would reset it, and the client would lose its last replies.
+    /// Shuts down the sending side of a connection that is being closed, and keeps it open for
+    /// [`LINGER_TIMEOUT`]. If it were closed at once, input that is still arriving would reset it, and the
+    /// client would lose its last replies.
     pub fn start_lingering_close(&mut self, now: Instant) {
+        let CloseState::Closing(late_input) = self.close_state else { return };
         let _ = self.stream.shutdown(Shutdown::Write);
-        self.close_state = CloseState::ShutDown;
+        self.close_state = CloseState::ShutDown(late_input);
         self.linger_until = Some(now + LINGER_TIMEOUT);
     }
 
@@ -273,7 +326,8 @@
     /// [`MAX_LINGER`].
     fn extend_lingering(&mut self, now: Instant) {
         let latest = self.last_active_at + MAX_LINGER;
-        if let Some(until) = self.linger_until.as_mut().filter(|_| self.close_state == CloseState::ShutDown) {
+        let is_shut_down = self.is_shut_down();
+        if let Some(until) = self.linger_until.as_mut().filter(|_| is_shut_down) {
             *until = (now + LINGER_TIMEOUT).min(latest).max(*until);
         }
     }
--- a/src/bin/ingress/clients/output.rs
+++ b/src/bin/ingress/clients/output.rs
@@ -1,5 +1,6 @@
 //! The output buffer of a client connection.
 
+use super::connection::LINGER_TIMEOUT;
 use crate::socket_error::is_out_of_memory;
 use ingress::{Duration, Instant};
 use mio::net::TcpStream;
@@ -51,6 +52,11 @@
         self.blocked_since.is_some_and(|since| now > since + WRITE_TIMEOUT)
     }
 
+    /// Returns whether output is unwritten and the client has read some of it within [`LINGER_TIMEOUT`].
+    pub fn is_being_read(&self, now: Instant) -> bool {
+        self.unwritten() > 0 && self.blocked_since.is_none_or(|since| now < since + LINGER_TIMEOUT)
+    }
+
     /// Writes as much as the socket accepts. An error means that the connection has failed.
     pub fn write_to(&mut self, stream: &mut TcpStream, now: Instant) -> io::Result<WriteOutcome> {
         while self.unwritten() > 0 {
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -1,7 +1,7 @@
 //! Reads from client connections and parses their commands.
 
 use super::closing::ClientCloseReason;
-use super::connection::ClosingCause;
+use super::connection::{ClientConnection, ClosingCause};
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::Command;
@@ -67,7 +67,7 @@
 
     /// Reads from a connection and enforces the memory limit.
     pub(super) fn read(&mut self, key: usize, now: Instant) {
-        if self.connections.contains(key) {
+        if self.connections.get(key).is_some_and(ClientConnection::reads_input) {
             self.read_and_parse(key, now);
             self.enforce_memory_limit(key);
         }
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -9,19 +9,25 @@
 use mio::Poll;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use test_support::client::Client;
 
 /// The time at which connections are accepted and requests are read.
-const NOW: Instant = Instant::from_micros(1_000_000_000);
+pub(super) const NOW: Instant = Instant::from_micros(1_000_000_000);
+/// Time for which a client waits for input.
+const READ_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(5);
+
+/// Receive buffer of a client with a small window, in bytes.
+const SMALL_WINDOW_BYTES: usize = 2 * 1024;
 
 /// Client connections on a separate listener.
-struct Harness {
-    clients: Clients,
+pub(super) struct Harness {
+    pub(super) clients: Clients,
     poll: Poll,
     address: SocketAddr,
 }
 
 impl Harness {
-    fn new(memory_limit: usize) -> Harness {
+    pub(super) fn new(memory_limit: usize) -> Harness {
         let listener = TcpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let address = listener.local_addr().unwrap();
         let classes = vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }];
@@ -32,9 +38,20 @@
     }
 
     /// Connects a client and accepts its connection.
-    fn client(&mut self, capacity: Capacity) -> TcpStream {
+    pub(super) fn client(&mut self, capacity: Capacity) -> TcpStream {
         let client = TcpStream::connect(self.address).unwrap();
-        client.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+        self.accept(client, capacity)
+    }
+
+    /// Connects a client whose kernel holds only a few KiB of unread input, and accepts its connection.
+    pub(super) fn client_with_small_window(&mut self) -> TcpStream {
+        let client = Client::connect_with_window(self.address, SMALL_WINDOW_BYTES);
+        self.accept(client.stream, Capacity::Available)
+    }
+
+    /// Accepts the connection of a client.
+    fn accept(&mut self, client: TcpStream, capacity: Capacity) -> TcpStream {
+        client.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
         let before = self.clients.len();
         while self.clients.len() == before {
             self.clients.accept(self.poll.registry(), NOW, |_| capacity);
@@ -43,7 +60,7 @@
     }
 
     /// Sends a request from a client, and returns the handle for its reply.
-    fn request(&mut self, client: &mut TcpStream) -> ReplyHandle {
+    pub(super) fn request(&mut self, client: &mut TcpStream) -> ReplyHandle {
         client.write_all(&request_command()).unwrap();
         for _ in 0..1_000_000 {
             self.clients.read_all(NOW);
@@ -67,7 +84,7 @@
 }
 
 /// Returns an encoded valid request.
-fn request_command() -> Vec<u8> {
+pub(super) fn request_command() -> Vec<u8> {
     let mut out = Vec::new();
     resp::write_array_header(&mut out, 4);
     for word in ["CALL.GET", "0000000000000001", "q1", "c=quote,t=starter,d=900,units=1,spread=1,first=0"] {
@@ -77,7 +94,7 @@
 }
 
 /// Reads as many bytes as expected, and compares them.
-fn expect_reply(client: &mut TcpStream, expected: &[u8]) {
+pub(super) fn expect_reply(client: &mut TcpStream, expected: &[u8]) {
     let mut received = vec![0; expected.len()];
     client.read_exact(&mut received).expect("the whole reply");
     assert!(received == expected, "{:?}", String::from_utf8_lossy(&received[..received.len().min(40)]));
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -148,8 +148,9 @@
         }
         let next_timer_at =
             self.timers.next_due_at().unwrap_or(Instant::FAR_FUTURE).min(self.watch.next_timer_at);
+        let next_check_at = self.shutdown.next_exit_check_at(self.now);
         // The gateway's time does not advance before a tick has passed, so no timer can be due earlier.
-        let wake_at = next_timer_at.max(self.now + self.tick);
+        let wake_at = next_timer_at.min(next_check_at).max(self.now + self.tick);
         wake_at.duration_since(called_at)
     }
 
--- a/src/bin/ingress/event_loop/descriptor_budget.rs
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -2,15 +2,13 @@
 
 use super::EventLoopError;
 use crate::backends::BackendConnections;
-use crate::clients::{Capacity, Clients};
+use crate::clients::{Capacity, Clients, MAX_CLIENTS_BEYOND_BUDGET};
 use ingress::Instant;
 
 /// Descriptors that are not available for connections of clients and backends: standard streams, poll,
 /// listener, signals, discovery, peers, and a reserve for descriptors that are opened before others are
 /// closed.
 const RESERVED_DESCRIPTORS: usize = 20;
-/// Maximum number of clients that are accepted beyond the budget, in order to send them a rejection.
-const MAX_OVER_LIMIT_CLIENTS: usize = 8;
 /// Minimum number of connections with which an ingress can serve requests.
 const MIN_CONNECTIONS: usize = 8;
 /// Maximum share of the budget for clients, and for backends, in percent.
@@ -34,7 +32,7 @@
     /// opening a connection would fail.
     pub fn new(configured: usize) -> Result<Self, EventLoopError> {
         let allowed = configured.min(system_limit().unwrap_or(usize::MAX));
-        let max_connections = allowed.checked_sub(RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS);
+        let max_connections = allowed.checked_sub(RESERVED_DESCRIPTORS + MAX_CLIENTS_BEYOND_BUDGET);
         let max_connections = max_connections.filter(|connections| *connections >= MIN_CONNECTIONS);
         let max_connections = max_connections.ok_or(EventLoopError::TooFewDescriptors { allowed })?;
         Ok(DescriptorBudget { max_connections })
@@ -42,7 +40,7 @@
 
     /// Returns the maximum number of sockets that can be ready at once.
     pub fn max_sockets(&self) -> usize {
-        self.max_connections + RESERVED_DESCRIPTORS + MAX_OVER_LIMIT_CLIENTS
+        self.max_connections + RESERVED_DESCRIPTORS + MAX_CLIENTS_BEYOND_BUDGET
     }
 
     /// Returns the maximum number of connections that clients, or backends, may use.
@@ -52,7 +50,7 @@
 
     /// Returns whether the budget of connections is used up.
     fn is_exhausted(&self, clients: &Clients, backend_connections: &BackendConnections) -> bool {
-        clients.len() + backend_connections.len() >= self.max_connections
+        clients.budgeted_count() + backend_connections.len() >= self.max_connections
     }
 
     /// Returns the capacity for one more client. Closes an idle connection if the limit is reached.
@@ -63,13 +61,14 @@
         now: Instant,
     ) -> Capacity {
         let max_share = self.max_share();
-        let is_full = clients.len() >= max_share || self.is_exhausted(clients, backend_connections);
+        let is_full =
+            clients.budgeted_count() >= max_share || self.is_exhausted(clients, backend_connections);
         if !is_full
             || clients.close_longest_idle(now)
-            || (clients.len() < max_share && backend_connections.close_longest_idle())
+            || (clients.budgeted_count() < max_share && backend_connections.close_longest_idle())
         {
             Capacity::Available
-        } else if clients.over_limit_count() < MAX_OVER_LIMIT_CLIENTS {
+        } else if clients.has_room_beyond_budget() {
             Capacity::OverLimit
         } else {
             Capacity::Exhausted
--- a/src/bin/ingress/event_loop/shutdown.rs
+++ b/src/bin/ingress/event_loop/shutdown.rs
@@ -20,6 +20,8 @@
 const ACCEPT_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval at which the idle time of the listener is checked.
 pub const ACCEPTING_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval, while draining, at which the exit is checked without an event.
+const EXIT_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time before the reply deadline from which the listener is closed even if clients are still connecting: a
 /// request on a later connection would rarely be served in time.
 const ACCEPTING_END_MARGIN: Duration = Duration::from_millis(500);
@@ -98,6 +100,16 @@
         }
     }
 
+    /// Returns the time of the next check whether the process can exit, since no event reports that clients had
+    /// the time to receive their replies: [`Instant::FAR_FUTURE`] before the listener is closed.
+    pub fn next_exit_check_at(&self, now: Instant) -> Instant {
+        if self.is_draining() {
+            now + EXIT_CHECK_INTERVAL
+        } else {
+            Instant::FAR_FUTURE
+        }
+    }
+
     /// Returns whether requests are no longer served.
     pub fn is_past_reply_deadline(&self, now: Instant) -> bool {
         now >= self.reply_deadline()
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -79,8 +79,10 @@
     }
 
     /// Returns whether the process can exit: all requests are answered, and no client is left that the
-    /// process waits for. Before it returns `true`, it handles the commands that were not read yet.
+    /// process waits for. Before it returns `true`, it handles the commands that were not read yet, and waits
+    /// until the last replies can have arrived.
     pub(super) fn drain_and_check_finished(&mut self) -> bool {
+        self.clients.close_lingered(self.now);
         if !self.is_drained() {
             return false;
         }
@@ -89,7 +91,12 @@
         self.process_client_events();
         self.clients.flush(self.now);
         self.process_client_events();
-        self.is_drained()
+        if !self.is_drained() {
+            return false;
+        }
+        // A client that sends after the exit resets its connection, which drops replies in transit.
+        self.clients.shut_down_before_exit(self.now);
+        !self.clients.has_reply_in_transit(self.now)
     }
 
     /// Logs the end of the graceful shutdown. `drained` is `false` if the process exits because the time for
--- a/tests/ingress/shutdown.rs
+++ b/tests/ingress/shutdown.rs
@@ -4,7 +4,7 @@
 use crate::support::backend::{reply_with_value, value_reply, Backend, BackendReply};
 use crate::support::client::{encode_request, Client};
 use crate::support::ingress::IngressSetup;
-use crate::support::resp::encode_command;
+use crate::support::resp::{encode_command, encode_served};
 use crate::support::wait::wait_until;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -50,6 +50,29 @@
     );
 }
 
+/// A long reply is in transit to a client with a small window when the ingress receives SIGTERM, and the client
+/// sends a further request once the ingress has closed its idle connections. A close at once would reset the
+/// connection, and the rest of a reply to a request that a backend has run would be lost.
+#[test]
+fn a_reply_in_transit_survives_sigterm() {
+    let long_value = "x".repeat(64 * 1024);
+    let reply = encode_served(&long_value, None);
+    let backend = Backend::start(move |_| BackendReply::Bytes(reply.clone()));
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start();
+    let mut client = Client::connect_with_window(ingress.address, 2 * 1024);
+    let mut idle = ingress.client();
+    client.send(&encode_request("refer", "r1", 2500));
+    client.wait_for_input();
+    assert_eq!(idle.ping(), "+PONG");
+    ingress.signal("TERM");
+    assert!(idle.is_disconnected(), "idle connections are closed");
+    client.send(&encode_request("refer", "r2", 2500));
+    assert!(client.read_reply() == long_value, "the whole reply arrives");
+    assert!(client.is_disconnected(), "the connection is closed between two requests");
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    assert_eq!(backend.command_count(), 1, "the further request was not read");
+}
+
 /// Clients that are not notified of the shutdown keep connecting after SIGTERM, and would be refused if the
 /// listener were closed at once. It stays open while new clients connect.
 #[test]
--- a/tests/support/src/client.rs
+++ b/tests/support/src/client.rs
@@ -1,6 +1,7 @@
 //! Clients of the ingress and their requests.
 
 use super::wait::WAIT_LIMIT;
+use socket2::{Domain, Socket, Type};
 use stand_ins::request::{encode_request as encode, Customer};
 use stand_ins::resp::{encode_command, read_value};
 use std::io::{ErrorKind, Read, Write};
@@ -29,6 +30,30 @@
         Client { stream }
     }
 
+    /// Connects a client whose kernel holds about twice this number of bytes that the client has not read.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection cannot be established, or its options cannot be set.
+    pub fn connect_with_window(address: SocketAddr, bytes: usize) -> Client {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        // The size is effective only if it is set before the connection is established.
+        socket.set_recv_buffer_size(bytes).unwrap();
+        socket.connect(&address.into()).unwrap();
+        socket.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
+        socket.set_tcp_nodelay(true).unwrap();
+        Client { stream: socket.into() }
+    }
+
+    /// Waits until a part of a reply has arrived, without reading it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none arrives.
+    pub fn wait_for_input(&self) {
+        assert_eq!(self.stream.peek(&mut [0]).unwrap(), 1);
+    }
+
     /// Sends raw bytes.
     ///
     /// # Panics
--- a/tests/support/src/resp.rs
+++ b/tests/support/src/resp.rs
@@ -1,3 +1,3 @@
 //! RESP2 encoding and parsing for clients and backends of the ingress.
 
-pub use stand_ins::resp::{encode_command, read_value};
+pub use stand_ins::resp::{encode_command, encode_served, read_value};
