Reject every request that was read on a client connection being closed

Cause: handle_command began to close the connection at its first request, and parse_commands discarded the input of a closing connection, whether or not it held commands; what arrived later was read and discarded as well.

Change: a connection over the limit rejects all that it reads, waits for the rest of a command within its time, and is shut down once all is answered. Related paths with the same cause: after too many invalid commands, for lack of memory and at a command's time-out, requests that were read are rejected (reject_received), and what arrives later stays unread. Only after input that is not RESP2 is input discarded, since no request can be recognized in it. A client that never pauses over the limit, or reads no rejection, is closed in about two seconds.

--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -130,15 +130,30 @@
     pub fn close_expired(&mut self, now: Instant) {
         self.close_timed_out(now);
         self.close_lingered(now);
-        if self.over_limit_count == 0 {
-            return;
+        if self.over_limit_count > 0 {
+            self.close_over_limit(now);
         }
-        for key in self.keys_where(|connection| connection.is_linger_over(now)) {
-            // A client over the limit may have sent its request in the meantime. The request is answered
-            // first, and the next call closes the connection.
+    }
+
+    /// Closes connections over the limit whose time is over. Requests that have arrived are rejected first.
+    fn close_over_limit(&mut self, now: Instant) {
+        let is_over = |connection: &ClientConnection| {
+            connection.is_over_limit() && !connection.is_shut_down() && connection.is_linger_over(now)
+        };
+        for key in self.keys_where(is_over) {
             self.read(key, now);
-            let Some(connection) = self.connections.get(key) else { continue };
-            if connection.output.is_empty() {
+            let Some(connection) = self.connections.get_mut(key) else { continue };
+            if connection.is_busy() {
+                if connection.is_closing() && !connection.output.is_being_read(now) {
+                    self.remove(key, ClientCloseReason::WriteTimeout);
+                    continue;
+                }
+                // The connection is shut down once the rejections are written.
+                connection.start_closing(ClosingCause::OverLimit);
+                self.reject_received(key);
+            } else if connection.may_have_reply_in_transit(now) {
+                self.start_lingering_close(key, now, ClosingCause::OverLimit);
+            } else {
                 self.remove(key, ClientCloseReason::OverLimitTimeout);
             }
         }
@@ -194,7 +209,7 @@
         for key in overdue {
             // The rest of the command may have arrived in the meantime.
             self.read(key, now);
-            let connection = self.connections.get_mut(key);
+            let connection = self.connections.get(key);
             let Some(connection) = connection.filter(|connection| connection.is_command_overdue(now)) else {
                 continue;
             };
@@ -202,22 +217,25 @@
                 self.close_if_still_idle(key, now, ClientCloseReason::NoCommand);
                 continue;
             }
-            connection.abort_command(ClientError::CommandTimeout, ClosingCause::CommandTimeout);
-            self.queue_for_write(key);
+            self.abort_command(key, ClientError::CommandTimeout, ClosingCause::CommandTimeout);
         }
     }
 
-    /// Shuts down or closes a connection that is to be closed and whose replies are all written.
+    /// Shuts down a connection that is to be closed and has replied to all commands that were read.
     pub(super) fn close_if_done(&mut self, key: usize, now: Instant) {
-        let connection = &self.connections[key];
-        match connection.closing_cause {
-            Some(cause) if connection.is_ready_for_shutdown() => self.start_lingering_close(key, now, cause),
-            _ => self.close_if_idle_at_shutdown(key, now),
+        if !self.connections.get(key).is_some_and(ClientConnection::is_ready_for_shutdown) {
+            return self.close_if_idle_at_shutdown(key, now);
+        }
+        // Further commands may have arrived in the meantime.
+        self.read(key, now);
+        let Some(connection) = self.connections.get(key) else { return };
+        if let Some(cause) = connection.closing_cause.filter(|_| connection.is_ready_for_shutdown()) {
+            self.start_lingering_close(key, now, cause);
         }
     }
 
     /// Closes a connection if the process is shutting down and the connection is idle.
-    pub(super) fn close_if_idle_at_shutdown(&mut self, key: usize, now: Instant) {
+    fn close_if_idle_at_shutdown(&mut self, key: usize, now: Instant) {
         if self.closes_idle && self.connections.get(key).is_some_and(ClientConnection::is_idle) {
             self.close_if_still_idle(key, now, ClientCloseReason::ShuttingDown);
         }
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -69,16 +69,29 @@
     /// Returns the handling of input that arrives on a connection that is closed for this cause.
     fn late_input(self) -> LateInput {
         match self {
+            // No command can be recognized behind it.
+            ClosingCause::ProtocolError => LateInput::Discarded,
             ClosingCause::OverLimit
-            | ClosingCause::ProtocolError
             | ClosingCause::InvalidCommands
             | ClosingCause::CommandTimeout
-            | ClosingCause::MemoryLimit => LateInput::Discarded,
-            ClosingCause::DescriptorNeeded | ClosingCause::ShuttingDown => LateInput::Unread,
+            | ClosingCause::MemoryLimit
+            | ClosingCause::DescriptorNeeded
+            | ClosingCause::ShuttingDown => LateInput::Unread,
         }
     }
 }
 
+/// Whether the requests of a connection are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Service {
+    /// They are served.
+    Available,
+    /// They are rejected, since the connection was accepted over the limit. None has arrived yet.
+    OverLimit,
+    /// As [`Service::OverLimit`], and one was rejected, so the connection is to be closed.
+    Rejected,
+}
+
 /// A client connection with its buffers and limits.
 pub struct ClientConnection {
     pub stream: TcpStream,
@@ -105,8 +118,7 @@
     /// The time at which the connection is closed even if the client has not closed its end. For a connection
     /// over the limit it is set when the connection is accepted.
     pub linger_until: Option<Instant>,
-    /// The capacity when the connection was accepted.
-    capacity: Capacity,
+    service: Service,
     /// Whether reading is paused because too many replies are owed or unwritten.
     pub reading_paused: bool,
     /// The time since which input may be unread, or `None` if the socket was read to its end.
@@ -133,7 +145,7 @@
             close_state: CloseState::Open,
             closing_cause: is_over_limit.then_some(ClosingCause::OverLimit),
             linger_until: is_over_limit.then_some(now + LINGER_TIMEOUT),
-            capacity,
+            service: if is_over_limit { Service::OverLimit } else { Service::Available },
             reading_paused: false,
             unread_since: None,
             queued_for_write: false,
@@ -174,9 +186,9 @@
         self.replies.len() >= MAX_PENDING_REPLIES || unwritten_bytes >= MAX_UNWRITTEN_BYTES
     }
 
-    /// Returns whether the connection was accepted over the limit, so that its first request is rejected.
+    /// Returns whether the connection was accepted over the limit, so that its requests are rejected.
     pub fn is_over_limit(&self) -> bool {
-        self.capacity == Capacity::OverLimit
+        self.service != Service::Available
     }
 
     /// Returns whether the connection is being closed, so that no further command is accepted.
@@ -189,14 +201,17 @@
         matches!(self.close_state, CloseState::ShutDown(_))
     }
 
+    /// Returns whether input cannot be parsed any longer, so that it is discarded.
+    pub fn discards_input(&self) -> bool {
+        matches!(
+            self.close_state,
+            CloseState::Closing(LateInput::Discarded) | CloseState::ShutDown(LateInput::Discarded)
+        )
+    }
+
     /// Returns whether input is read, be it only to discard it.
     pub fn reads_input(&self) -> bool {
-        match self.close_state {
-            CloseState::Open => true,
-            CloseState::Closing(late_input) | CloseState::ShutDown(late_input) => {
-                late_input == LateInput::Discarded
-            }
-        }
+        !self.is_closing() || self.discards_input()
     }
 
     /// Returns whether the descriptor of this connection was promised to another one.
@@ -240,9 +255,9 @@
         self.input.capacity() + self.replies.ready_bytes() + self.output.bytes.capacity()
     }
 
-    /// Appends received bytes to the input, or discards them if the connection is being closed.
+    /// Appends received bytes to the input, or discards them after a protocol error.
     pub fn receive(&mut self, bytes: &[u8], now: Instant) {
-        if self.is_closing() {
+        if self.discards_input() {
             // Unread bytes would make the kernel reset the connection, and the client would lose its last
             // replies.
             return self.extend_lingering(now);
@@ -264,6 +279,12 @@
         self.consecutive_errors = 0;
     }
 
+    /// Records that a request was rejected because the connection is over the limit. The connection is shut down
+    /// once all commands that were read are answered.
+    pub fn record_rejected_request(&mut self) {
+        self.service = Service::Rejected;
+    }
+
     /// Records an invalid command. After too many consecutive ones the connection is closed once the reply is
     /// written.
     pub fn record_invalid_command(&mut self) {
@@ -291,14 +312,8 @@
         self.reply_immediately(&error_line(error));
     }
 
-    /// Adds an error reply to an incomplete command and begins to close the connection.
-    pub fn abort_command(&mut self, error: ClientError, cause: ClosingCause) {
-        self.reply_error(error);
-        self.start_closing(cause);
-        self.input = Vec::new();
-    }
-
-    /// Begins to close the connection: no further command is accepted, and owed replies are still written.
+    /// Begins to close the connection: no further command is accepted, and owed replies are still written. The
+    /// caller replies to the commands in `input`.
     pub fn start_closing(&mut self, cause: ClosingCause) {
         self.closing_cause.get_or_insert(cause);
         if self.close_state == CloseState::Open {
@@ -306,10 +321,15 @@
         }
     }
 
-    /// Returns whether the connection is being closed and all replies are written, so that its sending side
-    /// can be shut down.
+    /// Returns whether the connection is to be closed and all commands that were read are answered, so that its
+    /// sending side can be shut down.
     pub fn is_ready_for_shutdown(&self) -> bool {
-        matches!(self.close_state, CloseState::Closing(_)) && !self.is_busy()
+        let is_to_be_closed = match self.close_state {
+            CloseState::Open => self.service == Service::Rejected && !self.queued_for_read,
+            CloseState::Closing(_) => true,
+            CloseState::ShutDown(_) => false,
+        };
+        is_to_be_closed && !self.is_busy() && self.input.is_empty()
     }
 
     /// Shuts down the sending side of a connection that is being closed, and keeps it open for
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -55,9 +55,8 @@
                 self.remove(key, ClientCloseReason::MemoryLimit);
                 continue;
             }
-            connection.abort_command(ClientError::MemoryLimit, ClosingCause::MemoryLimit);
-            self.memory.account(connection);
-            self.queue_for_write(key);
+            self.abort_command(key, ClientError::MemoryLimit, ClosingCause::MemoryLimit);
+            self.memory.account(&mut self.connections[key]);
         }
     }
 }
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -4,7 +4,7 @@
 use super::connection::{ClientConnection, ClosingCause};
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
-use crate::command::Command;
+use crate::command::{Command, CommandSchema};
 use crate::readiness::Readiness;
 use crate::resp;
 use crate::socket_error::is_out_of_memory;
@@ -17,6 +17,8 @@
 /// Maximum number of reads from a connection in an iteration, so that a fast client does not delay the
 /// others.
 const MAX_READS_PER_ITERATION: usize = 4;
+/// Maximum number of invalid commands that are read beyond the end of a connection to find a valid one.
+const MAX_WITHHELD_ERRORS: usize = 1024;
 
 const PONG_REPLY: &[u8] = b"+PONG\r\n";
 
@@ -27,6 +29,30 @@
     Active,
     /// Too many replies are owed or unwritten.
     Paused,
+    /// The connection is being closed, and further input stays unread.
+    Ended,
+}
+
+/// A complete command of a client.
+enum ReceivedCommand {
+    /// A valid request.
+    Request(Command),
+    /// A PING, which the ingress answers itself.
+    Ping,
+    /// A command that is refused.
+    Invalid(ClientError),
+}
+
+impl ReceivedCommand {
+    /// Interprets the command in `bytes`, whose arguments are at `arguments`.
+    fn parse(bytes: &[u8], arguments: &[Range<usize>], schema: &CommandSchema) -> ReceivedCommand {
+        match Command::parse(bytes, arguments, schema) {
+            Some(Ok(command)) => ReceivedCommand::Request(command),
+            Some(Err(error)) => ReceivedCommand::Invalid(ClientError::InvalidCommand(error)),
+            None if bytes[arguments[0].clone()].eq_ignore_ascii_case(b"PING") => ReceivedCommand::Ping,
+            None => ReceivedCommand::Invalid(ClientError::UnknownCommand),
+        }
+    }
 }
 
 impl Clients {
@@ -52,7 +78,7 @@
             if let Some(connection) = self.connections.get_mut(key) {
                 connection.queued_for_read = false;
                 self.read(key, now);
-                self.close_if_idle_at_shutdown(key, now);
+                self.close_if_done(key, now);
             }
         }
     }
@@ -79,9 +105,10 @@
     /// socket may not be empty after a short read, so that a request could remain unread.
     fn read_and_parse(&mut self, key: usize, now: Instant) {
         for _ in 0..MAX_READS_PER_ITERATION {
-            if self.parse_commands(key, now) == ReadState::Paused {
-                self.pause_reading(key);
-                return;
+            match self.parse_commands(key, now) {
+                ReadState::Active => {}
+                ReadState::Paused => return self.pause_reading(key),
+                ReadState::Ended => return,
             }
             let connection = &mut self.connections[key];
             let received = match connection.stream.read(&mut self.read_buffer) {
@@ -100,6 +127,7 @@
         match self.parse_commands(key, now) {
             ReadState::Active => self.read_later(key),
             ReadState::Paused => self.pause_reading(key),
+            ReadState::Ended => {}
         }
     }
 
@@ -125,11 +153,8 @@
         let mut parsed = 0;
         loop {
             let connection = &mut self.connections[key];
-            if connection.is_closing() {
-                // No further command is answered, so the rest of the input is discarded.
-                parsed = connection.input.len();
-            }
-            if connection.is_backlogged() || parsed >= connection.input.len() {
+            let is_parsed = parsed >= connection.input.len();
+            if is_parsed || connection.is_closing() || connection.is_backlogged() {
                 break;
             }
             match resp::parse_command(&connection.input[parsed..], &mut self.argument_ranges) {
@@ -146,7 +171,13 @@
         }
         let connection = &mut self.connections[key];
         connection.consume_input(parsed);
-        if connection.is_backlogged() {
+        if connection.is_closing() {
+            self.reject_received(key);
+        }
+        let connection = &self.connections[key];
+        if !connection.reads_input() {
+            ReadState::Ended
+        } else if connection.is_backlogged() {
             ReadState::Paused
         } else {
             ReadState::Active
@@ -157,26 +188,67 @@
     fn handle_command(&mut self, key: usize, position: Range<usize>, now: Instant) {
         let connection = &mut self.connections[key];
         connection.record_command(now);
-        let bytes = &connection.input[position];
-        match Command::parse(bytes, &self.argument_ranges, &self.schema) {
-            Some(Ok(_)) if connection.is_over_limit() => {
+        match ReceivedCommand::parse(&connection.input[position], &self.argument_ranges, &self.schema) {
+            ReceivedCommand::Request(_) if connection.is_over_limit() => {
                 tracing::debug!(
                     target: "client_connection", client = connection.serial,
                     "request rejected: connection over the file descriptor limit"
                 );
-                connection.start_closing(ClosingCause::OverLimit);
+                connection.record_valid_command();
+                connection.record_rejected_request();
                 self.reply_immediately(key, BUSY_REPLY);
             }
-            Some(Ok(command)) => self.accept_command(key, command),
-            Some(Err(error)) => self.refuse_command(key, ClientError::InvalidCommand(error)),
-            None if bytes[self.argument_ranges[0].clone()].eq_ignore_ascii_case(b"PING") => {
+            ReceivedCommand::Request(command) => self.accept_command(key, command),
+            ReceivedCommand::Ping => {
                 connection.record_valid_command();
                 self.reply_immediately(key, PONG_REPLY);
             }
-            None => self.refuse_command(key, ClientError::UnknownCommand),
+            ReceivedCommand::Invalid(error) => self.refuse_command(key, error),
+        }
+    }
+
+    /// Begins to close a connection with an incomplete command, which gets an error reply. Complete commands
+    /// before it are rejected.
+    pub(super) fn abort_command(&mut self, key: usize, error: ClientError, cause: ClosingCause) {
+        self.connections[key].start_closing(cause);
+        if self.reject_received(key) {
+            self.reply_error(key, error);
         }
     }
 
+    /// Replies to the commands that a connection had received when it began to close, and removes them. Requests
+    /// are rejected: without a reply, the client could not exclude that they were executed. Returns whether an
+    /// incomplete command was dropped.
+    ///
+    /// Invalid commands behind the last valid one get no reply, so that a client that sends nothing else costs
+    /// a limited number of them.
+    pub(super) fn reject_received(&mut self, key: usize) -> bool {
+        let connection = &mut self.connections[key];
+        let input = std::mem::take(&mut connection.input);
+        if connection.discards_input() {
+            return false;
+        }
+        let (mut rest, mut withheld_errors) = (&input[..], Vec::new());
+        while withheld_errors.len() < MAX_WITHHELD_ERRORS {
+            let Ok(Some(len)) = resp::parse_command(rest, &mut self.argument_ranges) else { break };
+            let reply = match ReceivedCommand::parse(&rest[..len], &self.argument_ranges, &self.schema) {
+                ReceivedCommand::Request(_) => Some(BUSY_REPLY),
+                ReceivedCommand::Ping => Some(PONG_REPLY),
+                ReceivedCommand::Invalid(error) => {
+                    withheld_errors.push(error);
+                    None
+                }
+            };
+            if let Some(reply) = reply {
+                withheld_errors.drain(..).for_each(|error| connection.reply_error(error));
+                connection.reply_immediately(reply);
+            }
+            rest = &rest[len..];
+        }
+        self.queue_for_write(key);
+        !rest.is_empty()
+    }
+
     /// Adds a request to the events for the event loop.
     fn accept_command(&mut self, key: usize, command: Command) {
         self.last_request_id += 1;
@@ -211,3 +283,6 @@
         self.queue_for_write(key);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -13,6 +13,9 @@
         let connection = self.connections.get_mut(reply_to.key);
         if let Some(connection) = connection.filter(|connection| connection.serial == reply_to.serial) {
             connection.record_invalid_command();
+            if connection.is_closing() {
+                self.reject_received(reply_to.key);
+            }
         }
         self.reply(reply_to, &error_line(error));
     }
--- a/tests/ingress/resource_limits.rs
+++ b/tests/ingress/resource_limits.rs
@@ -3,7 +3,7 @@
 use crate::requests::is_rejected;
 use crate::support::backend::{reply_with_value, Backend, BackendReply};
 use crate::support::client::{encode_request, Client};
-use crate::support::ingress::IngressSetup;
+use crate::support::ingress::{IngressProcess, IngressSetup};
 use crate::support::wait::wait_until;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -49,6 +49,17 @@
     assert_serves_more_clients_than_descriptors(&setup);
 }
 
+/// Connects as many clients as an ingress with 64 descriptors serves, each of which waits for a reply and has
+/// sent a part of a further command.
+fn use_up_descriptors(ingress: &IngressProcess, slow: &Backend) -> Vec<Client> {
+    let mut busy: Vec<Client> = (0..27).map(|_| ingress.client()).collect();
+    for (number, client) in busy.iter_mut().enumerate() {
+        client.send(&[&encode_request("refer", &format!("r{number}"), 8000)[..], b"*1\r\n"].concat());
+    }
+    wait_until("requests are sent", || slow.command_count() > 3);
+    busy
+}
+
 /// All descriptors are used by clients that wait for replies, and another client connects. Instead of waiting
 /// in the kernel's accept queue until it times out, it is accepted and its request rejected, so that it can
 /// try another ingress.
@@ -58,16 +69,33 @@
     let mut setup = IngressSetup::with_backends(&[&slow]);
     setup.socket_limit = 64;
     let ingress = setup.start();
-    let mut busy: Vec<Client> = (0..27).map(|_| ingress.client()).collect();
-    for (number, client) in busy.iter_mut().enumerate() {
-        client.send(&[&encode_request("refer", &format!("r{number}"), 8000)[..], b"*1\r\n"].concat());
-    }
-    wait_until("requests are sent", || slow.command_count() > 3);
+    let _busy = use_up_descriptors(&ingress, &slow);
     let start = Instant::now();
     assert!(is_rejected(&ingress.client().round_trip(&encode_request("refer", "r99", 8000))));
     assert!(start.elapsed() < Duration::from_secs(2));
 }
 
+/// All descriptors are used by clients that wait for replies, and another client connects and sends several
+/// requests in one write. Each of them is read, so each has to be rejected: a client whose connection ends
+/// without a reply could not exclude that its request was executed.
+#[test]
+fn each_request_on_a_connection_over_the_limit_is_rejected() {
+    let slow = Backend::start(|_| BackendReply::NoReply);
+    let mut setup = IngressSetup::with_backends(&[&slow]);
+    setup.socket_limit = 64;
+    let ingress = setup.start();
+    let _busy = use_up_descriptors(&ingress, &slow);
+    let mut client = ingress.client();
+    let requests: Vec<u8> =
+        (0..4).flat_map(|number| encode_request("refer", &format!("r9{number}"), 8000)).collect();
+    client.send(&requests);
+    for number in 0..4 {
+        let reply = client.read_reply();
+        assert!(is_rejected(&reply), "request {number}: {reply:?}");
+    }
+    assert!(client.is_disconnected());
+}
+
 /// 150 clients each send most of a 64 KiB command and stop. Each is within the limit per connection, but
 /// together they would exceed the memory limit, and the process would be killed with all requests. Some of
 /// them have to be disconnected, and other clients served.
