Keep a new client connection open while its first command may be in transit

Cause: close_longest_idle closed connections without a command before all others, except those accepted in the very iteration (has_priority), so a client that connected milliseconds before another one had no time to send.

test a_new_connection_is_not_closed_while_its_first_command_may_be_in_transit failed before and passes.

--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -66,12 +66,8 @@
 /// The order in which idle connections are closed to free their descriptors, lowest first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct IdleCloseOrder {
-    /// Whether the connection has sent a command or was active in this iteration. Other connections are
-    /// closed first.
-    ///
-    /// A descriptor is freed before each call of `accept`, even if no client is waiting. Without this rule, a
-    /// connection that was accepted in this iteration would be closed before its first command arrives.
-    has_priority: bool,
+    /// Whether the connection has sent a command. Other connections are closed first.
+    has_sent_command: bool,
     last_active_at: Instant,
     /// Of connections that were last active at the same time, the one accepted first is closed.
     serial: u64,
@@ -79,9 +75,9 @@
 
 impl IdleCloseOrder {
     /// Returns the position of a connection in this order.
-    fn of(connection: &ClientConnection, now: Instant) -> IdleCloseOrder {
+    fn of(connection: &ClientConnection) -> IdleCloseOrder {
         IdleCloseOrder {
-            has_priority: connection.has_sent_command() || connection.last_active_at >= now,
+            has_sent_command: connection.has_sent_command(),
             last_active_at: connection.last_active_at,
             serial: connection.serial,
         }
@@ -97,8 +93,10 @@
     pub fn close_longest_idle(&mut self, now: Instant) -> bool {
         self.close_lingered(now);
         loop {
-            let idle = self.connections.iter().filter(|(_, connection)| connection.is_idle());
-            let longest = idle.min_by_key(|(_, connection)| IdleCloseOrder::of(connection, now));
+            let closable = self.connections.iter().filter(|(_, connection)| {
+                connection.is_idle() && !connection.may_have_first_command_in_transit(now)
+            });
+            let longest = closable.min_by_key(|(_, connection)| IdleCloseOrder::of(connection));
             let Some((key, connection)) = longest else { return false };
             if connection.may_have_reply_in_transit(now) && !self.has_room_beyond_budget() {
                 return false;
--- a/src/bin/ingress/clients/closing/tests.rs
+++ b/src/bin/ingress/clients/closing/tests.rs
@@ -1,9 +1,9 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::clients::connection::LINGER_TIMEOUT;
+use crate::clients::connection::{FIRST_COMMAND_TIME, LINGER_TIMEOUT};
 use crate::clients::tests::{expect_reply, request_command, Harness, NOW};
-use crate::clients::{Capacity, MAX_CLIENTS_BEYOND_BUDGET};
+use crate::clients::{Capacity, BUSY_REPLY, MAX_CLIENTS_BEYOND_BUDGET};
 use crate::resp;
 use ingress::Duration;
 use std::io::{Read, Write};
@@ -129,3 +129,24 @@
     assert!(harness.clients.has_reply_in_transit(almost_over));
     assert!(!harness.clients.has_reply_in_transit(NOW + LINGER_TIMEOUT), "the client reads nothing");
 }
+
+/// All descriptors are in use when a client has just connected, and its first requests are in transit. If its
+/// connection were closed for its descriptor, the requests would be lost. Until the client had the time to
+/// send, another connection is closed, or none.
+#[test]
+fn a_new_connection_is_not_closed_while_its_first_command_may_be_in_transit() {
+    let mut harness = Harness::new(1 << 20);
+    let mut asked_once = harness.client(Capacity::Available);
+    let reply_to = harness.request(&mut asked_once);
+    harness.clients.reply(reply_to, BUSY_REPLY);
+    harness.clients.flush(NOW);
+    expect_reply(&mut asked_once, BUSY_REPLY);
+    let later = NOW + LINGER_TIMEOUT;
+    let mut new = harness.client_accepted_at(later);
+    let soon = later + FIRST_COMMAND_TIME - Duration::MICROSECOND;
+    assert!(harness.clients.close_longest_idle(soon));
+    assert_eq!(asked_once.read(&mut [0; 1]).unwrap(), 0, "the other connection is closed");
+    assert!(!harness.clients.close_longest_idle(soon), "the new one is not");
+    assert!(harness.clients.close_longest_idle(later + FIRST_COMMAND_TIME), "it has sent nothing");
+    assert_eq!(new.read(&mut [0; 1]).unwrap(), 0, "the new connection is closed");
+}
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -20,6 +20,8 @@
 const MAX_CONSECUTIVE_ERRORS: u32 = 8;
 /// Maximum time for the first command, or for the rest of an incomplete one, to arrive.
 pub const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum time for the first command of a client to arrive that sends it as soon as it has connected.
+pub const FIRST_COMMAND_TIME: Duration = Duration::from_millis(100);
 /// Time for a client to read its last replies; each further input restarts it.
 pub const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time for reading the last replies, for a client that continues to send.
@@ -219,6 +221,12 @@
         self.closing_cause == Some(ClosingCause::DescriptorNeeded)
     }
 
+    /// Returns whether the client has connected so recently that its first command may not have arrived yet. A
+    /// close would lose the commands that it sends behind the first one.
+    pub fn may_have_first_command_in_transit(&self, now: Instant) -> bool {
+        !self.has_sent_command() && now < self.last_active_at + FIRST_COMMAND_TIME
+    }
+
     /// Returns whether the latest reply may not have arrived at the client yet, so that a close could drop it.
     ///
     /// The kernel accepts a reply before the client receives it, and does not report its arrival. A client is
