Test that the exit waits for replies in transit, and for no client that never reads

The exit's part of the fix for replies in transit had a test of the client connections alone. the_exit_waits_until_the_last_reply_can_have_arrived drives the event loop past every time limit of the shutdown; it fails ("the reply is in transit") with the wait removed from drain_and_check_finished, and passes. a_client_that_never_reads_a_reply_in_transit_does_not_delay_shutdown bounds the wait with a real process: exit status 0 within 3.5 s of SIGTERM, as in the test for unread replies.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -17,6 +17,8 @@
 use crate::command::{Command, CommandSchema};
 use closing::ClientCloseReason;
 use connection::ClientConnection;
+#[cfg(test)]
+pub use connection::LINGER_TIMEOUT;
 pub use error::ClientError;
 use ingress::{Instant, RequestId};
 use memory::MemoryBudget;
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -3,7 +3,7 @@
 use super::shutdown::{Phase, ACCEPTING_CHECK_INTERVAL, MAX_DRAINING_TIME, MIN_ACCEPTING_TIME};
 use super::timer_queue::Timer;
 use super::*;
-use crate::clients::{AcceptOutcome, ClientEvent};
+use crate::clients::{AcceptOutcome, ClientEvent, LINGER_TIMEOUT};
 use crate::config::tests::CONFIG;
 use crate::config::Config;
 use crate::discovery::{EndpointEntry, EndpointList};
@@ -64,6 +64,32 @@
     assert_eq!(&reply, b"+PONG\r\n");
 }
 
+/// The last reply is written just before the exit, and its client has sent a part of a further command. If the
+/// process exited at once, the rest of that command would reset the connection, and the reply could be lost. The
+/// exit waits until the client had time to read, and no longer.
+#[test]
+fn the_exit_waits_until_the_last_reply_can_have_arrived() {
+    let (mut event_loop, mut client) = start("transit", CONFIG);
+    while event_loop.clients.len() == 0 {
+        event_loop.accept();
+    }
+    client.write_all(&[PING, &PING[..5]].concat()).unwrap();
+    while event_loop.clients.busy_count() == 0 {
+        event_loop.clients.read_all(event_loop.now);
+    }
+    event_loop.clients.flush(event_loop.now);
+    let since = event_loop.now - MAX_DRAINING_TIME - Duration::MICROSECOND;
+    event_loop.shutdown.phase = Phase::Draining { reply_deadline: event_loop.now, since };
+    assert!(!event_loop.drain_and_check_finished(), "the reply is in transit");
+    client.write_all(&PING[5..]).unwrap();
+    assert!(!event_loop.drain_and_check_finished(), "the rest of the command is not read");
+    let mut reply = Vec::new();
+    client.read_to_end(&mut reply).expect("the end of the connection, without a reset");
+    assert_eq!(reply, b"+PONG\r\n");
+    event_loop.now += LINGER_TIMEOUT;
+    assert!(event_loop.drain_and_check_finished(), "the client had its time");
+}
+
 /// During a shutdown, 100 clients are waiting to be accepted, more than one batch. Their connections are
 /// established and their commands sent, and closing the listener would reset them: they have to be accepted
 /// and answered first.
--- a/tests/ingress/shutdown.rs
+++ b/tests/ingress/shutdown.rs
@@ -50,16 +50,25 @@
     );
 }
 
+/// Receive buffer of a client with a small window, in bytes.
+const SMALL_WINDOW_BYTES: usize = 2 * 1024;
+
+/// Starts a backend that replies to each command with the same value, which the kernel of an ingress accepts at
+/// once, but cannot transmit to a client with a small window before the client reads.
+fn start_backend_with_long_value() -> (Backend, String) {
+    let long_value = "x".repeat(64 * 1024);
+    let reply = encode_served(&long_value, None);
+    (Backend::start(move |_| BackendReply::Bytes(reply.clone())), long_value)
+}
+
 /// A long reply is in transit to a client with a small window when the ingress receives SIGTERM, and the client
 /// sends a further request once the ingress has closed its idle connections. A close at once would reset the
 /// connection, and the rest of a reply to a request that a backend has run would be lost.
 #[test]
 fn a_reply_in_transit_survives_sigterm() {
-    let long_value = "x".repeat(64 * 1024);
-    let reply = encode_served(&long_value, None);
-    let backend = Backend::start(move |_| BackendReply::Bytes(reply.clone()));
+    let (backend, long_value) = start_backend_with_long_value();
     let mut ingress = IngressSetup::with_backends(&[&backend]).start();
-    let mut client = Client::connect_with_window(ingress.address, 2 * 1024);
+    let mut client = Client::connect_with_window(ingress.address, SMALL_WINDOW_BYTES);
     let mut idle = ingress.client();
     client.send(&encode_request("refer", "r1", 2500));
     client.wait_for_input();
@@ -146,3 +155,19 @@
     assert_eq!(ingress.wait_for_exit().code(), Some(0));
     assert!(start.elapsed() < Duration::from_millis(3500), "SIGKILL may follow 3.7 s after SIGTERM");
 }
+
+/// A long reply is in transit to a client that never reads it, and never closes its connection, when the ingress
+/// receives SIGTERM. If the ingress waited for the client, it would be killed and the replies to other clients
+/// lost.
+#[test]
+fn a_client_that_never_reads_a_reply_in_transit_does_not_delay_shutdown() {
+    let (backend, _) = start_backend_with_long_value();
+    let mut ingress = IngressSetup::with_backends(&[&backend]).start();
+    let mut client = Client::connect_with_window(ingress.address, SMALL_WINDOW_BYTES);
+    client.send(&encode_request("refer", "r1", 2500));
+    client.wait_for_input();
+    ingress.signal("TERM");
+    let start = Instant::now();
+    assert_eq!(ingress.wait_for_exit().code(), Some(0));
+    assert!(start.elapsed() < Duration::from_millis(3500), "SIGKILL may follow 3.7 s after SIGTERM");
+}
