--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -5,6 +5,7 @@
 //! exhaust the resources of the others.
 
 mod accepting;
+mod close_state;
 mod closing;
 mod connection;
 mod error;
@@ -247,7 +248,7 @@
     }
 
     /// Returns whether fewer than [`MAX_CLIENTS_BEYOND_BUDGET`] connections are beyond the budget.
-    pub fn has_room_beyond_budget(&self) -> bool {
+    pub fn has_capacity_beyond_budget(&self) -> bool {
         self.over_limit_count + self.yielding_count < MAX_CLIENTS_BEYOND_BUDGET
     }
 
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -1,7 +1,8 @@
 //! Closes client connections that have failed, are idle or exceed a time limit, and all connections during a
 //! shutdown.
 
-use super::connection::{ClientConnection, ClosingCause};
+use super::close_state::ClosingCause;
+use super::connection::ClientConnection;
 use super::error::ClientError;
 use super::{Accepting, ClientEvent, Clients};
 use ingress::Instant;
@@ -98,7 +99,7 @@
             });
             let longest = closable.min_by_key(|(_, connection)| IdleCloseOrder::of(connection));
             let Some((key, connection)) = longest else { return false };
-            if connection.may_have_reply_in_transit(now) && !self.has_room_beyond_budget() {
+            if connection.may_have_reply_in_transit(now) && !self.has_capacity_beyond_budget() {
                 return false;
             }
             self.close_if_still_idle(key, now, ClientCloseReason::DescriptorNeeded);
--- a/src/bin/ingress/clients/closing/tests.rs
+++ b/src/bin/ingress/clients/closing/tests.rs
@@ -136,16 +136,16 @@
 #[test]
 fn a_new_connection_is_not_closed_while_its_first_command_may_be_in_transit() {
     let mut harness = Harness::new(1 << 20);
-    let mut asked_once = harness.client(Capacity::Available);
-    let reply_to = harness.request(&mut asked_once);
+    let mut idle = harness.client(Capacity::Available);
+    let reply_to = harness.request(&mut idle);
     harness.clients.reply(reply_to, BUSY_REPLY);
     harness.clients.flush(NOW);
-    expect_reply(&mut asked_once, BUSY_REPLY);
+    expect_reply(&mut idle, BUSY_REPLY);
     let later = NOW + LINGER_TIMEOUT;
     let mut new = harness.client_accepted_at(later);
     let soon = later + FIRST_COMMAND_TIME - Duration::MICROSECOND;
     assert!(harness.clients.close_longest_idle(soon));
-    assert_eq!(asked_once.read(&mut [0; 1]).unwrap(), 0, "the other connection is closed");
+    assert_eq!(idle.read(&mut [0; 1]).unwrap(), 0, "the other connection is closed");
     assert!(!harness.clients.close_longest_idle(soon), "the new one is not");
     assert!(harness.clients.close_longest_idle(later + FIRST_COMMAND_TIME), "it has sent nothing");
     assert_eq!(new.read(&mut [0; 1]).unwrap(), 0, "the new connection is closed");
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -1,5 +1,6 @@
 //! The state of a client connection: its input, its replies, and how it is closed.
 
+use super::close_state::{CloseState, ClosingCause};
 use super::error::ClientError;
 use super::output::OutputBuffer;
 use super::reply_queue::ReplyQueue;
@@ -27,62 +28,6 @@
 /// Maximum time for reading the last replies, for a client that continues to send.
 const MAX_LINGER: Duration = Duration::from_secs(5);
 
-/// The handling of input that arrives while a connection is being closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum LateInput {
-    /// It is read and discarded, so that a client that sends before it reads can do so.
-    Discarded,
-    /// It stays unread, and the close at the end resets the connection. A client whose request was not read
-    /// may send it again.
-    Unread,
-}
-
-/// The progress of closing a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum CloseState {
-    /// Commands are accepted.
-    Open,
-    /// No further command is accepted. The sending side is shut down once all replies are written.
-    Closing(LateInput),
-    /// The sending side is shut down; the client may still read its last replies.
-    ShutDown(LateInput),
-}
-
-/// The reason for which the ingress began to close a connection, or accepted it only to close it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClosingCause {
-    /// The connection was accepted over the limit.
-    OverLimit,
-    /// The input is not valid RESP2.
-    ProtocolError,
-    /// Too many consecutive commands were invalid.
-    InvalidCommands,
-    /// The rest of a command did not arrive in time.
-    CommandTimeout,
-    /// The memory limit of all clients was reached, and the connection had an incomplete command.
-    MemoryLimit,
-    /// The connection was idle, and its descriptor was needed for another one.
-    DescriptorNeeded,
-    /// The connection was idle during the shutdown of the process.
-    ShuttingDown,
-}
-
-impl ClosingCause {
-    /// Returns the handling of input that arrives on a connection that is closed for this cause.
-    fn late_input(self) -> LateInput {
-        match self {
-            // No command can be recognized behind it.
-            ClosingCause::ProtocolError => LateInput::Discarded,
-            ClosingCause::OverLimit
-            | ClosingCause::InvalidCommands
-            | ClosingCause::CommandTimeout
-            | ClosingCause::MemoryLimit
-            | ClosingCause::DescriptorNeeded
-            | ClosingCause::ShuttingDown => LateInput::Unread,
-        }
-    }
-}
-
 /// Whether the requests of a connection are served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Service {
@@ -195,20 +140,17 @@
 
     /// Returns whether the connection is being closed, so that no further command is accepted.
     pub fn is_closing(&self) -> bool {
-        self.close_state != CloseState::Open
+        !self.close_state.is_open()
     }
 
     /// Returns whether the sending side is shut down.
     pub fn is_shut_down(&self) -> bool {
-        matches!(self.close_state, CloseState::ShutDown(_))
+        self.close_state.is_shut_down()
     }
 
     /// Returns whether input cannot be parsed any longer, so that it is discarded.
     pub fn discards_input(&self) -> bool {
-        matches!(
-            self.close_state,
-            CloseState::Closing(LateInput::Discarded) | CloseState::ShutDown(LateInput::Discarded)
-        )
+        self.close_state.discards_input()
     }
 
     /// Returns whether input is read, be it only to discard it.
@@ -216,7 +158,7 @@
         !self.is_closing() || self.discards_input()
     }
 
-    /// Returns whether the descriptor of this connection was promised to another one.
+    /// Returns whether this connection is being closed so that another one can use its descriptor.
     pub fn yields_descriptor(&self) -> bool {
         self.closing_cause == Some(ClosingCause::DescriptorNeeded)
     }
@@ -324,9 +266,7 @@
     /// caller replies to the commands in `input`.
     pub fn start_closing(&mut self, cause: ClosingCause) {
         self.closing_cause.get_or_insert(cause);
-        if self.close_state == CloseState::Open {
-            self.close_state = CloseState::Closing(cause.late_input());
-        }
+        self.close_state.begin(cause);
     }
 
     /// Returns whether the connection is to be closed and all commands that were read are answered, so that its
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -1,7 +1,8 @@
 //! Reads from client connections and parses their commands.
 
+use super::close_state::ClosingCause;
 use super::closing::ClientCloseReason;
-use super::connection::{ClientConnection, ClosingCause};
+use super::connection::ClientConnection;
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::{Command, CommandSchema};
--- a/src/bin/ingress/event_loop/descriptor_budget.rs
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -68,7 +68,7 @@
             || (clients.budgeted_count() < max_share && backend_connections.close_longest_idle())
         {
             Capacity::Available
-        } else if clients.has_room_beyond_budget() {
+        } else if clients.has_capacity_beyond_budget() {
             Capacity::OverLimit
         } else {
             Capacity::Exhausted
