Judge replies in transit of busy connections by the progress of their output alone

has_reply_in_transit also took the last command of a connection with unwritten output for a sign of a reply in transit, so that a client that sends without reading could delay the exit up to the limit of the shutdown. For such connections only the time since the client last read counts now. Comments say that a connection over the limit rejects its requests, no longer only the first.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -75,7 +75,7 @@
 pub enum Capacity {
     /// The connection can be served.
     Available,
-    /// The connection can be accepted, but only to reject its first request.
+    /// The connection can be accepted, but only to reject its requests.
     OverLimit,
     /// The connection cannot be accepted.
     Exhausted,
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -191,8 +191,10 @@
         self.connections.iter().any(|(_, connection)| {
             if connection.is_shut_down() {
                 !connection.is_linger_over(now)
+            } else if connection.is_busy() {
+                connection.output.is_being_read(now)
             } else {
-                connection.output.is_being_read(now) || connection.may_have_reply_in_transit(now)
+                connection.may_have_reply_in_transit(now)
             }
         })
     }
--- a/src/policy/permissions.rs
+++ b/src/policy/permissions.rs
@@ -133,7 +133,7 @@
     /// The connection is being closed already.
     #[error("the connection is being closed already")]
     Closing,
-    /// The connection was accepted only to reject its first request.
+    /// The connection was accepted only to reject its requests.
     #[error("the connection is over the connection limit")]
     OverLimit,
 }
@@ -143,7 +143,7 @@
 pub enum ClosingState {
     /// The connection serves commands.
     Open,
-    /// The connection was accepted above the connection limit, only to reject its first request.
+    /// The connection was accepted above the connection limit, only to reject its requests.
     OverLimit,
     /// The connection is being closed.
     Closing,
