--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -5,10 +5,12 @@
 //! exhaust the resources of the others.
 
 mod accepting;
+mod close_reason;
 mod close_state;
 mod closing;
 mod connection;
 mod error;
+mod expiry;
 mod memory;
 mod output;
 mod reading;
@@ -16,7 +18,7 @@
 mod writing;
 
 use crate::command::{Command, CommandSchema};
-use closing::ClientCloseReason;
+use close_reason::ClientCloseReason;
 use connection::ClientConnection;
 #[cfg(test)]
 pub use connection::LINGER_TIMEOUT;
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -1,69 +1,11 @@
-//! Closes client connections that have failed, are idle or exceed a time limit, and all connections during a
-//! shutdown.
+//! Closes client connections that have failed or are idle, and all connections during a shutdown.
 
+use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
 use super::connection::ClientConnection;
-use super::error::ClientError;
 use super::{Accepting, ClientEvent, Clients};
 use ingress::Instant;
 
-/// The reason for closing a client's connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ClientCloseReason {
-    Disconnected,
-    /// A read or a write failed.
-    Broken,
-    /// The connection was idle, and its descriptor was needed for another one.
-    DescriptorNeeded,
-    /// The connection was idle during the shutdown.
-    ShuttingDown,
-    /// No command arrived in time after the connection was accepted.
-    NoCommand,
-    /// The connection was accepted over the limit, and no request arrived in time.
-    OverLimitTimeout,
-    /// The client did not close its end in time after the last reply.
-    LingerTimeout,
-    /// The client did not read its replies in time.
-    WriteTimeout,
-    /// The memory limit of all clients was reached, and this client had unread replies.
-    MemoryLimit,
-}
-
-impl ClientCloseReason {
-    /// All reasons, in the order of their declaration.
-    pub const ALL: [ClientCloseReason; 9] = [
-        ClientCloseReason::Disconnected,
-        ClientCloseReason::Broken,
-        ClientCloseReason::DescriptorNeeded,
-        ClientCloseReason::ShuttingDown,
-        ClientCloseReason::NoCommand,
-        ClientCloseReason::OverLimitTimeout,
-        ClientCloseReason::LingerTimeout,
-        ClientCloseReason::WriteTimeout,
-        ClientCloseReason::MemoryLimit,
-    ];
-
-    /// Returns the cause to record for a connection that is shut down before it is closed for this reason.
-    fn closing_cause(self) -> Option<ClosingCause> {
-        match self {
-            ClientCloseReason::DescriptorNeeded => Some(ClosingCause::DescriptorNeeded),
-            ClientCloseReason::ShuttingDown => Some(ClosingCause::ShuttingDown),
-            _ => None,
-        }
-    }
-
-    /// Returns whether replies may be dropped with the connection, as when the client has disconnected or
-    /// does not read them.
-    fn may_drop_replies(self) -> bool {
-        !matches!(
-            self,
-            ClientCloseReason::DescriptorNeeded
-                | ClientCloseReason::ShuttingDown
-                | ClientCloseReason::NoCommand
-        )
-    }
-}
-
 /// The order in which idle connections are closed to free their descriptors, lowest first.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct IdleCloseOrder {
@@ -124,56 +66,6 @@
         }
     }
 
-    /// Closes connections whose clients exceed the time to send a command, to read replies or to close their
-    /// end.
-    pub fn close_expired(&mut self, now: Instant) {
-        self.close_timed_out(now);
-        self.close_lingered(now);
-        if self.over_limit_count > 0 {
-            self.close_over_limit(now);
-        }
-    }
-
-    /// Closes connections over the limit whose time is over. Requests that have arrived are rejected first.
-    fn close_over_limit(&mut self, now: Instant) {
-        let is_over = |connection: &ClientConnection| {
-            connection.is_over_limit() && !connection.is_shut_down() && connection.is_linger_over(now)
-        };
-        for key in self.keys_where(is_over) {
-            self.read(key, now);
-            let Some(connection) = self.connections.get_mut(key) else { continue };
-            if connection.is_busy() {
-                if connection.is_closing() && !connection.output.is_being_read(now) {
-                    self.remove(key, ClientCloseReason::WriteTimeout);
-                    continue;
-                }
-                // The connection is shut down once the rejections are written.
-                connection.start_closing(ClosingCause::OverLimit);
-                self.reject_received(key);
-            } else if connection.may_have_reply_in_transit(now) {
-                self.start_lingering_close(key, now, ClosingCause::OverLimit);
-            } else {
-                self.remove(key, ClientCloseReason::OverLimitTimeout);
-            }
-        }
-    }
-
-    /// Closes connections that are shut down and whose clients had the time to read their last replies.
-    pub fn close_lingered(&mut self, now: Instant) {
-        if self.lingering_count == 0 {
-            return;
-        }
-        let is_over =
-            |connection: &ClientConnection| connection.is_shut_down() && connection.is_linger_over(now);
-        for key in self.keys_where(is_over) {
-            // A client that is still sending is given more time.
-            self.read(key, now);
-            if self.connections.get(key).is_some_and(is_over) {
-                self.remove(key, ClientCloseReason::LingerTimeout);
-            }
-        }
-    }
-
     /// Shuts down the connections that a process exit would otherwise close with a reply in transit. Those
     /// with an incomplete command are included, since nothing waits for its rest any longer.
     pub fn shut_down_before_exit(&mut self, now: Instant) {
@@ -199,29 +91,6 @@
         })
     }
 
-    /// Closes connections that send nothing, leave a command incomplete or do not read their replies for too
-    /// long, since they use descriptors and memory.
-    fn close_timed_out(&mut self, now: Instant) {
-        let overdue = self.keys_where(|connection| connection.is_command_overdue(now));
-        let not_reading = self.keys_where(|connection| connection.output.is_timed_out(now));
-        for key in not_reading {
-            self.remove(key, ClientCloseReason::WriteTimeout);
-        }
-        for key in overdue {
-            // The rest of the command may have arrived in the meantime.
-            self.read(key, now);
-            let connection = self.connections.get(key);
-            let Some(connection) = connection.filter(|connection| connection.is_command_overdue(now)) else {
-                continue;
-            };
-            if connection.input.is_empty() {
-                self.close_if_still_idle(key, now, ClientCloseReason::NoCommand);
-                continue;
-            }
-            self.abort_command(key, ClientError::CommandTimeout, ClosingCause::CommandTimeout);
-        }
-    }
-
     /// Shuts down a connection that is to be closed and has replied to all commands that were read.
     pub(super) fn close_if_done(&mut self, key: usize, now: Instant) {
         if !self.connections.get(key).is_some_and(ClientConnection::is_ready_for_shutdown) {
@@ -248,7 +117,7 @@
     /// reply. So the buffer is read to its end just before the close. A reply in the other direction would be
     /// lost if the client sent a request after the close. So the connection is only shut down while one may be
     /// in transit.
-    fn close_if_still_idle(&mut self, key: usize, now: Instant, reason: ClientCloseReason) {
+    pub(super) fn close_if_still_idle(&mut self, key: usize, now: Instant, reason: ClientCloseReason) {
         self.read(key, now);
         let Some(connection) = self.connections.get(key).filter(|connection| connection.is_idle()) else {
             return;
@@ -262,7 +131,7 @@
     }
 
     /// Shuts down a connection without unwritten replies, and lets its client read those in transit.
-    fn start_lingering_close(&mut self, key: usize, now: Instant, cause: ClosingCause) {
+    pub(super) fn start_lingering_close(&mut self, key: usize, now: Instant, cause: ClosingCause) {
         let connection = &mut self.connections[key];
         connection.start_closing(cause);
         self.lingering_count += usize::from(connection.linger_until.is_none());
@@ -309,7 +178,7 @@
     }
 
     /// Returns the keys of the connections that satisfy a condition.
-    fn keys_where(&self, condition: impl Fn(&ClientConnection) -> bool) -> Vec<usize> {
+    pub(super) fn keys_where(&self, condition: impl Fn(&ClientConnection) -> bool) -> Vec<usize> {
         let connections = self.connections.iter().filter(|(_, connection)| condition(connection));
         connections.map(|(key, _)| key).collect()
     }
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -1,7 +1,7 @@
 //! Accounts for the memory of client connections and enforces the limit on their sum.
 
+use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
-use super::closing::ClientCloseReason;
 use super::connection::ClientConnection;
 use super::error::ClientError;
 use super::Clients;
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -1,7 +1,7 @@
 //! Reads from client connections and parses their commands.
 
+use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
-use super::closing::ClientCloseReason;
 use super::connection::ClientConnection;
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -1,6 +1,6 @@
 //! Replies to requests and writes the output of client connections.
 
-use super::closing::ClientCloseReason;
+use super::close_reason::ClientCloseReason;
 use super::connection::error_line;
 use super::error::ClientError;
 use super::output::WriteOutcome;
