--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -229,11 +229,14 @@
         if connection.discards_input() {
             return false;
         }
-        let (mut rest, mut withheld_errors) = (&input[..], Vec::new());
+        let (mut rest, mut withheld_errors, mut rejected) = (&input[..], Vec::new(), 0);
         while withheld_errors.len() < MAX_WITHHELD_ERRORS {
             let Ok(Some(len)) = resp::parse_command(rest, &mut self.argument_ranges) else { break };
             let reply = match ReceivedCommand::parse(&rest[..len], &self.argument_ranges, &self.schema) {
-                ReceivedCommand::Request(_) => Some(BUSY_REPLY),
+                ReceivedCommand::Request(_) => {
+                    rejected += 1;
+                    Some(BUSY_REPLY)
+                }
                 ReceivedCommand::Ping => Some(PONG_REPLY),
                 ReceivedCommand::Invalid(error) => {
                     withheld_errors.push(error);
@@ -246,6 +249,12 @@
             }
             rest = &rest[len..];
         }
+        if rejected > 0 {
+            let client = connection.serial;
+            tracing::debug!(
+                target: "client_connection", client, rejected, "requests rejected: connection being closed"
+            );
+        }
         self.queue_for_write(key);
         !rest.is_empty()
     }
