--- a/tests/ingress/resource_limits.rs
+++ b/tests/ingress/resource_limits.rs
@@ -4,6 +4,7 @@
 use crate::support::backend::{reply_with_value, Backend, BackendReply};
 use crate::support::client::{encode_request, Client};
 use crate::support::ingress::{IngressProcess, IngressSetup};
+use crate::support::resp::encode_served;
 use crate::support::wait::wait_until;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -96,6 +97,37 @@
     assert!(client.is_disconnected());
 }
 
+/// All descriptors are used by clients that never read the long replies in transit to them, and other clients
+/// connect. Connections with a reply in transit are kept for a limited time, so the other clients are served.
+#[test]
+fn clients_that_never_read_do_not_keep_others_from_connecting() {
+    let reply = encode_served(&"x".repeat(64 * 1024), None);
+    let backend = Backend::start(move |_| BackendReply::Bytes(reply.clone()));
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.socket_limit = 64;
+    let ingress = setup.start();
+    let never_reading: Vec<Client> = (0..27)
+        .map(|number| {
+            let mut client = Client::connect_with_window(ingress.address, 2 * 1024);
+            client.send(&encode_request("quote", &format!("q{number}"), 2500));
+            client.wait_for_input();
+            client
+        })
+        .collect();
+    let start = Instant::now();
+    let others: Vec<Client> = (0..27)
+        .map(|number| {
+            let mut client = ingress.client();
+            assert_eq!(client.ping(), "+PONG", "client {number}");
+            client
+        })
+        .collect();
+    let open = std::fs::read_dir(format!("/proc/{}/fd", ingress.child.id())).unwrap().count();
+    assert!(open <= setup.socket_limit, "{open} descriptors");
+    assert!(start.elapsed() < Duration::from_secs(5), "each connection is kept for about 1 s");
+    drop((never_reading, others));
+}
+
 /// 150 clients each send most of a 64 KiB command and stop. Each is within the limit per connection, but
 /// together they would exceed the memory limit, and the process would be killed with all requests. Some of
 /// them have to be disconnected, and other clients served.
