Drop the incomplete command of a connection when its sending side is shut down

Found by reading the change once more: at the exit, and over the limit, a connection with an incomplete command is shut down and kept its input, so that the memory limit could choose it and append an error to a sending side that is shut down (the write fails, and the connection is closed with its reply in transit).

--- a/src/bin/ingress/clients/closing/tests.rs
+++ b/src/bin/ingress/clients/closing/tests.rs
@@ -108,6 +108,7 @@
     }
     harness.clients.shut_down_before_exit(NOW);
     assert!(harness.clients.has_reply_in_transit(NOW));
+    assert!(harness.clients.connections.iter().all(|(_, connection)| !connection.awaits_client()));
     client.write_all(rest).unwrap();
     harness.clients.read_all(NOW);
     expect_reply(&mut client, &long_reply());
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -281,12 +281,13 @@
     }
 
     /// Shuts down the sending side of a connection that is being closed, and keeps it open for
-    /// [`LINGER_TIMEOUT`]. If it were closed at once, input that is still arriving would reset it, and the
+    /// [`LINGER_TIMEOUT`]. An incomplete command is dropped. If it were closed at once, input that is still arriving would reset it, and the
     /// client would lose its last replies.
     pub fn start_lingering_close(&mut self, now: Instant) {
         let CloseState::Closing(late_input) = self.close_state else { return };
         let _ = self.stream.shutdown(Shutdown::Write);
         self.close_state = CloseState::ShutDown(late_input);
+        self.input = Vec::new();
         self.linger_until = Some(now + LINGER_TIMEOUT);
     }
 
