--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -133,12 +133,14 @@
 pub struct Wire {
     pub stream: TcpStream,
     buffer: Vec<u8>,
+    /// Time that 16 KiB take on the way, as on a network; none on loopback.
+    pub pace: Option<Duration>,
 }
 
 impl Wire {
     pub fn new(stream: TcpStream) -> Wire {
         let _ = stream.set_nodelay(true);
-        Wire { stream, buffer: Vec::new() }
+        Wire { stream, buffer: Vec::new(), pace: None }
     }
 
     fn fill(&mut self) -> io::Result<()> {
@@ -147,6 +149,9 @@
             0 => Err(ErrorKind::UnexpectedEof.into()),
             count => {
                 self.buffer.extend_from_slice(&chunk[..count]);
+                if let Some(pace) = self.pace {
+                    thread::sleep(pace * count as u32 / chunk.len() as u32);
+                }
                 Ok(())
             }
         }
@@ -283,6 +288,8 @@
     pub name: String,
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// The open connections; `None` once the process has ended.
+    streams: Arc<Mutex<Option<Vec<TcpStream>>>>,
 }
 
 type Handler = dyn Fn(&Arrival) -> Work + Send + Sync;
@@ -293,15 +300,30 @@
         let address = listener.local_addr().unwrap();
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let handler: Arc<Handler> = Arc::new(handler);
-        let (list, label) = (Arc::clone(&arrivals), name.to_string());
+        let streams = Arc::new(Mutex::new(Some(Vec::new())));
+        let (list, label, open) = (Arc::clone(&arrivals), name.to_string(), Arc::clone(&streams));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                match (lock(&open).as_mut(), stream.try_clone()) {
+                    (Some(streams), Ok(clone)) => streams.push(clone),
+                    _ => return,
+                }
                 let (list, handler, label) = (Arc::clone(&list), Arc::clone(&handler), label.clone());
                 let serve = move || drop(serve_backend(stream, &label, &list, &*handler));
                 let _ = thread::Builder::new().stack_size(128 * 1024).spawn(serve);
             }
         });
-        Backend { name: name.to_string(), address, arrivals }
+        Backend { name: name.to_string(), address, arrivals, streams }
+    }
+
+    /// Ends the process: its connections end, and new ones are refused.
+    pub fn stop(&self) {
+        for stream in lock(&self.streams).take().into_iter().flatten() {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the thread that accepts, which then closes the listener.
+        drop(TcpStream::connect(self.address));
+        record(format!("ended  {}", self.name));
     }
 
     /// The backend's entry in the list of discovery.
@@ -359,6 +381,10 @@
     entries: Vec<Listed>,
     /// Time for which a call waits in the line of discovery before it is looked at.
     line_ms: u64,
+    /// Whether discovery is down, so that the agent is silent.
+    down: bool,
+    /// The number of outages so far.
+    outages: u64,
 }
 
 /// A stand-in for discovery, by the protocol page.
@@ -372,7 +398,7 @@
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let list = List { version: 40, entries: Vec::new(), line_ms: 0 };
+        let list = List { version: 40, entries: Vec::new(), line_ms: 0, down: false, outages: 0 };
         let discovery = Discovery { address, shared: Arc::new((Mutex::new(list), Condvar::new())) };
         let server = discovery.clone();
         thread::spawn(move || {
@@ -401,6 +427,22 @@
         lock(&self.shared.0).line_ms = line_ms;
     }
 
+    /// Begins an outage: open watches and calls fall silent for good, and so do calls during the outage.
+    pub fn go_down(&self) {
+        record("discovery is down: the agent is silent");
+        let (list, changed) = &*self.shared;
+        let mut list = lock(list);
+        list.down = true;
+        list.outages += 1;
+        changed.notify_all();
+    }
+
+    /// Ends an outage: calls from now on are answered.
+    pub fn come_back(&self) {
+        record("discovery is back");
+        lock(&self.shared.0).down = false;
+    }
+
     /// The whole list, as the value of `known`.
     pub fn known(&self) -> String {
         let list = lock(&self.shared.0);
@@ -415,7 +457,11 @@
             record(format!("call   {line}"));
             let line_ms = lock(&self.shared.0).line_ms;
             sleep_ms(line_ms);
-            let body = self.answer(&line);
+            let Some(body) = self.answer(&line) else {
+                // A call that has fallen silent: the connection stays open until the caller closes it.
+                while wire.fill().is_ok() {}
+                return Ok(());
+            };
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -430,7 +476,8 @@
         }
     }
 
-    fn answer(&self, line: &str) -> String {
+    /// The body of the answer to a call; `None` for a call that falls silent.
+    fn answer(&self, line: &str) -> Option<String> {
         let number = |name: &str| {
             let rest = line.split(name).nth(1)?;
             let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
@@ -438,13 +485,20 @@
         };
         let (list, changed) = &*self.shared;
         let mut list = lock(list);
-        let Some(since) = number("since=") else { return render(list.version, true, &list.entries, 0) };
+        if list.down {
+            return None;
+        }
+        let outages = list.outages;
+        let Some(since) = number("since=") else { return Some(render(list.version, true, &list.entries, 0)) };
         let until = Instant::now() + Duration::from_millis(number("timeout_ms=").unwrap_or(0).min(60_000));
         while list.version <= since && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             list = changed.wait_timeout(list, left).unwrap_or_else(std::sync::PoisonError::into_inner).0;
+            if list.outages != outages {
+                return None;
+            }
         }
-        render(list.version, false, &list.entries, since)
+        Some(render(list.version, false, &list.entries, since))
     }
 }
 
