--- a/review/kept-answers/case.rs
+++ b/review/6/case.rs
@@ -85,7 +85,7 @@
 }
 
 fn main() {
-    begin(9);
+    begin(6);
     let discovery = Discovery::start();
     let backends: Vec<Backend> = (0..BACKENDS)
         .map(|number| {
