--- a/review/crowded/case.rs
+++ b/review/9/case.rs
@@ -57,7 +57,7 @@
 }
 
 fn main() {
-    begin(8);
+    begin(9);
     let discovery = Discovery::start();
     let backends: Vec<Backend> = (0..3)
         .map(|number| {
