--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -672,7 +672,7 @@
         matches!(lock(&self.child).try_wait(), Ok(None))
     }
 
-    /// The path of the log.
+    /// Where standard error of the process goes.
     pub fn log(&self) -> PathBuf {
         self.config.with_extension("log")
     }
