--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -381,10 +381,6 @@
     entries: Vec<Listed>,
     /// Time for which a call waits in the line of discovery before it is looked at.
     line_ms: u64,
-    /// Whether discovery is down, so that the agent is silent.
-    down: bool,
-    /// The number of outages so far.
-    outages: u64,
 }
 
 /// A stand-in for discovery, by the protocol page.
@@ -398,7 +394,7 @@
     pub fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let list = List { version: 40, entries: Vec::new(), line_ms: 0, down: false, outages: 0 };
+        let list = List { version: 40, entries: Vec::new(), line_ms: 0 };
         let discovery = Discovery { address, shared: Arc::new((Mutex::new(list), Condvar::new())) };
         let server = discovery.clone();
         thread::spawn(move || {
@@ -427,22 +423,6 @@
         lock(&self.shared.0).line_ms = line_ms;
     }
 
-    /// Begins an outage: open watches and calls fall silent for good, and so do calls during the outage.
-    pub fn go_down(&self) {
-        record("discovery is down: the agent is silent");
-        let (list, changed) = &*self.shared;
-        let mut list = lock(list);
-        list.down = true;
-        list.outages += 1;
-        changed.notify_all();
-    }
-
-    /// Ends an outage: calls from now on are answered.
-    pub fn come_back(&self) {
-        record("discovery is back");
-        lock(&self.shared.0).down = false;
-    }
-
     /// The whole list, as the value of `known`.
     pub fn known(&self) -> String {
         let list = lock(&self.shared.0);
@@ -457,11 +437,7 @@
             record(format!("call   {line}"));
             let line_ms = lock(&self.shared.0).line_ms;
             sleep_ms(line_ms);
-            let Some(body) = self.answer(&line) else {
-                // A call that has fallen silent: the connection stays open until the caller closes it.
-                while wire.fill().is_ok() {}
-                return Ok(());
-            };
+            let body = self.answer(&line);
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -476,8 +452,8 @@
         }
     }
 
-    /// The body of the answer to a call; `None` for a call that falls silent.
-    fn answer(&self, line: &str) -> Option<String> {
+    /// The body of the answer to a call, once there is one.
+    fn answer(&self, line: &str) -> String {
         let number = |name: &str| {
             let rest = line.split(name).nth(1)?;
             let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
@@ -485,20 +461,13 @@
         };
         let (list, changed) = &*self.shared;
         let mut list = lock(list);
-        if list.down {
-            return None;
-        }
-        let outages = list.outages;
-        let Some(since) = number("since=") else { return Some(render(list.version, true, &list.entries, 0)) };
+        let Some(since) = number("since=") else { return render(list.version, true, &list.entries, 0) };
         let until = Instant::now() + Duration::from_millis(number("timeout_ms=").unwrap_or(0).min(60_000));
         while list.version <= since && Instant::now() < until {
             let left = until.saturating_duration_since(Instant::now());
             list = changed.wait_timeout(list, left).unwrap_or_else(std::sync::PoisonError::into_inner).0;
-            if list.outages != outages {
-                return None;
-            }
         }
-        Some(render(list.version, false, &list.entries, since))
+        render(list.version, false, &list.entries, since)
     }
 }
 
