--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -212,7 +212,7 @@
     /// Completes the exchange if the reply is complete or malformed, and returns whether the connection can
     /// still be used.
     fn process_received(&mut self, key: usize, now: Instant) -> Usability {
-        let connection = &self.connections[key];
+        let connection = &mut self.connections[key];
         // Bytes on an idle connection belong to no command.
         if connection.attempt.is_none() {
             return Usability::Unusable;
@@ -223,13 +223,14 @@
             Err(_) => None,
         };
         let is_sent = connection.command_state() == CommandState::Sent;
+        let received_length = connection.received.len();
         let result = parsed
             .as_ref()
-            .and_then(|parsed| reply::interpret(&connection.received, &parsed.reply))
+            .and_then(|parsed| reply::interpret(&mut connection.received, &parsed.reply))
             // The only valid reply to an incomplete command is a rejection.
             .filter(|result| is_sent || result.outcome == Outcome::Rejected);
         let has_no_trailing_bytes =
-            parsed.is_some_and(|ParsedReply { length, .. }| length == connection.received.len());
+            parsed.is_some_and(|ParsedReply { length, .. }| length == received_length);
         let is_reusable = result.is_some() && is_sent && has_no_trailing_bytes;
         let failure = connection.failure_outcome();
         let result = result.unwrap_or_else(|| ExchangeResult::without_reply(failure));
--- a/src/bin/ingress/backends/reply.rs
+++ b/src/bin/ingress/backends/reply.rs
@@ -2,6 +2,7 @@
 
 use crate::resp::{Element, ElementKind, Reply};
 use ingress::{LoadReportField, Outcome};
+use std::ops::Range;
 
 /// First word of the error that a backend sends when it rejects a command without executing it.
 const REJECTION: &[u8] = b"BUSY";
@@ -23,9 +24,13 @@
     }
 }
 
-/// Interprets a reply whose elements are ranges of `buffer`. Returns `None` if it is not a valid reply to a
-/// request.
-pub fn interpret(buffer: &[u8], reply: &Reply) -> Option<ExchangeResult> {
+/// Minimum size of a value that is taken from the receive buffer without a copy, in bytes. A copy of a long
+/// value would need as much memory again, and leave a gap in the heap when the buffer is freed.
+const MIN_MOVED_BYTES: usize = 4 * 1024;
+
+/// Interprets a reply whose elements are ranges of `buffer`, from which a long value is taken. Returns `None`
+/// if it is not a valid reply to a request.
+pub fn interpret(buffer: &mut Vec<u8>, reply: &Reply) -> Option<ExchangeResult> {
     match reply {
         Reply::Array(elements) => interpret_value(buffer, elements),
         Reply::Single(element) if element.kind == ElementKind::Error => {
@@ -36,17 +41,29 @@
 }
 
 /// Interprets an array of a value, an unused element and a load report.
-fn interpret_value(buffer: &[u8], elements: &[Element]) -> Option<ExchangeResult> {
+fn interpret_value(buffer: &mut Vec<u8>, elements: &[Element]) -> Option<ExchangeResult> {
     let [value, _, load] = elements else { return None };
     if value.kind != ElementKind::Bulk {
         return None;
     }
     let has_report = load.kind == ElementKind::Bulk;
     let reported_queue_depth = has_report.then(|| queue_depth(&buffer[load.payload.clone()])).flatten();
-    let value = buffer[value.span.clone()].to_vec();
+    let value = take_value(buffer, value.span.clone());
     Some(ExchangeResult { outcome: Outcome::Ok, value, reported_queue_depth })
 }
 
+/// Returns the bytes of a range of `buffer`. If they are many, they stay in place and the buffer is left empty.
+fn take_value(buffer: &mut Vec<u8>, span: Range<usize>) -> Vec<u8> {
+    if span.len() < MIN_MOVED_BYTES {
+        return buffer[span].to_vec();
+    }
+    let mut value = std::mem::take(buffer);
+    value.truncate(span.end);
+    value.drain(..span.start);
+    value.shrink_to_fit();
+    value
+}
+
 /// Interprets an error reply, whose last word may be a load report.
 fn interpret_error(text: &[u8]) -> ExchangeResult {
     let is_space = |byte: &u8| *byte == b' ';
--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -18,12 +18,14 @@
 mod writing;
 
 use crate::command::{Command, CommandSchema};
+use crate::resp;
 use close_reason::ClientCloseReason;
 use connection::ClientConnection;
 #[cfg(test)]
 pub use connection::LINGER_TIMEOUT;
 pub use error::ClientError;
 use ingress::{Instant, RequestId};
+pub use memory::ClientMemoryLimits;
 use memory::MemoryBudget;
 use mio::net::{TcpListener, TcpStream};
 use mio::Token;
@@ -36,6 +38,9 @@
 /// their requests, and those that are closed for their descriptor once their last reply has arrived.
 pub const MAX_CLIENTS_BEYOND_BUDGET: usize = 8;
 
+/// Maximum size of a reply, in bytes: that of a value, which is a bulk string.
+pub const MAX_REPLY_BYTES: usize = resp::MAX_BULK_STRING_BYTES;
+
 /// The reply to a rejected request, which is safe to retry.
 pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
 
@@ -155,12 +160,11 @@
 }
 
 impl Clients {
-    /// Creates the state without connections, for a listener that is already registered. `memory_limit`
-    /// bounds the memory of all connections together, in bytes.
+    /// Creates the state without connections, for a listener that is already registered.
     pub fn new(
         listener: TcpListener,
         schema: CommandSchema,
-        memory_limit: usize,
+        memory_limits: ClientMemoryLimits,
         token_of: fn(usize) -> Token,
     ) -> Self {
         Clients {
@@ -179,7 +183,7 @@
             lingering_count: 0,
             over_limit_count: 0,
             yielding_count: 0,
-            memory: MemoryBudget::new(memory_limit),
+            memory: MemoryBudget::new(memory_limits),
             events: VecDeque::new(),
             last_accepted_at: Instant::ZERO,
             unregistered: None,
@@ -238,6 +242,14 @@
         std::mem::take(&mut self.closed_with_replies_owed)
     }
 
+    /// Reads from all connections.
+    #[cfg(test)]
+    pub fn read_all(&mut self, now: Instant) {
+        for key in self.keys() {
+            self.read(key, now);
+        }
+    }
+
     #[cfg(test)]
     pub fn idle_count(&self) -> usize {
         self.connections.iter().filter(|(_, connection)| connection.is_idle()).count()
--- a/src/bin/ingress/clients/accepting.rs
+++ b/src/bin/ingress/clients/accepting.rs
@@ -105,7 +105,13 @@
         let _ = stream.set_nodelay(true);
         self.last_serial += 1;
         self.last_accepted_at = now;
-        let mut connection = ClientConnection::new(stream, self.last_serial, capacity, now);
+        let mut connection = ClientConnection::new(
+            stream,
+            self.last_serial,
+            capacity,
+            self.memory.max_replies_per_connection(),
+            now,
+        );
         connection.unread_since = self.queued_since;
         self.lingering_count += usize::from(connection.linger_until.is_some());
         self.over_limit_count += usize::from(connection.is_over_limit());
--- a/src/bin/ingress/clients/close_reason.rs
+++ b/src/bin/ingress/clients/close_reason.rs
@@ -20,7 +20,7 @@
     LingerTimeout,
     /// The client did not read its replies in time.
     WriteTimeout,
-    /// The memory limit of all clients was reached, and this client had unread replies.
+    /// Memory for replies was short, and this client read none of its replies.
     MemoryLimit,
 }
 
--- a/src/bin/ingress/clients/close_state.rs
+++ b/src/bin/ingress/clients/close_state.rs
@@ -32,8 +32,6 @@
     InvalidCommands,
     /// The rest of a command did not arrive in time.
     CommandTimeout,
-    /// The memory limit of all clients was reached, and the connection had an incomplete command.
-    MemoryLimit,
     /// The connection was idle, and its descriptor was needed for another one.
     DescriptorNeeded,
     /// The connection was idle during the shutdown of the process.
@@ -49,7 +47,6 @@
             ClosingCause::OverLimit
             | ClosingCause::InvalidCommands
             | ClosingCause::CommandTimeout
-            | ClosingCause::MemoryLimit
             | ClosingCause::DescriptorNeeded
             | ClosingCause::ShuttingDown => LateInput::Unread,
         }
--- a/src/bin/ingress/clients/closing/tests.rs
+++ b/src/bin/ingress/clients/closing/tests.rs
@@ -23,7 +23,7 @@
     /// Hands a client's long reply to the kernel, which cannot transmit all of it before the client reads.
     fn put_reply_in_transit(&mut self, client: &mut TcpStream) {
         let reply_to = self.request(client);
-        self.clients.reply(reply_to, &long_reply());
+        self.clients.reply(reply_to, long_reply());
         self.clients.flush(NOW);
         assert_eq!(self.clients.busy_count(), 0, "the kernel has accepted the reply");
     }
@@ -47,7 +47,7 @@
     let mut client = harness.client_with_small_window();
     let reply_to = harness.request(&mut client);
     harness.clients.close_when_idle(NOW, Accepting::Stop);
-    harness.clients.reply(reply_to, &long_reply());
+    harness.clients.reply(reply_to, long_reply());
     harness.clients.flush(NOW);
     assert_reply_survives(&mut harness, &mut client);
 }
@@ -108,7 +108,11 @@
     }
     harness.clients.shut_down_before_exit(NOW);
     assert!(harness.clients.has_reply_in_transit(NOW));
-    assert!(harness.clients.connections.iter().all(|(_, connection)| !connection.awaits_client()));
+    assert!(harness
+        .clients
+        .connections
+        .iter()
+        .all(|(_, connection)| !connection.has_incomplete_command() && connection.output.is_empty()));
     client.write_all(rest).unwrap();
     harness.clients.read_all(NOW);
     expect_reply(&mut client, &long_reply());
@@ -123,7 +127,7 @@
     let mut harness = Harness::new(1 << 26);
     let mut client = harness.client(Capacity::Available);
     let reply_to = harness.request(&mut client);
-    harness.clients.reply(reply_to, &vec![b'x'; 1 << 25]);
+    harness.clients.reply(reply_to, vec![b'x'; 1 << 25]);
     harness.clients.flush(NOW);
     assert_eq!(harness.clients.busy_count(), 1, "the kernel has accepted only a part");
     let almost_over = NOW + LINGER_TIMEOUT - Duration::MICROSECOND;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -2,10 +2,13 @@
 
 use super::close_state::{CloseState, ClosingCause};
 use super::error::ClientError;
+use super::memory::ConnectionMemory;
 use super::output::OutputBuffer;
+use super::reading::READ_BUFFER_BYTES;
 use super::reply_queue::ReplyQueue;
 use super::Capacity;
-use crate::resp;
+use crate::buffer::extend_in_steps;
+use crate::resp::{self, CommandSkipper};
 use ingress::permissions::{may_close_client, ClientConnectionState, ClosingState};
 use ingress::{Duration, Instant};
 use mio::net::TcpStream;
@@ -16,6 +19,11 @@
 const MAX_PENDING_REPLIES: usize = 256;
 /// Maximum size of a connection's unwritten replies before reading from it pauses, in bytes.
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
+/// Maximum size of an incomplete command for which no memory is reserved, in bytes. It suffices for most
+/// commands, and for all connections together it is a small part of the memory.
+pub const MAX_UNRESERVED_INPUT_BYTES: usize = 2 * 1024;
+/// Memory that is reserved for a longer incomplete command, and for the input that is read behind it, in bytes.
+pub const INPUT_RESERVATION_BYTES: usize = resp::MAX_COMMAND_BYTES + READ_BUFFER_BYTES;
 /// Number of consecutive invalid commands after which a connection is closed: each of them costs a reply, and
 /// some clients never stop sending them.
 const MAX_CONSECUTIVE_ERRORS: u32 = 8;
@@ -39,6 +47,40 @@
     Rejected,
 }
 
+/// The memory for an incomplete command.
+#[derive(Debug)]
+pub enum InputStorage {
+    /// The input is short, or consists of unparsed commands.
+    Unreserved,
+    /// [`INPUT_RESERVATION_BYTES`] are reserved.
+    Reserved,
+    /// No memory was available, so the rest of the command is discarded.
+    Discarding(CommandSkipper),
+}
+
+impl InputStorage {
+    /// Returns whether memory is reserved.
+    pub fn is_reserved(&self) -> bool {
+        matches!(self, InputStorage::Reserved)
+    }
+
+    /// Returns whether a command is being discarded.
+    pub fn is_discarding(&self) -> bool {
+        matches!(self, InputStorage::Discarding(_))
+    }
+
+    /// Stops discarding, and returns the skipper of the command that was being discarded.
+    pub fn take_skipper(&mut self) -> Option<CommandSkipper> {
+        match std::mem::replace(self, InputStorage::Unreserved) {
+            InputStorage::Discarding(skipper) => Some(skipper),
+            storage => {
+                *self = storage;
+                None
+            }
+        }
+    }
+}
+
 /// A client connection with its buffers and limits.
 pub struct ClientConnection {
     pub stream: TcpStream,
@@ -46,11 +88,14 @@
     pub serial: u64,
     /// Received bytes that are not parsed yet: at most one incomplete command, unless reading is paused.
     pub input: Vec<u8>,
+    pub input_storage: InputStorage,
     /// The replies that are owed, in the order of the requests.
     pub replies: ReplyQueue,
     pub output: OutputBuffer,
-    /// The connection's part of the accounted memory, in bytes.
-    pub accounted_memory: usize,
+    /// Maximum memory of the replies before reading from the connection pauses, in bytes.
+    max_reply_memory: usize,
+    /// The connection's part of the accounted memory.
+    pub accounted_memory: ConnectionMemory,
     /// The time of the last complete command or of the last write that emptied the output, whichever is
     /// later; initially the time at which the connection was accepted.
     pub last_active_at: Instant,
@@ -76,16 +121,24 @@
 }
 
 impl ClientConnection {
-    /// Creates the state of a connection accepted at `now`.
-    pub fn new(stream: TcpStream, serial: u64, capacity: Capacity, now: Instant) -> Self {
+    /// Creates the state of a connection accepted at `now`, whose replies may use `max_reply_memory` bytes.
+    pub fn new(
+        stream: TcpStream,
+        serial: u64,
+        capacity: Capacity,
+        max_reply_memory: usize,
+        now: Instant,
+    ) -> Self {
         let is_over_limit = capacity == Capacity::OverLimit;
         ClientConnection {
             stream,
             serial,
             input: Vec::new(),
+            input_storage: InputStorage::Unreserved,
             replies: ReplyQueue::default(),
             output: OutputBuffer::default(),
-            accounted_memory: 0,
+            max_reply_memory,
+            accounted_memory: ConnectionMemory::default(),
             last_active_at: now,
             command_started_at: now,
             consecutive_errors: 0,
@@ -104,7 +157,7 @@
     pub fn is_idle(&self) -> bool {
         let state = ClientConnectionState {
             is_busy: self.is_busy(),
-            has_input: !self.input.is_empty() || self.queued_for_read,
+            has_input: self.has_incomplete_command() || self.queued_for_read,
             closing: self.closing(),
         };
         may_close_client(state).is_ok()
@@ -130,7 +183,19 @@
     /// parsed.
     pub fn is_backlogged(&self) -> bool {
         let unwritten_bytes = self.replies.ready_bytes() + self.output.unwritten();
-        self.replies.len() >= MAX_PENDING_REPLIES || unwritten_bytes >= MAX_UNWRITTEN_BYTES
+        self.replies.len() >= MAX_PENDING_REPLIES
+            || unwritten_bytes >= MAX_UNWRITTEN_BYTES
+            || self.reply_memory() >= self.max_reply_memory
+    }
+
+    /// Returns the memory of the connection's replies, those reserved for pending ones included, in bytes.
+    fn reply_memory(&self) -> usize {
+        self.replies.memory_size() + self.output.memory_size()
+    }
+
+    /// Returns whether a part of a command has arrived, or unparsed commands.
+    pub fn has_incomplete_command(&self) -> bool {
+        !self.input.is_empty() || self.input_storage.is_discarding()
     }
 
     /// Returns whether the connection was accepted over the limit, so that its requests are rejected.
@@ -182,16 +247,11 @@
         self.replies.was_used()
     }
 
-    /// Returns whether the connection waits for the client to send the rest of a command or to read.
-    pub fn awaits_client(&self) -> bool {
-        !self.input.is_empty() || self.output.is_blocked()
-    }
-
     /// Returns whether the first command, or the rest of an incomplete one, has not arrived in time.
     pub fn is_command_overdue(&self, now: Instant) -> bool {
         let is_exempt = self.is_closing() || self.is_over_limit() || self.reading_paused;
         let awaits_command =
-            if self.input.is_empty() { !self.has_sent_command() } else { !self.is_backlogged() };
+            if self.has_incomplete_command() { !self.is_backlogged() } else { !self.has_sent_command() };
         now > self.command_started_at + COMMAND_TIMEOUT && !is_exempt && awaits_command
     }
 
@@ -200,9 +260,10 @@
         self.linger_until.is_some_and(|until| until <= now)
     }
 
-    /// Returns the memory that the buffers use, in bytes.
-    pub fn memory_size(&self) -> usize {
-        self.input.capacity() + self.replies.ready_bytes() + self.output.bytes.capacity()
+    /// Returns the memory that the buffers use, or that is reserved for them.
+    pub fn memory(&self) -> ConnectionMemory {
+        let reserved_input = if self.input_storage.is_reserved() { INPUT_RESERVATION_BYTES } else { 0 };
+        ConnectionMemory { input: self.input.capacity().max(reserved_input), replies: self.reply_memory() }
     }
 
     /// Appends received bytes to the input, or discards them after a protocol error.
@@ -215,7 +276,7 @@
         if self.input.is_empty() && self.has_sent_command() {
             self.command_started_at = now.max(self.command_started_at);
         }
-        self.input.extend_from_slice(bytes);
+        extend_in_steps(&mut self.input, bytes);
     }
 
     /// Records that a complete command arrived.
@@ -254,7 +315,7 @@
 
     /// Adds the reply to the command that was just parsed.
     pub fn reply_immediately(&mut self, reply: &[u8]) {
-        self.replies.push_ready(reply, &mut self.output.bytes);
+        self.replies.push_ready(reply.to_vec(), &mut self.output);
     }
 
     /// Adds an error reply to the input that was just parsed.
@@ -277,7 +338,7 @@
             CloseState::Closing(_) => true,
             CloseState::ShutDown(_) => false,
         };
-        is_to_be_closed && !self.is_busy() && self.input.is_empty()
+        is_to_be_closed && !self.is_busy() && !self.has_incomplete_command()
     }
 
     /// Shuts down the sending side of a connection that is being closed, and keeps it open for
@@ -288,6 +349,7 @@
         let _ = self.stream.shutdown(Shutdown::Write);
         self.close_state = CloseState::ShutDown(late_input);
         self.input = Vec::new();
+        self.input_storage = InputStorage::Unreserved;
         self.linger_until = Some(now + LINGER_TIMEOUT);
     }
 
--- a/src/bin/ingress/clients/error.rs
+++ b/src/bin/ingress/clients/error.rs
@@ -18,9 +18,6 @@
     /// A request with the same id is in flight or ended recently.
     #[error("the id is not new")]
     DuplicateRequestId,
-    /// The memory limit of all clients is reached, and this connection uses the most memory.
-    #[error("no memory for the rest of a command")]
-    MemoryLimit,
     /// The rest of a command did not arrive in time.
     #[error("the rest of a command did not come in time")]
     CommandTimeout,
--- a/src/bin/ingress/clients/expiry.rs
+++ b/src/bin/ingress/clients/expiry.rs
@@ -4,6 +4,7 @@
 use super::close_state::ClosingCause;
 use super::connection::ClientConnection;
 use super::error::ClientError;
+use super::output::WRITE_TIMEOUT;
 use super::Clients;
 use ingress::Instant;
 
@@ -12,6 +13,7 @@
     /// end.
     pub fn close_expired(&mut self, now: Instant) {
         self.close_timed_out(now);
+        self.close_unread_under_shortage(now);
         self.close_lingered(now);
         if self.over_limit_count > 0 {
             self.close_over_limit(now);
@@ -62,7 +64,7 @@
     /// long, since they use descriptors and memory.
     fn close_timed_out(&mut self, now: Instant) {
         let overdue = self.keys_where(|connection| connection.is_command_overdue(now));
-        let not_reading = self.keys_where(|connection| connection.output.is_timed_out(now));
+        let not_reading = self.keys_where(|connection| connection.output.is_blocked_for(WRITE_TIMEOUT, now));
         for key in not_reading {
             self.remove(key, ClientCloseReason::WriteTimeout);
         }
@@ -73,7 +75,7 @@
             let Some(connection) = connection.filter(|connection| connection.is_command_overdue(now)) else {
                 continue;
             };
-            if connection.input.is_empty() {
+            if !connection.has_incomplete_command() {
                 self.close_if_still_idle(key, now, ClientCloseReason::NoCommand);
                 continue;
             }
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -1,63 +1,111 @@
-//! Accounts for the memory of client connections and enforces the limit on their sum.
+//! Accounts for the memory of client connections.
+//!
+//! The limits are kept by taking less, not by closing connections: a request is forwarded only with memory for
+//! its reply, and a long command is stored only with memory for all of it.
 
 use super::close_reason::ClientCloseReason;
-use super::close_state::ClosingCause;
-use super::connection::ClientConnection;
-use super::error::ClientError;
+use super::connection::{ClientConnection, INPUT_RESERVATION_BYTES};
 use super::Clients;
+use ingress::{Duration, Instant};
 
-/// Memory used by all connections, and its limit.
+/// Divisor of the memory limit that gives the maximum memory of the replies of one connection. A client that
+/// does not read leaves the rest to the others.
+const MAX_CONNECTION_SHARE_DIVISOR: usize = 2;
+/// Time for which a client may read nothing while memory is short, before its connection is closed.
+const SHORTAGE_WRITE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Limits on the memory of all client connections, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientMemoryLimits {
+    /// Maximum memory of replies, with the part that is reserved for pending ones. The event loop rejects
+    /// requests beyond it.
+    pub replies: usize,
+    /// Maximum memory of incomplete commands that are longer than
+    /// [`MAX_UNRESERVED_INPUT_BYTES`](super::connection::MAX_UNRESERVED_INPUT_BYTES).
+    pub input: usize,
+}
+
+/// Memory of one connection, or of all, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConnectionMemory {
+    /// Memory of the input, or reserved for it.
+    pub input: usize,
+    /// Memory of the replies, with the part that is reserved for pending ones.
+    pub replies: usize,
+}
+
+impl ConnectionMemory {
+    /// Returns the memory of both.
+    pub fn total(self) -> usize {
+        self.input + self.replies
+    }
+}
+
+/// Memory used by all connections, and its limits.
 pub struct MemoryBudget {
-    /// Memory used by all connections together, in bytes.
-    used: usize,
-    /// Maximum of `used`, in bytes.
-    limit: usize,
+    /// Memory used by all connections together.
+    used: ConnectionMemory,
+    limits: ClientMemoryLimits,
 }
 
 impl MemoryBudget {
-    /// Creates an unused budget of `limit` bytes.
-    pub fn new(limit: usize) -> Self {
-        MemoryBudget { used: 0, limit }
+    /// Creates an unused budget.
+    pub fn new(limits: ClientMemoryLimits) -> Self {
+        MemoryBudget { used: ConnectionMemory::default(), limits }
+    }
+
+    /// Returns the memory used by all connections together.
+    pub fn used(&self) -> ConnectionMemory {
+        self.used
+    }
+
+    /// Returns the maximum memory of the replies of one connection, in bytes.
+    pub fn max_replies_per_connection(&self) -> usize {
+        self.limits.replies / MAX_CONNECTION_SHARE_DIVISOR
+    }
+
+    /// Returns whether [`INPUT_RESERVATION_BYTES`] are available for the input of a connection.
+    pub fn can_reserve_input(&self) -> bool {
+        self.used.input + INPUT_RESERVATION_BYTES <= self.limits.input
     }
 
     /// Updates the memory accounted for a connection to its current size.
     pub fn account(&mut self, connection: &mut ClientConnection) {
-        let memory = connection.memory_size();
-        self.used = self.used - connection.accounted_memory + memory;
-        connection.accounted_memory = memory;
+        self.release(connection);
+        connection.accounted_memory = connection.memory();
+        self.used.input += connection.accounted_memory.input;
+        self.used.replies += connection.accounted_memory.replies;
     }
 
     /// Subtracts the memory of a connection that is being removed.
     pub fn release(&mut self, connection: &ClientConnection) {
-        self.used -= connection.accounted_memory;
+        self.used.input -= connection.accounted_memory.input;
+        self.used.replies -= connection.accounted_memory.replies;
     }
 
-    fn is_exceeded(&self) -> bool {
-        self.used > self.limit
+    /// Returns whether less memory is left for replies than one connection may use.
+    fn is_short(&self) -> bool {
+        self.used.replies + self.max_replies_per_connection() > self.limits.replies
     }
 }
 
 impl Clients {
-    /// Accounts for the memory of a connection, and closes connections while the limit over all connections
-    /// is exceeded.
-    ///
-    /// The limits per connection do not bound the sum over all connections. Of the connections that wait for
-    /// their clients, the one that uses the most memory is closed, with an error reply if it has an
-    /// incomplete command. A connection with replies that the ingress has not tried to write yet is not
-    /// closed.
-    pub(super) fn enforce_memory_limit(&mut self, key: usize) {
-        let Some(connection) = self.connections.get_mut(key) else { return };
-        self.memory.account(connection);
-        while self.memory.is_exceeded() {
-            let closable = self.connections.iter_mut().filter(|(_, connection)| connection.awaits_client());
-            let largest = closable.max_by_key(|(_, connection)| connection.accounted_memory);
-            let Some((key, connection)) = largest else { return };
-            if connection.input.is_empty() {
-                self.remove(key, ClientCloseReason::MemoryLimit);
-                continue;
-            }
-            self.abort_command(key, ClientError::MemoryLimit, ClosingCause::MemoryLimit);
-            self.memory.account(&mut self.connections[key]);
+    /// Returns the memory used by all connections, in bytes.
+    pub fn memory_used(&self) -> usize {
+        self.memory.used().total()
+    }
+
+    /// While memory for replies is short, closes connections whose clients do not read: of those that have
+    /// read nothing for [`SHORTAGE_WRITE_TIMEOUT`], the ones that use the most memory.
+    pub(super) fn close_unread_under_shortage(&mut self, now: Instant) {
+        while self.memory.is_short() {
+            let unread = self
+                .connections
+                .iter()
+                .filter(|(_, connection)| connection.output.is_blocked_for(SHORTAGE_WRITE_TIMEOUT, now));
+            let largest = unread.max_by_key(|(_, connection)| connection.accounted_memory.replies);
+            let Some((key, _)) = largest else { return };
+            self.remove(key, ClientCloseReason::MemoryLimit);
         }
     }
 }
--- a/src/bin/ingress/clients/output.rs
+++ b/src/bin/ingress/clients/output.rs
@@ -4,10 +4,14 @@
 use crate::socket_error::is_out_of_memory;
 use ingress::{Duration, Instant};
 use mio::net::TcpStream;
+use std::collections::VecDeque;
 use std::io::{self, Write};
 
-/// Maximum capacity of the buffer that an idle connection keeps, in bytes.
-const IDLE_CAPACITY: usize = 2 * 1024;
+/// Maximum size of a chunk to which further replies are appended, in bytes. Small replies share a chunk, so
+/// that they share a system call, and long ones are never copied.
+const MAX_SHARED_CHUNK_BYTES: usize = 16 * 1024;
+/// Maximum number of chunks for which an empty buffer keeps memory.
+const MAX_IDLE_CHUNKS: usize = 8;
 /// Time for which a client may read nothing before its connection is closed.
 pub const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -20,36 +24,57 @@
     OutOfMemory,
 }
 
-/// Bytes to be written to a connection.
+/// Replies to be written to a connection, oldest first.
 #[derive(Default)]
 pub struct OutputBuffer {
-    /// Bytes written and to be written; they are removed once all are written.
-    pub bytes: Vec<u8>,
-    /// The number of `bytes` that are already written.
+    /// The output in chunks, none of them empty. Each is freed as soon as it is written.
+    chunks: VecDeque<Vec<u8>>,
+    /// The number of bytes of the first chunk that are already written.
     written: usize,
+    /// Total length of the chunks, in bytes.
+    length: usize,
+    /// Total capacity of the chunks, in bytes.
+    capacity: usize,
     /// The time since which the socket accepts no bytes.
     blocked_since: Option<Instant>,
 }
 
 impl OutputBuffer {
-    /// Returns whether all output is written and cleared.
+    /// Appends a reply.
+    pub fn push(&mut self, reply: Vec<u8>) {
+        self.length += reply.len();
+        match self.chunks.back_mut() {
+            Some(last) if last.len() + reply.len() <= MAX_SHARED_CHUNK_BYTES => {
+                self.capacity -= last.capacity();
+                last.extend_from_slice(&reply);
+                self.capacity += last.capacity();
+            }
+            _ if reply.is_empty() => {}
+            _ => {
+                self.capacity += reply.capacity();
+                self.chunks.push_back(reply);
+            }
+        }
+    }
+
+    /// Returns whether all output is written.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.chunks.is_empty()
     }
 
     /// Returns the number of bytes not written yet.
     pub fn unwritten(&self) -> usize {
-        self.bytes.len() - self.written
+        self.length - self.written
     }
 
-    /// Returns whether the socket did not accept all output at the latest write.
-    pub fn is_blocked(&self) -> bool {
-        self.blocked_since.is_some()
+    /// Returns the memory of the output, in bytes.
+    pub fn memory_size(&self) -> usize {
+        self.capacity + self.chunks.capacity() * size_of::<Vec<u8>>()
     }
 
-    /// Returns whether the client has read nothing for [`WRITE_TIMEOUT`].
-    pub fn is_timed_out(&self, now: Instant) -> bool {
-        self.blocked_since.is_some_and(|since| now > since + WRITE_TIMEOUT)
+    /// Returns whether the client has read nothing for `timeout`, although output is unwritten.
+    pub fn is_blocked_for(&self, timeout: Duration, now: Instant) -> bool {
+        self.blocked_since.is_some_and(|since| now > since + timeout)
     }
 
     /// Returns whether output is unwritten and the client has read some of it within [`LINGER_TIMEOUT`].
@@ -59,12 +84,12 @@
 
     /// Writes as much as the socket accepts. An error means that the connection has failed.
     pub fn write_to(&mut self, stream: &mut TcpStream, now: Instant) -> io::Result<WriteOutcome> {
-        while self.unwritten() > 0 {
-            match stream.write(&self.bytes[self.written..]) {
+        while let Some(chunk) = self.chunks.front() {
+            match stream.write(&chunk[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(written) => {
-                    self.written += written;
                     self.blocked_since = None;
+                    self.record_written(written);
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -78,10 +103,18 @@
         Ok(WriteOutcome::Written)
     }
 
-    /// Removes the written bytes and frees most of their memory.
-    pub fn clear(&mut self) {
+    /// Records that bytes of the first chunk were written, and frees the chunk if it has no others.
+    fn record_written(&mut self, written: usize) {
+        self.written += written;
+        if self.chunks.front().is_none_or(|chunk| chunk.len() > self.written) {
+            return;
+        }
+        let Some(chunk) = self.chunks.pop_front() else { return };
         self.written = 0;
-        self.bytes.clear();
-        self.bytes.shrink_to(IDLE_CAPACITY);
+        self.length -= chunk.len();
+        self.capacity -= chunk.capacity();
+        if self.chunks.is_empty() && self.chunks.capacity() > MAX_IDLE_CHUNKS {
+            self.chunks = VecDeque::new();
+        }
     }
 }
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -2,12 +2,12 @@
 
 use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
-use super::connection::ClientConnection;
+use super::connection::{ClientConnection, InputStorage, MAX_UNRESERVED_INPUT_BYTES};
 use super::error::ClientError;
 use super::{ClientEvent, Clients, ReplyHandle, BUSY_REPLY};
 use crate::command::{Command, CommandSchema};
 use crate::readiness::Readiness;
-use crate::resp;
+use crate::resp::{self, CommandSkipper};
 use crate::socket_error::is_out_of_memory;
 use ingress::{Instant, RequestId};
 use std::io::{ErrorKind, Read};
@@ -73,30 +73,82 @@
         }
     }
 
-    /// Continues to read from the connections whose sockets were not read to the end.
-    pub fn resume_reads(&mut self, now: Instant) {
-        for key in std::mem::take(&mut self.read_queue) {
-            if let Some(connection) = self.connections.get_mut(key) {
-                connection.queued_for_read = false;
-                self.read(key, now);
-                self.close_if_done(key, now);
+    /// Removes and returns the keys of the connections whose sockets were not read to the end. The caller
+    /// resumes each with [`Clients::resume_read`], and takes its events before it resumes the next one: the
+    /// commands of all connections together could exceed the memory limit.
+    pub fn take_read_queue(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.read_queue)
+    }
+
+    /// Continues to read from a connection whose socket was not read to the end.
+    pub fn resume_read(&mut self, key: usize, now: Instant) {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.queued_for_read = false;
+            self.read(key, now);
+            self.close_if_done(key, now);
+        }
+    }
+
+    /// Returns the keys of all connections.
+    pub fn keys(&self) -> Vec<usize> {
+        self.connections.iter().map(|(key, _)| key).collect()
+    }
+
+    /// Reads from a connection, and reserves memory for an incomplete command or discards it.
+    pub fn read(&mut self, key: usize, now: Instant) {
+        if !self.connections.get(key).is_some_and(ClientConnection::reads_input) {
+            return;
+        }
+        self.read_and_parse(key, now);
+        if self.connections.contains(key) {
+            self.reserve_input(key);
+            self.memory.account(&mut self.connections[key]);
+        }
+    }
+
+    /// Reserves memory for a long incomplete command, or releases it. Without memory, the command is discarded
+    /// and rejected at its end.
+    ///
+    /// Memory is reserved for the whole command. If it were reserved for the bytes that have arrived, all of
+    /// it could be used by commands of which none can be completed.
+    fn reserve_input(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        if connection.input.len() <= MAX_UNRESERVED_INPUT_BYTES {
+            if connection.input_storage.is_reserved() {
+                connection.input_storage = InputStorage::Unreserved;
+            }
+        } else if self.memory.can_reserve_input() {
+            connection.input_storage = InputStorage::Reserved;
+        } else if !connection.input_storage.is_reserved() {
+            // Unparsed commands behind a backlog of replies are bounded by `read_limit`.
+            if !connection.is_backlogged() && !connection.is_closing() {
+                self.discard_command(key);
             }
         }
     }
 
-    /// Reads from all connections, whether or not their sockets are reported as ready.
-    pub fn read_all(&mut self, now: Instant) {
-        let keys: Vec<usize> = self.connections.iter().map(|(key, _)| key).collect();
-        for key in keys {
-            self.read(key, now);
+    /// Discards the incomplete command in a connection's input, and what will arrive of it.
+    fn discard_command(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        let input = std::mem::take(&mut connection.input);
+        let mut skipper = CommandSkipper::default();
+        if skipper.skip(&input) != Ok(None) {
+            connection.input = input; // Not an incomplete command, so the parser handles it.
+            return;
         }
+        tracing::debug!(
+            target: "client_connection", client = connection.serial, "command discarded: no memory for it"
+        );
+        connection.input_storage = InputStorage::Discarding(skipper);
     }
 
-    /// Reads from a connection and enforces the memory limit.
-    pub(super) fn read(&mut self, key: usize, now: Instant) {
-        if self.connections.get(key).is_some_and(ClientConnection::reads_input) {
-            self.read_and_parse(key, now);
-            self.enforce_memory_limit(key);
+    /// Returns the maximum number of bytes to read at once from a connection. It is small when no memory is
+    /// left for long commands, since unparsed commands behind a backlog of replies are not discarded.
+    fn read_limit(&self, key: usize) -> usize {
+        if self.connections[key].input_storage.is_reserved() || self.memory.can_reserve_input() {
+            READ_BUFFER_BYTES
+        } else {
+            MAX_UNRESERVED_INPUT_BYTES
         }
     }
 
@@ -111,8 +163,9 @@
                 ReadState::Paused => return self.pause_reading(key),
                 ReadState::Ended => return,
             }
+            let read_limit = self.read_limit(key);
             let connection = &mut self.connections[key];
-            let received = match connection.stream.read(&mut self.read_buffer) {
+            let received = match connection.stream.read(&mut self.read_buffer[..read_limit]) {
                 Ok(0) => return self.remove(key, ClientCloseReason::Disconnected),
                 Ok(received) => received,
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
@@ -123,7 +176,7 @@
                 Err(error) if is_out_of_memory(&error) => return self.read_later(key),
                 Err(_) => return self.remove(key, ClientCloseReason::Broken),
             };
-            connection.receive(&self.read_buffer[..received], now);
+            self.receive(key, received, now);
         }
         match self.parse_commands(key, now) {
             ReadState::Active => self.read_later(key),
@@ -132,6 +185,38 @@
         }
     }
 
+    /// Adds the first bytes of the read buffer to a connection's input, except those of a command that is being
+    /// discarded.
+    fn receive(&mut self, key: usize, received: usize, now: Instant) {
+        let connection = &mut self.connections[key];
+        let bytes = &self.read_buffer[..received];
+        let Some(mut skipper) = connection.input_storage.take_skipper() else {
+            return connection.receive(bytes, now);
+        };
+        match skipper.skip(bytes) {
+            Ok(None) => connection.input_storage = InputStorage::Discarding(skipper),
+            Ok(Some(length)) => {
+                connection.record_command(now);
+                connection.receive(&bytes[length..], now);
+                self.reject_command(key);
+            }
+            Err(error) => {
+                connection.start_closing(ClosingCause::ProtocolError);
+                self.reply_error(key, ClientError::Protocol(error));
+            }
+        }
+    }
+
+    /// Rejects the command that has just ended, without looking at it.
+    fn reject_command(&mut self, key: usize) {
+        let connection = &mut self.connections[key];
+        connection.record_valid_command();
+        if connection.is_over_limit() {
+            connection.record_rejected_request();
+        }
+        self.reply_immediately(key, BUSY_REPLY);
+    }
+
     /// Schedules a read in the next iteration. The timeouts of unread commands count from the earliest time
     /// at which they can have arrived.
     fn read_later(&mut self, key: usize) {
@@ -195,9 +280,7 @@
                     target: "client_connection", client = connection.serial,
                     "request rejected: connection over the file descriptor limit"
                 );
-                connection.record_valid_command();
-                connection.record_rejected_request();
-                self.reply_immediately(key, BUSY_REPLY);
+                self.reject_command(key);
             }
             ReceivedCommand::Request(command) => self.accept_command(key, command),
             ReceivedCommand::Ping => {
@@ -226,6 +309,7 @@
     pub(super) fn reject_received(&mut self, key: usize) -> bool {
         let connection = &mut self.connections[key];
         let input = std::mem::take(&mut connection.input);
+        let was_discarding = connection.input_storage.take_skipper().is_some();
         if connection.discards_input() {
             return false;
         }
@@ -256,7 +340,7 @@
             );
         }
         self.queue_for_write(key);
-        !rest.is_empty()
+        was_discarding || !rest.is_empty()
     }
 
     /// Adds a request to the events for the event loop.
--- a/src/bin/ingress/clients/reading/tests.rs
+++ b/src/bin/ingress/clients/reading/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::clients::connection::{COMMAND_TIMEOUT, LINGER_TIMEOUT};
-use crate::clients::memory::MemoryBudget;
+use crate::clients::memory::{ClientMemoryLimits, ConnectionMemory, MemoryBudget};
 use crate::clients::tests::{expect_reply, request_command, Harness, NOW};
 use crate::clients::Capacity;
 use ingress::Duration;
@@ -27,11 +27,30 @@
         panic!("the connection was not shut down");
     }
 
-    /// Reduces the memory limit below the use of the only connection.
-    fn use_up_memory(&mut self, key: usize) {
-        self.clients.memory = MemoryBudget::new(0);
-        self.clients.connections[key].accounted_memory = 0;
-        self.clients.enforce_memory_limit(key);
+    /// Reduces the memory limits to nothing.
+    fn use_up_memory(&mut self) {
+        let mut memory = MemoryBudget::new(ClientMemoryLimits { replies: 0, input: 0 });
+        for (_, connection) in &mut self.clients.connections {
+            connection.accounted_memory = ConnectionMemory::default();
+            memory.account(connection);
+        }
+        self.clients.memory = memory;
+    }
+
+    /// Reads and writes until this number of requests has arrived, and returns the handles for their replies.
+    fn take_requests(&mut self, count: usize) -> Vec<ReplyHandle> {
+        let mut handles = Vec::new();
+        for _ in 0..1_000_000 {
+            self.clients.read_all(NOW);
+            self.clients.flush(NOW);
+            while let Some(ClientEvent::Command { reply_to, .. }) = self.clients.next_event() {
+                handles.push(reply_to);
+            }
+            if handles.len() >= count {
+                return handles;
+            }
+        }
+        panic!("{} of {count} requests arrived", handles.len());
     }
 
     /// Reads until the only connection holds a part of a command.
@@ -39,7 +58,7 @@
         for _ in 0..1_000_000 {
             self.clients.read_all(NOW);
             self.clients.flush(NOW);
-            if self.clients.connections.iter().all(|(_, connection)| !connection.input.is_empty()) {
+            if self.clients.connections.iter().all(|(_, connection)| connection.has_incomplete_command()) {
                 return;
             }
         }
@@ -113,30 +132,70 @@
 }
 
 /// A client has sent so many requests that the last ones are read but not parsed, and a part of another, when
-/// it is closed for lack of memory. Without a reply, the requests that are not parsed would be lost.
+/// no memory is left. Without a reply, the requests that are not parsed would be lost; if the connection were
+/// closed for its memory, the replies that it is owed would be.
 #[test]
-fn requests_behind_a_backlog_are_rejected_for_lack_of_memory() {
+fn requests_behind_a_backlog_are_answered_when_no_memory_is_left() {
     const PARSED: usize = 256;
     const UNPARSED: usize = 2;
-    let commands = [&request_command().repeat(PARSED + UNPARSED)[..], &request_command()[..20]].concat();
-    let mut harness = Harness::new(1 << 20);
+    let (part, rest) = (&request_command()[..20], &request_command()[20..]);
+    let commands = [&request_command().repeat(PARSED + UNPARSED)[..], part].concat();
+    let mut harness = Harness::new(1 << 26);
     let mut client = harness.client(Capacity::Available);
     client.write_all(&commands).unwrap();
-    let mut handles = Vec::new();
-    while handles.len() < PARSED {
-        harness.clients.read_all(NOW);
-        while let Some(ClientEvent::Command { reply_to, .. }) = harness.clients.next_event() {
-            handles.push(reply_to);
-        }
-    }
-    harness.use_up_memory(handles[0].key);
+    let handles = harness.take_requests(PARSED);
+    harness.use_up_memory();
     for reply_to in handles {
         harness.clients.reply(reply_to, b"+served\r\n");
     }
-    harness.run_until_shut_down();
+    client.write_all(rest).unwrap();
+    for reply_to in harness.take_requests(UNPARSED + 1) {
+        harness.clients.reply(reply_to, b"+late\r\n");
+    }
+    harness.clients.flush(NOW);
+    harness.clients.close_expired(NOW);
     expect_reply(&mut client, &b"+served\r\n".repeat(PARSED));
-    expect_reply(&mut client, &BUSY_REPLY.repeat(UNPARSED));
-    expect_reply(&mut client, b"-ERR no memory for the rest of a command\r\n");
+    expect_reply(&mut client, &b"+late\r\n".repeat(UNPARSED + 1));
+    assert_eq!(harness.clients.len(), 1, "the connection stays open");
+}
+
+/// Long commands arrive in parts when no memory is left for them. If they were stored, clients that stop within
+/// a command could use up the memory; if their connections were closed, replies would be lost. The commands are
+/// discarded, rejected at their end, and the next command is received.
+#[test]
+fn a_long_command_without_memory_is_rejected_at_its_end() {
+    let mut long = request_command();
+    long.splice(..4, *b"*5\r\n");
+    resp::write_bulk_string(&mut long, &[&vec![b'x'; 60_000]]);
+    let mut harness = Harness::new(1 << 20);
+    let mut client = harness.client(Capacity::Available);
+    harness.use_up_memory();
+    for part in long.chunks(9_000) {
+        client.write_all(part).unwrap();
+        harness.clients.read_all(NOW);
+        let connection = &harness.clients.connections.iter().next().unwrap().1;
+        assert!(connection.input.capacity() <= MAX_READS_PER_ITERATION * MAX_UNRESERVED_INPUT_BYTES);
+    }
+    client.write_all(&request_command()).unwrap();
+    let reply_to = harness.take_requests(1)[0];
+    harness.clients.reply(reply_to, b"+served\r\n");
+    harness.clients.flush(NOW);
+    expect_reply(&mut client, b"-BUSY\r\n+served\r\n");
+}
+
+/// A client stops within a command that is being discarded. It gets the same error in the same time as one that
+/// stops within a command that is stored.
+#[test]
+fn a_discarded_command_times_out() {
+    let mut harness = Harness::new(1 << 20);
+    let mut client = harness.client(Capacity::Available);
+    harness.use_up_memory();
+    client.write_all(&[&b"*2\r\n$60000\r\n"[..], &vec![b'x'; 30_000]].concat()).unwrap();
+    harness.read_until_incomplete();
+    let timed_out_at = NOW + COMMAND_TIMEOUT + Duration::MICROSECOND;
+    harness.clients.close_expired(timed_out_at);
+    harness.clients.flush(timed_out_at);
+    expect_reply(&mut client, b"-ERR the rest of a command did not come in time\r\n");
     expect_end(&mut client);
 }
 
--- a/src/bin/ingress/clients/reply_queue.rs
+++ b/src/bin/ingress/clients/reply_queue.rs
@@ -1,9 +1,14 @@
 //! Keeps the replies of a connection in the order of its requests, regardless of the order in which they
 //! become available.
 
+use super::output::OutputBuffer;
+use super::MAX_REPLY_BYTES;
 use ingress::RequestId;
 use std::collections::VecDeque;
 
+/// Maximum number of slots for which an empty queue keeps memory.
+const MAX_IDLE_SLOTS: usize = 16;
+
 /// A position in the queue, for the reply to one request.
 enum ReplySlot {
     /// The request is not answered yet.
@@ -19,6 +24,8 @@
     slots: VecDeque<ReplySlot>,
     /// The sequence number of the first slot, which equals the number of replies that have left the queue.
     first_sequence: u64,
+    /// Number of slots whose request is not answered yet.
+    pending: usize,
     /// Total size of the available replies in the queue, in bytes.
     ready_bytes: usize,
 }
@@ -39,6 +46,14 @@
         self.ready_bytes
     }
 
+    /// Returns the memory of the available replies, with [`MAX_REPLY_BYTES`] reserved for each pending one.
+    ///
+    /// A request is forwarded only with this reservation. Otherwise the replies that wait for an earlier one
+    /// could exceed the memory limit, and could only be dropped.
+    pub fn memory_size(&self) -> usize {
+        self.ready_bytes + self.pending * MAX_REPLY_BYTES + self.slots.capacity() * size_of::<ReplySlot>()
+    }
+
     /// Returns whether any reply was ever owed.
     pub fn was_used(&self) -> bool {
         self.first_sequence > 0 || !self.slots.is_empty()
@@ -48,45 +63,43 @@
     pub fn push_pending(&mut self, id: RequestId) -> u64 {
         let sequence = self.first_sequence + self.slots.len() as u64;
         self.slots.push_back(ReplySlot::Pending(id));
+        self.pending += 1;
         sequence
     }
 
     /// Adds a reply that is available at once, and moves it to `out` if no reply is owed before it.
-    pub fn push_ready(&mut self, reply: &[u8], out: &mut Vec<u8>) {
-        if self.slots.is_empty() {
-            out.extend_from_slice(reply);
-            self.first_sequence += 1;
-        } else {
-            self.ready_bytes += reply.len();
-            self.slots.push_back(ReplySlot::Ready(reply.to_vec()));
-        }
+    pub fn push_ready(&mut self, reply: Vec<u8>, out: &mut OutputBuffer) {
+        self.ready_bytes += reply.capacity();
+        self.slots.push_back(ReplySlot::Ready(reply));
+        self.release_ready(out);
     }
 
     /// Sets the reply at a sequence number, and moves the replies that wait for no earlier one to `out`.
     /// Returns `false` if that reply has already left the queue.
-    pub fn complete(&mut self, sequence: u64, reply: &[u8], out: &mut Vec<u8>) -> bool {
+    pub fn complete(&mut self, sequence: u64, reply: Vec<u8>, out: &mut OutputBuffer) -> bool {
         let Some(index) = sequence.checked_sub(self.first_sequence) else { return false };
-        let index = index as usize;
-        if index == 0 && matches!(self.slots.front(), Some(ReplySlot::Pending(_))) {
-            self.slots.pop_front();
-            self.first_sequence += 1;
-            out.extend_from_slice(reply);
-        } else if let Some(slot) = self.slots.get_mut(index) {
-            *slot = ReplySlot::Ready(reply.to_vec());
-            self.ready_bytes += reply.len();
+        if let Some(slot) = self.slots.get_mut(index as usize) {
+            self.ready_bytes += reply.capacity();
+            match std::mem::replace(slot, ReplySlot::Ready(reply)) {
+                ReplySlot::Pending(_) => self.pending -= 1,
+                ReplySlot::Ready(replaced) => self.ready_bytes -= replaced.capacity(),
+            }
         }
         self.release_ready(out);
         true
     }
 
     /// Moves the replies before the oldest pending request to `out`.
-    fn release_ready(&mut self, out: &mut Vec<u8>) {
-        while let Some(ReplySlot::Ready(reply)) = self.slots.front() {
-            out.extend_from_slice(reply);
-            self.ready_bytes -= reply.len();
+    fn release_ready(&mut self, out: &mut OutputBuffer) {
+        while let Some(ReplySlot::Ready(reply)) = self.slots.front_mut() {
+            self.ready_bytes -= reply.capacity();
+            out.push(std::mem::take(reply));
             self.first_sequence += 1;
             self.slots.pop_front();
         }
+        if self.slots.is_empty() && self.slots.capacity() > MAX_IDLE_SLOTS {
+            self.slots = VecDeque::new();
+        }
     }
 
     /// Returns the requests without a reply, the latest first.
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -33,7 +33,8 @@
         let classes = vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }];
         let plans = vec!["starter".into()];
         let schema = CommandSchema { classes, plans, max_units: 1.0, gateway_count: 1 };
-        let clients = Clients::new(listener, schema, memory_limit, Token);
+        let limits = ClientMemoryLimits { replies: memory_limit, input: memory_limit };
+        let clients = Clients::new(listener, schema, limits, Token);
         Harness { clients, poll: Poll::new().unwrap(), address }
     }
 
@@ -127,7 +128,7 @@
     let mut client = harness.client(Capacity::Available);
     let reply_to = harness.request(&mut client);
     let reply = [&b"$60000\r\n"[..], &vec![b'x'; 60_000], b"\r\n"].concat();
-    harness.clients.reply(reply_to, &reply);
+    harness.clients.reply(reply_to, &reply[..]);
     harness.clients.read_all(NOW);
     harness.clients.flush(NOW);
     expect_reply(&mut client, &reply);
@@ -189,7 +190,9 @@
     harness.clients.queue_for_read(key);
     let now = NOW + FIRST_COMMAND_TIME;
     assert!(!harness.clients.close_longest_idle(now), "a command may be waiting");
-    harness.clients.resume_reads(now);
+    for key in harness.clients.take_read_queue() {
+        harness.clients.resume_read(key, now);
+    }
     assert!(harness.clients.close_longest_idle(now), "no command was waiting");
 }
 
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -17,16 +17,16 @@
                 self.reject_received(reply_to.key);
             }
         }
-        self.reply(reply_to, &error_line(error));
+        self.reply(reply_to, error_line(error));
     }
 
     /// Sends the final reply to a request, a complete RESP2 value. Does nothing if the connection is closed.
-    pub fn reply(&mut self, reply_to: ReplyHandle, reply: &[u8]) {
+    pub fn reply(&mut self, reply_to: ReplyHandle, reply: impl Into<Vec<u8>>) {
         let connection = self.connections.get_mut(reply_to.key);
         let Some(connection) = connection.filter(|connection| connection.serial == reply_to.serial) else {
             return;
         };
-        if connection.replies.complete(reply_to.sequence, reply, &mut connection.output.bytes) {
+        if connection.replies.complete(reply_to.sequence, reply.into(), &mut connection.output) {
             self.memory.account(connection);
             self.queue_for_write(reply_to.key);
         }
@@ -51,10 +51,9 @@
                     continue;
                 }
             }
-            if connection.output.unwritten() == 0 {
+            self.memory.account(connection);
+            if connection.output.is_empty() {
                 connection.last_active_at = now.max(connection.last_active_at);
-                connection.output.clear();
-                self.memory.account(connection);
             }
             // Commands that waited for the backlog of replies to shrink are parsed now.
             if connection.reading_paused && !connection.is_backlogged() {
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -61,6 +61,8 @@
     /// Maximum time for establishing a connection to a backend.
     connect_timeout: Duration,
     attempt_limits: AttemptLimits,
+    /// Maximum memory of requests, replies and backend connections together, in bytes.
+    max_exchange_memory: usize,
     /// Checks the invariants of requests, attempts and connections.
     auditor: Auditor,
     counters: Counters,
@@ -173,8 +175,7 @@
         if std::mem::take(&mut self.peer_messages_pending) {
             self.receive_peer_messages();
         }
-        self.clients.resume_reads(self.now);
-        self.process_client_events();
+        self.resume_client_reads();
         for socket in ready.iter() {
             self.process_socket(socket);
         }
--- a/src/bin/ingress/event_loop/attempts.rs
+++ b/src/bin/ingress/event_loop/attempts.rs
@@ -172,7 +172,7 @@
             ended.connection = None;
         }
         if outcome == Outcome::Ok {
-            self.reply(id, &value, Answer::Served); // Ignored if the request is closed.
+            self.reply(id, value, Answer::Served); // Ignored if the request is closed.
         }
         let request_closed = !self.requests.is_open(id);
         self.end_attempt(AttemptEndReport {
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -30,7 +30,7 @@
     DuplicateId,
     /// The reply deadline of the shutdown has passed. The reply is `-BUSY`.
     ShuttingDown,
-    /// The limit on open requests or on their memory is reached. The reply is `-BUSY`.
+    /// The limit on open requests or on memory is reached. The reply is `-BUSY`.
     NoCapacity,
 }
 
@@ -76,6 +76,26 @@
         outcome
     }
 
+    /// Continues to read from the clients whose sockets were not read to the end, and handles the commands of
+    /// each before those of the next one.
+    pub(super) fn resume_client_reads(&mut self) {
+        for key in self.clients.take_read_queue() {
+            self.clients.resume_read(key, self.now);
+            self.process_client_events();
+        }
+        self.process_client_events();
+    }
+
+    /// Reads from all clients, whether or not their sockets are reported as ready, and handles the commands of
+    /// each before those of the next one.
+    pub(super) fn read_all_clients(&mut self) {
+        for key in self.clients.keys() {
+            self.clients.read(key, self.now);
+            self.process_client_events();
+        }
+        self.process_client_events();
+    }
+
     /// Reports all disconnected clients to the gateway before any other event: the gateway must not fill the
     /// place of one closed request with the queued request of another disconnected client.
     pub(super) fn report_disconnects(&mut self) {
@@ -171,13 +191,21 @@
             Err(OpenRefusal::DuplicateId)
         } else if self.shutdown.is_past_reply_deadline(self.now) {
             Err(OpenRefusal::ShuttingDown)
-        } else if !self.requests.has_capacity_for(command) {
+        } else if !self.requests.has_capacity() || !self.has_memory_for(command) {
             Err(OpenRefusal::NoCapacity)
         } else {
             Ok(())
         }
     }
 
+    /// Returns whether the memory limit allows one more request, for whose reply memory is already reserved.
+    ///
+    /// A backend connection needs a copy of the command.
+    fn has_memory_for(&self, command: &Command) -> bool {
+        let used = self.clients.memory_used() + self.requests.memory();
+        used + command.memory_size() * 2 <= self.max_exchange_memory
+    }
+
     /// Answers a request that is not opened. No backend has received it, so `-BUSY`, which states that the
     /// request was not executed, is correct.
     fn refuse_to_open(&mut self, reply_to: ReplyHandle, command: &Command, refusal: OpenRefusal) {
@@ -197,7 +225,7 @@
     }
 
     /// Sends the final reply of a request, unless the request is closed.
-    pub(super) fn reply(&mut self, id: RequestId, text: &[u8], answer: Answer) {
+    pub(super) fn reply(&mut self, id: RequestId, text: impl Into<Vec<u8>>, answer: Answer) {
         if let Some(reply_to) = self.requests.close(id) {
             self.clients.reply(reply_to, text);
             self.record_answer(id, answer);
--- a/src/bin/ingress/event_loop/request_entries.rs
+++ b/src/bin/ingress/event_loop/request_entries.rs
@@ -10,6 +10,11 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::hash::BuildHasher;
 
+/// Memory of a request besides its command, in bytes: its records here and in the gateway, its attempts and
+/// timers.
+const REQUEST_OVERHEAD_BYTES: usize = 1024;
+/// Memory of the id of an ended request, in bytes.
+const ENDED_ID_BYTES: usize = 64;
 /// Time for which the id of an ended request is kept, to reject a second request with the same id.
 const ENDED_ID_RETENTION: Duration = Duration::from_secs(1);
 
@@ -141,24 +146,21 @@
     ended_ids: VecDeque<EndedId>,
     /// Hashes ids with random keys, so that clients cannot provoke collisions.
     hasher: RandomState,
-    /// Memory of all requests, in bytes.
-    memory: usize,
-    /// Maximum of `memory`, in bytes.
-    max_memory: usize,
+    /// Memory of all commands, in bytes.
+    command_memory: usize,
     /// Maximum number of `requests`.
     max_requests: usize,
 }
 
 impl RequestEntries {
-    /// Creates an empty table with limits on the number of requests and on their memory in bytes.
-    pub fn new(max_requests: usize, max_memory: usize) -> Self {
+    /// Creates an empty table with a limit on the number of requests.
+    pub fn new(max_requests: usize) -> Self {
         RequestEntries {
             requests: HashMap::new(),
             known_ids: HashSet::new(),
             ended_ids: VecDeque::new(),
             hasher: RandomState::new(),
-            memory: 0,
-            max_memory,
+            command_memory: 0,
             max_requests,
         }
     }
@@ -172,13 +174,20 @@
         self.known_ids.contains(&id_hash)
     }
 
-    /// Returns whether the limits allow one more request, made by `command`.
-    pub fn has_capacity_for(&self, command: &Command) -> bool {
-        self.requests.len() < self.max_requests && self.memory + command.memory_size() <= self.max_memory
+    /// Returns whether the limit on their number allows one more request.
+    pub fn has_capacity(&self) -> bool {
+        self.requests.len() < self.max_requests
+    }
+
+    /// Returns the memory of all requests, and of the ids of ended ones, in bytes.
+    pub fn memory(&self) -> usize {
+        self.command_memory
+            + self.requests.len() * REQUEST_OVERHEAD_BYTES
+            + self.ended_ids.len() * ENDED_ID_BYTES
     }
 
     pub fn insert(&mut self, id: RequestId, request: RequestEntry) {
-        self.memory += request.command.memory_size();
+        self.command_memory += request.command.memory_size();
         self.known_ids.insert(request.id_hash);
         self.requests.insert(id, request);
     }
@@ -233,7 +242,7 @@
             return;
         }
         if let Some(request) = self.requests.remove(&id) {
-            self.memory -= request.command.memory_size();
+            self.command_memory -= request.command.memory_size();
             let ended = EndedId { expires_at: now + ENDED_ID_RETENTION, id_hash: request.id_hash };
             self.ended_ids.push_back(ended);
         }
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -11,7 +11,7 @@
 use super::timers::SWEEP_INTERVAL;
 use super::{EventLoop, EventLoopError};
 use crate::backends::BackendConnections;
-use crate::clients::Clients;
+use crate::clients::{ClientMemoryLimits, Clients};
 use crate::config::{Config, PeerAddresses};
 use crate::discovery::{max_body_bytes, Watch, WatchOptions};
 use crate::peers::PeerSocket;
@@ -26,9 +26,11 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-/// Divisor of the memory limit that gives the maximum memory of all requests, and that of all buffers of
-/// client connections.
-const MEMORY_DIVISOR: usize = 4;
+/// Divisor of the memory limit that gives the maximum memory of requests, their replies and the buffers of
+/// connections.
+const EXCHANGE_MEMORY_DIVISOR: usize = 2;
+/// Divisor of the memory limit that gives the maximum memory of long commands that are incomplete.
+const INPUT_MEMORY_DIVISOR: usize = 8;
 
 /// The sockets that are opened at startup.
 struct Sockets {
@@ -66,7 +68,11 @@
     fn build(config: Config, sockets: Sockets, clock: Clock, reload: Reload) -> Result<Self, EventLoopError> {
         let now = clock.now();
         let options = watch_options(&config, now);
-        let memory_share = config.max_memory_bytes / MEMORY_DIVISOR;
+        let max_exchange_memory = config.max_memory_bytes / EXCHANGE_MEMORY_DIVISOR;
+        let client_memory = ClientMemoryLimits {
+            replies: max_exchange_memory,
+            input: config.max_memory_bytes / INPUT_MEMORY_DIVISOR,
+        };
         let (settings, endpoints) = (config.settings, config.cached_endpoints);
         let (token, index) = (Source::Discovery.into(), endpoints.index);
         let watch = Watch::new(config.discovery_address, config.location_names, index, token, options);
@@ -79,15 +85,16 @@
             discovery: settings.discovery,
             connect_timeout: settings.limits.connect_timeout,
             attempt_limits: AttemptLimits::new(&settings),
+            max_exchange_memory,
             auditor: Auditor::new(AuditRules::new(&settings)),
             counters: Counters::default(),
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
-            requests: RequestEntries::new(settings.limits.max_open_requests as usize, memory_share),
+            requests: RequestEntries::new(settings.limits.max_open_requests as usize),
             shutdown: Shutdown::new(longest_deadline(&settings)),
             gateway: Gateway::new(settings, config.seed, now),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
-            clients: Clients::new(sockets.listener, config.command_schema, memory_share, client_token),
+            clients: Clients::new(sockets.listener, config.command_schema, client_memory, client_token),
             backend_connections: BackendConnections::new(config.keepalive_timeout, backend_token),
             watch,
             start_times: StartTimes::default(),
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -87,8 +87,7 @@
             return false;
         }
         // The kernel may have received further commands, which an exit without this read would lose.
-        self.clients.read_all(self.now);
-        self.process_client_events();
+        self.read_all_clients();
         self.clients.flush(self.now);
         self.process_client_events();
         if !self.is_drained() {
--- a/src/bin/ingress/main.rs
+++ b/src/bin/ingress/main.rs
@@ -1,6 +1,7 @@
 //! The ingress process: connects one gateway with the sockets of clients, backends, discovery and peers.
 
 mod backends;
+mod buffer;
 mod clients;
 mod command;
 mod config;
--- a/src/bin/ingress/resp.rs
+++ b/src/bin/ingress/resp.rs
@@ -11,10 +11,12 @@
 mod decode;
 mod encode;
 mod error;
+mod skip;
 
 pub use decode::{parse_command, parse_reply, Element, ElementKind, ParsedReply, Reply};
 pub use encode::{write_array_header, write_bulk_string, write_error};
 pub use error::ProtocolError;
+pub use skip::CommandSkipper;
 
 /// Maximum size of a value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 64 * 1024;
@@ -22,6 +24,12 @@
 const MAX_ELEMENTS: usize = 8;
 /// Maximum total size of the arguments of a command, or of the elements of a reply, in bytes.
 const MAX_TOTAL_BYTES: usize = MAX_VALUE_BYTES + 4096;
+/// Maximum length of a header of a bulk string or array with its terminator, in bytes.
+const MAX_HEADER_BYTES: usize = 1 + MAX_LENGTH_DIGITS + 2;
+/// Maximum size of an encoded command, in bytes.
+pub const MAX_COMMAND_BYTES: usize = MAX_TOTAL_BYTES + (MAX_ELEMENTS + 1) * (MAX_HEADER_BYTES + 2);
+/// Maximum size of an encoded bulk string, in bytes.
+pub const MAX_BULK_STRING_BYTES: usize = MAX_HEADER_BYTES + MAX_VALUE_BYTES + 2;
 /// Maximum length of a status or error line, in bytes.
 const MAX_LINE_BYTES: usize = 1024;
 /// Maximum number of digits of a length.
--- a/src/bin/ingress/resp/decode.rs
+++ b/src/bin/ingress/resp/decode.rs
@@ -53,9 +53,9 @@
 }
 
 /// The header of a bulk string or array.
-struct LengthHeader {
+pub(super) struct LengthHeader {
     /// The number of bytes or elements that follow, or `None` for a null.
-    length: Option<usize>,
+    pub(super) length: Option<usize>,
     /// The position after the header.
     end: usize,
 }
@@ -92,7 +92,7 @@
 }
 
 /// Parses the header whose type marker is at `start`, with a length of at most `max`.
-fn parse_length_header(buffer: &[u8], start: usize, max: usize) -> Parsed<LengthHeader> {
+pub(super) fn parse_length_header(buffer: &[u8], start: usize, max: usize) -> Parsed<LengthHeader> {
     let Some(line) = parse_line(buffer, start + 1, MAX_LENGTH_DIGITS)? else { return Ok(None) };
     Ok(Some(LengthHeader { length: parse_length(&buffer[line.text], max)?, end: line.end }))
 }
--- a/src/bin/ingress/resp/tests.rs
+++ b/src/bin/ingress/resp/tests.rs
@@ -81,3 +81,39 @@
     }
     assert!(parse_reply(&[&b"-"[..], &[b'e'; 2000]].concat()).is_err(), "an unbounded line");
 }
+
+/// A command is discarded while it arrives, in whatever pieces. If the skipper and the parser disagreed on the
+/// end of a command, the next one would be lost; if they disagreed on errors, a client could send without end.
+#[test]
+fn the_skipper_agrees_with_the_parser() {
+    let long = [&b"*2\r\n$4\r\nSAVE\r\n$60000\r\n"[..], &vec![b'x'; 60_000], b"\r\n"].concat();
+    let too_long = [&b"*2\r\n$65536\r\n"[..], &vec![b'x'; 65_536], b"\r\n$4097\r\n"].concat();
+    for command in [
+        &b"*2\r\n$0\r\n\r\n$2\r\n\r\n\r\n"[..],
+        &long,
+        &too_long,
+        b"PING\r\n",
+        b"*0\r\n",
+        b"*9\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n:1\r\n",
+        b"*1\r\n$1\r\nab\r\n",
+        b"*1\r\n$00000000001\r\n",
+    ] {
+        let input = [command, b"*1\r\n"].concat();
+        let expected = parse_command(&input, &mut Vec::new());
+        for piece in [1, 7, 1000, input.len()] {
+            let mut skipper = CommandSkipper::default();
+            let mut arrived = 0;
+            let mut result = Ok(None);
+            for bytes in input.chunks(piece) {
+                result = skipper.skip(bytes).map(|end| end.map(|end| arrived + end));
+                arrived += bytes.len();
+                if result != Ok(None) {
+                    break;
+                }
+            }
+            assert_eq!(result, expected, "{:?}", String::from_utf8_lossy(&command[..command.len().min(30)]));
+        }
+    }
+}
--- a/tests/ingress/resource_limits.rs
+++ b/tests/ingress/resource_limits.rs
@@ -144,8 +144,77 @@
     }
     let answer = ingress.client().round_trip(&encode_request("quote", "q1", 2000));
     assert_eq!(answer, "value of q1");
+    let peak = peak_memory_kb(&ingress);
+    assert!(peak < 14_000, "{peak} kB");
+}
+
+/// Returns the peak of the resident memory of an ingress, in kB.
+fn peak_memory_kb(ingress: &IngressProcess) -> usize {
     let status = std::fs::read_to_string(format!("/proc/{}/status", ingress.child.id())).unwrap();
     let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let peak: usize = peak.trim().trim_end_matches(" kB").parse().unwrap();
-    assert!(peak < 14_000, "{peak} kB");
+    peak.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// Requests that a client sends at once, the first of which a backend does not answer.
+struct Burst {
+    client: Client,
+    ids: Vec<String>,
+}
+
+/// Clients send many requests at once, the first of each hangs at its backend, and the long replies to the
+/// others wait for it. When they are written, the memory limit of all clients is reached, and the clients are
+/// reading. If the connections that wait for their clients were closed, the replies would be lost. Instead, requests
+/// beyond the limit have been rejected, each request gets its reply, and the memory stays within the limit.
+#[test]
+fn replies_behind_a_hanging_request_are_not_dropped_at_the_memory_limit() {
+    const BURSTS: usize = 3;
+    const REQUESTS: usize = 80;
+    const VALUE_BYTES: usize = 65_000;
+    let reply = encode_served(&"x".repeat(VALUE_BYTES), None);
+    let reply_unless_hanging = move |args: &[String]| {
+        if args[2].starts_with("hang") {
+            BackendReply::NoReply
+        } else {
+            BackendReply::Bytes(reply.clone())
+        }
+    };
+    let backends: Vec<Backend> = (0..8).map(|_| Backend::start(reply_unless_hanging.clone())).collect();
+    let mut setup = IngressSetup::with_backends(&backends.iter().collect::<Vec<_>>());
+    setup.memory_limit_mb = 16;
+    let ingress = setup.start();
+    let mut bursts: Vec<Burst> = (0..BURSTS)
+        .map(|burst| {
+            let hanging = (format!("hang{burst}"), encode_request("refer", &format!("hang{burst}"), 2000));
+            let quotes = (0..REQUESTS).map(|number| {
+                let id = format!("q{burst}-{number}");
+                (id.clone(), encode_request("quote", &id, 2000))
+            });
+            let (ids, commands): (Vec<_>, Vec<_>) = std::iter::once(hanging).chain(quotes).unzip();
+            let mut client = Client::connect_with_window(ingress.address, 8 * 1024);
+            client.send(&commands.concat());
+            Burst { client, ids }
+        })
+        .collect();
+    for burst in &bursts {
+        burst.client.wait_for_input(); // The hanging request has failed, and the replies are being written.
+    }
+    ingress.wait_until_input_is_processed();
+    let ran: Vec<String> = backends.iter().flat_map(Backend::request_ids).collect();
+    let mut served = 0;
+    for burst in &mut bursts {
+        for id in &burst.ids {
+            let reply = burst.client.read_reply();
+            if id.starts_with("hang") && ran.contains(id) {
+                assert_eq!(reply, "-ERR failed");
+            } else if ran.contains(id) {
+                assert_eq!(reply.len(), VALUE_BYTES, "{id} ran, and its reply is {reply:?}");
+                served += 1;
+            } else {
+                assert!(is_rejected(&reply), "{id} did not run, and its reply is {reply:?}");
+            }
+        }
+    }
+    assert!(served * VALUE_BYTES > 4 << 20, "only {served} replies were waiting");
+    let peak = peak_memory_kb(&ingress);
+    assert!(peak < setup.memory_limit_mb * 1024, "{peak} kB");
 }
