Free and count the buffers of connections to backends

Cause: release in backends/pool.rs shrank the buffers of a connection that became idle without clearing the command, and shrink_to does not go below the length, so each idle connection kept its last command and 32 KiB for replies. Nothing counted this memory.

Change: an idle connection's buffers are emptied and keep 512 bytes each; the buffers of all connections are counted and are part of the limit beyond which a request gets -BUSY.

--- a/src/bin/ingress/backends/closing.rs
+++ b/src/bin/ingress/backends/closing.rs
@@ -39,6 +39,7 @@
     /// Closes a connection without recording a completion for its attempt.
     pub(super) fn remove(&mut self, key: usize, reason: BackendCloseReason) {
         let connection = self.connections.remove(key); // Closed and deregistered when dropped.
+        self.memory_used -= connection.accounted_memory;
         tracing::debug!(
             target: "backend_connection",
             connection = connection.serial,
--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -1,12 +1,16 @@
 //! State of one connection to a backend, and its reads and writes.
 
 use super::{AttemptId, CommandState, StatedTimeout};
+use crate::buffer::extend_in_steps;
 use crate::socket_error::is_not_ready;
 use ingress::{BackendId, Duration, Instant, Outcome};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 
+/// Maximum capacity that each buffer of an idle connection keeps, in bytes.
+const IDLE_BUFFER_BYTES: usize = 512;
+
 /// A connection to a backend, either idle or with one attempt.
 pub struct BackendConnection {
     pub stream: TcpStream,
@@ -32,6 +36,9 @@
     pub written: usize,
     /// Bytes of the reply received so far.
     pub received: Vec<u8>,
+    /// The connection's part of [`BackendConnections::memory_used`](super::BackendConnections::memory_used),
+    /// in bytes.
+    pub accounted_memory: usize,
 }
 
 /// Result of a single read.
@@ -71,6 +78,7 @@
             stated_timeout: StatedTimeout::default(),
             written: 0,
             received: Vec::new(),
+            accounted_memory: 0,
         }
     }
 
@@ -122,7 +130,7 @@
                 if self.received.is_empty() {
                     self.reply_started_at = now;
                 }
-                self.received.extend_from_slice(&buffer[..count]);
+                extend_in_steps(&mut self.received, &buffer[..count]);
                 ReadStep::Received
             }
             Err(error) if error.kind() == io::ErrorKind::Interrupted => ReadStep::Interrupted,
@@ -131,6 +139,20 @@
         }
     }
 
+    /// Returns the memory that the buffers use, in bytes.
+    pub fn memory_size(&self) -> usize {
+        self.command.capacity() + self.received.capacity()
+    }
+
+    /// Empties the buffers, and frees most of their memory.
+    pub fn clear_buffers(&mut self) {
+        for buffer in [&mut self.command, &mut self.received] {
+            buffer.clear();
+            buffer.shrink_to(IDLE_BUFFER_BYTES);
+        }
+        self.written = 0;
+    }
+
     /// Reads from an idle connection and returns whether it is open without unread bytes. Otherwise it has to
     /// be closed, since the byte that was read is lost.
     ///
--- a/src/bin/ingress/backends/exchange.rs
+++ b/src/bin/ingress/backends/exchange.rs
@@ -56,6 +56,7 @@
         connection.command.clear();
         encode(&mut connection.command);
         let id = ConnectionId { key, serial: connection.serial };
+        self.account(key);
         self.write(key);
         let command = self.connections.get(key)?.command_state();
         Some(AssignedConnection { connection: id, command })
@@ -104,6 +105,7 @@
             connection.stated_timeout = stated_timeout;
             connection.command.clear();
             encode(&mut connection.command);
+            self.account(key);
         }
     }
 
@@ -162,6 +164,7 @@
         }
         if self.connections.contains(key) {
             self.read(key, now);
+            self.account(key);
         }
     }
 
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -16,8 +16,8 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-/// Size in bytes of the read buffer, and the capacity that the buffers of an idle connection keep.
-pub const BUFFER_BYTES: usize = 32 * 1024;
+/// Size of the read buffer, in bytes.
+const READ_BUFFER_BYTES: usize = 32 * 1024;
 /// Minimum time that a connection stays idle after a reply before it is reused.
 ///
 /// Replies carry no id, so a duplicate reply would be taken for the reply to the next command. A duplicate
@@ -45,6 +45,8 @@
     pub(super) pools: HashMap<BackendId, Pool>,
     last_serial: u64,
     pub(super) read_buffer: Vec<u8>,
+    /// Memory of the buffers of all connections, in bytes.
+    pub(super) memory_used: usize,
     /// Time after which idle connections are closed, shorter than the backends' keep-alive timeout.
     configured_max_idle_time: Duration,
     /// Lowers the maximum idle time when reused connections turn out to be stale.
@@ -67,7 +69,8 @@
             connections: Slab::new(),
             pools: HashMap::new(),
             last_serial: 0,
-            read_buffer: vec![0; BUFFER_BYTES],
+            read_buffer: vec![0; READ_BUFFER_BYTES],
+            memory_used: 0,
             configured_max_idle_time: keepalive_timeout / KEEPALIVE_MARGIN_DIVISOR
                 * (KEEPALIVE_MARGIN_DIVISOR - 1),
             idle_reuse: IdleReuseTracker::default(),
@@ -88,6 +91,19 @@
         std::mem::take(&mut self.first_bytes_written)
     }
 
+    /// Returns the memory of the buffers of all connections, in bytes.
+    pub fn memory_used(&self) -> usize {
+        self.memory_used
+    }
+
+    /// Updates the memory accounted for a connection to its current size, if the connection is open.
+    pub(super) fn account(&mut self, key: usize) {
+        let Some(connection) = self.connections.get_mut(key) else { return };
+        let memory = connection.memory_size();
+        self.memory_used = self.memory_used - connection.accounted_memory + memory;
+        connection.accounted_memory = memory;
+    }
+
     /// Returns the number of open connections, idle or not.
     pub fn len(&self) -> usize {
         self.connections.len()
@@ -240,9 +256,8 @@
         }
         connection.attempt = None;
         connection.idle_since = now;
-        connection.received.clear();
-        connection.received.shrink_to(BUFFER_BYTES);
-        connection.command.shrink_to(BUFFER_BYTES);
+        // Hundreds of connections are idle, and the memory of a long command or reply would be kept by each.
+        connection.clear_buffers();
         pool.idle.push(key);
         Usability::Usable
     }
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -187,3 +187,27 @@
         assert_eq!(harness.connections.len(), 0, "{availability:?}");
     }
 }
+
+/// An exchange with a long command and a long reply ends, and its connection becomes idle. If idle connections
+/// kept these buffers, hundreds of them would exceed the memory limit of the process.
+#[test]
+fn an_idle_connection_keeps_no_long_command_or_reply() {
+    let mut harness = Harness::new(Duration::from_secs(30));
+    let long_command = |command: &mut Vec<u8>| command.resize(60_000, b'x');
+    let registry = harness.poll.registry();
+    let assigned =
+        harness.connections.assign(registry, BACKEND, attempt(1), zero_timeout(START), long_command).unwrap();
+    let (mut peer, _) = harness.listener.accept().unwrap();
+    while harness.connections.has_incomplete_command(assigned.connection) {
+        harness.connections.on_ready(assigned.connection.key, START, Readiness::Writable);
+    }
+    assert!(harness.connections.memory_used() >= 60_000, "the command is accounted for");
+    let value = vec![b'v'; 60_000];
+    let reply = [&b"*3\r\n$60000\r\n"[..], &value, b"\r\n$-1\r\n$-1\r\n"].concat();
+    peer.write_all(&reply).unwrap();
+    let completion = harness.completion(assigned.connection, START);
+    assert_eq!(completion.value.len(), value.len() + "$60000\r\n\r\n".len());
+    assert_eq!(harness.connections.len(), 1, "the connection is idle");
+    let used = harness.connections.memory_used();
+    assert!(used <= 1024, "{used} bytes");
+}
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -202,7 +202,8 @@
     ///
     /// A backend connection needs a copy of the command.
     fn has_memory_for(&self, command: &Command) -> bool {
-        let used = self.clients.memory_used() + self.requests.memory();
+        let used =
+            self.clients.memory_used() + self.requests.memory() + self.backend_connections.memory_used();
         used + command.memory_size() * 2 <= self.max_exchange_memory
     }
 
