Keep input, replies, requests and backend buffers under one limit

Change: incomplete commands may use a quarter of the memory, and only what requests, replies and backend connections leave of the half that all of them share.

--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -17,11 +17,11 @@
 /// Limits on the memory of all client connections, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientMemoryLimits {
-    /// Maximum memory of replies, with the part that is reserved for pending ones. The event loop rejects
+    /// Maximum memory of input, replies, requests and connections to backends together. The event loop rejects
     /// requests beyond it.
-    pub replies: usize,
+    pub total: usize,
     /// Maximum memory of incomplete commands that are longer than
-    /// [`MAX_UNRESERVED_INPUT_BYTES`](super::connection::MAX_UNRESERVED_INPUT_BYTES).
+    /// [`MAX_UNRESERVED_INPUT_BYTES`](super::connection::MAX_UNRESERVED_INPUT_BYTES), as a part of `total`.
     pub input: usize,
 }
 
@@ -45,28 +45,36 @@
 pub struct MemoryBudget {
     /// Memory used by all connections together.
     used: ConnectionMemory,
+    /// Memory of requests and connections to backends, which counts against the same limit.
+    used_by_requests: usize,
     limits: ClientMemoryLimits,
 }
 
 impl MemoryBudget {
     /// Creates an unused budget.
     pub fn new(limits: ClientMemoryLimits) -> Self {
-        MemoryBudget { used: ConnectionMemory::default(), limits }
+        MemoryBudget { used: ConnectionMemory::default(), used_by_requests: 0, limits }
+    }
+
+    /// Returns the memory used by all connections and requests together, in bytes.
+    fn total(&self) -> usize {
+        self.used.total() + self.used_by_requests
     }
 
-    /// Returns the memory used by all connections together.
-    pub fn used(&self) -> ConnectionMemory {
-        self.used
+    /// Returns whether `bytes` are available.
+    fn has_room_for(&self, bytes: usize) -> bool {
+        self.total() + bytes <= self.limits.total
     }
 
     /// Returns the maximum memory of the replies of one connection, in bytes.
     pub fn max_replies_per_connection(&self) -> usize {
-        self.limits.replies / MAX_CONNECTION_SHARE_DIVISOR
+        self.limits.total / MAX_CONNECTION_SHARE_DIVISOR
     }
 
     /// Returns whether [`INPUT_RESERVATION_BYTES`] are available for the input of a connection.
     pub fn can_reserve_input(&self) -> bool {
         self.used.input + INPUT_RESERVATION_BYTES <= self.limits.input
+            && self.has_room_for(INPUT_RESERVATION_BYTES)
     }
 
     /// Updates the memory accounted for a connection to its current size.
@@ -83,19 +91,21 @@
         self.used.replies -= connection.accounted_memory.replies;
     }
 
-    /// Returns whether less memory is left for replies than one connection may use.
+    /// Returns whether less memory is left than the replies of one connection may use.
     fn is_short(&self) -> bool {
-        self.used.replies + self.max_replies_per_connection() > self.limits.replies
+        !self.has_room_for(self.max_replies_per_connection())
     }
 }
 
 impl Clients {
-    /// Returns the memory used by all connections, in bytes.
-    pub fn memory_used(&self) -> usize {
-        self.memory.used().total()
+    /// Updates the memory of requests and connections to backends, and returns whether `bytes` more are
+    /// available.
+    pub fn has_memory_for(&mut self, bytes: usize, used_by_requests: usize) -> bool {
+        self.memory.used_by_requests = used_by_requests;
+        self.memory.has_room_for(bytes)
     }
 
-    /// While memory for replies is short, closes connections whose clients do not read: of those that have
+    /// While memory is short, closes connections whose clients do not read: of those that have
     /// read nothing for [`SHORTAGE_WRITE_TIMEOUT`], the ones that use the most memory.
     pub(super) fn close_unread_under_shortage(&mut self, now: Instant) {
         while self.memory.is_short() {
--- a/src/bin/ingress/clients/reading/tests.rs
+++ b/src/bin/ingress/clients/reading/tests.rs
@@ -29,7 +29,7 @@
 
     /// Reduces the memory limits to nothing.
     fn use_up_memory(&mut self) {
-        let mut memory = MemoryBudget::new(ClientMemoryLimits { replies: 0, input: 0 });
+        let mut memory = MemoryBudget::new(ClientMemoryLimits { total: 0, input: 0 });
         for (_, connection) in &mut self.clients.connections {
             connection.accounted_memory = ConnectionMemory::default();
             memory.account(connection);
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -33,7 +33,7 @@
         let classes = vec![ClassSchema { name: "quote".into(), idempotency: Idempotency::Idempotent }];
         let plans = vec!["starter".into()];
         let schema = CommandSchema { classes, plans, max_units: 1.0, gateway_count: 1 };
-        let limits = ClientMemoryLimits { replies: memory_limit, input: memory_limit };
+        let limits = ClientMemoryLimits { total: memory_limit, input: memory_limit };
         let clients = Clients::new(listener, schema, limits, Token);
         Harness { clients, poll: Poll::new().unwrap(), address }
     }
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -61,8 +61,6 @@
     /// Maximum time for establishing a connection to a backend.
     connect_timeout: Duration,
     attempt_limits: AttemptLimits,
-    /// Maximum memory of requests, replies and backend connections together, in bytes.
-    max_exchange_memory: usize,
     /// Checks the invariants of requests, attempts and connections.
     auditor: Auditor,
     counters: Counters,
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -185,7 +185,7 @@
     }
 
     /// Checks whether a request may be opened.
-    fn may_open(&self, command: &Command, id_hash: IdHash) -> Result<(), OpenRefusal> {
+    fn may_open(&mut self, command: &Command, id_hash: IdHash) -> Result<(), OpenRefusal> {
         // Backends and clients could not distinguish two requests with the same id.
         if self.requests.is_known(id_hash) {
             Err(OpenRefusal::DuplicateId)
@@ -201,10 +201,9 @@
     /// Returns whether the memory limit allows one more request, for whose reply memory is already reserved.
     ///
     /// A backend connection needs a copy of the command.
-    fn has_memory_for(&self, command: &Command) -> bool {
-        let used =
-            self.clients.memory_used() + self.requests.memory() + self.backend_connections.memory_used();
-        used + command.memory_size() * 2 <= self.max_exchange_memory
+    fn has_memory_for(&mut self, command: &Command) -> bool {
+        let used_by_requests = self.requests.memory() + self.backend_connections.memory_used();
+        self.clients.has_memory_for(command.memory_size() * 2, used_by_requests)
     }
 
     /// Answers a request that is not opened. No backend has received it, so `-BUSY`, which states that the
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -29,8 +29,9 @@
 /// Divisor of the memory limit that gives the maximum memory of requests, their replies and the buffers of
 /// connections.
 const EXCHANGE_MEMORY_DIVISOR: usize = 2;
-/// Divisor of the memory limit that gives the maximum memory of long commands that are incomplete.
-const INPUT_MEMORY_DIVISOR: usize = 8;
+/// Divisor of the memory limit that gives the maximum memory of long commands that are incomplete, which is a
+/// part of that memory.
+const INPUT_MEMORY_DIVISOR: usize = 4;
 
 /// The sockets that are opened at startup.
 struct Sockets {
@@ -68,9 +69,8 @@
     fn build(config: Config, sockets: Sockets, clock: Clock, reload: Reload) -> Result<Self, EventLoopError> {
         let now = clock.now();
         let options = watch_options(&config, now);
-        let max_exchange_memory = config.max_memory_bytes / EXCHANGE_MEMORY_DIVISOR;
         let client_memory = ClientMemoryLimits {
-            replies: max_exchange_memory,
+            total: config.max_memory_bytes / EXCHANGE_MEMORY_DIVISOR,
             input: config.max_memory_bytes / INPUT_MEMORY_DIVISOR,
         };
         let (settings, endpoints) = (config.settings, config.cached_endpoints);
@@ -85,7 +85,6 @@
             discovery: settings.discovery,
             connect_timeout: settings.limits.connect_timeout,
             attempt_limits: AttemptLimits::new(&settings),
-            max_exchange_memory,
             auditor: Auditor::new(AuditRules::new(&settings)),
             counters: Counters::default(),
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
