Limit timers, customer records and queued reports of one client's requests

Cause: the timer of a client's deadline stayed in the queue until it was due, also for answered requests (TimerQueue); the gateway kept a record of each customer named by a request for at least 40 s (QuotaManager), and reports to peers queued by customer without a limit (PeerExchange).

Change: timers of answered requests and ended attempts are removed once they are most of all timers. Records of customers may use an eighth of the memory; at the limit a record that would be created again without a difference to the quota makes room, else the request gets -BUSY. Queued reports have the same limit.

--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -181,6 +181,7 @@
             self.accept();
         }
         self.run_due_timers();
+        self.remove_outdated_timers();
         self.clients.flush(self.now);
         self.process_client_events();
         self.audit_closed_clients();
--- a/src/bin/ingress/event_loop/request_entries.rs
+++ b/src/bin/ingress/event_loop/request_entries.rs
@@ -1,6 +1,6 @@
 //! The requests that are open or have attempts in flight, with their attempts and memory.
 
-use crate::backends::ConnectionId;
+use crate::backends::{AttemptId, ConnectionId};
 use crate::clients::ReplyHandle;
 use crate::command::Command;
 use ingress::audit::RequestAudit;
@@ -205,6 +205,13 @@
         self.requests.len()
     }
 
+    /// Returns whether a connection carries an attempt.
+    pub fn has_in_flight(&self, attempt: AttemptId) -> bool {
+        let request = self.requests.get(&attempt.request);
+        let attempt = request.and_then(|request| request.attempts.get(usize::from(attempt.number)));
+        attempt.is_some_and(|attempt| attempt.connection.is_some())
+    }
+
     /// Returns the ids of all requests, in arbitrary order.
     pub fn ids(&self) -> Vec<RequestId> {
         self.requests.keys().copied().collect()
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -19,7 +19,9 @@
 use crate::start_retry::StartRetry;
 use ingress::audit::{AuditRules, Auditor};
 use ingress::discovery_schedule::PollTimings;
-use ingress::{Discovery, Duration, EndpointUpdate, Gateway, Instant, Settings, StartTimes};
+use ingress::{
+    Discovery, Duration, EndpointUpdate, Gateway, Instant, Settings, StartTimes, CUSTOMER_RECORD_BYTES,
+};
 use mio::net::TcpListener;
 use mio::{Interest, Poll, Registry, Token};
 use signal_hook_mio::v1_0::Signals;
@@ -33,6 +35,9 @@
 /// part of that memory.
 const INPUT_MEMORY_DIVISOR: usize = 4;
 
+/// Divisor of the memory limit that gives the maximum memory of the gateway's records of customers.
+const CUSTOMER_MEMORY_DIVISOR: usize = 8;
+
 /// The sockets that are opened at startup.
 struct Sockets {
     poll: Poll,
@@ -73,6 +78,7 @@
             total: config.max_memory_bytes / EXCHANGE_MEMORY_DIVISOR,
             input: config.max_memory_bytes / INPUT_MEMORY_DIVISOR,
         };
+        let max_customers = config.max_memory_bytes / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_RECORD_BYTES;
         let (settings, endpoints) = (config.settings, config.cached_endpoints);
         let (token, index) = (Source::Discovery.into(), endpoints.index);
         let watch = Watch::new(config.discovery_address, config.location_names, index, token, options);
@@ -90,7 +96,7 @@
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
             requests: RequestEntries::new(settings.limits.max_open_requests as usize),
             shutdown: Shutdown::new(longest_deadline(&settings)),
-            gateway: Gateway::new(settings, config.seed, now),
+            gateway: Gateway::new(settings, config.seed, now).with_max_customers(max_customers),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
             clients: Clients::new(sockets.listener, config.command_schema, client_memory, client_token),
--- a/src/bin/ingress/event_loop/timer_queue.rs
+++ b/src/bin/ingress/event_loop/timer_queue.rs
@@ -52,6 +52,17 @@
         self.heap.peek().map(|Reverse(earliest)| earliest.due_at)
     }
 
+    /// Returns the number of scheduled timers.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Removes the timers that do not satisfy a condition.
+    pub fn retain(&mut self, condition: impl Fn(Timer) -> bool) {
+        self.heap.retain(|Reverse(scheduled)| condition(scheduled.timer));
+        self.heap.shrink_to(self.heap.len() * 2);
+    }
+
     /// Removes and returns the timers that are due, in order.
     pub fn take_due(&mut self, now: Instant) -> Vec<Timer> {
         let mut due = Vec::new();
--- a/src/bin/ingress/event_loop/timer_queue/tests.rs
+++ b/src/bin/ingress/event_loop/timer_queue/tests.rs
@@ -31,3 +31,18 @@
     ];
     assert_eq!((due.as_slice(), timers.next_due_at()), (expected.as_slice(), Some(at(6))));
 }
+
+/// Outdated timers are removed. The others keep their order, and none of them is lost.
+#[test]
+fn timers_that_are_retained_keep_their_order() {
+    let mut timers = TimerQueue::default();
+    for number in (0..100).rev() {
+        timers.schedule(at(number), Timer::ClientDeadline(RequestId(number)));
+    }
+    timers.schedule(at(50), Timer::Sweep);
+    timers.retain(|timer| !matches!(timer, Timer::ClientDeadline(RequestId(number)) if number % 10 > 0));
+    assert_eq!(timers.len(), 11);
+    let due = timers.take_due(at(50));
+    let deadlines = [0, 10, 20, 30, 40, 50].map(|number| Timer::ClientDeadline(RequestId(number)));
+    assert_eq!(due, [&deadlines[..], &[Timer::Sweep]].concat());
+}
--- a/src/bin/ingress/event_loop/timers.rs
+++ b/src/bin/ingress/event_loop/timers.rs
@@ -10,6 +10,10 @@
 
 /// Interval at which expired connections and ids are removed.
 pub(super) const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of timers that an open request may have on average before outdated timers are removed.
+const MAX_TIMERS_PER_REQUEST: usize = 8;
+/// Number of timers up to which outdated ones are not removed.
+const MIN_REMOVAL_COUNT: usize = 1024;
 /// Maximum number of batches that are accepted before the listener is closed: more than its queue holds.
 const MAX_FINAL_ACCEPTS: usize = 64;
 
@@ -45,6 +49,30 @@
         }
     }
 
+    /// Removes the timers of answered requests and ended attempts if they are most of all timers.
+    ///
+    /// A client's timeout may be a minute, and most requests are answered within milliseconds. Without this, a
+    /// client that sends at full speed would leave millions of timers. At least half of the timers are removed
+    /// each time, so the cost for each timer is constant.
+    pub(super) fn remove_outdated_timers(&mut self) {
+        let max_current = self.requests.len() * MAX_TIMERS_PER_REQUEST + MIN_REMOVAL_COUNT;
+        if self.timers.len() < max_current * 2 {
+            return;
+        }
+        let (requests, backend_connections) = (&self.requests, &self.backend_connections);
+        self.timers.retain(|timer| match timer {
+            Timer::ClientDeadline(id) => requests.is_open(id),
+            Timer::AttemptTimeout(attempt) => requests.has_in_flight(attempt),
+            Timer::ConnectTimeout(connection, _) => backend_connections.has_incomplete_command(connection),
+            Timer::Gateway(_)
+            | Timer::Sweep
+            | Timer::RetryAccept
+            | Timer::RetryReload
+            | Timer::CheckAccepting
+            | Timer::ReplyDeadline => true,
+        });
+    }
+
     /// Removes expired connections and ids, and schedules the next sweep.
     fn sweep(&mut self) {
         self.backend_connections.sweep(self.now);
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -96,6 +96,14 @@
         }
     }
 
+    /// Limits the number of customer records, and the number of usage reports that wait to be sent.
+    #[must_use]
+    pub fn with_max_customers(mut self, max_customers: usize) -> Self {
+        self.quota.set_max_records(max_customers);
+        self.peers.set_max_queued_reports(max_customers);
+        self
+    }
+
     /// Handles one event and appends the resulting actions, which the host has to execute in order. `now` is
     /// the current time of the host's clock.
     pub fn handle(&mut self, now: Instant, event: Event, actions: &mut Vec<Action>) {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -33,6 +33,10 @@
         if let Err(reason) = self.validate_request(&request) {
             return self.push_rejection(request.id, reason, RetryAdvice::None, actions);
         }
+        if !self.quota.ensure_record_capacity(self.now, request.customer) {
+            let reason = RejectReason::TooManyCustomers;
+            return self.push_rejection(request.id, reason, RetryAdvice::Longest, actions);
+        }
         let claimed_plan = request.plan;
         let observed = self.quota.observe_request(self.now, &request);
         request.plan = observed.plan;
--- a/src/gossip/exchange.rs
+++ b/src/gossip/exchange.rs
@@ -4,6 +4,7 @@
 use super::peer::{MessageStatus, OutboxEntry, Peer, PeerAge, PeerStart};
 use super::{incarnation_of, Body, LatencySample, Message, MAX_SAMPLES, MAX_USAGE_REPORTS};
 use crate::{CustomerId, Duration, GatewayId, Instant, Settings};
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use thiserror::Error;
 
@@ -51,6 +52,10 @@
     peers: BTreeMap<u16, Peer>,
     /// Peers whose outbox is not empty.
     nonempty_outboxes: BTreeSet<u16>,
+    /// Number of entries in all outboxes together.
+    queued_reports: usize,
+    /// Maximum of `queued_reports`, or `None` for no limit.
+    max_queued_reports: Option<usize>,
     /// Samples for the next messages: failures before other samples, and within each group the latest first.
     latency_samples: VecDeque<QueuedSample>,
 }
@@ -122,26 +127,54 @@
         self.peers.len() + 1 == fleet_size && self.peers.values().all(started_together)
     }
 
+    /// Sets the maximum number of entries in all outboxes together.
+    pub(crate) fn set_max_queued_reports(&mut self, max_queued_reports: usize) {
+        self.max_queued_reports = Some(max_queued_reports);
+    }
+
     /// Adds a customer to a peer's outbox. A grant request that is already queued there is kept.
     pub(crate) fn queue(&mut self, peer: u16, customer: CustomerId, entry: OutboxEntry) {
-        let queued = self.peer_mut(peer).outbox.entry(customer).or_default();
-        queued.copies_left = entry.copies_left;
-        queued.requests_grant |= entry.requests_grant;
+        let requests_grant = entry.requests_grant || self.is_grant_request_queued(peer, customer);
+        self.queue_entry(peer, customer, OutboxEntry { requests_grant, ..entry });
+    }
+
+    /// Returns whether a grant request for a customer is in a peer's outbox.
+    fn is_grant_request_queued(&self, peer: u16, customer: CustomerId) -> bool {
+        let queued = self.peers.get(&peer).and_then(|peer| peer.outbox.get(&customer));
+        queued.is_some_and(|entry| entry.requests_grant)
+    }
+
+    /// Adds an entry to a peer's outbox, in place of one for the same customer. At the limit, a new entry is
+    /// dropped like a message that is lost on the way.
+    fn queue_entry(&mut self, peer: u16, customer: CustomerId, entry: OutboxEntry) {
+        let is_full = self.max_queued_reports.is_some_and(|max| self.queued_reports >= max);
+        match self.peer_mut(peer).outbox.entry(customer) {
+            Entry::Occupied(mut queued) => *queued.get_mut() = entry,
+            Entry::Vacant(_) if is_full => {
+                tracing::debug!(target: "policy", peer, customer = customer.0, "usage report dropped: too many queued");
+                return;
+            }
+            Entry::Vacant(vacant) => {
+                vacant.insert(entry);
+                self.queued_reports += 1;
+            }
+        }
         self.nonempty_outboxes.insert(peer);
     }
 
     /// Adds a customer to a peer's outbox for one message, in place of an entry that is already queued.
     pub(crate) fn queue_single_report(&mut self, peer: u16, customer: CustomerId) {
         let entry = OutboxEntry { copies_left: 1, requests_grant: false };
-        self.peer_mut(peer).outbox.insert(customer, entry);
-        self.nonempty_outboxes.insert(peer);
+        self.queue_entry(peer, customer, entry);
     }
 
     /// Takes the entries of the next message from a peer's outbox. Returns `None` for a peer without a
     /// record.
     pub(crate) fn next_batch(&mut self, peer: u16) -> Option<Vec<(CustomerId, OutboxEntry)>> {
         let record = self.peers.get_mut(&peer)?;
+        let queued_before = record.outbox.len();
         let batch = record.next_batch(MAX_USAGE_REPORTS);
+        self.queued_reports -= queued_before - record.outbox.len();
         if record.outbox.is_empty() {
             self.nonempty_outboxes.remove(&peer);
         }
--- a/src/gossip/exchange/tests.rs
+++ b/src/gossip/exchange/tests.rs
@@ -112,3 +112,26 @@
     assert_eq!(latencies_sent(), [Some(1.0)]);
     assert_eq!(latencies_sent(), []);
 }
+
+/// Reports of ever new customers are queued faster than messages may be sent. Beyond the limit new ones are
+/// dropped, as if they were lost on the way, while queued ones are updated; sending makes room.
+#[test]
+fn the_number_of_queued_reports_is_limited() {
+    const MAX_QUEUED: usize = 5;
+    let entry = OutboxEntry { copies_left: 1, requests_grant: false };
+    let mut exchange = PeerExchange::default();
+    exchange.set_max_queued_reports(MAX_QUEUED);
+    for customer in 0..100 {
+        exchange.queue(1, CustomerId(customer), entry);
+        exchange.queue_single_report(2, CustomerId(customer));
+    }
+    let queued =
+        |exchange: &PeerExchange| -> usize { exchange.peers.values().map(|peer| peer.outbox.len()).sum() };
+    assert_eq!((queued(&exchange), exchange.queued_reports), (MAX_QUEUED, MAX_QUEUED));
+    exchange.queue(1, CustomerId(0), OutboxEntry { requests_grant: true, ..entry });
+    let batch = exchange.next_batch(1).unwrap();
+    assert!(batch[0].1.requests_grant, "a queued report is updated");
+    assert_eq!(exchange.queued_reports, queued(&exchange));
+    exchange.queue(1, CustomerId(200), entry);
+    assert!(exchange.peers[&1].outbox.contains_key(&CustomerId(200)), "there is room again");
+}
--- a/src/policy/quota.rs
+++ b/src/policy/quota.rs
@@ -14,6 +14,7 @@
 //! | content and recipients of usage reports | `reporting.rs` |
 //! | refilling and charging of token buckets | `customer.rs`, `hard_limit.rs`, `token_bucket.rs` |
 //! | usage through other gateways | `remote_usage.rs` |
+//! | number of customer records | `record_limit.rs` |
 //!
 //! An owner's answer is valid for a time that depends on its use, here in ascending order:
 //!
@@ -36,6 +37,7 @@
 mod identity;
 mod owner_assignment;
 mod ownership;
+mod record_limit;
 mod remote_usage;
 mod reporting;
 mod settings;
@@ -56,6 +58,8 @@
 use hard_limit::HardLimitShare;
 use identity::{IdentityClaim, InitialUsage, CUSTOMER_IDLE_TIME};
 use owner_assignment::{OwnerAssignment, GRANTER_COUNT};
+use record_limit::RecordLimit;
+pub use record_limit::CUSTOMER_RECORD_BYTES;
 use remote_usage::{GatewayUsage, RemoteUsage};
 use settings::QuotaSettings;
 use std::collections::BTreeMap;
@@ -90,6 +94,7 @@
     settings: QuotaSettings,
     /// Records of customers with recent requests or reports.
     customers: BTreeMap<CustomerId, Customer>,
+    record_limit: RecordLimit,
     known_usage: KnownUsage,
     /// Time of the next removal of expired records.
     next_sweep_at: Instant,
--- a/src/policy/quota/customer.rs
+++ b/src/policy/quota/customer.rs
@@ -168,12 +168,16 @@
         self.total_units += correction_units;
     }
 
+    /// Returns whether the customer has attempts in flight or requests that wait for a grant.
+    pub(super) fn is_in_use(&self) -> bool {
+        self.in_flight > 0 || !self.grant_request.waiting.is_empty()
+    }
+
     /// Returns whether the record is in use or has not expired. After its removal the customer's next request
     /// starts with full buckets.
     pub(super) fn should_retain(&self, plan: &Plan, now: Instant) -> bool {
-        let in_use = self.in_flight > 0 || !self.grant_request.waiting.is_empty();
         let lifetime = record_lifetime(plan, self.role);
-        in_use || self.last_seen_at.is_some_and(|seen_at| now.duration_since(seen_at) <= lifetime)
+        self.is_in_use() || self.last_seen_at.is_some_and(|seen_at| now.duration_since(seen_at) <= lifetime)
     }
 
     /// Returns a report of the usage, without a grant request. The report includes the level of the quota's
--- a/src/policy/quota/hard_limit.rs
+++ b/src/policy/quota/hard_limit.rs
@@ -33,6 +33,12 @@
             .min(plan.hard_limit_burst * self.fraction);
     }
 
+    /// Returns whether the bucket is full, or the plan has no hard limit.
+    pub(super) fn is_full(&self, plan: &Plan) -> bool {
+        let capacity = plan.hard_limit_burst * self.fraction;
+        plan.hard_limit_rate <= 0.0 || time_to_refill(self.tokens, capacity, plan.hard_limit_rate).is_none()
+    }
+
     /// Takes units, from the granted ones first; negative units are returned to the bucket.
     pub(super) fn charge(&mut self, plan: &Plan, units: f64) {
         let granted = units.clamp(0.0, self.granted);
--- a/src/policy/quota/remote_usage.rs
+++ b/src/policy/quota/remote_usage.rs
@@ -65,6 +65,11 @@
         self.in_flight.saturating_sub(u32::from(usage.in_flight))
     }
 
+    /// Returns whether no gateway has reported usage.
+    pub(super) fn is_empty(&self) -> bool {
+        self.by_gateway.is_empty()
+    }
+
     /// Returns the usage that a gateway reported, if any.
     pub(super) fn get(&self, gateway: u16) -> Option<GatewayUsage> {
         self.by_gateway.get(&gateway).copied()
--- a/src/policy/quota/token_bucket.rs
+++ b/src/policy/quota/token_bucket.rs
@@ -29,6 +29,11 @@
         self.tokens
     }
 
+    /// Returns whether the bucket holds the plan's burst.
+    pub(super) fn is_full(&self, plan: &Plan) -> bool {
+        self.tokens + ROUNDING_MARGIN >= plan.burst
+    }
+
     /// Adds the tokens of an elapsed time at a rate in units per second, up to the bucket's capacity.
     pub(super) fn refill(&mut self, plan: &Plan, rate: f64, seconds: f64) {
         self.tokens = (self.tokens + rate * seconds).min(plan.burst);
--- a/src/policy/quota/usage_report.rs
+++ b/src/policy/quota/usage_report.rs
@@ -42,6 +42,13 @@
         sender_age: PeerAge,
         report: &UsageReport,
     ) -> Option<QuotaGrant> {
+        if !self.ensure_record_capacity(now, report.customer) {
+            tracing::debug!(
+                target: "policy", customer = report.customer.0, from,
+                "usage report ignored: too many customers"
+            );
+            return None;
+        }
         self.observe_reported_customer(now, report)?;
         let ownership = self.settings.ownership;
         let may_predate = sender_age == PeerAge::Older && !self.fleet_just_started(now);
--- a/src/policy/reasons.rs
+++ b/src/policy/reasons.rs
@@ -10,6 +10,9 @@
     Invalid,
     /// Too little time is left to answer the request.
     NoTime,
+    /// The customer has no record, and the limit on records is reached by customers whose records are in use
+    /// or whose buckets are not full.
+    TooManyCustomers,
     /// The customer is shed at the current shedding stage.
     Shed,
     /// The customer has used its quota or its hard limit.
--- a/tests/ingress/resource_limits.rs
+++ b/tests/ingress/resource_limits.rs
@@ -2,7 +2,7 @@
 
 use crate::requests::is_rejected;
 use crate::support::backend::{reply_with_value, Backend, BackendReply};
-use crate::support::client::{encode_request, Client};
+use crate::support::client::{encode_request, encode_request_of, Client};
 use crate::support::ingress::{IngressProcess, IngressSetup};
 use crate::support::resp::encode_served;
 use crate::support::wait::wait_until;
@@ -218,3 +218,31 @@
     let peak = peak_memory_kb(&ingress);
     assert!(peak < setup.memory_limit_mb * 1024, "{peak} kB");
 }
+
+/// One client sends requests at full speed, each of a new customer and with a timeout of a minute. The records of
+/// customers, ids and timers must not exceed the memory limit, and other clients are answered meanwhile.
+#[test]
+fn requests_of_ever_new_customers_do_not_exceed_the_memory_limit() {
+    const BATCHES: usize = 100;
+    const BATCH: usize = 400;
+    let backend = Backend::start(reply_with_value);
+    let mut setup = IngressSetup::with_backends(&[&backend]);
+    setup.memory_limit_mb = 16;
+    let ingress = setup.start();
+    let mut flood = ingress.client();
+    let mut other = ingress.client();
+    for batch in 0..BATCHES {
+        let requests =
+            (0..BATCH).map(|number| encode_request("quote", &format!("n{batch}-{number}"), 60_000));
+        flood.send(&requests.collect::<Vec<_>>().concat());
+        let answer = other.round_trip(&encode_request_of(1, "quote", &format!("o{batch}"), 60_000));
+        assert!(answer == format!("value of o{batch}") || is_rejected(&answer), "{answer}");
+        for number in 0..BATCH {
+            let answer = flood.read_reply();
+            let is_served = answer == format!("value of n{batch}-{number}");
+            assert!(is_served || is_rejected(&answer), "request {number} of batch {batch}: {answer}");
+        }
+    }
+    let peak = peak_memory_kb(&ingress);
+    assert!(peak < setup.memory_limit_mb * 1024, "{peak} kB");
+}
