Keep the id of a request for as long as its client may wait

Cause: RequestEntries refused the id of an ended request for 1 s, though a disconnect ends a request at once and the deadlines of classes are several seconds. Ids of requests that no backend had seen were kept as well, 50 to 64 bytes for each rejected request.

Change: the id is kept for the longest class deadline and 1 s if a backend may have executed the request, otherwise not.

Measured: a_request_sent_again_after_its_client_left_is_not_forwarded_again fails before (3 more commands 1.5 s after the disconnect) and passes; the_id_of_a_request_without_an_attempt_is_not_kept fails before and passes.

--- a/src/bin/ingress/event_loop/request_entries.rs
+++ b/src/bin/ingress/event_loop/request_entries.rs
@@ -15,8 +15,9 @@
 const REQUEST_OVERHEAD_BYTES: usize = 1024;
 /// Memory of the id of an ended request, in bytes.
 const ENDED_ID_BYTES: usize = 64;
-/// Time for which the id of an ended request is kept, to reject a second request with the same id.
-const ENDED_ID_RETENTION: Duration = Duration::from_secs(1);
+/// Time after the longest deadline for which the id of an ended request is kept, to reject a second request
+/// with the same id.
+const ENDED_ID_RETENTION_MARGIN: Duration = Duration::from_secs(1);
 
 /// The settings that limit the attempts of a request.
 pub struct AttemptLimits {
@@ -142,8 +143,10 @@
     requests: HashMap<RequestId, RequestEntry>,
     /// The ids of `requests` and `ended_ids`.
     known_ids: HashSet<IdHash>,
-    /// The ids of recently ended requests, oldest first.
+    /// The ids of recently ended requests that backends may have executed, oldest first.
     ended_ids: VecDeque<EndedId>,
+    /// Time for which the id of an ended request is kept.
+    ended_id_retention: Duration,
     /// Hashes ids with random keys, so that clients cannot provoke collisions.
     hasher: RandomState,
     /// Memory of all commands, in bytes.
@@ -153,12 +156,14 @@
 }
 
 impl RequestEntries {
-    /// Creates an empty table with a limit on the number of requests.
-    pub fn new(max_requests: usize) -> Self {
+    /// Creates an empty table with a limit on the number of requests. `longest_deadline` is the maximum
+    /// deadline over all request classes.
+    pub fn new(max_requests: usize, longest_deadline: Duration) -> Self {
         RequestEntries {
             requests: HashMap::new(),
             known_ids: HashSet::new(),
             ended_ids: VecDeque::new(),
+            ended_id_retention: longest_deadline + ENDED_ID_RETENTION_MARGIN,
             hasher: RandomState::new(),
             command_memory: 0,
             max_requests,
@@ -250,8 +255,21 @@
         }
         if let Some(request) = self.requests.remove(&id) {
             self.command_memory -= request.command.memory_size();
-            let ended = EndedId { expires_at: now + ENDED_ID_RETENTION, id_hash: request.id_hash };
-            self.ended_ids.push_back(ended);
+            self.retain_id(&request, now);
+        }
+    }
+
+    /// Keeps the id of an ended request for as long as its client may wait for the answer, if a backend may
+    /// have executed the request.
+    ///
+    /// A client that has disconnected may send its request again, and a backend could execute it a second
+    /// time. A request that was not executed may be sent again at once.
+    fn retain_id(&mut self, request: &RequestEntry, now: Instant) {
+        if request.attempts.iter().any(|attempt| attempt.may_have_executed) {
+            let expires_at = now + self.ended_id_retention;
+            self.ended_ids.push_back(EndedId { expires_at, id_hash: request.id_hash });
+        } else {
+            self.known_ids.remove(&request.id_hash);
         }
     }
 
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -94,7 +94,10 @@
             auditor: Auditor::new(AuditRules::new(&settings)),
             counters: Counters::default(),
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
-            requests: RequestEntries::new(settings.limits.max_open_requests as usize),
+            requests: RequestEntries::new(
+                settings.limits.max_open_requests as usize,
+                longest_deadline(&settings),
+            ),
             shutdown: Shutdown::new(longest_deadline(&settings)),
             gateway: Gateway::new(settings, config.seed, now).with_max_customers(max_customers),
             pending_events: VecDeque::new(),
--- a/src/bin/ingress/event_loop/tests/disconnects.rs
+++ b/src/bin/ingress/event_loop/tests/disconnects.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The longest deadline in the settings.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(1);
+
 /// Whether the settings let the gateway cancel attempts.
 #[derive(Clone, Copy, Debug)]
 enum Cancellation {
@@ -308,3 +311,52 @@
         assert!(!matches!(received, Ok(1..)), "the backend received a command: {received:?}");
     }
 }
+
+/// A client disconnects while its request is executed, and sends it again on another connection 1.5 s later. The
+/// request must not be forwarded again, since the backend could execute it twice. After the longest timeout of a
+/// request nobody waits for the first one, and its id is forgotten, so that ids do not use memory without end.
+#[test]
+fn a_request_sent_again_after_its_client_left_is_not_forwarded_again() {
+    let mut harness = Harness::new("disconnect-again", Cancellation::Allowed);
+    let ClientInFlight { client, commands: first } = harness.client_in_flight();
+    let mut ready = harness.disconnect(vec![client], Disconnect::Full);
+    harness.event_loop.process_ready(&mut ready);
+    let commands_of_repetition = |harness: &mut Harness, later: Duration| {
+        harness.event_loop.now += later;
+        let waited = harness.take_commands_after(1); // The sweep removes expired ids.
+        harness.event_loop.clients.set_arrival_time(harness.event_loop.now);
+        let mut again = harness.client();
+        again.write_all(&request_command(1)).unwrap();
+        waited + harness.take_commands_after(100)
+    };
+    let soon = commands_of_repetition(&mut harness, Duration::from_millis(1500));
+    assert_eq!((first, soon), (1, 0), "the request is executed once");
+    let late = commands_of_repetition(&mut harness, LONGEST_DEADLINE + Duration::from_secs(1));
+    assert!(late > 0, "the id is forgotten");
+}
+
+/// A request is rejected without an attempt. Nothing can be executed twice, so its client may send it again at
+/// once; ids of rejected requests that are kept would use up the memory.
+#[test]
+fn the_id_of_a_request_without_an_attempt_is_not_kept() {
+    let (mut event_loop, mut client) = start("rejected-id", CONFIG);
+    for _ in 0..2 {
+        client.write_all(&request_command(1)).unwrap();
+        client.set_nonblocking(true).unwrap();
+        let mut reply = Vec::new();
+        for _ in 0..10_000 {
+            let mut events = Events::with_capacity(16);
+            event_loop.poll.poll(&mut events, Some(std::time::Duration::from_millis(1))).unwrap();
+            event_loop.now += event_loop.tick;
+            let mut ready: Vec<ReadySocket> = events.iter().map(ReadySocket::from).collect();
+            event_loop.process_ready(&mut ready);
+            let _ = client.read_to_end(&mut reply);
+            if reply.ends_with(b"\r\n") {
+                break;
+            }
+        }
+        client.set_nonblocking(false).unwrap();
+        assert!(reply.starts_with(b"-BUSY"), "{}", String::from_utf8_lossy(&reply));
+    }
+    assert_eq!(event_loop.requests.memory(), 0);
+}
