Read ahead behind a backlog, so that a disconnect is noticed

Cause: with 256 answers pending the ingress stopped reading (read_and_parse in clients/reading.rs). The rest of the input, and the end of the connection behind it, stayed with the client's kernel, so that EPOLLRDHUP was not reported.

Measured: a_disconnect_behind_unread_requests_is_detected fails before (10 further commands) and passes.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -13,6 +13,7 @@
 mod expiry;
 mod memory;
 mod output;
+mod read_ahead;
 mod reading;
 mod reply_queue;
 mod writing;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -4,6 +4,7 @@
 use super::error::ClientError;
 use super::memory::ConnectionMemory;
 use super::output::OutputBuffer;
+use super::read_ahead::ReadAhead;
 use super::reading::READ_BUFFER_BYTES;
 use super::reply_queue::ReplyQueue;
 use super::Capacity;
@@ -89,6 +90,8 @@
     /// Received bytes that are not parsed yet: at most one incomplete command, unless reading is paused.
     pub input: Vec<u8>,
     pub input_storage: InputStorage,
+    /// Received bytes behind `input`.
+    pub read_ahead: ReadAhead,
     /// The replies that are owed, in the order of the requests.
     pub replies: ReplyQueue,
     pub output: OutputBuffer,
@@ -135,6 +138,7 @@
             serial,
             input: Vec::new(),
             input_storage: InputStorage::Unreserved,
+            read_ahead: ReadAhead::default(),
             replies: ReplyQueue::default(),
             output: OutputBuffer::default(),
             max_reply_memory,
@@ -195,7 +199,7 @@
 
     /// Returns whether a part of a command has arrived, or unparsed commands.
     pub fn has_incomplete_command(&self) -> bool {
-        !self.input.is_empty() || self.input_storage.is_discarding()
+        !self.input.is_empty() || !self.read_ahead.is_empty() || self.input_storage.is_discarding()
     }
 
     /// Returns whether the connection was accepted over the limit, so that its requests are rejected.
@@ -263,7 +267,8 @@
     /// Returns the memory that the buffers use, or that is reserved for them.
     pub fn memory(&self) -> ConnectionMemory {
         let reserved_input = if self.input_storage.is_reserved() { INPUT_RESERVATION_BYTES } else { 0 };
-        ConnectionMemory { input: self.input.capacity().max(reserved_input), replies: self.reply_memory() }
+        let input = self.input.capacity().max(reserved_input) + self.read_ahead.memory_size();
+        ConnectionMemory { input, replies: self.reply_memory() }
     }
 
     /// Appends received bytes to the input, or discards them after a protocol error.
@@ -313,6 +318,15 @@
         }
     }
 
+    /// Removes and returns all received bytes that are not parsed.
+    pub fn take_input(&mut self) -> Vec<u8> {
+        let mut input = std::mem::take(&mut self.input);
+        while let Some(chunk) = self.read_ahead.pop() {
+            input.extend_from_slice(&chunk);
+        }
+        input
+    }
+
     /// Adds the reply to the command that was just parsed.
     pub fn reply_immediately(&mut self, reply: &[u8]) {
         self.replies.push_ready(reply.to_vec(), &mut self.output);
@@ -348,7 +362,7 @@
         let CloseState::Closing(late_input) = self.close_state else { return };
         let _ = self.stream.shutdown(Shutdown::Write);
         self.close_state = CloseState::ShutDown(late_input);
-        self.input = Vec::new();
+        self.take_input();
         self.input_storage = InputStorage::Unreserved;
         self.linger_until = Some(now + LINGER_TIMEOUT);
     }
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -77,6 +77,12 @@
             && self.has_room_for(INPUT_RESERVATION_BYTES)
     }
 
+    /// Returns whether `bytes` are available for input that is read ahead. Half of the memory for input is left
+    /// for commands.
+    pub fn can_read_ahead(&self, bytes: usize) -> bool {
+        self.used.input + bytes <= self.limits.input / 2 && self.has_room_for(bytes)
+    }
+
     /// Updates the memory accounted for a connection to its current size.
     pub fn account(&mut self, connection: &mut ClientConnection) {
         self.release(connection);
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -163,6 +163,10 @@
                 ReadState::Paused => return self.pause_reading(key),
                 ReadState::Ended => return,
             }
+            if let Some(chunk) = self.connections[key].read_ahead.pop() {
+                self.receive(key, &chunk, now);
+                continue;
+            }
             let read_limit = self.read_limit(key);
             let connection = &mut self.connections[key];
             let received = match connection.stream.read(&mut self.read_buffer[..read_limit]) {
@@ -176,7 +180,9 @@
                 Err(error) if is_out_of_memory(&error) => return self.read_later(key),
                 Err(_) => return self.remove(key, ClientCloseReason::Broken),
             };
-            self.receive(key, received, now);
+            let bytes = std::mem::take(&mut self.read_buffer);
+            self.receive(key, &bytes[..received], now);
+            self.read_buffer = bytes;
         }
         match self.parse_commands(key, now) {
             ReadState::Active => self.read_later(key),
@@ -185,11 +191,9 @@
         }
     }
 
-    /// Adds the first bytes of the read buffer to a connection's input, except those of a command that is being
-    /// discarded.
-    fn receive(&mut self, key: usize, received: usize, now: Instant) {
+    /// Adds received bytes to a connection's input, except those of a command that is being discarded.
+    fn receive(&mut self, key: usize, bytes: &[u8], now: Instant) {
         let connection = &mut self.connections[key];
-        let bytes = &self.read_buffer[..received];
         let Some(mut skipper) = connection.input_storage.take_skipper() else {
             return connection.receive(bytes, now);
         };
@@ -226,12 +230,36 @@
         self.queue_for_read(key);
     }
 
-    /// Pauses reading until replies are written. The timeouts of unread commands count from the earliest time
+    /// Pauses parsing until replies are written. The timeouts of unread commands count from the earliest time
     /// at which they can have arrived.
     fn pause_reading(&mut self, key: usize) {
         let connection = &mut self.connections[key];
         connection.reading_paused = true;
         connection.unread_since.get_or_insert(self.arrival_time);
+        self.read_ahead(key);
+    }
+
+    /// Reads from a connection whose commands are not parsed now, up to the limit per iteration, to detect that
+    /// its client disconnects.
+    fn read_ahead(&mut self, key: usize) {
+        for _ in 0..MAX_READS_PER_ITERATION {
+            let connection = &mut self.connections[key];
+            if connection.read_ahead.is_full() || !self.memory.can_read_ahead(READ_BUFFER_BYTES) {
+                return;
+            }
+            match connection.stream.read(&mut self.read_buffer) {
+                Ok(0) => return self.remove(key, ClientCloseReason::Disconnected),
+                Ok(received) => {
+                    connection.read_ahead.push(&self.read_buffer[..received]);
+                    self.memory.account(connection);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) if is_out_of_memory(&error) => break,
+                Err(_) => return self.remove(key, ClientCloseReason::Broken),
+            }
+        }
+        self.queue_for_read(key);
     }
 
     /// Parses and handles the complete commands in a connection's input.
@@ -308,7 +336,7 @@
     /// a limited number of them.
     pub(super) fn reject_received(&mut self, key: usize) -> bool {
         let connection = &mut self.connections[key];
-        let input = std::mem::take(&mut connection.input);
+        let input = connection.take_input();
         let was_discarding = connection.input_storage.take_skipper().is_some();
         if connection.discards_input() {
             return false;
--- a/src/bin/ingress/event_loop/tests/disconnects.rs
+++ b/src/bin/ingress/event_loop/tests/disconnects.rs
@@ -360,3 +360,26 @@
     }
     assert_eq!(event_loop.requests.memory(), 0);
 }
+
+/// A client sends more than the kernel holds, while its first requests are not answered, and disconnects. The
+/// kernel reports the disconnect behind the last input, so that reading must not stop at the backlog of replies.
+/// Otherwise attempts of a disconnected client would begin until the first reply fails.
+#[test]
+fn a_disconnect_behind_unread_requests_is_detected() {
+    const REQUESTS: usize = 6000;
+    let mut harness = Harness::new("disconnect-unread", Cancellation::Allowed);
+    let mut client = harness.client();
+    socket2::SockRef::from(&client).set_send_buffer_size(1 << 20).unwrap();
+    let commands: Vec<u8> = (0..REQUESTS).flat_map(request_command).collect();
+    client.set_nonblocking(true).unwrap();
+    let mut sent = 0;
+    harness.iterate_until("all requests are sent", |_| {
+        sent += client.write(&commands[sent..]).unwrap_or(0);
+        sent == commands.len()
+    });
+    harness.iterate_until("the first requests are read", |harness| harness.event_loop.requests.len() >= 22);
+    drop(client);
+    harness.iterate_until("the disconnect is detected", |harness| harness.event_loop.clients.len() <= 1);
+    harness.take_commands();
+    assert_eq!(harness.take_commands_after(100), 0);
+}
