Use no connection to an earlier process of a backend

Found by reading; not seen with whole processes, whose end resets their connections.

Cause: update_endpoints in backends/pool.rs compared addresses only, so that a new since_ms at the same address left idle connections in the pool, and release returned busy ones to it.

Change: a connection stores the listed start of its backend's process and is used only for that one.

Measured: connections_to_an_earlier_process_at_the_same_address_are_not_used fails before (the connection that carried an attempt was reused) and passes.

--- a/src/bin/ingress/backends/connection.rs
+++ b/src/bin/ingress/backends/connection.rs
@@ -3,7 +3,7 @@
 use super::{AttemptId, CommandState, StatedTimeout};
 use crate::buffer::extend_in_steps;
 use crate::socket_error::is_not_ready;
-use ingress::{BackendId, Duration, Instant, Outcome};
+use ingress::{BackendId, Duration, Instant, Outcome, UnixTime};
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
@@ -19,6 +19,8 @@
     pub backend: BackendId,
     /// Address at which the connection was opened; the backend's address may have changed since.
     pub address: SocketAddr,
+    /// Start time of the backend's process, as listed when the connection was opened.
+    pub process_started_at: UnixTime,
     pub is_connected: bool,
     /// The current attempt; `None` while the connection is idle.
     pub attempt: Option<AttemptId>,
@@ -68,6 +70,7 @@
             serial,
             backend,
             address,
+            process_started_at: UnixTime::default(),
             is_connected: false,
             attempt: None,
             assigned_at: now,
--- a/src/bin/ingress/backends/pool.rs
+++ b/src/bin/ingress/backends/pool.rs
@@ -9,7 +9,7 @@
 use crate::discovery::{EndpointEntry, EndpointList};
 use crate::socket_error::is_local_shortage;
 use ingress::permissions::{may_reuse_connection, may_send_to, BackendRefusal, ReuseLimits};
-use ingress::{Availability, BackendId, Duration, Instant, Outcome};
+use ingress::{Availability, BackendId, Duration, Instant, Outcome, UnixTime};
 use mio::net::TcpStream;
 use mio::{Interest, Registry, Token};
 use slab::Slab;
@@ -32,6 +32,8 @@
 #[derive(Default)]
 pub struct Pool {
     pub address: Option<SocketAddr>,
+    /// Start time of the backend's process, as listed.
+    pub started_at: UnixTime,
     pub availability: Availability,
     /// Keys of the idle connections, the most recently used last.
     pub idle: Vec<usize>,
@@ -119,12 +121,14 @@
                 removed.push(backend);
                 continue;
             }
-            if self.has_new_address(entry) || entry.endpoint.availability == Availability::Draining {
+            if self.is_new_process(entry) || entry.endpoint.availability == Availability::Draining {
                 self.close_idle(backend, BackendCloseReason::BackendUnavailable);
                 unavailable.insert(backend);
             }
             let pool = self.pools.entry(backend).or_default();
-            (pool.address, pool.availability) = (entry.address, entry.endpoint.availability);
+            pool.address = entry.address;
+            pool.started_at = entry.started_at;
+            pool.availability = entry.endpoint.availability;
         }
         for backend in &removed {
             self.close_idle(*backend, BackendCloseReason::BackendUnavailable);
@@ -145,9 +149,11 @@
         self.pools.keys().filter(|backend| !listed.contains(backend)).copied().collect()
     }
 
-    /// Returns whether the address of a known backend has changed.
-    fn has_new_address(&self, entry: &EndpointEntry) -> bool {
-        self.pools.get(&entry.endpoint.backend).is_some_and(|pool| pool.address != entry.address)
+    /// Returns whether a known backend has a new address, or a new process at the same address. If the host of
+    /// the old process has vanished, connections to it stay open, and commands on them would be lost.
+    fn is_new_process(&self, entry: &EndpointEntry) -> bool {
+        let pool = self.pools.get(&entry.endpoint.backend);
+        pool.is_some_and(|pool| pool.address != entry.address || pool.started_at != entry.started_at)
     }
 
     /// Ends attempts at unavailable backends whose commands are still unwritten. Otherwise the commands would
@@ -223,7 +229,8 @@
     /// Starts opening a connection to a backend. A socket shortage on this machine is reported as
     /// [`Outcome::NotSent`], so that it does not count as a failure of the backend.
     fn connect(&mut self, registry: &Registry, backend: BackendId, now: Instant) -> Result<usize, Outcome> {
-        let address = self.pools.get(&backend).and_then(|pool| pool.address).ok_or(Outcome::ConnectFailed)?;
+        let pool = self.pools.get(&backend).ok_or(Outcome::ConnectFailed)?;
+        let (address, started_at) = (pool.address.ok_or(Outcome::ConnectFailed)?, pool.started_at);
         let mut stream = TcpStream::connect(address).map_err(|error| {
             tracing::debug!(
                 target: "backend_connection", backend = backend.0, %error, "could not connect to backend"
@@ -242,16 +249,18 @@
         let _ = stream.set_nodelay(true);
         self.last_serial += 1;
         self.opened_count += 1;
-        slot.insert(BackendConnection::new(stream, self.last_serial, backend, address, now));
+        let connection = BackendConnection::new(stream, self.last_serial, backend, address, now);
+        slot.insert(BackendConnection { process_started_at: started_at, ..connection });
         Ok(key)
     }
 
-    /// Returns a connection to its backend's pool after an attempt, unless the backend was removed or its
-    /// address has changed.
+    /// Returns a connection to its backend's pool after an attempt, unless the backend was removed, or has a new
+    /// address or process.
     pub(super) fn release(&mut self, key: usize, now: Instant) -> Usability {
         let connection = &mut self.connections[key];
         let Some(pool) = self.pools.get_mut(&connection.backend) else { return Usability::Unusable };
-        if pool.address != Some(connection.address) {
+        let is_same_process = pool.started_at == connection.process_started_at;
+        if pool.address != Some(connection.address) || !is_same_process {
             return Usability::Unusable;
         }
         connection.attempt = None;
--- a/src/bin/ingress/backends/tests.rs
+++ b/src/bin/ingress/backends/tests.rs
@@ -71,6 +71,30 @@
     }
 }
 
+/// A backend's process ends with its host, and a new one comes up at the same address. The connections to the old
+/// one look open, and a command on them would be lost. So no connection from before the start is used, whether it
+/// was idle when the list arrived or carried an attempt.
+#[test]
+fn connections_to_an_earlier_process_at_the_same_address_are_not_used() {
+    let mut harness = Harness::new(Duration::from_secs(30));
+    let idle = harness.assign(1, START);
+    let mut idle_peer = harness.listener.accept().unwrap().0;
+    let busy = harness.assign(2, START);
+    let mut busy_peer = harness.listener.accept().unwrap().0;
+    harness.serve(&mut idle_peer, idle, START);
+    let endpoint = Endpoint { backend: BACKEND, ..Endpoint::default() };
+    let (started_at, address) = (UnixTime::from_micros(7), harness.listener.local_addr().ok());
+    let entries = vec![EndpointEntry { endpoint, started_at, address }];
+    harness.connections.update_endpoints(&EndpointList { index: 2, is_snapshot: false, entries });
+    harness.serve(&mut busy_peer, busy, START);
+    let later = START + MIN_IDLE_TIME;
+    let next = harness.assign(3, later);
+    assert!(next != idle && next != busy, "{next:?}");
+    let mut next_peer = harness.listener.accept().unwrap().0;
+    harness.serve(&mut next_peer, next, later);
+    assert_eq!(harness.assign(4, later + MIN_IDLE_TIME), next, "a connection to the new process is reused");
+}
+
 /// A backend sends a reply twice, some milliseconds apart, and replies carry no request id. If the connection
 /// were reused in between, the next client would receive the value of another request.
 #[test]
