Request the whole list after an answer with a lower version

Found by reading, not seen with whole processes.

Cause: complete_poll in discovery/watch.rs took any version as the base of the next poll, and changes since a lower version leave out what that process had before.

Change: a delta with a lower version is followed at once by a request for the whole list.

--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -280,7 +280,11 @@
         if self.schedule.on_success() {
             tracing::info!(target: "discovery", index = response.endpoints.index, "poll succeeded again");
         }
-        self.index = Some(response.endpoints.index);
+        // A lower version is that of another process of discovery, which counts from its own start: changes
+        // since that version would leave out all that it had before.
+        let is_other_history = !response.endpoints.is_snapshot
+            && self.index.is_some_and(|index| response.endpoints.index < index);
+        self.index = (!is_other_history).then_some(response.endpoints.index);
         self.poll_started_at = None;
         self.last_poll_timed_out = false;
         // If a response arrives before the request is completely written, the connection is closed: discovery
@@ -293,9 +297,9 @@
             connection.clear_received();
         }
         // Avoids a tight loop if discovery responds at once without changes.
+        let is_to_wait = response.endpoints.entries.is_empty() && !is_other_history;
         let was_immediate = now < started_at + IMMEDIATE_RESPONSE_THRESHOLD;
-        let is_empty = response.endpoints.entries.is_empty();
-        self.next_timer_at = if is_empty && was_immediate { now + EMPTY_RESPONSE_DELAY } else { now };
+        self.next_timer_at = if is_to_wait && was_immediate { now + EMPTY_RESPONSE_DELAY } else { now };
     }
 }
 
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -567,3 +567,22 @@
     harness.respond(&mut snapshot, 43);
     assert_eq!(harness.lists, [43]);
 }
+
+/// Discovery ends, and another process of it comes up at the same address and counts its versions from the start.
+/// Changes since its version would leave out what it had before, so that requests would go to backends that are
+/// gone. The whole list is requested at once, and then changes again.
+#[test]
+fn a_lower_version_is_followed_by_a_request_for_the_whole_list() {
+    let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
+    let mut stream = harness.accept();
+    assert!(harness.read_poll(&mut stream) > Duration::ZERO);
+    harness.respond(&mut stream, 42);
+    harness.run_timer();
+    assert!(harness.read_poll(&mut stream) > Duration::ZERO, "changes since a higher version");
+    harness.respond(&mut stream, 3);
+    assert!(harness.watch.poll_started_at.is_some(), "the next poll is not delayed");
+    assert_eq!(harness.read_poll(&mut stream), Duration::ZERO, "the whole list, without a delay");
+    harness.respond(&mut stream, 3);
+    harness.run_timer();
+    assert!(harness.read_poll(&mut stream) > Duration::ZERO, "changes since the lower version");
+}
