Remove records with reports of peers last, instead of never

Cause: at the limit on customer records, those with reports of other gateways could not be removed before they expired.

Change: such records are removed if none of those examined is without reports, the one seen longest ago first.

--- a/src/policy/quota/record_limit.rs
+++ b/src/policy/quota/record_limit.rs
@@ -44,7 +44,7 @@
     }
 
     /// Returns a customer whose record can be removed, among the next few: one with a single request if there
-    /// is any, otherwise the one seen longest ago.
+    /// is any, otherwise the one seen longest ago, and one with reports of other gateways last.
     ///
     /// Each search continues after the previous one, so that all records are examined in turn.
     fn find_removable(&mut self, now: Instant) -> Option<CustomerId> {
@@ -56,7 +56,10 @@
         self.record_limit.last_examined = *examined.last()?;
         let removable = examined.into_iter().filter_map(|id| {
             let (customer, plan) = self.refill(id, now)?;
-            let order = (customer.identity_confidence > 0, customer.last_seen_at);
+            let has_returned = customer.identity_confidence > 0;
+            // Other gateways report totals, which a new record at an owner would charge again.
+            let has_reports = has_returned && !customer.remote.is_empty();
+            let order = (has_reports, has_returned, customer.last_seen_at);
             customer.can_be_created_again(plan).then_some((order, id))
         });
         removable.min_by_key(|(order, _)| *order).map(|(_, id)| id)
@@ -65,10 +68,9 @@
 
 impl Customer {
     /// Returns whether a new record would allow the same usage as this one: it is not in use, and its buckets
-    /// are full. An owner also keeps what other gateways have reported, since they report totals.
+    /// are full.
     fn can_be_created_again(&self, plan: &Plan) -> bool {
-        let has_reports = self.identity_confidence > 0 && !self.remote.is_empty();
-        !self.is_in_use() && !has_reports && self.bucket.is_full(plan) && self.hard_limit.is_full(plan)
+        !self.is_in_use() && self.bucket.is_full(plan) && self.hard_limit.is_full(plan)
     }
 }
 
--- a/src/policy/quota/record_limit/tests.rs
+++ b/src/policy/quota/record_limit/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::policy::quota::tests::{manager, request, HARD_LIMIT, LARGE_FLEET, RATE_QUOTA, START};
+use crate::gossip::{PeerAge, UsageReport};
+use crate::policy::quota::tests::{manager, report, request, HARD_LIMIT, LARGE_FLEET, RATE_QUOTA, START};
 use crate::{Duration, Request};
 
 /// Maximum number of records in these tests.
@@ -77,8 +78,31 @@
     let mut manager = manager(LARGE_FLEET);
     manager.set_max_records(MAX_RECORDS);
     for customer in 0..100 {
-        let report = crate::policy::quota::tests::report(CustomerId(customer), 0, 1, 0);
-        manager.on_usage_report(START, 1, crate::gossip::PeerAge::NotOlder, &report);
+        manager.on_usage_report(START, 1, PeerAge::NotOlder, &report(CustomerId(customer), 0, 1, 0));
         assert!(manager.customers.len() <= MAX_RECORDS);
     }
 }
+
+/// All customers return, and peers have reported usage of each. If their records were kept for that, an ingress with
+/// more customers than records would reject new ones under usual traffic. The one seen longest ago makes room.
+#[test]
+fn records_with_reports_are_removed_if_there_are_no_others() {
+    let mut manager = manager(LARGE_FLEET);
+    manager.set_max_records(MAX_RECORDS);
+    let mut owned = (0..).map(CustomerId).filter(|id| {
+        let mut probe = crate::policy::quota::tests::manager(LARGE_FLEET);
+        probe.observe_request(START, &request(*id, RATE_QUOTA, 1.0)).grant.is_quota_owner
+    });
+    for (index, id) in owned.by_ref().take(MAX_RECORDS).enumerate() {
+        for seconds in [0, 1] {
+            let now = START + Duration::from_secs(10 * index as u64 + seconds);
+            let report = UsageReport { requests_grant: false, ..report(id, 0, 1, 0) };
+            manager.on_usage_report(now, 1, PeerAge::NotOlder, &report);
+        }
+    }
+    let oldest = *manager.customers.iter().min_by_key(|(_, customer)| customer.last_seen_at).unwrap().0;
+    let later = START + Duration::from_secs(100);
+    assert!(manager.admit(later, &request(owned.next().unwrap(), RATE_QUOTA, 1.0)));
+    assert!(!manager.customers.contains_key(&oldest));
+    assert_eq!(manager.customers.len(), MAX_RECORDS);
+}
