--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -15,6 +15,7 @@
 mod output;
 mod read_ahead;
 mod reading;
+mod receiving;
 mod reply_queue;
 mod writing;
 
--- a/src/bin/ingress/event_loop/start.rs
+++ b/src/bin/ingress/event_loop/start.rs
@@ -74,11 +74,8 @@
     fn build(config: Config, sockets: Sockets, clock: Clock, reload: Reload) -> Result<Self, EventLoopError> {
         let now = clock.now();
         let options = watch_options(&config, now);
-        let client_memory = ClientMemoryLimits {
-            total: config.max_memory_bytes / EXCHANGE_MEMORY_DIVISOR,
-            input: config.max_memory_bytes / INPUT_MEMORY_DIVISOR,
-        };
-        let max_customers = config.max_memory_bytes / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_RECORD_BYTES;
+        let client_memory = client_memory_limits(config.max_memory_bytes);
+        let max_customers = max_customers(config.max_memory_bytes);
         let (settings, endpoints) = (config.settings, config.cached_endpoints);
         let (token, index) = (Source::Discovery.into(), endpoints.index);
         let watch = Watch::new(config.discovery_address, config.location_names, index, token, options);
@@ -94,10 +91,7 @@
             auditor: Auditor::new(AuditRules::new(&settings)),
             counters: Counters::default(),
             descriptors: DescriptorBudget::new(config.max_descriptors)?,
-            requests: RequestEntries::new(
-                settings.limits.max_open_requests as usize,
-                longest_deadline(&settings),
-            ),
+            requests: request_entries(&settings),
             shutdown: Shutdown::new(longest_deadline(&settings)),
             gateway: Gateway::new(settings, config.seed, now).with_max_customers(max_customers),
             pending_events: VecDeque::new(),
@@ -120,6 +114,19 @@
     }
 }
 
+/// Returns the limits on the memory of client connections, for a process with this memory limit.
+fn client_memory_limits(max_memory_bytes: usize) -> ClientMemoryLimits {
+    ClientMemoryLimits {
+        total: max_memory_bytes / EXCHANGE_MEMORY_DIVISOR,
+        input: max_memory_bytes / INPUT_MEMORY_DIVISOR,
+    }
+}
+
+/// Returns the maximum number of customer records, for a process with this memory limit.
+fn max_customers(max_memory_bytes: usize) -> usize {
+    max_memory_bytes / CUSTOMER_MEMORY_DIVISOR / CUSTOMER_RECORD_BYTES
+}
+
 /// Returns the token of a client's connection.
 fn client_token(key: usize) -> Token {
     Source::Client(key).into()
@@ -130,6 +137,11 @@
     Source::Backend(key).into()
 }
 
+/// Returns an empty table of requests with the limits of the settings.
+fn request_entries(settings: &Settings) -> RequestEntries {
+    RequestEntries::new(settings.limits.max_open_requests as usize, longest_deadline(settings))
+}
+
 /// Returns the maximum deadline over all request classes.
 fn longest_deadline(settings: &Settings) -> Duration {
     settings.classes.iter().map(|class| class.deadline).max().unwrap_or(Duration::ZERO)
--- a/src/policy/quota/usage_report.rs
+++ b/src/policy/quota/usage_report.rs
@@ -42,14 +42,7 @@
         sender_age: PeerAge,
         report: &UsageReport,
     ) -> Option<QuotaGrant> {
-        if !self.ensure_record_capacity(now, report.customer) {
-            tracing::debug!(
-                target: "policy", customer = report.customer.0, from,
-                "usage report ignored: too many customers"
-            );
-            return None;
-        }
-        self.observe_reported_customer(now, report)?;
+        self.observe_reported_customer(now, from, report)?;
         let ownership = self.settings.ownership;
         let may_predate = sender_age == PeerAge::Older && !self.fleet_just_started(now);
         let (customer, plan) = self.refill(report.customer, now)?;
@@ -82,9 +75,17 @@
         report.requests_grant.then_some(grant)
     }
 
-    /// Updates the record of a report's customer, or creates one; `None` if the plan is unknown. A new record
+    /// Updates the record of a report's customer, or creates one; `None` if the plan is unknown or
+    /// there are too many customers. A new record
     /// begins with the reported level of the bucket, or with the tokens refilled since this gateway's start.
-    fn observe_reported_customer(&mut self, now: Instant, report: &UsageReport) -> Option<()> {
+    fn observe_reported_customer(&mut self, now: Instant, from: u16, report: &UsageReport) -> Option<()> {
+        if !self.ensure_record_capacity(now, report.customer) {
+            tracing::debug!(
+                target: "policy", customer = report.customer.0, from,
+                "usage report ignored: too many customers"
+            );
+            return None;
+        }
         let plan = self.settings.plans.get(usize::from(report.plan))?;
         let refilled = plan.rate * self.seconds_of_known_usage(now);
         let presumed = self.settings.ownership.initial_tokens(plan, refilled);
