Notice freed memory without a new request; call memory short only when it is

Callers that send long commands alone could have got -BUSY for good after one shortage: the memory of requests and backend buffers was updated only when a request was opened (has_memory_for), and a discarded command opens none. A client that accepted nothing for 3 s could be closed when half of the limit was used.

Change: that memory is updated in each iteration; memory is short when a long command does not fit.

Measured: memory_that_requests_have_freed_is_available_for_long_commands fails without the update (-BUSY) and passes; the program's 89 tests pass.

--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -97,17 +97,20 @@
         self.used.replies -= connection.accounted_memory.replies;
     }
 
-    /// Returns whether less memory is left than the replies of one connection may use.
+    /// Returns whether less memory is left than a long command needs.
     fn is_short(&self) -> bool {
-        !self.has_room_for(self.max_replies_per_connection())
+        !self.has_room_for(INPUT_RESERVATION_BYTES)
     }
 }
 
 impl Clients {
-    /// Updates the memory of requests and connections to backends, and returns whether `bytes` more are
-    /// available.
-    pub fn has_memory_for(&mut self, bytes: usize, used_by_requests: usize) -> bool {
-        self.memory.used_by_requests = used_by_requests;
+    /// Sets the memory of requests and connections to backends.
+    pub fn set_memory_used_by_requests(&mut self, bytes: usize) {
+        self.memory.used_by_requests = bytes;
+    }
+
+    /// Returns whether `bytes` are available.
+    pub fn has_memory_for(&self, bytes: usize) -> bool {
         self.memory.has_room_for(bytes)
     }
 
--- a/src/bin/ingress/event_loop.rs
+++ b/src/bin/ingress/event_loop.rs
@@ -167,6 +167,7 @@
             }
         }
         self.report_disconnects();
+        self.update_memory_used();
         sort_for_processing(ready);
         let discovery = ready.first().filter(|socket| socket.source() == Source::Discovery);
         self.process_discovery(discovery);
--- a/src/bin/ingress/event_loop/client_events.rs
+++ b/src/bin/ingress/event_loop/client_events.rs
@@ -202,8 +202,17 @@
     ///
     /// A backend connection needs a copy of the command.
     fn has_memory_for(&mut self, command: &Command) -> bool {
-        let used_by_requests = self.requests.memory() + self.backend_connections.memory_used();
-        self.clients.has_memory_for(command.memory_size() * 2, used_by_requests)
+        self.update_memory_used();
+        self.clients.has_memory_for(command.memory_size() * 2)
+    }
+
+    /// Updates the memory of requests and connections to backends that counts against the limit of clients.
+    ///
+    /// It is updated in each iteration: without memory long commands are discarded and open no request, so an
+    /// update with each request alone would never report memory that was freed.
+    pub(super) fn update_memory_used(&mut self) {
+        let used = self.requests.memory() + self.backend_connections.memory_used();
+        self.clients.set_memory_used_by_requests(used);
     }
 
     /// Answers a request that is not opened. No backend has received it, so `-BUSY`, which states that the
--- a/src/bin/ingress/event_loop/tests.rs
+++ b/src/bin/ingress/event_loop/tests.rs
@@ -107,3 +107,26 @@
         assert_eq!(ErrorChain(&started.err().unwrap()).to_string(), text);
     }
 }
+
+/// Requests have used up the memory and have ended, and then only long commands arrive. These open no request while
+/// they are discarded, so that the freed memory has to be noticed without one; otherwise all would be rejected.
+#[test]
+fn memory_that_requests_have_freed_is_available_for_long_commands() {
+    let (mut event_loop, mut client) = start("freed-memory", CONFIG);
+    event_loop.clients.set_memory_used_by_requests(1 << 30);
+    let command = [&b"*2\r\n$4\r\nPING\r\n$60000\r\n"[..], &vec![b'x'; 60_000], b"\r\n"].concat();
+    client.write_all(&command).unwrap();
+    client.set_nonblocking(true).unwrap();
+    let mut reply = Vec::new();
+    for _ in 0..10_000 {
+        let mut events = Events::with_capacity(16);
+        event_loop.poll.poll(&mut events, Some(std::time::Duration::from_millis(1))).unwrap();
+        let mut ready: Vec<ReadySocket> = events.iter().map(ReadySocket::from).collect();
+        event_loop.process_ready(&mut ready);
+        let _ = client.read_to_end(&mut reply);
+        if !reply.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(String::from_utf8_lossy(&reply), "+PONG\r\n");
+}
