Log the start and the end of each poll of discovery at debug

Change: poll started (since, timeout, response timeout), poll ended (waited, request sent, retry, error), poll answered (index, waited), all at debug. No behaviour changes.

--- a/src/bin/ingress/discovery/poll.rs
+++ b/src/bin/ingress/discovery/poll.rs
@@ -21,6 +21,22 @@
 }
 
 impl PollRequest {
+    /// Returns the version whose changes are requested; `None` for a snapshot.
+    pub fn since(self) -> Option<u64> {
+        match self {
+            PollRequest::Snapshot => None,
+            PollRequest::Changes { since, .. } => Some(since),
+        }
+    }
+
+    /// Returns the time for which discovery may wait for a change.
+    pub fn timeout(self) -> Duration {
+        match self {
+            PollRequest::Snapshot => Duration::ZERO,
+            PollRequest::Changes { timeout, .. } => timeout,
+        }
+    }
+
     /// Encodes the request in HTTP/1.1.
     pub fn encode(self, host: SocketAddr) -> Vec<u8> {
         let query = match self {
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -148,10 +148,16 @@
             Retry::AfterBackoff => at,
             Retry::Immediate => now,
         };
+        let retry_in_ms = self.next_timer_at.duration_since(now).as_millis();
+        if let Some(FailedPoll { started_at, request_sent }) = pending {
+            let waited_ms = now.duration_since(started_at).as_millis();
+            tracing::debug!(
+                target: "discovery", waited_ms, request_sent, retry_in_ms, error = %ErrorChain(error), "poll ended"
+            );
+        }
         if !is_first_failure {
             return PollHealth::Unchanged;
         }
-        let retry_in_ms = self.next_timer_at.duration_since(now).as_millis();
         tracing::info!(target: "discovery", retry_in_ms, error = %ErrorChain(error), "poll failed");
         PollHealth::FirstFailure
     }
@@ -188,6 +194,9 @@
             }
         }
         let NextRequest { request, response_timeout } = self.next_request();
+        let response_timeout_ms = response_timeout.as_millis();
+        let (since, timeout_ms) = (request.since(), request.timeout().as_millis());
+        tracing::debug!(target: "discovery", since, timeout_ms, response_timeout_ms, "poll started");
         if let Some(connection) = &mut self.connection {
             connection.set_request(request.encode(self.address));
         }
@@ -277,6 +286,8 @@
         stream_state: StreamState,
         response: &PollResponse,
     ) {
+        let waited_ms = now.duration_since(started_at).as_millis();
+        tracing::debug!(target: "discovery", index = response.endpoints.index, waited_ms, "poll answered");
         if self.schedule.on_success() {
             tracing::info!(target: "discovery", index = response.endpoints.index, "poll succeeded again");
         }
