Keep a late poll of a crowded discovery pending while the next one begins

Cause: on_response_timeout in discovery/watch.rs closed the connection of a late poll, 0.75 s after the timeout of a long poll and 3 s after the start of others (1 s at an agent), and its successor waited from the end of discovery's queue. Ruled out: an unsent request, a rejected response, a late retry.

Change: a late poll stays pending beside its successor, which begins when it did before (earlier_polls.rs; which ones stay: policy/poll_retention.rs). A response that another one has overtaken is discarded (list_version.rs). A response to an earlier poll counts as an observation for the time of the next one (unobserved_since).

--- a/src/bin/ingress/discovery.rs
+++ b/src/bin/ingress/discovery.rs
@@ -1,9 +1,11 @@
 //! Client of the discovery service: parses endpoint lists and watches them by long polling over HTTP/1.1.
 
 mod connection;
+mod earlier_polls;
 mod endpoint_list;
 mod error;
 mod http;
+mod list_version;
 mod location_names;
 mod poll;
 mod watch;
--- a/src/bin/ingress/discovery/connection.rs
+++ b/src/bin/ingress/discovery/connection.rs
@@ -1,6 +1,7 @@
 //! Nonblocking reads and writes on a connection to discovery.
 
-use super::http::{StreamState, MAX_HEAD_BYTES};
+use super::http::{Persistence, StreamState, MAX_HEAD_BYTES};
+use super::poll::{parse_response, PollResponse, ResponseFormat};
 use super::{HttpError, PollError};
 use crate::socket_error::is_not_ready;
 use mio::net::TcpStream;
@@ -46,14 +47,22 @@
         self.outgoing.is_empty()
     }
 
-    /// Returns the bytes received since the last [`DiscoveryConnection::clear_received`].
+    /// Returns the bytes received since the connection was opened or became reusable.
     pub fn received(&self) -> &[u8] {
         &self.received
     }
 
-    /// Discards the received bytes and frees their memory, since a snapshot may be large.
-    pub fn clear_received(&mut self) {
+    /// Returns the connection for the next request, unless it has to be closed after a response.
+    ///
+    /// A response that arrives before its request is completely written closes the connection: discovery would
+    /// read the rest of the request as the start of the next one.
+    pub fn into_reusable(mut self, persistence: Persistence) -> Option<DiscoveryConnection> {
+        if persistence == Persistence::Close || !self.is_request_sent() {
+            return None;
+        }
+        // Frees the memory, since a snapshot may be large.
         self.received = Vec::new();
+        Some(self)
     }
 
     /// Writes as much of the request as the socket accepts without blocking.
@@ -77,6 +86,22 @@
         Ok(Flush::NotCompleted)
     }
 
+    /// Reads the response to the request. Returns `None` if it is incomplete.
+    pub fn receive_response(&mut self, format: &ResponseFormat) -> Result<Option<PollResponse>, PollError> {
+        let stream_state = self.receive(format.max_body_bytes)?;
+        // The parser needs the state of the stream: a response without a length is complete when the stream
+        // ends.
+        let ResponseFormat { location_names, max_body_bytes } = format;
+        let response = parse_response(&self.received, stream_state, location_names, *max_body_bytes)?;
+        match (response, stream_state) {
+            (response, StreamState::Open) => Ok(response),
+            (Some(response), StreamState::Ended) => {
+                Ok(Some(PollResponse { persistence: Persistence::Close, ..response }))
+            }
+            (None, StreamState::Ended) => Err(PollError::ConnectionEnded),
+        }
+    }
+
     /// Reads until a read would block or the stream has ended.
     ///
     /// Fails if a read fails or the response exceeds its size limit.
--- a/src/bin/ingress/discovery/poll.rs
+++ b/src/bin/ingress/discovery/poll.rs
@@ -2,7 +2,7 @@
 
 use super::http::{self, Persistence, StreamState};
 use super::{EndpointList, LocationNames, PollError};
-use ingress::Duration;
+use ingress::{Duration, Instant};
 use std::net::SocketAddr;
 
 /// The list or changes that a poll requests.
@@ -49,6 +49,29 @@
     }
 }
 
+/// A poll that awaits its response.
+#[derive(Clone, Copy, Debug)]
+pub struct PendingPoll {
+    pub request: PollRequest,
+    pub started_at: Instant,
+    /// Version of the list that was in use at the start.
+    pub index: u64,
+}
+
+impl PendingPoll {
+    /// Returns the time at which a discovery without a queue responds at the latest.
+    pub fn expected_at(&self) -> Instant {
+        self.started_at + self.request.timeout()
+    }
+}
+
+/// Locations and size limit by which responses are parsed.
+pub struct ResponseFormat {
+    pub location_names: LocationNames,
+    /// Maximum size of a response's body.
+    pub max_body_bytes: usize,
+}
+
 /// A complete and valid response to a poll.
 pub struct PollResponse {
     pub endpoints: EndpointList,
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -1,10 +1,13 @@
 //! Watches the endpoint list by consecutive long polls over a persistent connection.
 //!
-//! While discovery is unavailable, the last endpoint list stays in use and polls are retried with backoff.
+//! While discovery is unavailable, the last endpoint list stays in use and polls are retried with backoff. A poll
+//! whose response is late stays pending beside the next one: discovery may be crowded and let polls wait in a queue.
 
 use super::connection::{DiscoveryConnection, Flush};
-use super::http::{Persistence, StreamState};
-use super::poll::{parse_response, PollRequest, PollResponse};
+use super::earlier_polls::{EarlierPoll, EarlierPolls, LateResponse};
+use super::http::StreamState;
+use super::list_version::{Applicability, ListVersion, ResponseVersion};
+use super::poll::{PendingPoll, PollRequest, PollResponse, ResponseFormat};
 use super::{EndpointList, LocationNames, PollError};
 use crate::error_chain::ErrorChain;
 use ingress::discovery_schedule::{FailedPoll, NextPoll, PollSchedule, PollTimings};
@@ -63,20 +66,20 @@
 pub struct Watch {
     /// Address of discovery.
     address: SocketAddr,
-    location_names: LocationNames,
-    /// Token of the connection's readiness events.
+    format: ResponseFormat,
+    /// Token of the readiness events of all connections.
     token: Token,
     /// The open connection, which is reused for further polls if discovery keeps it open.
     connection: Option<DiscoveryConnection>,
-    /// Version of the latest list. With `None` the next poll requests a snapshot.
-    index: Option<u64>,
-    /// Start time of the pending poll; `None` if no poll is pending.
-    poll_started_at: Option<Instant>,
+    /// Version of the list in use.
+    version: ListVersion,
+    /// The latest poll; `None` once it has been answered or has failed.
+    pending: Option<PendingPoll>,
+    /// Polls before the latest one that may still be answered.
+    earlier: EarlierPolls,
     /// Time at which the pending poll times out, once its request is written.
     response_due_at: Instant,
     schedule: PollSchedule,
-    /// Maximum size of a response's body.
-    max_body_bytes: usize,
     /// Time at which [`Watch::on_timer`] has to be called next.
     pub next_timer_at: Instant,
     /// Whether the last poll timed out. The next one then does not wait for changes, so that missed changes
@@ -97,14 +100,14 @@
         let next_timer_at = schedule.first_poll_at(options.now);
         Watch {
             address,
-            location_names,
+            format: ResponseFormat { location_names, max_body_bytes: options.max_body_bytes },
             token,
             connection: None,
-            index: Some(index),
-            poll_started_at: None,
+            version: ListVersion { index, needs_snapshot: false },
+            pending: None,
+            earlier: EarlierPolls::default(),
             response_due_at: Instant::ZERO,
             schedule,
-            max_body_bytes: options.max_body_bytes,
             next_timer_at,
             last_poll_timed_out: false,
         }
@@ -116,40 +119,42 @@
     /// A pending request for a snapshot at the same address is kept. Otherwise reloads of the configuration
     /// at shorter intervals than discovery's response time would cancel each poll, and no list would arrive.
     pub fn set_address(&mut self, address: SocketAddr, now: Instant) {
-        let awaits_snapshot = self.index.is_none() && self.poll_started_at.is_some();
+        let awaits_snapshot = self.version.needs_snapshot && self.pending.is_some();
         if awaits_snapshot && address == self.address {
             return;
         }
-        self.index = None;
+        self.version.needs_snapshot = true;
         self.disconnect();
+        self.earlier.clear();
         self.schedule.reset();
         self.address = address;
         self.next_timer_at = now;
     }
 
-    /// Closes the connection and cancels the pending poll.
+    /// Closes the connection and cancels the latest poll.
     fn disconnect(&mut self) {
         self.connection = None;
-        self.poll_started_at = None;
+        self.pending = None;
     }
 
     /// Closes the connection after a failure and schedules the next poll with backoff.
     fn fail(&mut self, now: Instant, error: &PollError) -> PollHealth {
-        self.fail_and_retry(now, error, Retry::AfterBackoff)
+        let health = self.schedule_retry(now, error, Retry::AfterBackoff);
+        self.disconnect();
+        health
     }
 
-    /// Closes the connection after a failure and schedules the next poll.
-    fn fail_and_retry(&mut self, now: Instant, error: &PollError, retry: Retry) -> PollHealth {
+    /// Records the failure of the latest poll, or of opening a connection for one, and schedules the next poll.
+    fn schedule_retry(&mut self, now: Instant, error: &PollError, retry: Retry) -> PollHealth {
         let request_sent = self.connection.as_ref().is_none_or(DiscoveryConnection::is_request_sent);
-        let pending = self.poll_started_at.map(|started_at| FailedPoll { started_at, request_sent });
-        let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, pending);
-        self.disconnect();
+        let failed = self.pending.map(|poll| FailedPoll { started_at: poll.started_at, request_sent });
+        let NextPoll { at, is_first_failure } = self.schedule.on_failure(now, failed);
         self.next_timer_at = match retry {
             Retry::AfterBackoff => at,
             Retry::Immediate => now,
         };
         let retry_in_ms = self.next_timer_at.duration_since(now).as_millis();
-        if let Some(FailedPoll { started_at, request_sent }) = pending {
+        if let Some(FailedPoll { started_at, request_sent }) = failed {
             let waited_ms = now.duration_since(started_at).as_millis();
             tracing::debug!(
                 target: "discovery", waited_ms, request_sent, retry_in_ms, error = %ErrorChain(error), "poll ended"
@@ -167,21 +172,26 @@
         if now < self.next_timer_at {
             return PollHealth::Unchanged;
         }
-        if self.poll_started_at.is_some() {
+        if self.pending.is_some() {
             return self.on_response_timeout(now, registry);
         }
         self.start_poll(now, registry)
     }
 
-    /// Times out the pending poll. After the first timeout in a row the next poll starts without backoff,
-    /// since changes may have been missed. Poll timeouts are random, so the ingresses do not all poll at the
-    /// same time.
+    /// Times out the latest poll. After the first timeout in a row the next poll starts without backoff, since
+    /// changes may have been missed. Poll timeouts are random, so the ingresses do not all poll at the same time.
+    ///
+    /// The poll stays pending: in a crowded discovery its successor waits from the end of the queue.
     fn on_response_timeout(&mut self, now: Instant, registry: &Registry) -> PollHealth {
-        if std::mem::replace(&mut self.last_poll_timed_out, true) {
-            return self.fail(now, &PollError::TimedOut);
+        let follows_timeout = std::mem::replace(&mut self.last_poll_timed_out, true);
+        let retry = if follows_timeout { Retry::AfterBackoff } else { Retry::Immediate };
+        let health = self.schedule_retry(now, &PollError::TimedOut, retry);
+        if let (Some(poll), Some(connection)) = (self.pending.take(), self.connection.take()) {
+            self.earlier.add(now, EarlierPoll { poll, connection });
+        }
+        if retry == Retry::Immediate {
+            self.start_poll(now, registry);
         }
-        let health = self.fail_and_retry(now, &PollError::TimedOut, Retry::Immediate);
-        self.start_poll(now, registry);
         health
     }
 
@@ -200,7 +210,7 @@
         if let Some(connection) = &mut self.connection {
             connection.set_request(request.encode(self.address));
         }
-        self.poll_started_at = Some(now);
+        self.pending = Some(PendingPoll { request, started_at: now, index: self.version.index });
         self.response_due_at = now + response_timeout;
         // The long response timeout applies once the request is written. Until then the short timeout closes
         // a connection that is not established, because the system retries a connect at growing intervals.
@@ -212,9 +222,10 @@
     /// Returns the request of the next poll and its timeout.
     fn next_request(&mut self) -> NextRequest {
         let response_timeout = self.schedule.timings.response_timeout;
-        let Some(since) = self.index else {
+        if self.version.needs_snapshot {
             return NextRequest { request: PollRequest::Snapshot, response_timeout };
-        };
+        }
+        let since = self.version.index;
         if self.last_poll_timed_out {
             let request = PollRequest::Changes { since, timeout: Duration::ZERO };
             return NextRequest { request, response_timeout };
@@ -241,28 +252,24 @@
         registry: &Registry,
         on_endpoints: &mut impl FnMut(EndpointList),
     ) -> PollHealth {
+        for late in self.earlier.receive(&self.format) {
+            self.complete_earlier_poll(now, late, on_endpoints);
+        }
         if self.flush(now) == PollHealth::FirstFailure {
             return PollHealth::FirstFailure;
         }
         let Some(connection) = &mut self.connection else { return PollHealth::Unchanged };
-        // The parser needs the state of the stream: a response without a length is complete when the stream
-        // ends.
-        let stream_state = match connection.receive(self.max_body_bytes) {
-            Ok(stream_state) => stream_state,
-            Err(error) => return self.fail(now, &error),
-        };
-        let received = connection.received();
-        let Some(started_at) = self.poll_started_at else {
-            self.on_input_between_polls(now, stream_state);
-            return PollHealth::Unchanged;
+        let Some(poll) = self.pending else {
+            return match connection.receive(self.format.max_body_bytes) {
+                Ok(stream_state) => self.on_input_between_polls(now, stream_state),
+                Err(error) => self.fail(now, &error),
+            };
         };
-        match parse_response(received, stream_state, &self.location_names, self.max_body_bytes) {
+        match connection.receive_response(&self.format) {
             Err(error) => self.fail(now, &error),
-            Ok(None) if stream_state == StreamState::Ended => self.fail(now, &PollError::ConnectionEnded),
             Ok(None) => PollHealth::Unchanged,
             Ok(Some(response)) => {
-                self.complete_poll(now, started_at, stream_state, &response);
-                on_endpoints(response.endpoints);
+                self.complete_poll(now, poll, response, on_endpoints);
                 self.on_timer(now, registry)
             }
         }
@@ -270,48 +277,74 @@
 
     /// Closes the connection if it has ended between two polls, or if bytes arrived on it, which would be
     /// parsed as the response to the next poll.
-    fn on_input_between_polls(&mut self, now: Instant, stream_state: StreamState) {
+    fn on_input_between_polls(&mut self, now: Instant, stream_state: StreamState) -> PollHealth {
         let has_input = self.connection.as_ref().is_some_and(|connection| !connection.received().is_empty());
         if stream_state == StreamState::Ended || has_input {
             self.disconnect();
             self.next_timer_at = now;
         }
+        PollHealth::Unchanged
     }
 
-    /// Records a response and schedules the next poll.
+    /// Applies the response to the latest poll and schedules the next one.
     fn complete_poll(
         &mut self,
         now: Instant,
-        started_at: Instant,
-        stream_state: StreamState,
-        response: &PollResponse,
+        poll: PendingPoll,
+        response: PollResponse,
+        on_endpoints: &mut impl FnMut(EndpointList),
     ) {
-        let waited_ms = now.duration_since(started_at).as_millis();
-        tracing::debug!(target: "discovery", index = response.endpoints.index, waited_ms, "poll answered");
-        if self.schedule.on_success() {
-            tracing::info!(target: "discovery", index = response.endpoints.index, "poll succeeded again");
-        }
-        // A lower version is that of another process of discovery, which counts from its own start: changes
-        // since that version would leave out all that it had before.
-        let is_other_history = !response.endpoints.is_snapshot
-            && self.index.is_some_and(|index| response.endpoints.index < index);
-        self.index = (!is_other_history).then_some(response.endpoints.index);
-        self.poll_started_at = None;
+        self.pending = None;
+        self.earlier.clear();
         self.last_poll_timed_out = false;
-        // If a response arrives before the request is completely written, the connection is closed: discovery
-        // would read the rest of the request as the start of the next one.
-        let request_sent = self.connection.as_ref().is_some_and(DiscoveryConnection::is_request_sent);
-        let has_ended = stream_state == StreamState::Ended || response.persistence == Persistence::Close;
-        if has_ended || !request_sent {
-            self.connection = None;
-        } else if let Some(connection) = &mut self.connection {
-            connection.clear_received();
-        }
+        let connection = self.connection.take();
+        self.connection = connection.and_then(|one| one.into_reusable(response.persistence));
+        let is_empty = response.endpoints.entries.is_empty();
+        self.apply_response(now, poll, response, on_endpoints);
         // Avoids a tight loop if discovery responds at once without changes.
-        let is_to_wait = response.endpoints.entries.is_empty() && !is_other_history;
-        let was_immediate = now < started_at + IMMEDIATE_RESPONSE_THRESHOLD;
+        let is_to_wait = is_empty && !self.version.needs_snapshot;
+        let was_immediate = now < poll.started_at + IMMEDIATE_RESPONSE_THRESHOLD;
         self.next_timer_at = if is_to_wait && was_immediate { now + EMPTY_RESPONSE_DELAY } else { now };
     }
+
+    /// Applies the response to a poll that was followed by another one. If that has failed since, the next poll
+    /// starts at once; if it is pending, it has a better place in the queue of discovery than a new one.
+    fn complete_earlier_poll(
+        &mut self,
+        now: Instant,
+        late: LateResponse,
+        on_endpoints: &mut impl FnMut(EndpointList),
+    ) {
+        let LateResponse { earlier: EarlierPoll { poll, connection }, response } = late;
+        if self.pending.is_none() {
+            self.connection = connection.into_reusable(response.persistence);
+            self.last_poll_timed_out = false;
+            self.next_timer_at = now;
+        }
+        self.apply_response(now, poll, response, on_endpoints);
+    }
+
+    /// Records a response, and passes its list to `on_endpoints` if it applies to the one in use.
+    fn apply_response(
+        &mut self,
+        now: Instant,
+        poll: PendingPoll,
+        response: PollResponse,
+        on_endpoints: &mut impl FnMut(EndpointList),
+    ) {
+        let index = response.endpoints.index;
+        let is_snapshot = response.endpoints.is_snapshot || poll.request == PollRequest::Snapshot;
+        let received = ResponseVersion { index, is_snapshot, index_at_start: poll.index };
+        let applicability = self.version.record_response(received);
+        let waited_ms = now.duration_since(poll.started_at).as_millis();
+        tracing::debug!(target: "discovery", index, waited_ms, ?applicability, "poll answered");
+        if self.schedule.on_success(now) {
+            tracing::info!(target: "discovery", index, "poll succeeded again");
+        }
+        if applicability == Applicability::Applies {
+            on_endpoints(response.endpoints);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -5,6 +5,8 @@
 use crate::discovery::HttpError;
 use std::io::{Read, Write};
 
+mod crowded_discovery;
+
 /// Maximum time from a failed poll to the next one: 6 s, after which missed changes count as delivered, less
 /// the time that a response takes.
 const MAX_RETRY_GAP: Duration = Duration::from_secs(5);
@@ -17,6 +19,18 @@
     HttpError::Status(503).into()
 }
 
+fn pending_poll(started_at: Instant) -> PendingPoll {
+    PendingPoll { request: PollRequest::Snapshot, started_at, index: 0 }
+}
+
+impl Watch {
+    /// Returns whether a poll that started at this time may still be answered.
+    fn awaits_response_since(&self, started_at: Instant) -> bool {
+        let pending = self.pending.is_some_and(|poll| poll.started_at == started_at);
+        pending || self.earlier.polls.iter().any(|earlier| earlier.poll.started_at == started_at)
+    }
+}
+
 /// A hundred ingresses share a service that answers forty polls in two seconds, and all of them start or
 /// lose their watches at the same moment. With retry delays of at most a second, the polls that are not
 /// served keep its queue full permanently, so first polls and retries are spread out. An agent on the same
@@ -161,7 +175,7 @@
         let mut silent = harness.accept();
         harness.read_poll(&mut silent);
         harness.run_timer();
-        if harness.watch.poll_started_at.is_none() {
+        if harness.watch.pending.is_none() {
             harness.run_timer(); // the retry delay passes
         }
     }
@@ -198,10 +212,7 @@
     let mut first = harness.accept();
     harness.read_poll(&mut first);
     harness.respond(&mut first, 41);
-    assert!(
-        harness.watch.poll_started_at.is_none(),
-        "the next poll is delayed after an immediate empty response"
-    );
+    assert!(harness.watch.pending.is_none(), "the next poll is delayed after an immediate empty response");
     first.write_all(b"HTTP/1.1 200 OK\r\nContent-Le").unwrap();
     while harness.watch.connection.is_some() {
         harness.run_ready();
@@ -375,7 +386,7 @@
             self.outage.polls += 1;
             self.discovery.poll(now)
         };
-        ingress.watch.poll_started_at = Some(now);
+        ingress.watch.pending = Some(pending_poll(now));
         if end.is_answered {
             ingress.answered_at = Some(end.at);
             // Killed ingresses poll again when they restart.
@@ -435,7 +446,7 @@
         let mut started_at = watch.next_timer_at;
         for _ in 0..5 {
             // The poll is pending with its request unwritten.
-            watch.poll_started_at = Some(started_at);
+            watch.pending = Some(pending_poll(started_at));
             let mut connection = DiscoveryConnection::open(unread, poll.registry(), Token(0)).unwrap();
             connection.set_request(b"GET".to_vec());
             watch.connection = Some(connection);
@@ -516,7 +527,7 @@
                 }
                 harness.run_ready();
             }
-            if harness.watch.poll_started_at.is_none() {
+            if harness.watch.pending.is_none() {
                 harness.run_timer();
             }
             // The limit does not apply to a poll that waits for changes: changes missed by it have another
@@ -580,7 +591,7 @@
     harness.run_timer();
     assert!(harness.read_poll(&mut stream) > Duration::ZERO, "changes since a higher version");
     harness.respond(&mut stream, 3);
-    assert!(harness.watch.poll_started_at.is_some(), "the next poll is not delayed");
+    assert!(harness.watch.pending.is_some(), "the next poll is not delayed");
     assert_eq!(harness.read_poll(&mut stream), Duration::ZERO, "the whole list, without a delay");
     harness.respond(&mut stream, 3);
     harness.run_timer();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -71,7 +71,7 @@
 pub use gossip::MAX_MESSAGE_BYTES;
 pub use identifiers::{BackendId, CustomerId, GatewayId, RequestId};
 pub use policy::quota::CUSTOMER_RECORD_BYTES;
-pub use policy::{discovery_schedule, permissions, StartTimes};
+pub use policy::{discovery_schedule, permissions, poll_retention, StartTimes};
 pub use settings::{
     Class, Discovery, Idempotency, IdempotencyScope, Limits, LoadReportField, Plan, Rules, Settings,
     SettingsError, SettingsReader, SizeMeaning,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -12,6 +12,7 @@
 mod load_shedding;
 mod outlier_detection;
 pub mod permissions;
+pub mod poll_retention;
 mod pressure;
 pub(crate) mod quota;
 mod reasons;
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -109,6 +109,8 @@
     random: fastrand::Rng,
     /// Whether a poll failed and none has succeeded since.
     is_failing: bool,
+    /// Time of the last response.
+    responded_at: Instant,
 }
 
 impl PollSchedule {
@@ -119,6 +121,7 @@
             next_delay: timings.retry_delays.initial,
             random: fastrand::Rng::with_seed(seed),
             is_failing: false,
+            responded_at: Instant::ZERO,
         }
     }
 
@@ -144,19 +147,21 @@
     }
 
     /// Returns the time from which changes may have been missed. An established watch received every change
-    /// until now; a poll that failed before it became a watch may have missed changes since its start.
+    /// until now; a poll that failed before it became a watch may have missed changes since its start, or since
+    /// the response to an earlier poll, if that arrived later.
     fn unobserved_since(&self, now: Instant, pending: Option<FailedPoll>) -> Instant {
         let Some(poll) = pending else { return now };
         let failed_early = now <= poll.started_at + self.timings.response_timeout;
         if self.is_failing || !poll.request_sent || failed_early {
-            poll.started_at
+            poll.started_at.max(self.responded_at)
         } else {
             now
         }
     }
 
-    /// Records a successful poll. Returns whether polls had failed before.
-    pub fn on_success(&mut self) -> bool {
+    /// Records a response at `now`. Returns whether polls had failed before.
+    pub fn on_success(&mut self, now: Instant) -> bool {
+        self.responded_at = now;
         self.next_delay = self.timings.retry_delays.initial;
         std::mem::take(&mut self.is_failing)
     }
