Return to long polls in a crowded discovery

Cause: with late polls kept pending, one that does not wait for changes is pending when an earlier one is answered, times out in turn, and was followed by another of its kind.

Change: if a poll that does not wait times out, but a response to an earlier one arrived since its start, no change was missed, and the next one is a long poll (on_response_timeout in discovery/watch.rs).

--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -181,10 +181,14 @@
     /// Times out the latest poll. After the first timeout in a row the next poll starts without backoff, since
     /// changes may have been missed. Poll timeouts are random, so the ingresses do not all poll at the same time.
     ///
-    /// The poll stays pending: in a crowded discovery its successor waits from the end of the queue.
+    /// The poll stays pending: in a crowded discovery its successor waits from the end of the queue. If an earlier
+    /// poll was answered meanwhile, no change was missed, and the next one is a long poll.
     fn on_response_timeout(&mut self, now: Instant, registry: &Registry) -> PollHealth {
-        let follows_timeout = std::mem::replace(&mut self.last_poll_timed_out, true);
-        let retry = if follows_timeout { Retry::AfterBackoff } else { Retry::Immediate };
+        let is_queued = self.pending.is_some_and(|poll| {
+            poll.request.timeout().is_zero() && self.schedule.has_response_since(poll.started_at)
+        });
+        let follows_timeout = std::mem::replace(&mut self.last_poll_timed_out, !is_queued);
+        let retry = if follows_timeout && !is_queued { Retry::AfterBackoff } else { Retry::Immediate };
         let health = self.schedule_retry(now, &PollError::TimedOut, retry);
         if let (Some(poll), Some(connection)) = (self.pending.take(), self.connection.take()) {
             self.earlier.add(now, EarlierPoll { poll, connection });
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -39,6 +39,30 @@
     }
 }
 
+/// Discovery answers each poll after its response timeout. If polls that do not wait for changes followed one
+/// another, a crowded discovery would receive one every few seconds; once a response has arrived, the watch waits
+/// for changes again.
+#[test]
+fn a_late_poll_is_followed_by_a_long_one_once_discovery_has_responded() {
+    for timings in all_timings() {
+        let mut harness = Harness::new(timings);
+        let mut long_poll = harness.accept();
+        harness.read_poll(&mut long_poll);
+        harness.run_timer(); // the long poll times out
+        let mut second = harness.accept();
+        harness.read_poll(&mut second);
+        harness.now += Duration::MICROSECOND;
+        harness.respond(&mut long_poll, 42);
+        harness.run_timer(); // the second poll times out
+        assert!(harness.watch.pending.is_some(), "the next poll begins at once");
+        let mut third = harness.accept();
+        assert!(harness.read_poll(&mut third) > Duration::ZERO);
+        harness.run_timer(); // the third poll times out
+        let mut fourth = harness.accept();
+        assert_eq!(harness.read_poll(&mut fourth), Duration::ZERO, "changes may have been missed");
+    }
+}
+
 /// A connection to discovery comes up after the response timeout, when the next poll has begun on another one that
 /// never comes up. The first poll is sent and answered.
 #[test]
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -135,6 +135,11 @@
         self.jittered(self.timings.poll_timeout).min(MAX_POLL_TIMEOUT)
     }
 
+    /// Returns whether a response arrived after this time.
+    pub fn has_response_since(&self, time: Instant) -> bool {
+        self.responded_at > time
+    }
+
     /// Records a failure at `now`, of the `pending` poll if there was one, and schedules the next poll.
     pub fn on_failure(&mut self, now: Instant, pending: Option<FailedPoll>) -> NextPoll {
         let unobserved_since = self.unobserved_since(now, pending);
