Keep a pending poll at a reload with the same address of discovery

With up to 6 s in the queue, a change could be received up to 12 s after discovery had it.

Measured: a_reload_with_the_same_address_keeps_the_pending_poll fails with the disconnect (the response to the long poll is not read) and passes; the 25 tests of discovery pass.

--- a/src/bin/ingress/discovery/earlier_polls.rs
+++ b/src/bin/ingress/discovery/earlier_polls.rs
@@ -1,7 +1,7 @@
 //! Polls that stay pending although another one was started after them.
 
 use super::connection::DiscoveryConnection;
-use super::poll::{PendingPoll, PollResponse, ResponseFormat};
+use super::poll::{PendingPoll, PollRequest, PollResponse, ResponseFormat};
 use super::PollError;
 use crate::error_chain::ErrorChain;
 use ingress::poll_retention::{earlier_poll_place, EarlierPollPlace};
@@ -40,6 +40,11 @@
         self.polls.push(earlier);
     }
 
+    /// Returns the requests of the polls.
+    pub fn requests(&self) -> impl Iterator<Item = PollRequest> + '_ {
+        self.polls.iter().map(|one| one.poll.request)
+    }
+
     /// Gives up all polls.
     pub fn clear(&mut self) {
         self.polls.clear();
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -109,24 +109,40 @@
         }
     }
 
-    /// Sets the address of discovery and requests a snapshot from it at once. Cancels a pending poll and
-    /// resets the backoff.
+    /// Sets the address of discovery and requests a snapshot from it at once. Cancels polls at another address
+    /// and resets the backoff.
     ///
-    /// A pending request for a snapshot at the same address is kept. Otherwise reloads of the configuration
-    /// at shorter intervals than discovery's response time would cancel each poll, and no list would arrive.
+    /// Polls at the same address stay pending, and one that requests a snapshot is not repeated. Otherwise
+    /// reloads of the configuration at shorter intervals than discovery's response time would cancel each poll,
+    /// and no list would arrive.
     pub fn set_address(&mut self, address: SocketAddr, now: Instant) {
-        let awaits_snapshot = self.version.needs_snapshot && self.pending.is_some();
-        if awaits_snapshot && address == self.address {
+        if address != self.address {
+            self.disconnect();
+            self.earlier.clear();
+        } else if self.awaits_snapshot() {
             return;
         }
+        self.keep_pending_poll(now);
         self.version.needs_snapshot = true;
-        self.disconnect();
-        self.earlier.clear();
         self.schedule.reset();
         self.address = address;
         self.next_timer_at = now;
     }
 
+    /// Returns whether a request for a snapshot is pending.
+    fn awaits_snapshot(&self) -> bool {
+        let is_requested = |request| request == PollRequest::Snapshot;
+        self.pending.is_some_and(|poll| is_requested(poll.request))
+            || self.earlier.requests().any(is_requested)
+    }
+
+    /// Keeps the latest poll pending beside the next one.
+    fn keep_pending_poll(&mut self, now: Instant) {
+        if let (Some(poll), Some(connection)) = (self.pending.take(), self.connection.take()) {
+            self.earlier.add(now, EarlierPoll { poll, connection });
+        }
+    }
+
     /// Closes the connection and cancels the latest poll.
     fn disconnect(&mut self) {
         self.connection = None;
@@ -186,9 +202,7 @@
         let follows_timeout = std::mem::replace(&mut self.last_poll_timed_out, !is_queued);
         let retry = if follows_timeout && !is_queued { Retry::AfterBackoff } else { Retry::Immediate };
         let health = self.schedule_retry(now, &PollError::TimedOut, retry);
-        if let (Some(poll), Some(connection)) = (self.pending.take(), self.connection.take()) {
-            self.earlier.add(now, EarlierPoll { poll, connection });
-        }
+        self.keep_pending_poll(now);
         if retry == Retry::Immediate {
             self.start_poll(now, registry);
         }
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -63,6 +63,22 @@
     }
 }
 
+/// The configuration is reloaded with the same address while a long poll waits in the queue of discovery. If it were
+/// given up, changes would be received only once the request for a snapshot has been through the queue.
+#[test]
+fn a_reload_with_the_same_address_keeps_the_pending_poll() {
+    let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
+    let mut long_poll = harness.accept();
+    harness.read_poll(&mut long_poll);
+    harness.watch.set_address(harness.listener.local_addr().unwrap(), harness.now);
+    harness.run_timer();
+    let mut snapshot = harness.accept();
+    assert_eq!(harness.read_poll(&mut snapshot), Duration::ZERO);
+    harness.respond(&mut long_poll, 42);
+    harness.respond(&mut snapshot, 43);
+    assert_eq!(harness.lists, [42, 43]);
+}
+
 /// A connection to discovery comes up after the response timeout, when the next poll has begun on another one that
 /// never comes up. The first poll is sent and answered.
 #[test]
