--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -322,7 +322,8 @@
     }
 
     /// Applies the response to a poll that was followed by another one. If that has failed since, the next poll
-    /// starts at once; if it is pending, it has a better place in the queue of discovery than a new one.
+    /// starts at once; if it is pending, it has a better place in the queue of discovery than a new one, unless a
+    /// snapshot is needed.
     fn complete_earlier_poll(
         &mut self,
         now: Instant,
@@ -336,6 +337,10 @@
             self.next_timer_at = now;
         }
         self.apply_response(now, poll, response, on_endpoints);
+        if self.version.needs_snapshot && !self.awaits_snapshot() {
+            self.keep_pending_poll(now);
+            self.next_timer_at = now;
+        }
     }
 
     /// Records a response, and passes its list to `on_endpoints` if it applies to the one in use.
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -79,6 +79,25 @@
     assert_eq!(harness.lists, [42, 43]);
 }
 
+/// A late response has a lower version, which is that of another process of discovery, while a poll for changes
+/// since the higher one is pending. The whole list is requested at once, not only after that poll.
+#[test]
+fn a_lower_version_in_a_late_response_is_followed_by_a_request_for_the_whole_list() {
+    let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
+    let mut late = harness.accept();
+    harness.read_poll(&mut late);
+    harness.run_timer(); // the poll times out
+    let mut pending = harness.accept();
+    harness.read_poll(&mut pending);
+    harness.respond(&mut late, 3);
+    harness.run_timer();
+    assert_eq!(harness.watch.pending.map(|poll| poll.request), Some(PollRequest::Snapshot));
+    let mut snapshot = harness.accept();
+    harness.read_poll(&mut snapshot);
+    harness.respond(&mut snapshot, 3);
+    assert_eq!(harness.watch.version.index, 3);
+}
+
 /// A connection to discovery comes up after the response timeout, when the next poll has begun on another one that
 /// never comes up. The first poll is sent and answered.
 #[test]
