--- a/src/bin/ingress/discovery/connection.rs
+++ b/src/bin/ingress/discovery/connection.rs
@@ -54,8 +54,8 @@
 
     /// Returns the connection for the next request, unless it has to be closed after a response.
     ///
-    /// A response that arrives before its request is completely written closes the connection: discovery would
-    /// read the rest of the request as the start of the next one.
+    /// A response that arrives before its request is completely written closes the connection: discovery
+    /// would read the rest of the request as the start of the next one.
     pub fn into_reusable(mut self, persistence: Persistence) -> Option<DiscoveryConnection> {
         if persistence == Persistence::Close || !self.is_request_sent() {
             return None;
--- a/src/bin/ingress/discovery/earlier_polls.rs
+++ b/src/bin/ingress/discovery/earlier_polls.rs
@@ -50,7 +50,8 @@
         self.polls.clear();
     }
 
-    /// Writes requests of connections that were established late, and returns the responses that have arrived.
+    /// Writes requests of connections that were established late, and returns the responses that have
+    /// arrived.
     ///
     /// A response gives up the polls that were started before its own: they are not needed to receive later
     /// changes, and would only repeat what it has.
--- a/src/bin/ingress/discovery/list_version.rs
+++ b/src/bin/ingress/discovery/list_version.rs
@@ -16,8 +16,8 @@
 pub enum Applicability {
     /// The list in use is updated.
     Applies,
-    /// The response is discarded: another one arrived first, and has a later list or that of another process of
-    /// discovery. Which of them cannot be distinguished, so the next poll requests a snapshot.
+    /// The response is discarded: another one arrived first, and has a later list or that of another process
+    /// of discovery. Which of them cannot be distinguished, so the next poll requests a snapshot.
     Outdated,
 }
 
@@ -25,8 +25,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ListVersion {
     pub index: u64,
-    /// Whether the next poll requests a snapshot, because changes after `index` may be those of another process
-    /// of discovery, which counts from its own start.
+    /// Whether the next poll requests a snapshot, because changes after `index` may be those of another
+    /// process of discovery, which counts from its own start.
     pub needs_snapshot: bool,
 }
 
--- a/src/bin/ingress/discovery/list_version/tests.rs
+++ b/src/bin/ingress/discovery/list_version/tests.rs
@@ -2,9 +2,9 @@
 
 use super::*;
 
-/// Two polls are answered in another order than discovery evaluated them. The second response still has a backend
-/// as ready that the first has as draining; if it were applied, requests would go there. A snapshot follows, since
-/// a lower version may also be that of another process of discovery.
+/// Two polls are answered in another order than discovery evaluated them. The second response still has a
+/// backend as ready that the first has as draining; if it were applied, requests would go there. A snapshot
+/// follows, since a lower version may also be that of another process of discovery.
 #[test]
 fn a_response_that_was_overtaken_by_a_later_list_is_discarded() {
     for is_snapshot in [false, true] {
@@ -20,8 +20,9 @@
     }
 }
 
-/// A poll requests the changes since version 41, and before its response the list becomes that of another process of
-/// discovery, which counts from its own start. Changes since 41 leave out those between the two versions.
+/// A poll requests the changes since version 41, and before its response the list becomes that of another
+/// process of discovery, which counts from its own start. Changes since 41 leave out those between the two
+/// versions.
 #[test]
 fn changes_since_a_version_of_another_process_are_discarded() {
     let mut version = ListVersion { index: 41, needs_snapshot: false };
--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -1,7 +1,8 @@
 //! Watches the endpoint list by consecutive long polls over a persistent connection.
 //!
-//! While discovery is unavailable, the last endpoint list stays in use and polls are retried with backoff. A poll
-//! whose response is late stays pending beside the next one: discovery may be crowded and let polls wait in a queue.
+//! While discovery is unavailable, the last endpoint list stays in use and polls are retried with backoff. A
+//! poll whose response is late stays pending beside the next one: discovery may be crowded and let polls wait
+//! in a queue.
 
 use super::connection::{DiscoveryConnection, Flush};
 use super::earlier_polls::{EarlierPoll, EarlierPolls, LateResponse};
@@ -109,12 +110,12 @@
         }
     }
 
-    /// Sets the address of discovery and requests a snapshot from it at once. Cancels polls at another address
-    /// and resets the backoff.
+    /// Sets the address of discovery and requests a snapshot from it at once. Cancels polls at another
+    /// address and resets the backoff.
     ///
     /// Polls at the same address stay pending, and one that requests a snapshot is not repeated. Otherwise
-    /// reloads of the configuration at shorter intervals than discovery's response time would cancel each poll,
-    /// and no list would arrive.
+    /// reloads of the configuration at shorter intervals than discovery's response time would cancel each
+    /// poll, and no list would arrive.
     pub fn set_address(&mut self, address: SocketAddr, now: Instant) {
         if address != self.address {
             self.disconnect();
@@ -156,7 +157,8 @@
         health
     }
 
-    /// Records the failure of the latest poll, or of opening a connection for one, and schedules the next poll.
+    /// Records the failure of the latest poll, or of opening a connection for one, and schedules the next
+    /// poll.
     fn schedule_retry(&mut self, now: Instant, error: &PollError, retry: Retry) -> PollHealth {
         let request_sent = self.connection.as_ref().is_none_or(DiscoveryConnection::is_request_sent);
         let failed = self.pending.map(|poll| FailedPoll { started_at: poll.started_at, request_sent });
@@ -169,7 +171,8 @@
         if let Some(FailedPoll { started_at, request_sent }) = failed {
             let waited_ms = now.duration_since(started_at).as_millis();
             tracing::debug!(
-                target: "discovery", waited_ms, request_sent, retry_in_ms, error = %ErrorChain(error), "poll ended"
+                target: "discovery", waited_ms, request_sent, retry_in_ms, error = %ErrorChain(error),
+                "poll ended"
             );
         }
         if !is_first_failure {
@@ -190,11 +193,12 @@
         self.start_poll(now, registry)
     }
 
-    /// Times out the latest poll. After the first timeout in a row the next poll starts without backoff, since
-    /// changes may have been missed. Poll timeouts are random, so the ingresses do not all poll at the same time.
+    /// Times out the latest poll. After the first timeout in a row the next poll starts without backoff,
+    /// since changes may have been missed. Poll timeouts are random, so the ingresses do not all poll at the
+    /// same time.
     ///
-    /// The poll stays pending: in a crowded discovery its successor waits from the end of the queue. If an earlier
-    /// poll was answered meanwhile, no change was missed, and the next one is a long poll.
+    /// The poll stays pending: in a crowded discovery its successor waits from the end of the queue. If an
+    /// earlier poll was answered meanwhile, no change was missed, and the next one is a long poll.
     fn on_response_timeout(&mut self, now: Instant, registry: &Registry) -> PollHealth {
         let is_queued = self.pending.is_some_and(|poll| {
             poll.request.timeout().is_zero() && self.schedule.has_response_since(poll.started_at)
@@ -321,9 +325,9 @@
         self.next_timer_at = if is_to_wait && was_immediate { now + EMPTY_RESPONSE_DELAY } else { now };
     }
 
-    /// Applies the response to a poll that was followed by another one. If that has failed since, the next poll
-    /// starts at once; if it is pending, it has a better place in the queue of discovery than a new one, unless a
-    /// snapshot is needed.
+    /// Applies the response to a poll that was followed by another one. If that has failed since, the next
+    /// poll starts at once; if it is pending, it has a better place in the queue of discovery than a new one,
+    /// unless a snapshot is needed.
     fn complete_earlier_poll(
         &mut self,
         now: Instant,
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -579,9 +579,9 @@
     assert_eq!(harness.lists, [43]);
 }
 
-/// Discovery ends, and another process of it comes up at the same address and counts its versions from the start.
-/// Changes since its version would leave out what it had before, so that requests would go to backends that are
-/// gone. The whole list is requested at once, and then changes again.
+/// Discovery ends, and another process of it comes up at the same address and counts its versions from the
+/// start. Changes since its version would leave out what it had before, so that requests would go to backends
+/// that are gone. The whole list is requested at once, and then changes again.
 #[test]
 fn a_lower_version_is_followed_by_a_request_for_the_whole_list() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -13,9 +13,9 @@
     [PollTimings::LOCAL_AGENT, PollTimings::shared_service(MAX_POLL_INTERVAL, 6)]
 }
 
-/// A crowded discovery answers a long poll, and the one that replaces it, after their response timeouts. Each time
-/// the next poll has begun by then. If a late response were lost, so would be each one after it, and a drained
-/// backend would receive requests for as long as discovery is crowded.
+/// A crowded discovery answers a long poll, and the one that replaces it, after their response timeouts. Each
+/// time the next poll has begun by then. If a late response were lost, so would be each one after it, and a
+/// drained backend would receive requests for as long as discovery is crowded.
 #[test]
 fn a_response_that_arrives_after_the_next_poll_has_begun_is_applied() {
     for timings in all_timings() {
@@ -40,8 +40,8 @@
 }
 
 /// Discovery answers each poll after its response timeout. If polls that do not wait for changes followed one
-/// another, a crowded discovery would receive one every few seconds; once a response has arrived, the watch waits
-/// for changes again.
+/// another, a crowded discovery would receive one every few seconds; once a response has arrived, the watch
+/// waits for changes again.
 #[test]
 fn a_late_poll_is_followed_by_a_long_one_once_discovery_has_responded() {
     for timings in all_timings() {
@@ -63,8 +63,9 @@
     }
 }
 
-/// The configuration is reloaded with the same address while a long poll waits in the queue of discovery. If it were
-/// given up, changes would be received only once the request for a snapshot has been through the queue.
+/// The configuration is reloaded with the same address while a long poll waits in the queue of discovery. If
+/// it were given up, changes would be received only once the request for a snapshot has been through the
+/// queue.
 #[test]
 fn a_reload_with_the_same_address_keeps_the_pending_poll() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
@@ -79,8 +80,8 @@
     assert_eq!(harness.lists, [42, 43]);
 }
 
-/// A late response has a lower version, which is that of another process of discovery, while a poll for changes
-/// since the higher one is pending. The whole list is requested at once, not only after that poll.
+/// A late response has a lower version, which is that of another process of discovery, while a poll for
+/// changes since the higher one is pending. The whole list is requested at once, not only after that poll.
 #[test]
 fn a_lower_version_in_a_late_response_is_followed_by_a_request_for_the_whole_list() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
@@ -98,8 +99,8 @@
     assert_eq!(harness.watch.version.index, 3);
 }
 
-/// A connection to discovery comes up after the response timeout, when the next poll has begun on another one that
-/// never comes up. The first poll is sent and answered.
+/// A connection to discovery comes up after the response timeout, when the next poll has begun on another one
+/// that never comes up. The first poll is sent and answered.
 #[test]
 fn a_poll_whose_connection_comes_up_late_is_sent() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
@@ -251,9 +252,9 @@
     }
 }
 
-/// Discovery lets each poll wait for up to 6 s, always as long, more or less from poll to poll, from some time on or
-/// until then. Each change is received within 6 s after discovery had it, and polls are no more frequent than those
-/// of a discovery that does not respond.
+/// Discovery lets each poll wait for up to 6 s, always as long, more or less from poll to poll, from some
+/// time on or until then. Each change is received within 6 s after discovery had it, and polls are no more
+/// frequent than those of a discovery that does not respond.
 #[test]
 fn changes_are_received_in_time_from_a_crowded_discovery() {
     let queue_times: [(&str, QueueTime); 7] = [
@@ -274,8 +275,9 @@
     }
 }
 
-/// Discovery is crowded, and the connection of a long poll dies without a sign. Its changes count as delivered 2 s
-/// after its timeout. If the next poll began only then, it would still wait in the queue when they do.
+/// Discovery is crowded, and the connection of a long poll dies without a sign. Its changes count as
+/// delivered 2 s after its timeout. If the next poll began only then, it would still wait in the queue when
+/// they do.
 #[test]
 fn a_silent_watch_of_a_crowded_discovery_is_replaced_in_time() {
     let queue_times: [(&str, QueueTime); 3] = [
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -28,8 +28,8 @@
 /// delivered 2 s after the timeout, and the ingress must not use a removed backend from then on, so the next
 /// poll has to be answered earlier.
 const RESPONSE_GRACE: Duration = Duration::from_millis(750);
-/// Maximum time in the queue of discovery that the next poll allows for. A longer one delays changes beyond their
-/// delivery in any case, and was more likely an outage.
+/// Maximum time in the queue of discovery that the next poll allows for. A longer one delays changes beyond
+/// their delivery in any case, and was more likely an outage.
 const MAX_EXPECTED_QUEUE_TIME: Duration = Duration::from_secs(6);
 
 /// Periodic polls per interval within which one is required: two, so that one may fail.
@@ -147,8 +147,8 @@
     }
 
     /// Returns the time after which a long poll that waits `poll_timeout` for a change counts as late. Its
-    /// successor has to be answered before changes that a dead connection missed count as delivered, so it begins
-    /// earlier by the time that it is expected to wait in the queue of discovery.
+    /// successor has to be answered before changes that a dead connection missed count as delivered, so it
+    /// begins earlier by the time that it is expected to wait in the queue of discovery.
     pub fn long_poll_response_timeout(&self, poll_timeout: Duration) -> Duration {
         (poll_timeout + RESPONSE_GRACE - self.queue_time).max(self.timings.response_timeout)
     }
@@ -170,8 +170,8 @@
     }
 
     /// Returns the time from which changes may have been missed. An established watch received every change
-    /// until now; a poll that failed before it became a watch may have missed changes since its start, or since
-    /// the response to an earlier poll, if that arrived later.
+    /// until now; a poll that failed before it became a watch may have missed changes since its start, or
+    /// since the response to an earlier poll, if that arrived later.
     fn unobserved_since(&self, now: Instant, pending: Option<FailedPoll>) -> Instant {
         let Some(poll) = pending else { return now };
         let failed_early = now <= poll.started_at + self.timings.response_timeout;
@@ -182,8 +182,8 @@
         }
     }
 
-    /// Records a response at `now`, which a discovery without a queue would have sent by `expected_at`. Returns
-    /// whether polls had failed before.
+    /// Records a response at `now`, which a discovery without a queue would have sent by `expected_at`.
+    /// Returns whether polls had failed before.
     pub fn on_success(&mut self, now: Instant, expected_at: Instant) -> bool {
         self.responded_at = now;
         // A long poll that is answered before its timeout does not show how long it waited in the queue.
--- a/src/policy/poll_retention.rs
+++ b/src/policy/poll_retention.rs
@@ -1,17 +1,17 @@
 //! Decides which unanswered polls of discovery stay pending beside the latest one.
 //!
 //! A crowded discovery answers polls in turn. A poll that is given up loses its place in the queue, and its
-//! successor waits from the end of it: if every poll were given up sooner than discovery answers, none would ever
-//! be answered. A poll whose response is late therefore stays pending. Its connection may as well be dead, so the
-//! next poll does not wait for it.
+//! successor waits from the end of it: if every poll were given up sooner than discovery answers, none would
+//! ever be answered. A poll whose response is late therefore stays pending. Its connection may as well be
+//! dead, so the next poll does not wait for it.
 
 use crate::{Duration, Instant};
 
-/// Maximum number of polls that stay pending beside the latest one: a long poll, whose connection may be dead, and
-/// a poll in the queue.
+/// Maximum number of polls that stay pending beside the latest one: a long poll, whose connection may be
+/// dead, and a poll in the queue.
 pub const MAX_EARLIER_POLLS: usize = 2;
-/// Time in the queue of discovery after which a poll may be given up. A change counts as delivered after 6 s in
-/// which discovery could be reached; the rest is for the transfer of the response.
+/// Time in the queue of discovery after which a poll may be given up. A change counts as delivered after 6 s
+/// in which discovery could be reached; the rest is for the transfer of the response.
 const MAX_QUEUE_TIME: Duration = Duration::from_millis(6500);
 
 /// Place of a poll that stays pending beside its successor.
--- a/src/policy/poll_retention/tests.rs
+++ b/src/policy/poll_retention/tests.rs
@@ -5,8 +5,8 @@
 const NOW: Instant = Instant::from_micros(1_000_000_000);
 
 /// A local agent is silent and polled every second. If each further poll replaced the first, none would stay
-/// pending for as long as discovery may let it wait; if none were ever replaced, polls on dead connections would
-/// take the places of those in the queue.
+/// pending for as long as discovery may let it wait; if none were ever replaced, polls on dead connections
+/// would take the places of those in the queue.
 #[test]
 fn a_poll_is_given_up_only_after_the_longest_time_in_the_queue() {
     let second = Duration::from_secs(1);
