Move limits that parts of a client connection share into a module of their own

Cause: connection, memory, output, reading and reply_queue of clients/ imported one another in a circle, mostly for constants: reading and connection each used one of the other, output one of connection, reply_queue one of the module above.

Change: READ_BUFFER_BYTES, MAX_UNRESERVED_INPUT_BYTES, INPUT_RESERVATION_BYTES, MAX_REPLY_BYTES and LINGER_TIMEOUT are in clients/limits.rs. No behaviour changes.

What is left of the circle is connection and memory.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod error;
 mod expiry;
+mod limits;
 mod memory;
 mod output;
 mod read_ahead;
@@ -20,18 +21,17 @@
 mod writing;
 
 use crate::command::{Command, CommandSchema};
-use crate::resp;
 use close_reason::ClientCloseReason;
 use connection::ClientConnection;
-#[cfg(test)]
-pub use connection::LINGER_TIMEOUT;
 pub use error::ClientError;
 use ingress::{Instant, RequestId};
+#[cfg(test)]
+pub use limits::LINGER_TIMEOUT;
+use limits::READ_BUFFER_BYTES;
 pub use memory::ClientMemoryLimits;
 use memory::MemoryBudget;
 use mio::net::{TcpListener, TcpStream};
 use mio::Token;
-use reading::READ_BUFFER_BYTES;
 use slab::Slab;
 use std::collections::VecDeque;
 use std::ops::Range;
@@ -40,9 +40,6 @@
 /// their requests, and those that are closed for their descriptor once their last reply has arrived.
 pub const MAX_CLIENTS_BEYOND_BUDGET: usize = 8;
 
-/// Maximum size of a reply, in bytes: that of a value, which is a bulk string.
-pub const MAX_REPLY_BYTES: usize = resp::MAX_BULK_STRING_BYTES;
-
 /// The reply to a rejected request, which is safe to retry.
 pub const BUSY_REPLY: &[u8] = b"-BUSY\r\n";
 
--- a/src/bin/ingress/clients/closing/tests.rs
+++ b/src/bin/ingress/clients/closing/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::clients::connection::{FIRST_COMMAND_TIME, LINGER_TIMEOUT};
+use crate::clients::connection::FIRST_COMMAND_TIME;
+use crate::clients::limits::LINGER_TIMEOUT;
 use crate::clients::tests::{expect_reply, request_command, Harness, NOW};
 use crate::clients::{Capacity, BUSY_REPLY, MAX_CLIENTS_BEYOND_BUDGET};
 use crate::resp;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -2,10 +2,10 @@
 
 use super::close_state::{CloseState, ClosingCause};
 use super::error::ClientError;
+use super::limits::{INPUT_RESERVATION_BYTES, LINGER_TIMEOUT};
 use super::memory::ConnectionMemory;
 use super::output::OutputBuffer;
 use super::read_ahead::ReadAhead;
-use super::reading::READ_BUFFER_BYTES;
 use super::reply_queue::ReplyQueue;
 use super::Capacity;
 use crate::buffer::extend_in_steps;
@@ -20,11 +20,6 @@
 const MAX_PENDING_REPLIES: usize = 256;
 /// Maximum size of a connection's unwritten replies before reading from it pauses, in bytes.
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
-/// Maximum size of an incomplete command for which no memory is reserved, in bytes. It suffices for most
-/// commands, and for all connections together it is a small part of the memory.
-pub const MAX_UNRESERVED_INPUT_BYTES: usize = 2 * 1024;
-/// Memory that is reserved for a longer incomplete command, and for the input that is read behind it, in bytes.
-pub const INPUT_RESERVATION_BYTES: usize = resp::MAX_COMMAND_BYTES + READ_BUFFER_BYTES;
 /// Number of consecutive invalid commands after which a connection is closed: each of them costs a reply, and
 /// some clients never stop sending them.
 const MAX_CONSECUTIVE_ERRORS: u32 = 8;
@@ -32,8 +27,6 @@
 pub const COMMAND_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum time for the first command of a client to arrive that sends it as soon as it has connected.
 pub const FIRST_COMMAND_TIME: Duration = Duration::from_millis(100);
-/// Time for a client to read its last replies; each further input restarts it.
-pub const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Maximum time for reading the last replies, for a client that continues to send.
 const MAX_LINGER: Duration = Duration::from_secs(5);
 
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -4,7 +4,8 @@
 //! its reply, and a long command is stored only with memory for all of it.
 
 use super::close_reason::ClientCloseReason;
-use super::connection::{ClientConnection, INPUT_RESERVATION_BYTES};
+use super::connection::ClientConnection;
+use super::limits::INPUT_RESERVATION_BYTES;
 use super::Clients;
 use ingress::{Duration, Instant};
 
@@ -21,7 +22,7 @@
     /// requests beyond it.
     pub total: usize,
     /// Maximum memory of incomplete commands that are longer than
-    /// [`MAX_UNRESERVED_INPUT_BYTES`](super::connection::MAX_UNRESERVED_INPUT_BYTES), as a part of `total`.
+    /// [`MAX_UNRESERVED_INPUT_BYTES`](super::limits::MAX_UNRESERVED_INPUT_BYTES), as a part of `total`.
     pub input: usize,
 }
 
--- a/src/bin/ingress/clients/output.rs
+++ b/src/bin/ingress/clients/output.rs
@@ -1,6 +1,6 @@
 //! The output buffer of a client connection.
 
-use super::connection::LINGER_TIMEOUT;
+use super::limits::LINGER_TIMEOUT;
 use crate::socket_error::is_out_of_memory;
 use ingress::{Duration, Instant};
 use mio::net::TcpStream;
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -13,8 +13,6 @@
 use std::io::{ErrorKind, Read};
 use std::ops::Range;
 
-/// Maximum size of a single read, in bytes.
-pub const READ_BUFFER_BYTES: usize = 16 * 1024;
 /// Maximum number of reads from a connection in an iteration, so that a fast client does not delay the
 /// others.
 pub(super) const MAX_READS_PER_ITERATION: usize = 4;
--- a/src/bin/ingress/clients/reading/tests.rs
+++ b/src/bin/ingress/clients/reading/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of [`super`].
 
 use super::*;
-use crate::clients::connection::{COMMAND_TIMEOUT, LINGER_TIMEOUT, MAX_UNRESERVED_INPUT_BYTES};
+use crate::clients::connection::COMMAND_TIMEOUT;
+use crate::clients::limits::{LINGER_TIMEOUT, MAX_UNRESERVED_INPUT_BYTES};
 use crate::clients::memory::{ClientMemoryLimits, ConnectionMemory, MemoryBudget};
 use crate::clients::tests::{expect_reply, request_command, Harness, NOW};
 use crate::clients::Capacity;
--- a/src/bin/ingress/clients/receiving.rs
+++ b/src/bin/ingress/clients/receiving.rs
@@ -3,9 +3,10 @@
 
 use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
-use super::connection::{InputStorage, MAX_UNRESERVED_INPUT_BYTES};
+use super::connection::InputStorage;
 use super::error::ClientError;
-use super::reading::{MAX_READS_PER_ITERATION, READ_BUFFER_BYTES};
+use super::limits::{MAX_UNRESERVED_INPUT_BYTES, READ_BUFFER_BYTES};
+use super::reading::MAX_READS_PER_ITERATION;
 use super::{Clients, BUSY_REPLY};
 use crate::resp::CommandSkipper;
 use crate::socket_error::is_out_of_memory;
--- a/src/bin/ingress/clients/reply_queue.rs
+++ b/src/bin/ingress/clients/reply_queue.rs
@@ -1,8 +1,8 @@
 //! Keeps the replies of a connection in the order of its requests, regardless of the order in which they
 //! become available.
 
+use super::limits::MAX_REPLY_BYTES;
 use super::output::OutputBuffer;
-use super::MAX_REPLY_BYTES;
 use ingress::RequestId;
 use std::collections::VecDeque;
 
--- a/src/bin/ingress/clients/tests.rs
+++ b/src/bin/ingress/clients/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of [`super`].
 
-use super::connection::{COMMAND_TIMEOUT, FIRST_COMMAND_TIME, LINGER_TIMEOUT};
+use super::connection::{COMMAND_TIMEOUT, FIRST_COMMAND_TIME};
+use super::limits::LINGER_TIMEOUT;
 use super::output::WRITE_TIMEOUT;
 use super::*;
 use crate::command::ClassSchema;
