--- a/src/bin/ingress/discovery/earlier_polls.rs
+++ b/src/bin/ingress/discovery/earlier_polls.rs
@@ -40,7 +40,7 @@
         self.polls.push(earlier);
     }
 
-    /// Returns the requests of the polls.
+    /// Returns the list or changes that each poll awaits.
     pub fn requests(&self) -> impl Iterator<Item = PollRequest> + '_ {
         self.polls.iter().map(|one| one.poll.request)
     }
