Let the memory budget of clients know no connections

Cause: MemoryBudget took a ClientConnection, which holds a ConnectionMemory, so that memory.rs and connection.rs imported each other, and memory.rs closed connections as well.

Change: ClientConnection::account_memory updates the budget, which only adds and subtracts; closing connections under a shortage is with the other closes in expiry.rs. No part of clients/ imports another one in a circle now.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -194,6 +194,16 @@
         }
     }
 
+    /// Sets the memory of requests and connections to backends.
+    pub fn set_memory_used_by_requests(&mut self, bytes: usize) {
+        self.memory.set_used_by_requests(bytes);
+    }
+
+    /// Returns whether `bytes` are available.
+    pub fn has_memory_for(&self, bytes: usize) -> bool {
+        self.memory.has_room_for(bytes)
+    }
+
     /// Returns the events that were not taken yet, oldest first.
     pub fn pending_events(&self) -> impl Iterator<Item = &ClientEvent> {
         self.events.iter()
--- a/src/bin/ingress/clients/closing.rs
+++ b/src/bin/ingress/clients/closing.rs
@@ -162,7 +162,7 @@
         self.lingering_count -= usize::from(connection.linger_until.is_some());
         self.over_limit_count -= usize::from(connection.is_over_limit());
         self.yielding_count -= usize::from(connection.yields_descriptor());
-        self.memory.release(&connection);
+        self.memory.subtract(connection.accounted_memory);
         // The latest request is reported first: the end of an earlier one would otherwise start a later one
         // of the same client, which would be cancelled at once.
         let pending = connection.replies.pending_latest_first();
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -3,7 +3,7 @@
 use super::close_state::{CloseState, ClosingCause};
 use super::error::ClientError;
 use super::limits::{INPUT_RESERVATION_BYTES, LINGER_TIMEOUT};
-use super::memory::ConnectionMemory;
+use super::memory::{ConnectionMemory, MemoryBudget};
 use super::output::OutputBuffer;
 use super::read_ahead::ReadAhead;
 use super::reply_queue::ReplyQueue;
@@ -258,12 +258,19 @@
     }
 
     /// Returns the memory that the buffers use, or that is reserved for them.
-    pub fn memory(&self) -> ConnectionMemory {
+    fn memory(&self) -> ConnectionMemory {
         let reserved_input = if self.input_storage.is_reserved() { INPUT_RESERVATION_BYTES } else { 0 };
         let input = self.input.capacity().max(reserved_input) + self.read_ahead.memory_size();
         ConnectionMemory { input, replies: self.reply_memory() }
     }
 
+    /// Updates the memory accounted for the connection to its current size.
+    pub fn account_memory(&mut self, budget: &mut MemoryBudget) {
+        budget.subtract(self.accounted_memory);
+        self.accounted_memory = self.memory();
+        budget.add(self.accounted_memory);
+    }
+
     /// Appends received bytes to the input, or discards them after a protocol error.
     pub fn receive(&mut self, bytes: &[u8], now: Instant) {
         if self.discards_input() {
--- a/src/bin/ingress/clients/expiry.rs
+++ b/src/bin/ingress/clients/expiry.rs
@@ -6,7 +6,10 @@
 use super::error::ClientError;
 use super::output::WRITE_TIMEOUT;
 use super::Clients;
-use ingress::Instant;
+use ingress::{Duration, Instant};
+
+/// Time for which a client may read nothing while memory is short, before its connection is closed.
+const SHORTAGE_WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
 impl Clients {
     /// Closes connections whose clients exceed the time to send a command, to read replies or to close their
@@ -20,6 +23,20 @@
         }
     }
 
+    /// While memory is short, closes connections whose clients do not read: of those that have
+    /// read nothing for [`SHORTAGE_WRITE_TIMEOUT`], the ones that use the most memory.
+    fn close_unread_under_shortage(&mut self, now: Instant) {
+        while self.memory.is_short() {
+            let unread = self
+                .connections
+                .iter()
+                .filter(|(_, connection)| connection.output.is_blocked_for(SHORTAGE_WRITE_TIMEOUT, now));
+            let largest = unread.max_by_key(|(_, connection)| connection.accounted_memory.replies);
+            let Some((key, _)) = largest else { return };
+            self.remove(key, ClientCloseReason::MemoryLimit);
+        }
+    }
+
     /// Closes connections over the limit whose time is over. Requests that have arrived are rejected first.
     fn close_over_limit(&mut self, now: Instant) {
         let is_over = |connection: &ClientConnection| {
--- a/src/bin/ingress/clients/memory.rs
+++ b/src/bin/ingress/clients/memory.rs
@@ -3,17 +3,11 @@
 //! The limits are kept by taking less, not by closing connections: a request is forwarded only with memory for
 //! its reply, and a long command is stored only with memory for all of it.
 
-use super::close_reason::ClientCloseReason;
-use super::connection::ClientConnection;
 use super::limits::INPUT_RESERVATION_BYTES;
-use super::Clients;
-use ingress::{Duration, Instant};
 
 /// Divisor of the memory limit that gives the maximum memory of the replies of one connection. A client that
 /// does not read leaves the rest to the others.
 const MAX_CONNECTION_SHARE_DIVISOR: usize = 2;
-/// Time for which a client may read nothing while memory is short, before its connection is closed.
-const SHORTAGE_WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Limits on the memory of all client connections, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -62,8 +56,13 @@
         self.used.total() + self.used_by_requests
     }
 
+    /// Sets the memory of requests and connections to backends.
+    pub fn set_used_by_requests(&mut self, bytes: usize) {
+        self.used_by_requests = bytes;
+    }
+
     /// Returns whether `bytes` are available.
-    fn has_room_for(&self, bytes: usize) -> bool {
+    pub fn has_room_for(&self, bytes: usize) -> bool {
         self.total() + bytes <= self.limits.total
     }
 
@@ -84,48 +83,20 @@
         self.used.input + bytes <= self.limits.input / 2 && self.has_room_for(bytes)
     }
 
-    /// Updates the memory accounted for a connection to its current size.
-    pub fn account(&mut self, connection: &mut ClientConnection) {
-        self.release(connection);
-        connection.accounted_memory = connection.memory();
-        self.used.input += connection.accounted_memory.input;
-        self.used.replies += connection.accounted_memory.replies;
+    /// Accounts for the current memory of a connection.
+    pub fn add(&mut self, memory: ConnectionMemory) {
+        self.used.input += memory.input;
+        self.used.replies += memory.replies;
     }
 
-    /// Subtracts the memory of a connection that is being removed.
-    pub fn release(&mut self, connection: &ClientConnection) {
-        self.used.input -= connection.accounted_memory.input;
-        self.used.replies -= connection.accounted_memory.replies;
+    /// Removes the memory that was accounted for a connection.
+    pub fn subtract(&mut self, memory: ConnectionMemory) {
+        self.used.input -= memory.input;
+        self.used.replies -= memory.replies;
     }
 
     /// Returns whether less memory is left than a long command needs.
-    fn is_short(&self) -> bool {
+    pub fn is_short(&self) -> bool {
         !self.has_room_for(INPUT_RESERVATION_BYTES)
     }
 }
-
-impl Clients {
-    /// Sets the memory of requests and connections to backends.
-    pub fn set_memory_used_by_requests(&mut self, bytes: usize) {
-        self.memory.used_by_requests = bytes;
-    }
-
-    /// Returns whether `bytes` are available.
-    pub fn has_memory_for(&self, bytes: usize) -> bool {
-        self.memory.has_room_for(bytes)
-    }
-
-    /// While memory is short, closes connections whose clients do not read: of those that have
-    /// read nothing for [`SHORTAGE_WRITE_TIMEOUT`], the ones that use the most memory.
-    pub(super) fn close_unread_under_shortage(&mut self, now: Instant) {
-        while self.memory.is_short() {
-            let unread = self
-                .connections
-                .iter()
-                .filter(|(_, connection)| connection.output.is_blocked_for(SHORTAGE_WRITE_TIMEOUT, now));
-            let largest = unread.max_by_key(|(_, connection)| connection.accounted_memory.replies);
-            let Some((key, _)) = largest else { return };
-            self.remove(key, ClientCloseReason::MemoryLimit);
-        }
-    }
-}
--- a/src/bin/ingress/clients/reading.rs
+++ b/src/bin/ingress/clients/reading.rs
@@ -100,7 +100,7 @@
         self.read_and_parse(key, now);
         if self.connections.contains(key) {
             self.reserve_input(key);
-            self.memory.account(&mut self.connections[key]);
+            self.connections[key].account_memory(&mut self.memory);
         }
     }
 
--- a/src/bin/ingress/clients/reading/tests.rs
+++ b/src/bin/ingress/clients/reading/tests.rs
@@ -33,7 +33,7 @@
         let mut memory = MemoryBudget::new(ClientMemoryLimits { total: 0, input: 0 });
         for (_, connection) in &mut self.clients.connections {
             connection.accounted_memory = ConnectionMemory::default();
-            memory.account(connection);
+            connection.account_memory(&mut memory);
         }
         self.clients.memory = memory;
     }
--- a/src/bin/ingress/clients/receiving.rs
+++ b/src/bin/ingress/clients/receiving.rs
@@ -102,7 +102,7 @@
                 Ok(0) => return self.remove(key, ClientCloseReason::Disconnected),
                 Ok(received) => {
                     connection.read_ahead.push(&self.read_buffer[..received]);
-                    self.memory.account(connection);
+                    connection.account_memory(&mut self.memory);
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
--- a/src/bin/ingress/clients/writing.rs
+++ b/src/bin/ingress/clients/writing.rs
@@ -27,7 +27,7 @@
             return;
         };
         if connection.replies.complete(reply_to.sequence, reply.into(), &mut connection.output) {
-            self.memory.account(connection);
+            connection.account_memory(&mut self.memory);
             self.queue_for_write(reply_to.key);
         }
     }
@@ -51,7 +51,7 @@
                     continue;
                 }
             }
-            self.memory.account(connection);
+            connection.account_memory(&mut self.memory);
             if connection.output.is_empty() {
                 connection.last_active_at = now.max(connection.last_active_at);
             }
