--- a/src/bin/ingress/event_loop/descriptor_budget.rs
+++ b/src/bin/ingress/event_loop/descriptor_budget.rs
@@ -6,8 +6,8 @@
 use ingress::Instant;
 
 /// Descriptors that are not available for connections of clients and backends: standard streams, poll,
-/// listener, signals, discovery, peers, and a reserve for descriptors that are opened before others are
-/// closed.
+/// listener, signals, up to three connections to discovery, peers, and a reserve for descriptors that are
+/// opened before others are closed.
 const RESERVED_DESCRIPTORS: usize = 20;
 /// Minimum number of connections with which an ingress can serve requests.
 const MIN_CONNECTIONS: usize = 8;
