Add an experiment: polls and deliveries at a crowded discovery

Change: crowded_discovery runs real ingresses, with an agent and with a shared service, at a stand-in that lets each poll wait in a queue. A point has the polls, those that were given up, and the time until each change was in an answer that the ingress still waited for. The test of former names has the new table on both sides and counts nine experiments.

--- a/fleet-experiments/src/experiment_file.rs
+++ b/fleet-experiments/src/experiment_file.rs
@@ -3,6 +3,7 @@
 //! Former names of tables and keys are accepted as aliases, so that older results can be reproduced.
 
 use crate::experiment::{Environment, Experiment, Parameter};
+use crate::experiments::crowded_discovery::CrowdedDiscoveryExperiment;
 use crate::experiments::discovery_outage::DiscoveryOutageExperiment;
 use crate::experiments::endpoint_list::EndpointListExperiment;
 use crate::experiments::ingress_endpoint_list::IngressEndpointListExperiment;
@@ -34,7 +35,7 @@
     /// The file has no table of a known experiment.
     #[error(
         "no experiment: at least one table of endpoint_list, request, quota, discovery, slow_start, \
-         ingress_endpoint_list, ingress_restart, ingress_latency is required"
+         ingress_endpoint_list, ingress_restart, ingress_latency, crowded_discovery is required"
     )]
     NoExperiment,
     /// The list of values under a key has no elements.
@@ -84,6 +85,8 @@
     /// Latency that a real ingress adds to a request.
     #[serde(alias = "real_added")]
     pub ingress_latency: Option<IngressLatencyExperiment>,
+    /// Polls of a real ingress at a crowded discovery, and the time until changes are delivered.
+    pub crowded_discovery: Option<CrowdedDiscoveryExperiment>,
 }
 
 impl ExperimentFile {
@@ -125,6 +128,7 @@
             as_experiment(self.ingress_endpoint_list.as_ref()),
             as_experiment(self.ingress_restart.as_ref()),
             as_experiment(self.ingress_latency.as_ref()),
+            as_experiment(self.crowded_discovery.as_ref()),
         ];
         tables.into_iter().flatten().collect()
     }
--- a/fleet-experiments/src/experiments.rs
+++ b/fleet-experiments/src/experiments.rs
@@ -7,6 +7,7 @@
 pub mod request_cost;
 pub mod slow_start;
 
+pub mod crowded_discovery;
 pub mod ingress_endpoint_list;
 pub mod ingress_latency;
 pub mod ingress_restart;
--- a/fleet-experiments/src/ingress_process/config.rs
+++ b/fleet-experiments/src/ingress_process/config.rs
@@ -18,7 +18,7 @@
 
 impl DiscoveryMode {
     /// Returns the value of `membership_mode` in the settings.
-    fn name(self) -> &'static str {
+    pub fn name(self) -> &'static str {
         match self {
             DiscoveryMode::Push => "push",
             DiscoveryMode::Poll => "ask",
--- a/fleet-experiments/tests/experiments.rs
+++ b/fleet-experiments/tests/experiments.rs
@@ -126,6 +126,15 @@
     assert_eq!(number(&points[0], "served"), 100.0, "{points:?}");
 }
 
+/// Discovery lets each poll wait, and an ingress receives both changes. Without answers that are sent on open
+/// connections, a time of delivery would be that of a poll which the ingress had given up.
+#[test]
+fn changes_of_a_crowded_discovery_are_delivered() {
+    let points = points("crowded_discovery");
+    let delivered: Vec<f64> = points.iter().map(|point| number(point, "delivered")).collect();
+    assert_eq!(delivered, [2.0, 2.0], "{points:?}");
+}
+
 /// A mistake in an experiment file is reported in one line with the key and the cause, and with exit status
 /// 2, before a run of hours begins.
 #[test]
@@ -189,7 +198,7 @@
 #[test]
 fn experiment_files_with_former_names_are_still_read() {
     let former = ExperimentFile::parse(include_str!("former_names.toml")).unwrap();
-    assert_eq!(former.experiments().len(), 8);
+    assert_eq!(former.experiments().len(), 9);
     assert_eq!(former, ExperimentFile::parse(SMALL).unwrap());
 }
 
