Move the storage of an incomplete command out of the connection of a client

Change: InputStorage is in clients/input_storage.rs; the tests have accept_poll. No behaviour changes.

--- a/src/bin/ingress/clients.rs
+++ b/src/bin/ingress/clients.rs
@@ -11,6 +11,7 @@
 mod connection;
 mod error;
 mod expiry;
+mod input_storage;
 mod limits;
 mod memory;
 mod output;
--- a/src/bin/ingress/clients/connection.rs
+++ b/src/bin/ingress/clients/connection.rs
@@ -2,6 +2,7 @@
 
 use super::close_state::{CloseState, ClosingCause};
 use super::error::ClientError;
+use super::input_storage::InputStorage;
 use super::limits::{INPUT_RESERVATION_BYTES, LINGER_TIMEOUT};
 use super::memory::{ConnectionMemory, MemoryBudget};
 use super::output::OutputBuffer;
@@ -9,7 +10,7 @@
 use super::reply_queue::ReplyQueue;
 use super::Capacity;
 use crate::buffer::extend_in_steps;
-use crate::resp::{self, CommandSkipper};
+use crate::resp;
 use ingress::permissions::{may_close_client, ClientConnectionState, ClosingState};
 use ingress::{Duration, Instant};
 use mio::net::TcpStream;
@@ -41,40 +42,6 @@
     Rejected,
 }
 
-/// The memory for an incomplete command.
-#[derive(Debug)]
-pub enum InputStorage {
-    /// The input is short, or consists of unparsed commands.
-    Unreserved,
-    /// [`INPUT_RESERVATION_BYTES`] are reserved.
-    Reserved,
-    /// No memory was available, so the rest of the command is discarded.
-    Discarding(CommandSkipper),
-}
-
-impl InputStorage {
-    /// Returns whether memory is reserved.
-    pub fn is_reserved(&self) -> bool {
-        matches!(self, InputStorage::Reserved)
-    }
-
-    /// Returns whether a command is being discarded.
-    pub fn is_discarding(&self) -> bool {
-        matches!(self, InputStorage::Discarding(_))
-    }
-
-    /// Stops discarding, and returns the skipper of the command that was being discarded.
-    pub fn take_skipper(&mut self) -> Option<CommandSkipper> {
-        match std::mem::replace(self, InputStorage::Unreserved) {
-            InputStorage::Discarding(skipper) => Some(skipper),
-            storage => {
-                *self = storage;
-                None
-            }
-        }
-    }
-}
-
 /// A client connection with its buffers and limits.
 pub struct ClientConnection {
     pub stream: TcpStream,
--- a/src/bin/ingress/clients/receiving.rs
+++ b/src/bin/ingress/clients/receiving.rs
@@ -3,8 +3,8 @@
 
 use super::close_reason::ClientCloseReason;
 use super::close_state::ClosingCause;
-use super::connection::InputStorage;
 use super::error::ClientError;
+use super::input_storage::InputStorage;
 use super::limits::{MAX_UNRESERVED_INPUT_BYTES, READ_BUFFER_BYTES};
 use super::reading::MAX_READS_PER_ITERATION;
 use super::{Clients, BUSY_REPLY};
--- a/src/bin/ingress/discovery/watch/tests.rs
+++ b/src/bin/ingress/discovery/watch/tests.rs
@@ -106,6 +106,13 @@
         stream
     }
 
+    /// Accepts a connection and reads its poll.
+    fn accept_poll(&mut self) -> std::net::TcpStream {
+        let mut stream = self.accept();
+        self.read_poll(&mut stream);
+        stream
+    }
+
     /// Reads the next poll from a connection and returns its timeout; zero if the poll does not wait.
     fn read_poll(&mut self, stream: &mut std::net::TcpStream) -> Duration {
         let (mut head, mut byte) = (String::new(), [0]);
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -29,8 +29,7 @@
         assert_eq!(harness.lists, [42], "the long poll is answered late");
         harness.run_timer(); // the second poll times out
         harness.run_timer(); // the retry delay passes
-        let mut third = harness.accept();
-        harness.read_poll(&mut third);
+        let mut third = harness.accept_poll();
         harness.respond(&mut second, 43);
         assert_eq!(harness.lists, [42, 43], "the second poll is answered late");
         harness.respond(&mut third, 43);
@@ -46,11 +45,9 @@
 fn a_late_poll_is_followed_by_a_long_one_once_discovery_has_responded() {
     for timings in all_timings() {
         let mut harness = Harness::new(timings);
-        let mut long_poll = harness.accept();
-        harness.read_poll(&mut long_poll);
+        let mut long_poll = harness.accept_poll();
         harness.run_timer(); // the long poll times out
-        let mut second = harness.accept();
-        harness.read_poll(&mut second);
+        let mut second = harness.accept_poll();
         harness.now += Duration::MICROSECOND;
         harness.respond(&mut long_poll, 42);
         harness.run_timer(); // the second poll times out
@@ -69,8 +66,7 @@
 #[test]
 fn a_reload_with_the_same_address_keeps_the_pending_poll() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
-    let mut long_poll = harness.accept();
-    harness.read_poll(&mut long_poll);
+    let mut long_poll = harness.accept_poll();
     harness.watch.set_address(harness.listener.local_addr().unwrap(), harness.now);
     harness.run_timer();
     let mut snapshot = harness.accept();
@@ -85,16 +81,13 @@
 #[test]
 fn a_lower_version_in_a_late_response_is_followed_by_a_request_for_the_whole_list() {
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
-    let mut late = harness.accept();
-    harness.read_poll(&mut late);
+    let mut late = harness.accept_poll();
     harness.run_timer(); // the poll times out
-    let mut pending = harness.accept();
-    harness.read_poll(&mut pending);
+    let mut pending = harness.accept_poll();
     harness.respond(&mut late, 3);
     harness.run_timer();
     assert_eq!(harness.watch.pending.map(|poll| poll.request), Some(PollRequest::Snapshot));
-    let mut snapshot = harness.accept();
-    harness.read_poll(&mut snapshot);
+    let mut snapshot = harness.accept_poll();
     harness.respond(&mut snapshot, 3);
     assert_eq!(harness.watch.version.index, 3);
 }
