--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -47,7 +47,7 @@
         let mut harness = Harness::new(timings);
         let mut long_poll = harness.accept_poll();
         harness.run_timer(); // the long poll times out
-        let mut second = harness.accept_poll();
+        let _second = harness.accept_poll();
         harness.now += Duration::MICROSECOND;
         harness.respond(&mut long_poll, 42);
         harness.run_timer(); // the second poll times out
@@ -83,7 +83,7 @@
     let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
     let mut late = harness.accept_poll();
     harness.run_timer(); // the poll times out
-    let mut pending = harness.accept_poll();
+    let _pending = harness.accept_poll();
     harness.respond(&mut late, 3);
     harness.run_timer();
     assert_eq!(harness.watch.pending.map(|poll| poll.request), Some(PollRequest::Snapshot));
