--- a/src/bin/ingress/discovery/watch.rs
+++ b/src/bin/ingress/discovery/watch.rs
@@ -115,7 +115,7 @@
         if address != self.address {
             self.disconnect();
             self.earlier.clear();
-        } else if self.awaits_snapshot() {
+        } else if self.version.needs_snapshot && self.awaits_snapshot() {
             return;
         }
         self.keep_pending_poll(now);
--- a/src/bin/ingress/discovery/watch/responses.rs
+++ b/src/bin/ingress/discovery/watch/responses.rs
@@ -94,7 +94,8 @@
             self.next_timer_at = now;
         }
         self.apply_response(now, poll, response, on_endpoints);
-        if self.version.needs_snapshot && !self.awaits_snapshot() {
+        let is_requested = self.pending.is_some_and(|poll| poll.request == PollRequest::Snapshot);
+        if self.version.needs_snapshot && !is_requested {
             self.keep_pending_poll(now);
             self.next_timer_at = now;
         }
--- a/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
+++ b/src/bin/ingress/discovery/watch/tests/crowded_discovery.rs
@@ -76,6 +76,29 @@
     assert_eq!(harness.lists, [42, 43]);
 }
 
+/// A request for a snapshot is answered late, and the one after it never. The configuration is reloaded with
+/// the same address. If the dead request counted as the one that the reload needs, a list would be received
+/// only after the long poll that is pending, whose connection may be dead as well.
+#[test]
+fn a_reload_requests_a_snapshot_though_an_earlier_request_is_dead() {
+    let mut harness = Harness::new(PollTimings::LOCAL_AGENT);
+    let address = harness.listener.local_addr().unwrap();
+    let _long_poll = harness.accept_poll();
+    harness.watch.set_address(address, harness.now);
+    harness.run_timer();
+    let mut late = harness.accept_poll();
+    harness.run_timer(); // the request for a snapshot times out
+    let _dead = harness.accept_poll();
+    harness.now += Duration::MICROSECOND;
+    harness.respond(&mut late, 42);
+    assert_eq!(harness.lists, [42], "the snapshot is answered late");
+    harness.run_timer(); // the dead request times out
+    assert!(harness.watch.pending.is_some_and(|poll| poll.request.timeout() > Duration::ZERO));
+    harness.watch.set_address(address, harness.now);
+    harness.run_timer();
+    assert_eq!(harness.watch.pending.map(|poll| poll.request), Some(PollRequest::Snapshot));
+}
+
 /// A late response has a lower version, which is that of another process of discovery, while a poll for
 /// changes since the higher one is pending. The whole list is requested at once, not only after that poll.
 #[test]
